Add workspace, shared types and the design page

Cause: the work starts from an empty repository. Change: a workspace of seven small libraries with pinned versions, the shared types of core (clock, ids, documents, records, messages, settings, logs), the scheduler's request and action types, docs/design.md and one command for formatter, linter, type check and tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Development commands. `make demo` and `make check` do all set-up themselves.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+LIBS := core policy platform daemon operator standins measure
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+
+.PHONY: demo check format lint types test measure clean
+
+$(VENV)/installed: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r constraints.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(EDITABLE)
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python tools/demo.py
+
+check: format lint types test
+
+format: $(VENV)/installed
+	$(BIN)/ruff format --check libs tools
+
+lint: $(VENV)/installed
+	$(BIN)/ruff check libs tools
+
+types: $(VENV)/installed
+	$(BIN)/mypy libs/*/src
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+measure: $(VENV)/installed
+	$(BIN)/skylarkmoor-measure
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache
--- /dev/null
+++ b/libs/core/src/skylarkmoor_core/errors.py
@@ -0,0 +1,88 @@
+"""Exceptions of skylarkmoor."""
+
+from skylarkmoor_core.outcome import ErrorCode, Outcome
+
+__all__ = [
+    "DocumentError",
+    "LogOutage",
+    "LogRateLimited",
+    "MessageError",
+    "PlatformError",
+    "RequestRefused",
+    "SettingsError",
+    "SkylarkmoorError",
+    "UpstreamError",
+]
+
+
+class SkylarkmoorError(Exception):
+    """Base of all exceptions of skylarkmoor."""
+
+
+class SettingsError(SkylarkmoorError):
+    """A setting is missing or invalid."""
+
+
+class DocumentError(SkylarkmoorError):
+    """A service document is invalid; the message starts with the path of the field."""
+
+
+class MessageError(SkylarkmoorError):
+    """Bytes from a peer do not form a valid message."""
+
+
+class PlatformError(SkylarkmoorError):
+    """A service of the platform failed or gave an invalid answer."""
+
+
+class LogOutage(PlatformError):
+    """The log did not answer; an append may or may not have taken effect."""
+
+
+class LogRateLimited(PlatformError):
+    """The log refused an append because of its rate; the append took no effect."""
+
+
+class UpstreamError(SkylarkmoorError):
+    """An upstream failed a request.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    sent : bool
+        Whether a byte of the request may have reached the upstream.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class RequestRefused(SkylarkmoorError):
+    """A request ends with an error answer.
+
+    Parameters
+    ----------
+    code : ErrorCode
+        Reason.
+    message : str
+        Text for the caller.
+    outcome : Outcome
+        Whether the request ran.
+    retry_after_ms : int, optional
+        When the caller may try again.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        outcome: Outcome = Outcome.NOT_RUN,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.outcome = outcome
+        self.retry_after_ms = retry_after_ms
--- /dev/null
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -0,0 +1,222 @@
+"""Messages between daemons."""
+
+from enum import Enum
+
+import msgspec
+
+from skylarkmoor_core.document import ServiceDocument
+from skylarkmoor_core.errors import MessageError
+from skylarkmoor_core.ids import ClaimId, HostId, Incarnation, Offset, ServiceName, UpstreamId
+from skylarkmoor_core.outcome import Outcome
+
+__all__ = [
+    "ClaimRequest",
+    "ClaimResult",
+    "ClaimStatus",
+    "Demand",
+    "Digest",
+    "DocumentOffer",
+    "Envelope",
+    "Fact",
+    "FactKind",
+    "Gossip",
+    "Grant",
+    "Heartbeat",
+    "HostState",
+    "Message",
+    "OutcomeAnswer",
+    "OutcomeQuery",
+    "ReleaseRequest",
+    "decode_envelope",
+    "encode_envelope",
+]
+
+
+class HostState(Enum):
+    """State of an entry host, in the order in which it may change within an incarnation."""
+
+    ALIVE = 0
+    DRAINING = 1
+    LEFT = 2
+
+
+class FactKind(Enum):
+    """What a fact is about."""
+
+    HOST = 0
+    UPSTREAM_LEAVING = 1
+    VERSION_STOPPED = 2
+    EVIDENCE = 3
+    SUSPECT = 4
+    SUSPECT_CLEARED = 5
+    DOCUMENT_OFFSET = 6
+
+
+class ClaimStatus(Enum):
+    """Answer to a claim request."""
+
+    WON = 0
+    HELD = 1
+    LOG_DOWN = 2
+    NOT_OWNER = 3
+
+
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the convergent map of shared soft state.
+
+    Parameters
+    ----------
+    kind : FactKind
+        What the fact is about.
+    subject : str
+        The thing concerned, for instance an upstream id.
+    value : tuple of int
+        Merged element by element by maximum.
+    """
+
+    kind: FactKind
+    subject: str
+    value: tuple[int, ...]
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages between daemons."""
+
+
+class Heartbeat(_Message, frozen=True, tag="h"):
+    """The sender is alive in this state."""
+
+    state: HostState
+    seq: int
+
+
+class Gossip(_Message, frozen=True, tag="g"):
+    """Facts that are new to the sender."""
+
+    facts: tuple[Fact, ...]
+
+
+class Digest(_Message, frozen=True, tag="d"):
+    """Hashes of the sender's facts by bucket; the receiver answers with differing buckets."""
+
+    hashes: tuple[int, ...]
+
+
+class Demand(_Message, frozen=True, tag="q"):
+    """Cost that the sender runs and waits for on an upstream, by tier, as absolute values."""
+
+    upstream: UpstreamId
+    seq: int
+    running: tuple[int, ...]
+    waiting: tuple[int, ...]
+    # Latency seen since the last demand: worst first-token and between-tokens time in
+    # milliseconds as a percentage of the tier's bound, 0 when nothing was measured.
+    pressure_percent: int = 0
+
+
+class Grant(_Message, frozen=True, tag="r"):
+    """Cost that the receiver may run on an upstream, by tier, as absolute values."""
+
+    upstream: UpstreamId
+    seq: int
+    allowed: tuple[int, ...]
+    lease_ms: int
+
+
+class ClaimRequest(_Message, frozen=True, tag="c"):
+    """Ask the partition's owner to claim a key."""
+
+    claim: ClaimId
+    key_hash: int
+    body_hash: int
+    issued_wall_ms: int
+
+
+class ReleaseRequest(_Message, frozen=True, tag="e"):
+    """Ask the partition's owner to log the release of a claim."""
+
+    claim: ClaimId
+    key_hash: int
+
+
+class ClaimResult(_Message, frozen=True, tag="k"):
+    """Answer to a claim request; the holder's fields are set when the key is held."""
+
+    claim: ClaimId
+    status: ClaimStatus
+    holder_claim: ClaimId | None = None
+    holder_host: HostId | None = None
+    holder_incarnation: Incarnation | None = None
+    holder_body_hash: int | None = None
+
+
+class OutcomeQuery(_Message, frozen=True, tag="o"):
+    """Ask the holder of a claim how its call ended."""
+
+    claim: ClaimId
+    query: int
+
+
+class OutcomeAnswer(_Message, frozen=True, tag="a"):
+    """How a claimed call ended; `done` is false while it runs."""
+
+    claim: ClaimId
+    query: int
+    done: bool
+    outcome: Outcome
+    status_code: int
+    body: bytes
+
+
+class DocumentOffer(_Message, frozen=True, tag="f"):
+    """An accepted document with its offset, for a peer that has an older one."""
+
+    service: ServiceName
+    offset: Offset
+    document: ServiceDocument
+
+
+Message = (
+    Heartbeat
+    | Gossip
+    | Digest
+    | Demand
+    | Grant
+    | ClaimRequest
+    | ReleaseRequest
+    | ClaimResult
+    | OutcomeQuery
+    | OutcomeAnswer
+    | DocumentOffer
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender."""
+
+    sender: HostId
+    incarnation: Incarnation
+    message: Message
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Envelope] = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return `envelope` as MessagePack."""
+    return _ENCODER.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Read an envelope from MessagePack.
+
+    Raises
+    ------
+    MessageError
+        If the bytes are not a valid envelope.
+    """
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError as error:
+        raise MessageError(f"not a message: {error}") from error
--- /dev/null
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -0,0 +1,141 @@
+"""Records of the log streams."""
+
+from enum import Enum
+
+import msgspec
+
+from skylarkmoor_core.document import ServiceDocument
+from skylarkmoor_core.errors import MessageError
+from skylarkmoor_core.ids import (
+    ClaimId,
+    HostId,
+    Incarnation,
+    MoveId,
+    Offset,
+    ServiceName,
+    VersionId,
+)
+
+__all__ = [
+    "AuditEntry",
+    "Claim",
+    "DocumentCarried",
+    "DocumentPublished",
+    "MoveEnded",
+    "MoveResult",
+    "MoveStep",
+    "Record",
+    "Release",
+    "decode_record",
+    "encode_record",
+]
+
+
+class MoveResult(Enum):
+    """How a move ended."""
+
+    DONE = "done"
+    UNDONE = "undone"
+
+
+class _Record(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of all records; the tag is the class name."""
+
+
+class DocumentPublished(_Record, frozen=True):
+    """An operator publishes a document, based on the accepted one at offset `based_on`."""
+
+    service: ServiceName
+    document: ServiceDocument
+    based_on: Offset | None
+    author: str
+    reason: str = ""
+
+
+class DocumentCarried(_Record, frozen=True):
+    """The accepted document at `predecessor` is repeated before retention ends."""
+
+    service: ServiceName
+    document: ServiceDocument
+    predecessor: Offset
+
+
+class MoveStep(_Record, frozen=True):
+    """The share of a move's traffic rises.
+
+    `move` is made of the service and the offset of the document that asks for the move;
+    `predecessor` is the offset of the move's last step, or None for its first.
+    """
+
+    service: ServiceName
+    move: MoveId
+    version: VersionId
+    step: int
+    share_percent: int
+    predecessor: Offset | None
+    author: HostId
+
+
+class MoveEnded(_Record, frozen=True):
+    """A move is done or undone."""
+
+    service: ServiceName
+    move: MoveId
+    version: VersionId
+    result: MoveResult
+    why: str
+    author: HostId
+
+
+class Claim(_Record, frozen=True):
+    """An entry host claims the right to dispatch the call with a key."""
+
+    claim: ClaimId
+    key_hash: int
+    body_hash: int
+    host: HostId
+    incarnation: Incarnation
+    issued_wall_ms: int
+
+
+class Release(_Record, frozen=True):
+    """The holder gives a claim up; nothing of the call was sent."""
+
+    claim: ClaimId
+    key_hash: int
+
+
+class AuditEntry(_Record, frozen=True):
+    """A change: who made it, what changed, from what to what, and at which offset."""
+
+    who: str
+    what: str
+    before: str
+    after: str
+    at_ms: int
+    stream: str = ""
+    offset: Offset | None = None
+
+
+Record = DocumentPublished | DocumentCarried | MoveStep | MoveEnded | Claim | Release | AuditEntry
+
+_DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
+
+
+def encode_record(record: Record) -> bytes:
+    """Return `record` as JSON text."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(data: bytes) -> Record:
+    """Read a record from JSON text.
+
+    Raises
+    ------
+    MessageError
+        If the text is not a known record.
+    """
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError as error:
+        raise MessageError(f"not a record: {error}") from error
--- /dev/null
+++ b/libs/core/src/skylarkmoor_core/settings.py
@@ -0,0 +1,85 @@
+"""Settings from flags and environment variables, checked together at start."""
+
+import ipaddress
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
+from skylarkmoor_core.errors import SettingsError
+
+__all__ = ["ENV_PREFIX", "Address", "collect_faults", "parse_address"]
+
+ENV_PREFIX = "SKYLARKMOOR"
+_MAX_PORT = 65_535
+
+T = TypeVar("T")
+
+
+class Address:
+    """An IP number and a port.
+
+    Parameters
+    ----------
+    host : str
+        IPv4 or IPv6 number.
+    port : int
+        0 lets the operating system choose.
+    """
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+    def __str__(self) -> str:
+        """Return ``host:port``, with brackets around an IPv6 number."""
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port`` where the host is an IP number.
+
+    Raises
+    ------
+    SettingsError
+        If `text` is not an IP number and a port.
+
+    Examples
+    --------
+    >>> str(parse_address("127.0.0.1:80"))
+    '127.0.0.1:80'
+    """
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise SettingsError(f"{text!r} does not start with an IP number") from error
+    if not port.isdecimal() or int(port) > _MAX_PORT:
+        raise SettingsError(f"{text!r} does not end with a port from 0 to {_MAX_PORT}")
+    return Address(host, int(port))
+
+
+def collect_faults(checks: Iterable[tuple[str, Callable[[], object]]]) -> None:
+    """Run every check and raise all faults together.
+
+    Parameters
+    ----------
+    checks : iterable of (str, callable)
+        Name of the setting and a function that raises `SettingsError` if it is invalid.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `SettingsError`, one for each failed check, prefixed with the setting's name.
+    """
+    faults: list[SettingsError] = []
+    for name, check in checks:
+        try:
+            check()
+        except SettingsError as error:
+            faults.append(SettingsError(f"{name}: {error}"))
+    if faults:
+        raise ExceptionGroup("settings are invalid", faults)
--- /dev/null
+++ b/libs/daemon/src/skylarkmoor_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on entry hosts."""
--- /dev/null
+++ b/libs/measure/src/skylarkmoor_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring command for the decisions under load and faults."""
--- /dev/null
+++ b/libs/operator/src/skylarkmoor_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator commands."""
--- /dev/null
+++ b/libs/platform/src/skylarkmoor_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure scheduling decisions of skylarkmoor."""
--- /dev/null
+++ b/libs/standins/src/skylarkmoor_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams."""
