--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -169,11 +169,15 @@
 
 
 class DocumentOffer(_Message, frozen=True, tag="f"):
-    """An accepted document with its offset, for a peer that has an older one."""
+    """An accepted document with its offset, for a peer that has an older one.
+
+    `published` is the offset of the original publication; None stands for `offset`.
+    """
 
     service: ServiceName
     offset: Offset
     document: ServiceDocument
+    published: Offset | None = None
 
 
 Message = (
--- a/libs/core/src/skylarkmoor_core/records.py
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -53,11 +53,16 @@
 
 
 class DocumentCarried(_Record, frozen=True):
-    """The accepted document at `predecessor` is repeated before retention ends."""
+    """The accepted document at `predecessor` is repeated before retention ends.
+
+    `published` is the offset of the original publication, which names the document's move;
+    None stands for `predecessor`.
+    """
 
     service: ServiceName
     document: ServiceDocument
     predecessor: Offset
+    published: Offset | None = None
 
 
 class MoveStep(_Record, frozen=True):
