Add the convergent map of facts

Cause: host states, suspicions, stopped versions and evidence have to reach every daemon without the log, over links that lose and repeat messages. Change: facts.FactStore merges values by maximum, element by element, sends new facts to three peers a round, most urgent first, and repairs losses by bucket hashes. Facts expire by a wall-clock time that is part of the value, so that no daemon brings back what another one dropped.

--- /dev/null
+++ b/libs/policy/tests/test_facts.py
@@ -0,0 +1,159 @@
+"""Guards the convergence, the spreading and the bounds of shared soft state."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from skylarkmoor_core.messages import Fact, FactKind
+from skylarkmoor_policy.facts import SUSPECT_LIFETIME_MS, FactStore, merge_values
+
+KINDS = st.sampled_from([FactKind.EVIDENCE, FactKind.VERSION_STOPPED, FactKind.DOCUMENT_OFFSET])
+FACTS = st.lists(
+    st.builds(
+        Fact,
+        KINDS,
+        st.sampled_from(["a", "b", "c", "d"]),
+        st.tuples(st.integers(0, 9), st.integers(0, 9)),
+    ),
+    max_size=30,
+)
+
+
+def stopped(subject, at_ms=1):
+    return Fact(FactKind.VERSION_STOPPED, subject, (1, at_ms))
+
+
+def suspect(subject, at_ms):
+    return Fact(FactKind.SUSPECT, subject, (at_ms,))
+
+
+def content(store):
+    return {fact for kind in FactKind for fact in store.of_kind(kind)}
+
+
+def exchange(one, other):
+    for source, target in ((one, other), (other, one)):
+        target.merge(source.diff(target.digest()))
+
+
+@given(FACTS, st.randoms(use_true_random=False), st.integers(0, 2))
+@settings(max_examples=200, derandomize=True)
+def test_any_order_and_repetition_gives_the_same_map(facts, rng, copies):
+    shuffled = facts * (copies + 1)
+    rng.shuffle(shuffled)
+    one, other = FactStore(), FactStore()
+    one.merge(facts)
+    for fact in shuffled:
+        other.put(fact)
+    assert content(one) == content(other)
+    assert one.digest() == other.digest()
+
+
+@given(FACTS, st.data())
+@settings(max_examples=200, derandomize=True)
+def test_digest_exchange_repairs_any_loss(facts, data):
+    one, other = FactStore(), FactStore()
+    for fact in facts:
+        target = data.draw(st.sampled_from(["one", "other", "both"]))
+        if target != "other":
+            one.put(fact)
+        if target != "one":
+            other.put(fact)
+    exchange(one, other)
+    assert content(one) == content(other)
+    assert one.digest() == other.digest()
+
+
+def test_values_merge_element_by_element():
+    assert merge_values((3, 1), (2, 4)) == (3, 4)
+
+
+def test_merge_returns_only_what_changed():
+    store = FactStore()
+    store.put(stopped("m1"))
+    assert store.merge([stopped("m1"), stopped("m2")]) == [stopped("m2")]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_gossip_reaches_every_daemon_although_messages_are_lost(seed):
+    rng = random.Random(seed)
+    stores = {f"h{i}": FactStore() for i in range(30)}
+    stores["h0"].put(stopped("m1"))
+    for now_ms in range(0, 10_000, 500):
+        for host, store in stores.items():
+            peers = [peer for peer in stores if peer != host]
+            for send in store.gossip(rng, now_ms, peers):
+                if rng.random() < 0.8:
+                    stores[send.to].merge(send.message.facts)
+    reached = [store for store in stores.values() if store.get(FactKind.VERSION_STOPPED, "m1")]
+    assert len(reached) == 30, f"seed {seed}"
+
+
+def test_gossip_is_bounded_and_sends_urgent_facts_first():
+    store = FactStore(max_round=2)
+    for i in range(50):
+        store.put(Fact(FactKind.EVIDENCE, f"e{i}", (1, 1)))
+    store.put(stopped("m1"))
+    sends = store.gossip(random.Random(1), 2, ["h1", "h2", "h3", "h4"])
+    assert len(sends) == 3
+    assert all(len(send.message.facts) == 2 for send in sends)
+    assert all(stopped("m1") in send.message.facts for send in sends)
+
+
+def test_gossip_ends_when_nothing_is_new():
+    store, rng = FactStore(), random.Random(1)
+    store.put(stopped("m1"))
+    rounds = [store.gossip(rng, 2, ["h1", "h2"]) for _ in range(20)]
+    assert rounds[0]
+    assert not rounds[-1]
+
+
+def test_facts_wait_for_the_first_peer():
+    store, rng = FactStore(), random.Random(1)
+    store.put(stopped("m1"))
+    for _ in range(20):
+        assert store.gossip(rng, 2, []) == []
+    assert store.gossip(rng, 2, ["h1"])
+
+
+def test_expired_suspicion_is_not_brought_back_by_a_peer():
+    store, peer = FactStore(), FactStore()
+    for each in (store, peer):
+        each.put(suspect("s", 1000))
+    assert store.expire(1000 + SUSPECT_LIFETIME_MS) == [suspect("s", 1000)]
+    exchange(store, peer)
+    assert store.get(FactKind.SUSPECT, "s") is None
+
+
+def test_host_that_has_not_left_never_expires():
+    store = FactStore()
+    alive, left = Fact(FactKind.HOST, "h1", (4, 0)), Fact(FactKind.HOST, "h2", (4 | 2, 0))
+    store.merge([alive, left])
+    assert store.expire(10**9) == [left]
+
+
+def test_size_is_bounded_and_keeps_what_must_not_be_forgotten():
+    store = FactStore(max_facts=3)
+    store.merge([stopped("m1"), stopped("m2")])
+    new = store.merge([suspect("s1", 5), suspect("s2", 9)])
+    assert new == [suspect("s2", 9)]
+    assert content(store) == {stopped("m1"), stopped("m2"), suspect("s2", 9)}
+
+
+def test_large_difference_is_repaired_in_bounded_messages():
+    one, other = FactStore(), FactStore()
+    one.merge(Fact(FactKind.EVIDENCE, f"e{i}", (1, 1)) for i in range(3000))
+    largest = 0
+    for _ in range(40):
+        facts = one.diff(other.digest())
+        largest = max(largest, len(facts))
+        other.merge(facts)
+    assert largest < 700
+    assert one.digest() == other.digest()
+
+
+def test_digest_of_another_size_is_refused():
+    with pytest.raises(ValueError, match="64 hashes, got 1"):
+        FactStore().diff((0,))
