--- /dev/null
+++ b/libs/policy/tests/test_membership.py
@@ -0,0 +1,245 @@
+"""Guards the view of live daemons and leaving upstreams against stale and wrong sources."""
+
+import random
+
+import pytest
+
+from skylarkmoor_core.messages import Gossip, Heartbeat, HostState
+from skylarkmoor_policy.actions import Send
+from skylarkmoor_policy.facts import FactStore
+from skylarkmoor_policy.membership import (
+    FAILURE_MS,
+    HEARTBEAT_MS,
+    Announce,
+    HostEntry,
+    Membership,
+    UpstreamStates,
+    host_epoch,
+    host_fact,
+    host_state,
+    leaving_fact,
+)
+
+ALIVE = Heartbeat(HostState.ALIVE, 1)
+
+
+def entries(count, leaving=()):
+    return [HostEntry(f"h{i}", f"d{i % 3}", f"h{i}" in leaving) for i in range(count)]
+
+
+def member(count=3, host="h0"):
+    membership = Membership(host, 100, "d0")
+    membership.listed(entries(count))
+    return membership
+
+
+def run(membership, start_ms, end_ms):
+    decisions = []
+    for now_ms in range(start_ms, end_ms + 1, HEARTBEAT_MS):
+        decisions += membership.tick(now_ms, now_ms)
+    return decisions
+
+
+def announced(decisions):
+    return [decision.fact for decision in decisions if isinstance(decision, Announce)]
+
+
+def test_listed_hosts_are_live_before_any_fact():
+    assert dict(member().live()) == {"h0": "d0", "h1": "d1", "h2": "d2"}
+
+
+def test_fact_wins_over_the_lagging_list():
+    membership = member()
+    membership.apply([host_fact("h1", 1 << 10, HostState.LEFT, 5)], 5)
+    membership.listed([*entries(3), HostEntry("h3", "d0")])
+    assert list(membership.live()) == ["h0", "h2", "h3"]
+
+
+def test_host_that_the_list_misses_stays_live_while_a_fact_says_so():
+    membership = member()
+    membership.apply([host_fact("h1", 1 << 10, HostState.ALIVE, 5)], 5)
+    membership.listed(entries(1))
+    assert list(membership.live()) == ["h0", "h1"]
+
+
+@pytest.mark.parametrize("source", ["fact", "list", "heartbeat"])
+def test_draining_host_owns_nothing_but_stays_reachable(source):
+    membership = member()
+    if source == "fact":
+        membership.apply([host_fact("h1", 1 << 10, HostState.DRAINING, 5)], 5)
+    elif source == "list":
+        membership.listed(entries(3, leaving=["h1"]))
+    else:
+        membership.heartbeat("h1", 1, Heartbeat(HostState.DRAINING, 1), 5, 5)
+    assert list(membership.live()) == ["h0", "h2"]
+    assert membership.reachable() == ["h1", "h2"]
+
+
+def test_draining_hosts_own_when_no_other_is_left():
+    membership = member(1)
+    membership.enter(HostState.DRAINING, 5)
+    assert list(membership.live()) == ["h0"]
+
+
+def test_silent_host_is_reported_by_its_watcher():
+    membership = member(2)
+    membership.heartbeat("h1", 7, ALIVE, 0, 0)
+    facts = announced(run(membership, 0, FAILURE_MS + HEARTBEAT_MS))
+    assert [(fact.subject, host_state(fact)) for fact in facts] == [("h1", HostState.LEFT)]
+    assert host_epoch(facts[0]) == 7 << 10
+    assert list(membership.live()) == ["h0"]
+
+
+def test_listed_host_that_was_never_heard_is_reported():
+    assert announced(run(member(2), 0, FAILURE_MS + HEARTBEAT_MS))
+
+
+def test_heard_host_is_not_reported():
+    membership = member(2)
+    for now_ms in range(0, 3 * FAILURE_MS, HEARTBEAT_MS):
+        membership.heartbeat("h1", 7, ALIVE, now_ms, now_ms)
+        assert announced(membership.tick(now_ms, now_ms)) == []
+
+
+def test_watcher_that_was_paused_blames_nobody():
+    membership = member(2)
+    run(membership, 0, HEARTBEAT_MS)
+    assert announced(membership.tick(10 * FAILURE_MS, 0)) == []
+
+
+def test_host_is_watched_by_four_others_and_not_reported_by_the_rest():
+    members = [member(12, f"h{i}") for i in range(12)]
+    watchers = {each.watchers() for each in members[:1]}.pop()
+    assert len(set(watchers)) == 4
+    reporters = []
+    for each in members[1:]:
+        for now_ms in range(0, FAILURE_MS + 2 * HEARTBEAT_MS, HEARTBEAT_MS):
+            for other in range(1, 12):
+                each.heartbeat(f"h{other}", 1, ALIVE, now_ms, now_ms)
+            reporters += [(each, fact.subject) for fact in announced(each.tick(now_ms, now_ms))]
+    reported = [subject for _, subject in reporters if subject == "h0"]
+    assert len(reported) == 4
+
+
+def test_wrongly_reported_host_refutes_with_a_higher_epoch():
+    membership = member()
+    wrong = host_fact("h0", 100 << 10, HostState.LEFT, 5)
+    (announce,) = membership.apply([wrong], 6)
+    assert host_state(announce.fact) is HostState.ALIVE
+    assert announce.fact.value[0] > wrong.value[0]
+    assert membership.incarnation("h0") == 100
+    assert membership.apply([announce.fact], 7) == []
+
+
+def test_host_that_left_does_not_refute():
+    membership = member()
+    membership.enter(HostState.LEFT, 5)
+    assert membership.apply([host_fact("h0", 999 << 10, HostState.LEFT, 5)], 6) == []
+
+
+def test_host_that_counts_as_gone_is_told_so_when_heard():
+    membership = member()
+    left = host_fact("h1", 7 << 10, HostState.LEFT, 5)
+    membership.apply([left], 5)
+    assert membership.heartbeat("h1", 7, ALIVE, 6, 6) == [Send("h1", Gossip((left,)))]
+
+
+def test_new_incarnation_is_live_again_and_old_messages_are_dropped():
+    membership = member()
+    membership.apply([host_fact("h1", 7 << 10, HostState.LEFT, 5)], 5)
+    assert len(announced(membership.heartbeat("h1", 8, ALIVE, 6, 6))) == 1
+    assert "h1" in membership.live()
+    assert membership.heartbeat("h1", 7, Heartbeat(HostState.DRAINING, 9), 7, 7) == []
+    assert "h1" in membership.live()
+
+
+def test_fleet_agrees_after_a_death_and_a_false_report():
+    rng = random.Random(3)
+    hosts = [f"h{i}" for i in range(12)]
+    members = {host: member(12, host) for host in hosts}
+    stores = {host: FactStore() for host in hosts}
+    for host in hosts:
+        stores[host].put(members[host].own_fact(0))
+    dead = {"h5"}
+    for now_ms in range(0, 15_000, HEARTBEAT_MS):
+        if now_ms == 5_000:
+            stores["h1"].put(host_fact("h2", 100 << 10, HostState.LEFT, now_ms))
+            members["h1"].apply([stores["h1"].get(*_key("h2"))], now_ms)
+        for host in hosts:
+            if host in dead and now_ms >= 3_000:
+                continue
+            decisions = members[host].tick(now_ms, now_ms)
+            decisions += stores[host].gossip(rng, now_ms, members[host].reachable())
+            while decisions:
+                decisions += _deliver(decisions.pop(), host, members, stores, now_ms)
+    for host in sorted(set(hosts) - dead):
+        assert set(members[host].live()) == set(hosts) - dead, host
+
+
+def _key(host):
+    fact = host_fact(host, 0, HostState.ALIVE, 0)
+    return fact.kind, fact.subject
+
+
+def _deliver(decision, host, members, stores, now_ms):
+    match decision:
+        case Announce(fact=fact):
+            stores[host].put(fact)
+            return []
+        case Send(to=to, message=Gossip(facts=facts)):
+            new = stores[to].merge(facts)
+            for announce in members[to].apply(new, now_ms):
+                stores[to].put(announce.fact)
+            return []
+        case Send(to=to, message=heartbeat):
+            answers = members[to].heartbeat(host, 100, heartbeat, now_ms, now_ms)
+            for answer in answers:
+                _deliver(answer, to, members, stores, now_ms)
+            return []
+
+
+@pytest.mark.parametrize("source", ["list", "answer", "refusal", "fact"])
+def test_upstream_is_leaving_by_whichever_source_comes_first(source):
+    states = UpstreamStates()
+    states.listed({"u1": False}, 0)
+    states.answered("u1", 10, False, 0)
+    assert not states.is_leaving("u1")
+    if source == "list":
+        assert states.listed({"u1": True}, 5) == [Announce(leaving_fact("u1", 10, 5))]
+    elif source == "answer":
+        assert states.answered("u1", 10, True, 5) == [Announce(leaving_fact("u1", 10, 5))]
+    elif source == "refusal":
+        assert states.answered("u1", None, True, 5) == [Announce(leaving_fact("u1", 10, 5))]
+    else:
+        states.apply([leaving_fact("u1", 10, 5)])
+    assert states.is_leaving("u1")
+
+
+def test_leaving_upstream_stays_so_until_its_next_incarnation():
+    states = UpstreamStates()
+    states.answered("u1", 10, True, 0)
+    states.answered("u1", 10, False, 1)
+    states.listed({"u1": False}, 1)
+    assert states.is_leaving("u1")
+    states.answered("u1", 11, False, 2)
+    assert not states.is_leaving("u1")
+    assert states.answered("u1", 10, True, 3) == []
+    assert not states.is_leaving("u1")
+
+
+def test_lagging_first_list_does_not_condemn_a_new_incarnation():
+    # The list still shows the drain of an earlier incarnation when this daemon starts.
+    states = UpstreamStates()
+    assert states.listed({"u1": True}, 0) == []
+    assert states.answered("u1", 11, False, 0) == []
+    assert states.is_leaving("u1")
+    states.listed({"u1": False}, 1)
+    assert not states.is_leaving("u1")
+
+
+def test_refusal_before_any_report_holds_for_the_incarnation_reported_next():
+    states = UpstreamStates()
+    assert states.answered("u1", None, True, 0) == []
+    assert states.is_leaving("u1")
+    assert states.answered("u1", 10, False, 1) == [Announce(leaving_fact("u1", 10, 1))]
+    assert states.is_leaving("u1")
