Add claims for at-most-once calls

Cause: an order must run at most once and a not_run must be true, although appends lose their answers, owners overlap and holders die or are paused. Change: claimindex replays the stream and gives the verdicts, claimowner batches claims into one ClaimBatch record and answers only from replaying, claimholder is the state machine at the entry daemon; claims re-exports them. A claim that finds its key held, or whose release came first, never holds. An answer that comes after the limit proves nothing, so its outcome is unknown.

--- a/libs/core/src/skylarkmoor_core/records.py
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -19,6 +19,7 @@
 __all__ = [
     "AuditEntry",
     "Claim",
+    "ClaimBatch",
     "DocumentCarried",
     "DocumentPublished",
     "MoveEnded",
@@ -110,6 +111,15 @@
     key_hash: int
 
 
+class ClaimBatch(_Record, frozen=True):
+    """Claims and releases that one append brings into the log, in the order in which they count.
+
+    One record for each claim would exceed the appends that the log allows.
+    """
+
+    entries: tuple[Claim | Release, ...]
+
+
 class AuditEntry(_Record, frozen=True):
     """A change: who made it, what changed, from what to what, and at which offset."""
 
@@ -122,7 +132,16 @@
     offset: Offset | None = None
 
 
-Record = DocumentPublished | DocumentCarried | MoveStep | MoveEnded | Claim | Release | AuditEntry
+Record = (
+    DocumentPublished
+    | DocumentCarried
+    | MoveStep
+    | MoveEnded
+    | Claim
+    | Release
+    | ClaimBatch
+    | AuditEntry
+)
 
 _DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
 
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/claims.py
@@ -0,0 +1,61 @@
+"""At-most-once calls: the index of claims, the owner of a partition and the holder of a claim."""
+
+from skylarkmoor_policy.claimholder import (
+    DISPATCH_LIMIT_MS,
+    Answer,
+    AskOwner,
+    AskRelease,
+    ClaimHolder,
+    ClaimState,
+    Go,
+    HolderDecision,
+    QueryHolder,
+)
+from skylarkmoor_policy.claimindex import (
+    EXPIRY_MARGIN_MS,
+    ClaimIndex,
+    Held,
+    IssueTime,
+    Verdict,
+    Void,
+    Won,
+    check_issue_time,
+    claim_id,
+    claim_partition,
+    claim_stream,
+)
+from skylarkmoor_policy.claimowner import (
+    Append,
+    ClaimOwner,
+    LogRecord,
+    OwnerDecision,
+    Read,
+)
+
+__all__ = [
+    "DISPATCH_LIMIT_MS",
+    "EXPIRY_MARGIN_MS",
+    "Answer",
+    "Append",
+    "AskOwner",
+    "AskRelease",
+    "ClaimHolder",
+    "ClaimIndex",
+    "ClaimOwner",
+    "ClaimState",
+    "Go",
+    "Held",
+    "HolderDecision",
+    "IssueTime",
+    "LogRecord",
+    "OwnerDecision",
+    "QueryHolder",
+    "Read",
+    "Verdict",
+    "Void",
+    "Won",
+    "check_issue_time",
+    "claim_id",
+    "claim_partition",
+    "claim_stream",
+]
--- /dev/null
+++ b/libs/policy/tests/test_claims.py
@@ -0,0 +1,392 @@
+"""Guards I1 and I2: random runs of entry daemons, owners and a log that fail in every way.
+
+The runs have several daemons that take copies of the same keys, two owners at once, appends
+whose answers are lost or that take effect late, messages that are lost, repeated and reordered,
+daemons that are killed, restarted or paused beyond every limit, and clocks that differ.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+
+from skylarkmoor_core.messages import (
+    ClaimRequest,
+    ClaimResult,
+    ClaimStatus,
+    OutcomeAnswer,
+    OutcomeQuery,
+    ReleaseRequest,
+)
+from skylarkmoor_core.outcome import ErrorCode, Outcome
+from skylarkmoor_policy.actions import Send
+from skylarkmoor_policy.claims import (
+    Answer,
+    Append,
+    AskOwner,
+    AskRelease,
+    ClaimHolder,
+    ClaimOwner,
+    ClaimState,
+    Go,
+    IssueTime,
+    LogRecord,
+    QueryHolder,
+    Read,
+    check_issue_time,
+    claim_id,
+)
+
+WINDOW_MS = 20_000
+HOSTS = ("h0", "h1", "h2")
+OWNERS = ("h0", "h1")
+STEPS = 1_000
+
+
+class MemoryOwner(ClaimOwner):
+    """Repeats lost appends blindly and answers from its memory without reading."""
+
+    def __init__(self, host, window_ms):
+        super().__init__(host, window_ms)
+        self.memory = {}
+        self.asked = {}
+        self.batch = ()
+
+    def request(self, sender, request, incarnation, now_ms, owner):
+        sends = super().request(sender, request, incarnation, now_ms, self._host)
+        self.asked[request.claim] = sender
+        return sends
+
+    def poll(self, now_ms):
+        decisions = super().poll(now_ms)
+        for decision in decisions:
+            if isinstance(decision, Append):
+                self.batch = decision.batch.entries
+        return decisions
+
+    def appended(self, offset):
+        super().appended(offset)
+        for entry in self.batch:
+            if hasattr(entry, "body_hash"):
+                self.memory.setdefault(entry.key_hash, entry)
+
+    def append_lost(self, now_ms):
+        self.append_refused(now_ms)
+
+    def read(self, records, first, next_offset):
+        super().read(records, first, next_offset)
+        sends = []
+        for claim, sender in list(self.asked.items()):
+            held = next((one for one in self.memory.values() if one.claim == claim), None)
+            if held is not None:
+                sends.append(Send(sender, ClaimResult(claim, ClaimStatus.WON)))
+                del self.asked[claim]
+        return sends
+
+
+@dataclass
+class Daemon:
+    host: str
+    owner: ClaimOwner
+    incarnation: int
+    skew_ms: int
+    offset_ms: int
+    paused_until_ms: int = 0
+    counter: int = 0
+    holders: dict = field(default_factory=dict)
+
+
+class Fleet:
+    """One run; every step is drawn from the seed."""
+
+    def __init__(self, seed, owner_class=ClaimOwner):
+        self.rng = random.Random(seed)
+        self.owner_class = owner_class
+        self.now_ms = 1_000_000
+        self.log = []
+        self.first = 0
+        self.outage_until_ms = 0
+        # Appends without an answer that take effect later.
+        self.delayed = []
+        # Messages, and results of appends and reads, on their way: (host, incarnation, action).
+        self.on_the_way = []
+        self.dispatches = []
+        self.running = []
+        self.violations = []
+        self.seen = Counter()
+        self.daemons = {host: self.start(host, 1) for host in HOSTS}
+        self.keys = []
+
+    def start(self, host, incarnation):
+        rng = self.rng
+        owner = self.owner_class(host, WINDOW_MS)
+        return Daemon(host, owner, incarnation, rng.randrange(-2_000, 2_000), rng.randrange(10**6))
+
+    def clock(self, daemon):
+        return self.now_ms + daemon.offset_ms
+
+    def run(self):
+        steps = [
+            (self.submit, 3),
+            (self.deliver, 100),
+            (self.poll_owner, 35),
+            (self.tick_holder, 3),
+            (self.dispatch, 8),
+            (self.refuse, 1),
+            (self.end_call, 3),
+            (self.land_delayed, 2),
+            (self.pass_time, 15),
+            (self.pause, 0.5),
+            (self.kill, 0.3),
+            (self.break_log, 0.3),
+        ]
+        actions, weights = zip(*steps, strict=True)
+        for _ in range(STEPS):
+            self.rng.choices(actions, weights)[0]()
+        return self
+
+    def awake(self):
+        return [each for each in self.daemons.values() if each.paused_until_ms <= self.now_ms]
+
+    def pick(self, items):
+        items = list(items)
+        return self.rng.choice(items) if items else None
+
+    def submit(self):
+        if len(self.keys) < 2 or self.rng.random() < 0.2:
+            issued_ms = self.now_ms + self.rng.randrange(-5_000, 5_000)
+            self.keys.append((len(self.keys), issued_ms))
+        key, issued_ms = self.pick(self.keys[self.rng.choice([0, -2]) :])
+        body = 2 if self.rng.random() < 0.02 else 1
+        for daemon in self.awake():
+            if self.rng.random() < 0.6:
+                self.submit_to(daemon, key, body, issued_ms)
+
+    def submit_to(self, daemon, key, body, issued_ms):
+        wall_ms = self.now_ms + daemon.skew_ms
+        if check_issue_time(issued_ms, wall_ms, WINDOW_MS) is not IssueTime.FRESH:
+            self.seen["expired"] += 1
+            return
+        daemon.counter += 1
+        claim = claim_id(daemon.host, daemon.incarnation, daemon.counter)
+        now_ms = self.clock(daemon)
+        request = ClaimRequest(claim, key, body, issued_ms)
+        holder = ClaimHolder(request, now_ms, now_ms + self.rng.choice([2_000, 30_000]))
+        daemon.holders[claim] = holder
+        self.carry_out(daemon, holder, [AskOwner(request)])
+
+    def deliver(self):
+        if not self.on_the_way:
+            return
+        at = self.rng.randrange(len(self.on_the_way))
+        host, incarnation, action = self.on_the_way[at]
+        daemon = self.daemons[host]
+        if daemon.paused_until_ms > self.now_ms:
+            return
+        if self.rng.random() > 0.1 or incarnation is not None:
+            del self.on_the_way[at]
+        if incarnation is None and self.rng.random() < 0.1:
+            return
+        if incarnation in (None, daemon.incarnation):
+            action(daemon)
+
+    def message(self, sender, to, message):
+        source = (sender.host, sender.incarnation)
+        action = lambda daemon: self.receive(daemon, *source, message)  # noqa: E731
+        self.on_the_way.append((to, None, action))
+
+    def receive(self, daemon, sender, incarnation, message):
+        now_ms = self.clock(daemon)
+        match message:
+            case ClaimRequest():
+                believed = daemon.host if daemon.host in OWNERS else "h0"
+                sends = daemon.owner.request(sender, message, incarnation, now_ms, believed)
+                self.send_all(daemon, sends)
+            case ReleaseRequest():
+                daemon.owner.release(message)
+            case ClaimResult():
+                holder = daemon.holders.get(message.claim)
+                if holder is not None:
+                    self.carry_out(daemon, holder, holder.result(message, now_ms))
+            case OutcomeQuery():
+                holder = daemon.holders.get(message.claim)
+                if holder is not None:
+                    self.carry_out(daemon, holder, holder.query(sender, message))
+                else:
+                    gone = OutcomeAnswer(message.claim, 0, True, Outcome.UNKNOWN, 0, b"")
+                    self.message(daemon, sender, gone)
+            case OutcomeAnswer():
+                for holder in list(daemon.holders.values()):
+                    if getattr(holder, "asked_for", None) == message.claim:
+                        self.carry_out(daemon, holder, holder.learn(message))
+
+    def send_all(self, daemon, sends):
+        for send in sends:
+            self.message(daemon, send.to, send.message)
+
+    def carry_out(self, daemon, holder, decisions):
+        for decision in decisions:
+            match decision:
+                case AskOwner(request=request) | AskRelease(request=request):
+                    self.message(daemon, self.pick((*OWNERS, "h2")), request)
+                case QueryHolder(host=host, claim=claim):
+                    holder.asked_for = claim
+                    self.message(daemon, host, OutcomeQuery(claim, 0))
+                case Send(to=to, message=message):
+                    self.message(daemon, to, message)
+                case Answer():
+                    self.check_answer(holder, decision)
+                case Go():
+                    self.go(daemon, holder)
+
+    def check_answer(self, holder, answer):
+        request = holder.request
+        self.seen[answer.outcome] += 1
+        ran = [one for one in self.dispatches if one[0] == request.key_hash]
+        if answer.code is ErrorCode.KEY_REUSED:
+            ran = [one for one in ran if one[1] == request.body_hash]
+        if answer.outcome is Outcome.NOT_RUN and ran:
+            self.violations.append(f"not_run of {request} after {ran}")
+        if answer.outcome is Outcome.RAN and not ran:
+            self.violations.append(f"ran of {request} without a dispatch")
+
+    def go(self, daemon, holder):
+        if self.rng.random() < 0.2:
+            self.seen["nothing sent"] += 1
+            holder.nothing_sent()
+            return
+        request = holder.request
+        before = [one for one in self.dispatches if one[0] == request.key_hash]
+        if before:
+            self.violations.append(f"{request} was dispatched after {before}")
+        self.dispatches.append((request.key_hash, request.body_hash, request.claim))
+        self.running.append((daemon.host, daemon.incarnation, holder))
+
+    def holders(self, *states):
+        return [
+            (daemon, holder)
+            for daemon in self.awake()
+            for holder in daemon.holders.values()
+            if holder.state in states
+        ]
+
+    def tick_holder(self):
+        for daemon, holder in self.holders(*ClaimState):
+            if self.rng.random() < 0.5:
+                self.carry_out(daemon, holder, holder.tick(self.clock(daemon)))
+
+    def dispatch(self):
+        picked = self.pick(self.holders(ClaimState.WON))
+        if picked:
+            daemon, holder = picked
+            self.carry_out(daemon, holder, holder.dispatch(self.clock(daemon)))
+
+    def refuse(self):
+        picked = self.pick(self.holders(ClaimState.WON, ClaimState.ASKED))
+        if picked:
+            daemon, holder = picked
+            decisions = holder.refuse(ErrorCode.OVERLOADED, self.clock(daemon))
+            self.carry_out(daemon, holder, decisions)
+
+    def end_call(self):
+        if not self.running:
+            return
+        host, incarnation, holder = self.running.pop(self.rng.randrange(len(self.running)))
+        daemon = self.daemons[host]
+        if daemon.incarnation == incarnation:
+            failed = self.rng.random() < 0.3
+            self.carry_out(daemon, holder, holder.fail() if failed else holder.finish(200, b"ok"))
+
+    def poll_owner(self):
+        daemon = self.pick(each for each in self.awake() if each.host in OWNERS)
+        if daemon is None:
+            return
+        for decision in daemon.owner.poll(self.clock(daemon)):
+            match decision:
+                case Append(batch=batch):
+                    self.append(daemon, batch)
+                case Read(start=start):
+                    self.read(daemon, start)
+                case Send(to=to, message=message):
+                    self.message(daemon, to, message)
+
+    def report(self, daemon, action):
+        self.on_the_way.append((daemon.host, daemon.incarnation, action))
+
+    def append(self, daemon, batch):
+        fault = self.rng.random()
+        if self.outage_until_ms > self.now_ms or fault < 0.1:
+            self.seen["lost append"] += 1
+            effect = self.rng.choice(["none", "now", "later"])
+            if effect == "now":
+                self.log.append(LogRecord(len(self.log), self.now_ms, batch))
+            if effect == "later":
+                self.delayed.append(batch)
+            self.report(daemon, lambda each: each.owner.append_lost(self.clock(each)))
+        elif fault < 0.15:
+            self.report(daemon, lambda each: each.owner.append_refused(self.clock(each)))
+        else:
+            offset = len(self.log)
+            self.log.append(LogRecord(offset, self.now_ms, batch))
+            self.report(daemon, lambda each: each.owner.appended(offset))
+
+    def land_delayed(self):
+        if self.delayed:
+            self.seen["delayed append"] += 1
+            batch = self.delayed.pop(self.rng.randrange(len(self.delayed)))
+            self.log.append(LogRecord(len(self.log), self.now_ms, batch))
+
+    def read(self, daemon, start):
+        if self.outage_until_ms > self.now_ms:
+            failed = lambda each: self.send_all(  # noqa: E731
+                each, each.owner.read_failed(self.clock(each))
+            )
+            self.report(daemon, failed)
+            return
+        while self.first < len(self.log) and self.retired(self.log[self.first]):
+            self.first += 1
+        records = self.log[max(start, self.first) :][: self.rng.choice([1, 3, 100])]
+        first, after = self.first, len(self.log)
+        done = lambda each: self.send_all(  # noqa: E731
+            each, each.owner.read(records, first, after)
+        )
+        self.report(daemon, done)
+
+    def retired(self, record):
+        return self.now_ms - record.at_ms > 3 * WINDOW_MS + 60_000
+
+    def pass_time(self):
+        self.now_ms += self.rng.choice([1, 5, 10, 20, 60])
+        if self.rng.random() < 0.02:
+            self.now_ms += self.rng.choice([3_000, 10_000, 90_000])
+
+    def pause(self):
+        daemon = self.pick(self.daemons.values())
+        daemon.paused_until_ms = self.now_ms + self.rng.choice([100, 3_000, 6_000, 40_000, 100_000])
+
+    def kill(self):
+        daemon = self.pick(self.daemons.values())
+        self.daemons[daemon.host] = self.start(daemon.host, daemon.incarnation + 1)
+
+    def break_log(self):
+        self.outage_until_ms = self.now_ms + self.rng.choice([300, 3_000])
+
+
+@pytest.mark.parametrize("first_seed", range(0, 200, 50))
+def test_key_is_dispatched_at_most_once_and_every_not_run_is_true(first_seed):
+    seen, dispatched = Counter(), 0
+    for seed in range(first_seed, first_seed + 50):
+        fleet = Fleet(seed).run()
+        assert not fleet.violations, f"seed {seed}: {fleet.violations[0]}"
+        seen += fleet.seen
+        dispatched += len(fleet.dispatches)
+    # Runs in which nothing happens would guard nothing.
+    assert dispatched >= 25
+    for event in (*Outcome, "lost append", "delayed append", "nothing sent", "expired"):
+        assert seen[event] >= 5, event
+
+
+def test_runs_notice_an_owner_that_answers_from_memory():
+    faulty = [seed for seed in range(50) if Fleet(seed, MemoryOwner).run().violations]
+    assert faulty
