Add the table of suspects and quarantined requests

Cause: a request that crashes each upstream that runs it has to be stopped after two of them, and the requests beside it must not suffer for long. Change: quarantine.SuspectTable counts distinct crashed incarnations from facts. A clearing names the suspicions it clears, so they stay cleared in any order of facts. A crash that a quarantined request explains no longer restricts a bystander. Malformed facts are passed over here and in membership, because one would otherwise stop every daemon it reaches.

--- a/libs/policy/src/skylarkmoor_policy/membership.py
+++ b/libs/policy/src/skylarkmoor_policy/membership.py
@@ -193,7 +193,7 @@
         """
         announces: list[Announce] = []
         for fact in facts:
-            if fact.kind is not FactKind.HOST:
+            if fact.kind is not FactKind.HOST or not _is_valid(fact):
                 continue
             host = HostId(fact.subject)
             if host == self._host:
@@ -325,6 +325,10 @@
         return [Send(host, heartbeat) for host in self.watchers()]
 
 
+def _is_valid(fact: Fact) -> bool:
+    return fact.value[0] & (1 << _STATE_BITS) - 1 <= HostState.LEFT.value
+
+
 def _watchers(host: HostId, live: Iterable[HostId]) -> tuple[HostId, ...]:
     others = (other for other in live if other != host)
     chosen = heapq.nsmallest(
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/quarantine.py
@@ -0,0 +1,240 @@
+"""Which requests are suspected of crashing upstreams, and which are refused for it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from skylarkmoor_core.ids import Fingerprint, Incarnation, UpstreamId
+from skylarkmoor_core.messages import Fact, FactKind
+from skylarkmoor_policy.facts import SUSPECT_LIFETIME_MS
+
+__all__ = ["Standing", "SuspectTable", "Suspicion"]
+
+_CRASHES_TO_QUARANTINE = 2
+_MAX_SUSPICIONS = 10_000
+
+
+class Standing(Enum):
+    """How a request is treated."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A request was in flight when an upstream crashed.
+
+    Examples
+    --------
+    >>> Suspicion(Fingerprint(255), UpstreamId("u1"), Incarnation(7)).subject
+    '00000000000000ff/7/u1'
+    """
+
+    fingerprint: Fingerprint
+    upstream: UpstreamId
+    incarnation: Incarnation
+
+    @property
+    def subject(self) -> str:
+        """Subject of the facts about this suspicion."""
+        return f"{self.fingerprint:016x}/{self.incarnation}/{self.upstream}"
+
+    @classmethod
+    def from_subject(cls, subject: str) -> "Suspicion":
+        """Read a fact's subject.
+
+        Raises
+        ------
+        ValueError
+            If `subject` does not have the form of `subject`.
+        """
+        parts = subject.split("/", 2)
+        if len(parts) != 3:
+            raise ValueError(f"not the subject of a suspicion: {subject!r}")
+        fingerprint, incarnation, upstream = parts
+        return cls(
+            Fingerprint(int(fingerprint, 16)), UpstreamId(upstream), Incarnation(int(incarnation))
+        )
+
+
+class SuspectTable:
+    """Suspicions against requests, from facts of the kinds SUSPECT and SUSPECT_CLEARED.
+
+    Notes
+    -----
+    A clearing names the suspicions that it clears, so an old suspicion stays cleared in
+    whatever order the facts arrive, and a later crash counts anew.
+
+    A request with two crashes is quarantined. One that shares its only crash with a quarantined
+    request is no longer a suspect, because that crash is explained; the crash still counts
+    when another one follows.
+    """
+
+    def __init__(self) -> None:
+        # Wall-clock time of each suspicion and each clearing.
+        self._suspected: dict[Suspicion, int] = {}
+        self._cleared: dict[Suspicion, int] = {}
+        self._by_request: dict[Fingerprint, set[Suspicion]] = {}
+        self._by_crash: dict[tuple[UpstreamId, Incarnation], set[Fingerprint]] = {}
+
+    def crash(
+        self,
+        upstream: UpstreamId,
+        incarnation: Incarnation,
+        in_flight: Iterable[Fingerprint],
+        now_wall_ms: int,
+    ) -> list[Fact]:
+        """Suspect the requests that were in flight on a crashed upstream.
+
+        Parameters
+        ----------
+        incarnation : int
+            The one that crashed.
+
+        Returns
+        -------
+        list of Fact
+            To be sent to all peers at once and put into the store, before any of the callers is
+            answered or any of the requests is tried again.
+        """
+        facts = []
+        for fingerprint in sorted(set(in_flight)):
+            suspicion = Suspicion(fingerprint, upstream, incarnation)
+            if self._suspect(suspicion, now_wall_ms):
+                facts.append(Fact(FactKind.SUSPECT, suspicion.subject, (now_wall_ms,)))
+        return facts
+
+    def completed(self, fingerprint: Fingerprint, now_wall_ms: int) -> list[Fact]:
+        """Clear a request that an upstream has run to its end and return the facts."""
+        suspicions = sorted(
+            self._by_request.get(fingerprint, ()), key=lambda suspicion: suspicion.subject
+        )
+        for suspicion in suspicions:
+            self._clear(suspicion, now_wall_ms)
+        return [
+            Fact(FactKind.SUSPECT_CLEARED, suspicion.subject, (now_wall_ms,))
+            for suspicion in suspicions
+        ]
+
+    def apply(self, facts: Iterable[Fact]) -> None:
+        """Take facts that are new in the store.
+
+        Notes
+        -----
+        Other kinds and subjects that name no suspicion are passed over.
+        """
+        for fact in facts:
+            if fact.kind not in (FactKind.SUSPECT, FactKind.SUSPECT_CLEARED):
+                continue
+            try:
+                suspicion = Suspicion.from_subject(fact.subject)
+            except ValueError:
+                continue
+            if fact.kind is FactKind.SUSPECT:
+                self._suspect(suspicion, fact.value[0])
+            else:
+                self._clear(suspicion, fact.value[0])
+
+    def expire(self, now_wall_ms: int) -> None:
+        """Forget old suspicions; call it in each gossip round.
+
+        Notes
+        -----
+        A clearing is remembered for twice as long as a suspicion, as in the store.
+        """
+        for suspicion, at_ms in list(self._suspected.items()):
+            if now_wall_ms - at_ms >= SUSPECT_LIFETIME_MS:
+                self._forget(suspicion)
+        for suspicion, at_ms in list(self._cleared.items()):
+            if now_wall_ms - at_ms >= 2 * SUSPECT_LIFETIME_MS:
+                del self._cleared[suspicion]
+
+    def standing(self, fingerprint: Fingerprint) -> Standing:
+        """Return how a request is treated."""
+        suspicions = self._by_request.get(fingerprint, ())
+        if len(suspicions) >= _CRASHES_TO_QUARANTINE:
+            return Standing.QUARANTINED
+        if any(not self._is_explained(suspicion) for suspicion in suspicions):
+            return Standing.SUSPECT
+        return Standing.CLEAR
+
+    def may_run(
+        self,
+        fingerprint: Fingerprint,
+        upstream: UpstreamId,
+        running: Iterable[Fingerprint],
+        *,
+        copies_running: int = 0,
+        other_upstreams: bool = True,
+    ) -> bool:
+        """Return whether a request may be sent to `upstream` now.
+
+        Parameters
+        ----------
+        running : iterable of int
+            Fingerprints of the requests that run on `upstream`.
+        copies_running : int
+            Requests with the same fingerprint that run anywhere. A suspect runs one copy at a
+            time, or its copies could crash more than two upstreams at once.
+        other_upstreams : bool
+            Whether another upstream can run the request. Then a suspect is not sent to the
+            upstream that crashed with it: a second crash there may be the upstream's fault.
+        """
+        match self.standing(fingerprint):
+            case Standing.CLEAR:
+                return True
+            case Standing.QUARANTINED:
+                return False
+            case Standing.SUSPECT:
+                pass
+        if copies_running:
+            return False
+        if other_upstreams and any(
+            suspicion.upstream == upstream for suspicion in self._by_request[fingerprint]
+        ):
+            return False
+        return all(
+            self.standing(other) is Standing.CLEAR for other in running if other != fingerprint
+        )
+
+    def _is_explained(self, suspicion: Suspicion) -> bool:
+        others = self._by_crash[suspicion.upstream, suspicion.incarnation]
+        return any(
+            len(self._by_request[other]) >= _CRASHES_TO_QUARANTINE
+            for other in others
+            if other != suspicion.fingerprint
+        )
+
+    def _suspect(self, suspicion: Suspicion, at_ms: int) -> bool:
+        if suspicion in self._cleared:
+            return False
+        if suspicion in self._suspected:
+            self._suspected[suspicion] = max(self._suspected[suspicion], at_ms)
+            return False
+        if len(self._suspected) >= _MAX_SUSPICIONS:
+            self._forget(next(iter(self._suspected)))
+        self._suspected[suspicion] = at_ms
+        self._by_request.setdefault(suspicion.fingerprint, set()).add(suspicion)
+        crash = (suspicion.upstream, suspicion.incarnation)
+        self._by_crash.setdefault(crash, set()).add(suspicion.fingerprint)
+        return True
+
+    def _clear(self, suspicion: Suspicion, at_ms: int) -> None:
+        self._cleared[suspicion] = max(self._cleared.get(suspicion, 0), at_ms)
+        if len(self._cleared) > _MAX_SUSPICIONS:
+            del self._cleared[next(iter(self._cleared))]
+        if suspicion in self._suspected:
+            self._forget(suspicion)
+
+    def _forget(self, suspicion: Suspicion) -> None:
+        del self._suspected[suspicion]
+        requests = self._by_request[suspicion.fingerprint]
+        requests.discard(suspicion)
+        if not requests:
+            del self._by_request[suspicion.fingerprint]
+        crash = (suspicion.upstream, suspicion.incarnation)
+        self._by_crash[crash].discard(suspicion.fingerprint)
+        if not self._by_crash[crash]:
+            del self._by_crash[crash]
--- a/libs/policy/tests/test_membership.py
+++ b/libs/policy/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from skylarkmoor_core.messages import Gossip, Heartbeat, HostState
+from skylarkmoor_core.messages import Fact, FactKind, Gossip, Heartbeat, HostState
 from skylarkmoor_policy.actions import Send
 from skylarkmoor_policy.facts import FactStore
 from skylarkmoor_policy.membership import (
@@ -144,6 +144,12 @@
     assert membership.heartbeat("h1", 7, ALIVE, 6, 6) == [Send("h1", Gossip((left,)))]
 
 
+def test_fact_with_an_unknown_state_is_passed_over():
+    membership = member()
+    assert membership.apply([Fact(FactKind.HOST, "h1", (7 << 12 | 3, 5))], 5) == []
+    assert "h1" in membership.live()
+
+
 def test_new_incarnation_is_live_again_and_old_messages_are_dropped():
     membership = member()
     membership.apply([host_fact("h1", 7 << 10, HostState.LEFT, 5)], 5)
