--- /dev/null
+++ b/libs/policy/tests/test_movefollower.py
@@ -0,0 +1,181 @@
+"""Guards one view of each move on all daemons, and that a stopped version stays stopped."""
+
+import msgspec
+import pytest
+
+from skylarkmoor_core.document import (
+    Customer,
+    Route,
+    ServiceDocument,
+    ServiceKind,
+    Tier,
+    VersionMove,
+)
+from skylarkmoor_core.records import MoveEnded, MoveResult, MoveStep
+from skylarkmoor_policy.movefollower import (
+    Discarded,
+    Ended,
+    MoveFollower,
+    Stepped,
+    Wanted,
+    stopped_fact,
+)
+
+PLAN = VersionMove(version="v2", by_ms=10**9, steps_percent=(5, 100))
+DOCUMENT = ServiceDocument(
+    service="orders",
+    kind=ServiceKind.PLAIN,
+    tiers=(Tier(name="public", rank=0),),
+    routes=(Route(name="order", tier="public"),),
+    customers=(Customer(name="depot"),),
+    version="v1",
+    move=PLAN,
+)
+MOVE = "orders@7"
+
+
+def step(number, predecessor, share=None, move=MOVE):
+    share = (0, 5, 100)[number] if share is None else share
+    return MoveStep(
+        service="orders",
+        move=move,
+        version="v2",
+        step=number,
+        share_percent=share,
+        predecessor=predecessor,
+        author="h1",
+    )
+
+
+def ended(result, move=MOVE):
+    return MoveEnded(
+        service="orders", move=move, version="v2", result=result, why="test", author="h1"
+    )
+
+
+def replay(*records, start=0):
+    follower = MoveFollower()
+    follower.follow("orders", 7, DOCUMENT)
+    for offset, record in enumerate(records, start):
+        follower.apply(offset, offset, record)
+    return follower
+
+
+def share(follower):
+    taken = [follower.version_for("orders", f"r{i}") for i in range(4000)]
+    return round(100 * taken.count("v2") / len(taken))
+
+
+FULL = (step(0, None), step(1, 0), step(2, 1))
+DONE, UNDONE = ended(MoveResult.DONE), ended(MoveResult.UNDONE)
+
+
+@pytest.mark.parametrize(("steps", "percent"), [(0, 0), (1, 0), (2, 5), (3, 100)])
+def test_share_follows_the_logged_steps(steps, percent):
+    assert abs(share(replay(*FULL[:steps])) - percent) <= 1
+
+
+def test_racing_step_is_discarded():
+    follower = replay(step(0, None), step(1, 0))
+    assert isinstance(follower.apply(2, 2, step(1, 0)), Discarded)
+    assert follower.apply(3, 3, step(2, 1)) == Stepped(MOVE, 2, 100)
+
+
+@pytest.mark.parametrize(
+    "record",
+    [step(1, None), step(2, 0), step(1, 0, share=50), step(1, 0, move="orders@6")],
+)
+def test_step_that_is_not_the_next_one_is_discarded(record):
+    follower = replay(step(0, None))
+    assert isinstance(follower.apply(1, 1, record), Discarded)
+    assert follower.progress("orders").step == 0
+
+
+def test_first_of_two_ends_counts():
+    follower = replay(*FULL)
+    assert follower.apply(3, 3, UNDONE) == Ended(MOVE, MoveResult.UNDONE, "test")
+    assert isinstance(follower.apply(4, 4, DONE), Discarded)
+    assert share(follower) == 0
+
+
+def test_move_is_not_done_before_its_last_step():
+    assert isinstance(replay(*FULL[:2]).apply(2, 2, DONE), Discarded)
+
+
+@pytest.mark.parametrize("records", [FULL[:2], FULL, (*FULL, DONE), (*FULL, UNDONE)])
+def test_stopped_version_is_never_taken_again(records):
+    follower = replay()
+    follower.apply_facts([stopped_fact(MOVE, 1)])
+    for offset, record in enumerate(records):
+        follower.apply(offset, offset, record)
+        assert share(follower) == 0
+    assert follower.next_step("orders", "h1") is None
+
+
+def test_new_move_is_free_of_the_old_ones_stop():
+    follower = replay(*FULL)
+    follower.apply_facts([stopped_fact(MOVE, 1)])
+    follower.follow("orders", 9, DOCUMENT)
+    assert follower.progress("orders").move == "orders@9"
+    assert not follower.progress("orders").stopped
+
+
+def test_carried_document_continues_its_move():
+    follower = replay(*FULL)
+    follower.follow("orders", 7, msgspec.structs.replace(DOCUMENT))
+    assert follower.progress("orders").step == 2
+
+
+def test_steps_read_before_their_document_count():
+    follower = MoveFollower()
+    for offset, record in enumerate(FULL):
+        follower.apply(offset, offset, record)
+    follower.follow("orders", 7, DOCUMENT)
+    assert follower.progress("orders").step == 2
+
+
+def test_reader_that_starts_after_the_first_steps_follows_the_next():
+    follower = replay(FULL[2], start=2)
+    assert follower.progress("orders").step == 2
+    assert replay(DONE, start=9).progress("orders").result is MoveResult.DONE
+
+
+def test_own_next_step_is_accepted_by_all_and_repeats_are_not():
+    follower = replay(*FULL[:2])
+    record = follower.next_step("orders", "h1")
+    assert record == step(2, 1)
+    follower.apply(2, 2, record)
+    assert isinstance(follower.apply(3, 3, record), Discarded)
+    assert follower.next_step("orders", "h1") is None
+
+
+def test_recorded_end_is_repeated_with_its_result():
+    follower = replay(*FULL, DONE)
+    again = follower.end("orders", MoveResult.UNDONE, "carried", "h2")
+    assert again.result is MoveResult.DONE
+
+
+@pytest.mark.parametrize(
+    ("records", "stopped", "wanted"),
+    [
+        ((), False, Wanted(("v1",), (), 0)),
+        (FULL[:1], False, Wanted(("v1", "v2"), (), 0)),
+        (FULL, False, Wanted(("v1", "v2"), (), 2)),
+        ((*FULL, DONE), False, Wanted(("v2",), (), 3)),
+        ((*FULL, UNDONE), True, Wanted(("v1",), (), 3)),
+        (FULL, True, Wanted(("v1",), ("v2",), 2)),
+        ((*FULL, DONE), True, Wanted(("v1",), ("v2",), 3)),
+    ],
+)
+def test_wanted_versions_carry_the_offset_that_authorises_them(records, stopped, wanted):
+    follower = replay(*records)
+    if stopped:
+        follower.apply_facts([stopped_fact(MOVE, 1)])
+    assert follower.wanted("orders") == wanted
+
+
+def test_document_without_a_move_has_one_version():
+    follower = MoveFollower()
+    follower.follow("orders", 7, msgspec.structs.replace(DOCUMENT, move=None))
+    assert follower.version_for("orders", "r1") == "v1"
+    assert follower.wanted("orders") == Wanted(("v1",), (), 0)
