Add the clients of the host list and the weight store

Cause: daemons need the platform's host list, and a version's weights can be checked or copied only through the store. Change: HostListClient decodes and checks the list and refuses it whole if any part is faulty, so that a missing entry is never taken for a host that left. WeightStoreClient streams weights with an idle timeout and a bound, and keeps no piece in memory.

--- /dev/null
+++ b/libs/platform/src/skylarkmoor_platform/hostlist.py
@@ -0,0 +1,135 @@
+"""Client of the platform's list of hosts."""
+
+from collections.abc import Iterator
+from enum import Enum
+
+import msgspec
+
+from skylarkmoor_core.errors import PlatformError, SettingsError
+from skylarkmoor_core.ids import FailureDomain, ServiceName
+from skylarkmoor_core.settings import parse_address
+from skylarkmoor_platform.httpclient import PlatformHttp
+
+__all__ = ["HostEntry", "HostKind", "HostListClient", "ListedState"]
+
+_TIMEOUT_MS = 5_000
+# The design size has 930 hosts at about 250 bytes each.
+_MAX_LIST_BYTES = 2_000_000
+
+
+class HostKind(Enum):
+    """What runs on a host."""
+
+    ENTRY = "entry"
+    UPSTREAM = "upstream"
+
+
+class ListedState(Enum):
+    """State of a host as the platform lists it, which lags behind the real state."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """A host of the list.
+
+    Attributes
+    ----------
+    host : str
+        Id of the entry host or the upstream.
+    address : str
+        ``ip:port`` of the host's HTTP interface.
+    service : str or None
+        The service that an upstream runs; None for an entry host.
+    checks_fencing : bool
+        Whether an upstream refuses orders with an old fencing token.
+    peer_address : str or None
+        ``ip:port`` for peer messages; None for an upstream.
+    """
+
+    host: str
+    kind: HostKind
+    address: str
+    failure_domain: FailureDomain
+    state: ListedState
+    service: ServiceName | None = None
+    checks_fencing: bool = False
+    peer_address: str | None = None
+
+
+class _HostList(msgspec.Struct, frozen=True):
+    hosts: tuple[HostEntry, ...]
+
+
+class HostListClient:
+    """Reads the list of live and leaving hosts.
+
+    Parameters
+    ----------
+    base_url : str
+        ``http://IP:PORT``.
+    timeout_ms : int
+        Bound on each call.
+
+    Raises
+    ------
+    SettingsError
+        If `base_url` is invalid.
+    """
+
+    def __init__(self, base_url: str, *, timeout_ms: int = _TIMEOUT_MS) -> None:
+        self._http = PlatformHttp(base_url)
+        self._timeout_ms = timeout_ms
+
+    async def fetch(self) -> tuple[HostEntry, ...]:
+        """Return the current list.
+
+        Raises
+        ------
+        PlatformError
+            If there is no valid answer. The caller keeps the last list: a list with a faulty
+            part is refused whole, because a missing entry would look like a host that left.
+        """
+        answer = await self._http.request(
+            "GET", "/hosts", timeout_ms=self._timeout_ms, max_bytes=_MAX_LIST_BYTES
+        )
+        if answer.status != 200:
+            raise PlatformError(f"host list was refused: {answer.summary()}")
+        try:
+            hosts = msgspec.json.decode(answer.body, type=_HostList).hosts
+        except msgspec.DecodeError as error:
+            raise PlatformError(f"not a host list: {error}") from error
+        faults = list(_faults(hosts))
+        if faults:
+            raise PlatformError(f"host list is invalid: {'; '.join(faults)}")
+        return hosts
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._http.close()
+
+
+def _faults(hosts: tuple[HostEntry, ...]) -> Iterator[str]:
+    seen: set[str] = set()
+    for entry in hosts:
+        if not entry.host:
+            yield f"a host at {entry.address!r} has no id"
+        if entry.host in seen:
+            yield f"{entry.host!r} is listed twice"
+        seen.add(entry.host)
+        yield from _address_faults(entry.host, "address", entry.address)
+        if entry.kind is HostKind.UPSTREAM:
+            if entry.service is None:
+                yield f"upstream {entry.host!r} has no service"
+        elif entry.peer_address is None:
+            yield f"entry host {entry.host!r} has no peer_address"
+        else:
+            yield from _address_faults(entry.host, "peer_address", entry.peer_address)
+
+
+def _address_faults(host: str, field: str, text: str) -> Iterator[str]:
+    try:
+        parse_address(text)
+    except SettingsError as error:
+        yield f"{field} of {host!r}: {error}"
--- /dev/null
+++ b/libs/platform/tests/test_weightstore.py
@@ -0,0 +1,70 @@
+"""Guards weight downloads against partial, endless and oversized transfers."""
+
+import pytest
+import pytest_twisted
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from skylarkmoor_core.errors import PlatformError
+from skylarkmoor_platform.weightstore import WeightStoreClient
+
+
+def app_serving(answer):
+    app = Klein()
+
+    @app.route("/weights/<version>")
+    def weights(request, version):
+        return answer(request)
+
+    return app
+
+
+@pytest_twisted.ensureDeferred
+async def test_download_passes_all_bytes_on(serve):
+    chunks = []
+    store = WeightStoreClient(serve(app_serving(lambda request: b"w" * 100_000)))
+    assert await store.download("v2", chunks.append, max_bytes=100_000) == 100_000
+    assert b"".join(chunks) == b"w" * 100_000
+
+
+@pytest_twisted.ensureDeferred
+async def test_download_beyond_the_bound_is_stopped(serve):
+    chunks = []
+    store = WeightStoreClient(serve(app_serving(lambda request: b"w" * 100_000)))
+    with pytest.raises(PlatformError, match="exceed 50000 bytes"):
+        await store.download("v2", chunks.append, max_bytes=50_000)
+    assert len(b"".join(chunks)) <= 50_000
+
+
+def stall(request):
+    request.write(b"w")
+    return Deferred()
+
+
+def break_off(request):
+    request.write(b"w")
+    request.transport.loseConnection()
+    return Deferred()
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize(
+    ("answer", "fault"), [(stall, "nothing received for 50 ms"), (break_off, "no answer")]
+)
+async def test_partial_download_is_not_taken_for_a_whole_one(serve, answer, fault):
+    store = WeightStoreClient(serve(app_serving(answer)), idle_timeout_ms=50)
+    with pytest.raises(PlatformError, match=fault):
+        await store.download("v2", lambda chunk: None, max_bytes=10)
+
+
+@pytest_twisted.ensureDeferred
+async def test_body_of_a_refusal_is_not_taken_for_weights(serve):
+    def refuse(request):
+        request.setResponseCode(429)
+        return b"later"
+
+    chunks = []
+    store = WeightStoreClient(serve(app_serving(refuse)))
+    with pytest.raises(PlatformError, match="429"):
+        await store.download("v2", chunks.append, max_bytes=10)
+    assert chunks == []
