Add the stand-in for the platform's log

Tests and the demonstration need a log service whose offsets, retention, rate limit, outages and lost answers can be controlled.

--- /dev/null
+++ b/libs/standins/src/skylarkmoor_standins/main.py
@@ -0,0 +1,132 @@
+"""The command `skylarkmoor-standin`."""
+
+import json
+import sys
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import click
+
+from skylarkmoor_core.clock import SystemClock
+from skylarkmoor_core.errors import SettingsError, SkylarkmoorError
+from skylarkmoor_core.settings import Address, parse_address
+
+__all__ = ["cli", "main"]
+
+_ENV_PREFIX = "SKYLARKMOOR_STANDIN"
+
+
+class _AddressType(click.ParamType[Address]):
+    """An IP number and a port."""
+
+    name = "ip:port"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> Address:
+        if isinstance(value, Address):
+            return value
+        try:
+            return parse_address(value)
+        except SettingsError as error:
+            self.fail(str(error), param, ctx)
+
+
+class _JsonObject(click.ParamType[dict[str, Any]]):
+    """A JSON object."""
+
+    name = "json"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> dict[str, Any]:
+        if isinstance(value, dict):
+            return value
+        try:
+            decoded = json.loads(value)
+        except ValueError as error:
+            self.fail(f"{value!r} is not JSON: {error}", param, ctx)
+        if not isinstance(decoded, dict):
+            self.fail(f"{value!r} is not a JSON object", param, ctx)
+        return decoded
+
+
+_address = click.option(
+    "--address",
+    type=_AddressType(),
+    default="127.0.0.1:0",
+    show_default=True,
+    show_envvar=True,
+    help="Where to listen; port 0 lets the operating system choose.",
+)
+_faults = click.option(
+    "--faults",
+    type=_JsonObject(),
+    default="{}",
+    show_envvar=True,
+    help="Fault switches at start, as in POST /faults.",
+)
+
+
+_Command = TypeVar("_Command", bound=Callable[..., Any])
+
+
+def _number(
+    name: str, default: float, text: str, kind: type = int
+) -> Callable[[_Command], _Command]:
+    return click.option(
+        name,
+        type=click.FloatRange(min=0) if kind is float else click.IntRange(min=0),
+        default=default,
+        show_default=True,
+        show_envvar=True,
+        help=text,
+    )
+
+
+@click.group(context_settings={"auto_envvar_prefix": _ENV_PREFIX})
+def cli() -> None:
+    """Run one stand-in of the platform or of an upstream, for tests and demonstrations.
+
+    Prints {"ready": "ip:port"} when it listens and stops on SIGTERM.
+
+    Example: skylarkmoor-standin log --address 127.0.0.1:7001
+    """
+
+
+@cli.command()
+@_address
+@_faults
+@_number("--appends-per-s", 300, "Appends allowed a second over all streams.")
+@_number("--retention-ms", 3_600_000, "Age at which a record is dropped.")
+def log(address: Address, faults: dict[str, Any], appends_per_s: int, retention_ms: int) -> None:
+    """Run the append-only log.
+
+    Example: skylarkmoor-standin log --address 127.0.0.1:7001 --retention-ms 60000
+    """
+    from skylarkmoor_standins.log import LogService
+    from skylarkmoor_standins.log_model import LogModel
+    from skylarkmoor_standins.server import merge_faults, serve
+
+    clock = SystemClock()
+    model = LogModel(appends_per_s, retention_ms, clock.wall_ms())
+    model.faults = merge_faults(model.faults, faults)
+    serve(LogService(model, clock).app, address)
+
+
+def main() -> None:
+    """Install the asyncio reactor and run the command."""
+    # Importing klein installs the default reactor, so this comes first.
+    from twisted.internet import asyncioreactor
+
+    install: Any = asyncioreactor.install
+    install()
+    try:
+        cli()
+    except (SkylarkmoorError, ValueError) as error:
+        print(f"skylarkmoor-standin: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
