Add the stand-in for plain services

Tests of at-most-once calls need a service that records each call that it runs, including calls whose answer is lost or that crash it. A call counts as run from its start; calls over the capacity wait and are recorded only when they start. A leaving service runs nothing new.

--- a/libs/standins/src/skylarkmoor_standins/main.py
+++ b/libs/standins/src/skylarkmoor_standins/main.py
@@ -1,6 +1,7 @@
 """The command `skylarkmoor-standin`."""
 
 import json
+import random
 import sys
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -84,6 +85,17 @@
     )
 
 
+_seed = _number("--seed", 1, "Seed of the random choices.")
+_version = click.option(
+    "--version",
+    multiple=True,
+    default=("v1",),
+    show_default=True,
+    show_envvar=True,
+    help="Version that is ready at start; may be given several times.",
+)
+
+
 @click.group(context_settings={"auto_envvar_prefix": _ENV_PREFIX})
 def cli() -> None:
     """Run one stand-in of the platform or of an upstream, for tests and demonstrations.
@@ -114,6 +126,34 @@
     serve(LogService(model, clock).app, address)
 
 
+@cli.command()
+@_address
+@_faults
+@_seed
+@_version
+@_number("--service-ms", 50, "Time that each call takes.")
+@_number("--capacity", 8, "Calls that run at a time; the others wait.")
+def plain(
+    address: Address,
+    faults: dict[str, Any],
+    seed: int,
+    version: tuple[str, ...],
+    service_ms: int,
+    capacity: int,
+) -> None:
+    """Run a plain service.
+
+    Example: skylarkmoor-standin plain --address 127.0.0.1:7002 --service-ms 20
+    """
+    from skylarkmoor_standins.plain import PlainService
+    from skylarkmoor_standins.plain_model import PlainModel
+    from skylarkmoor_standins.server import merge_faults, serve
+
+    model = PlainModel(service_ms, capacity, random.Random(seed))
+    model.faults = merge_faults(model.faults, faults)
+    serve(PlainService(model, SystemClock(), version).app, address)
+
+
 def main() -> None:
     """Install the asyncio reactor and run the command."""
     # Importing klein installs the default reactor, so this comes first.
--- a/libs/standins/src/skylarkmoor_standins/server.py
+++ b/libs/standins/src/skylarkmoor_standins/server.py
@@ -1,7 +1,7 @@
 """The HTTP server that all stand-ins share."""
 
 import signal
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import msgspec
@@ -17,7 +17,9 @@
 from skylarkmoor_core.settings import Address
 
 __all__ = [
+    "Timer",
     "answer",
+    "answer_leaving",
     "answer_malformed",
     "drop_connection",
     "listen",
@@ -42,6 +44,12 @@
     return msgspec.json.encode(payload)
 
 
+def answer_leaving(request: Any) -> bytes:
+    """Answer that this upstream is leaving and that the request did not run."""
+    request.setHeader(b"X-Leaving", b"1")
+    return answer(request, {"error": "leaving"}, 503)
+
+
 def answer_malformed(request: Any, failure: Failure) -> bytes:
     """Answer 400 to a request that does not have the protocol's shape."""
     return answer(request, {"error": str(failure.value)}, 400)
@@ -131,3 +139,28 @@
 
 def _stop(signum: int, frame: object) -> None:
     reactor.callFromThread(reactor.stop)
+
+
+class Timer:
+    """A single timer that can be set again.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Reactor.
+    action : callable
+        Runs when the timer fires.
+    """
+
+    def __init__(self, clock: Any, action: Callable[[], None]) -> None:
+        self._clock = clock
+        self._action = action
+        self._call: Any = None
+
+    def set(self, delay_ms: float | None) -> None:
+        """Fire after `delay_ms`, or never if it is None."""
+        if self._call is not None and self._call.active():
+            self._call.cancel()
+        self._call = None
+        if delay_ms is not None:
+            self._call = self._clock.callLater(max(0.0, delay_ms) / 1000, self._action)
