Add the stand-in for the host list

The product must cope with a list that shows hosts late. The model keeps the history of the list and shows it as it was one lag ago; changes are posted and take effect in the real list at once.

--- /dev/null
+++ b/libs/standins/src/skylarkmoor_standins/hosts.py
@@ -0,0 +1,68 @@
+"""Stand-in for the platform's host list."""
+
+from typing import Any
+
+from klein import Klein
+from twisted.python.failure import Failure
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.errors import MessageError
+from skylarkmoor_standins.hosts_model import HostChange, HostListModel
+from skylarkmoor_standins.server import (
+    answer,
+    answer_malformed,
+    merge_faults,
+    read_body,
+    sleep_ms,
+)
+
+__all__ = ["HostListService"]
+
+
+class HostListService:
+    """HTTP adapter of the host list model.
+
+    Parameters
+    ----------
+    model : HostListModel
+        State of the list.
+    clock : Clock
+        Source of times, epoch milliseconds.
+    """
+
+    app = Klein()
+
+    def __init__(self, model: HostListModel, clock: Clock) -> None:
+        self._model = model
+        self._clock = clock
+
+    @app.handle_errors(MessageError)
+    def malformed(self, request: Any, failure: Failure) -> bytes:
+        """Answer a request of the wrong shape."""
+        return answer_malformed(request, failure)
+
+    @app.route("/hosts", methods=["GET"])
+    async def shown(self, request: Any) -> bytes:
+        """Return the list as it was one lag ago."""
+        if self._model.faults.delay_ms:
+            await sleep_ms(self._model.faults.delay_ms)
+        if self._model.faults.outage:
+            return answer(request, {"error": "the host list is down"}, 503)
+        return answer(request, {"hosts": self._model.shown(self._clock.wall_ms())})
+
+    @app.route("/hosts", methods=["POST"])
+    def change(self, request: Any) -> bytes:
+        """Change the real list; fault switches do not apply."""
+        change = read_body(request, HostChange)
+        try:
+            self._model.change(change, self._clock.wall_ms())
+        except KeyError as error:
+            raise MessageError(f"no host is called {error.args[0]!r}") from error
+        return answer(request, {})
+
+    @app.route("/faults", methods=["POST"])
+    def set_faults(self, request: Any) -> bytes:
+        """Change fault switches."""
+        changes = read_body(request, dict[str, Any])
+        self._model.faults = merge_faults(self._model.faults, changes)
+        return answer(request, self._model.faults)
--- a/libs/standins/src/skylarkmoor_standins/main.py
+++ b/libs/standins/src/skylarkmoor_standins/main.py
@@ -154,6 +154,24 @@
     serve(PlainService(model, SystemClock(), version).app, address)
 
 
+@cli.command()
+@_address
+@_faults
+@_number("--lag-ms", 500, "Age of the list that is shown.")
+def hosts(address: Address, faults: dict[str, Any], lag_ms: int) -> None:
+    """Run the host list.
+
+    Example: skylarkmoor-standin hosts --address 127.0.0.1:7003 --lag-ms 2000
+    """
+    from skylarkmoor_standins.hosts import HostListService
+    from skylarkmoor_standins.hosts_model import HostListModel
+    from skylarkmoor_standins.server import merge_faults, serve
+
+    model = HostListModel(lag_ms)
+    model.faults = merge_faults(model.faults, faults)
+    serve(HostListService(model, SystemClock()).app, address)
+
+
 def main() -> None:
     """Install the asyncio reactor and run the command."""
     # Importing klein installs the default reactor, so this comes first.
