Add the stand-in for model engines

Streams, credit, routing and rollout need an engine with continuous batching, a small prefix cache, stale reports and controllable faults. The model runs steps on a simulated clock: each decodes one token of every attempt in the batch and computes a bounded number of prompt tokens. Answers are a function of prompt and position, so that a redo on another engine continues the same text.

--- /dev/null
+++ b/libs/standins/src/skylarkmoor_standins/engine_model.py
@@ -0,0 +1,663 @@
+"""Model of an engine with continuous batching and a prefix cache."""
+
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from skylarkmoor_core.hashing import hash64
+from skylarkmoor_standins.engine_cache import PrefixCache
+from skylarkmoor_standins.engine_text import (
+    BLOCK_TOKENS,
+    answer_tokens,
+    answer_word,
+    block_hashes,
+    original_prompt,
+)
+from skylarkmoor_standins.plain_model import Leaving
+
+__all__ = [
+    "Attempt",
+    "AttemptExists",
+    "EngineFaults",
+    "EngineModel",
+    "EngineSettings",
+    "Ended",
+    "GenerateFailed",
+    "Generate",
+    "KvHandle",
+    "OldFencing",
+    "Order",
+    "OrderKind",
+    "Report",
+    "Served",
+    "UnknownAttempt",
+    "VersionFaults",
+    "VersionNotLoaded",
+]
+
+
+class AttemptExists(Exception):
+    """An attempt with this id was already taken."""
+
+
+class GenerateFailed(Exception):
+    """A fault switch made the attempt fail."""
+
+
+class OldFencing(Exception):
+    """An order carries a fencing token below the highest one seen."""
+
+
+class UnknownAttempt(Exception):
+    """The engine has no attempt with this id, or no longer has it."""
+
+
+class VersionNotLoaded(Exception):
+    """The version is not ready; nothing ran."""
+
+
+class Ended(Enum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    CANCELLED = "cancelled"
+    # The connection broke and nobody resumed in time.
+    ABANDONED = "abandoned"
+    ERROR = "error"
+
+
+class OrderKind(Enum):
+    """What an order changes."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+class Generate(msgspec.Struct, frozen=True):
+    """Request for an answer.
+
+    Attributes
+    ----------
+    prompt : str
+        Prompt, followed by the first `start_position` words of the answer.
+    max_tokens : int
+        Limit of the whole answer, counted from position 0.
+    """
+
+    attempt: str
+    version: str
+    prompt: str
+    max_tokens: int
+    start_position: int = 0
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Order to load or unload a version or to change the role."""
+
+    order: OrderKind
+    fencing: int
+    version: str = ""
+    role: str = ""
+
+
+class KvHandle(msgspec.Struct, frozen=True):
+    """Names the cache blocks of an attempt."""
+
+    blocks: tuple[int, ...]
+    tokens: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Load of the engine; the counts are those of `as_of_ms`, the rest is current."""
+
+    incarnation: int
+    as_of_ms: int
+    running: int
+    waiting: int
+    kv_used_tokens: int
+    kv_capacity_tokens: int
+    max_batch: int
+    versions: tuple[str, ...]
+    role: str
+    leaving: bool
+    loading: tuple[str, ...]
+
+
+class VersionFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults of one version.
+
+    Attributes
+    ----------
+    after_requests : int
+        Requests of this version that are served before the faults begin.
+    route_text : str
+        Only prompts that contain this text are affected.
+    min_running : int
+        The faults show only while at least this many attempts run.
+    """
+
+    error_rate: float = 0.0
+    slow_factor: float = 1.0
+    after_requests: int = 0
+    route_text: str = ""
+    min_running: int = 0
+
+
+class EngineFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Fault switches of an engine.
+
+    Attributes
+    ----------
+    slow_factor : float
+        Every step takes this many times as long.
+    error_rate : float
+        Share of the attempts that are answered with 500.
+    crash_on : str
+        The process exits at once when it admits a prompt that contains this text.
+    cut_streams : int
+        Break each connection after this many chunks; 0 is never.
+    duplicate_chunks, crossed_chunks : float
+        Share of the chunks that are sent twice, or that follow a chunk with the id of another
+        attempt.
+    truncate : bool
+        Answers end without their end marker.
+    frozen : bool
+        Nothing runs and nothing is answered, but connections stay open.
+    leaving : bool
+        New work is refused and does not run.
+    versions : dict
+        Faults by version.
+    """
+
+    slow_factor: float = 1.0
+    error_rate: float = 0.0
+    crash_on: str = ""
+    cut_streams: int = 0
+    duplicate_chunks: float = 0.0
+    crossed_chunks: float = 0.0
+    truncate: bool = False
+    frozen: bool = False
+    leaving: bool = False
+    versions: dict[str, VersionFaults] = {}
+
+
+class Served(msgspec.Struct):
+    """Record of an attempt; `position` is the next position of its answer."""
+
+    attempt: str
+    version: str
+    prompt_hash: int
+    prompt_tokens: int
+    start_position: int
+    position: int
+    total: int
+    arrived_ms: float
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+    admitted_ms: float | None = None
+    first_token_ms: float | None = None
+    ended_ms: float | None = None
+    end: Ended | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Sizes and speeds of an engine.
+
+    Attributes
+    ----------
+    decode_ms, decode_ms_per_running : float
+        A decode step takes the first plus the second for each attempt in it.
+    prefill_chunk_tokens : int
+        Prompt tokens that one step computes beside its decoding.
+    report_lag_ms : int
+        Age of the counts in a report.
+    resume_grace_ms : int
+        Time for which an attempt goes on after its connection broke.
+    keep_ms : int
+        Time for which the text of an ended attempt is kept.
+    load_ms : int
+        Time to load a version without a weight store.
+    """
+
+    prefill_tokens_per_s: float = 8_000
+    decode_ms: float = 15
+    decode_ms_per_running: float = 1
+    prefill_chunk_tokens: int = 128
+    max_batch: int = 8
+    kv_capacity_tokens: int = 32_768
+    cache_tokens: int = 16_384
+    report_lag_ms: int = 500
+    event_delay_ms: int = 300
+    event_gap_rate: float = 0.02
+    resume_grace_ms: int = 1_000
+    keep_ms: int = 10_000
+    load_ms: int = 1_000
+    checks_fencing: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt that waits, runs or has ended."""
+
+    served: Served
+    text_hash: int
+    words: Sequence[str]
+    hashes: tuple[int, ...]
+    slow_factor: float = 1.0
+    prefill_left: int = 0
+    progress: float = 0.0
+    detached_ms: float | None = None
+
+    @property
+    def id(self) -> str:
+        """Id given by the daemon."""
+        return self.served.attempt
+
+    @property
+    def ended(self) -> bool:
+        """Whether the attempt has ended in any way."""
+        return self.served.end is not None
+
+    @property
+    def kv_tokens(self) -> int:
+        """Tokens held while running."""
+        return len(self.words) + self.served.position - self.served.start_position
+
+    @property
+    def kv_reserved(self) -> int:
+        """Tokens held at the end of the answer."""
+        return len(self.words) + max(0, self.served.total - self.served.start_position)
+
+    def word(self, position: int) -> str:
+        """Return the word of the answer at `position`."""
+        return answer_word(self.text_hash, position)
+
+
+@dataclass(slots=True)
+class _Step:
+    """A step of the batch that ends at `end_ms`."""
+
+    end_ms: float
+    decoding: list[Attempt] = field(default_factory=list)
+    prefilling: list[tuple[Attempt, int]] = field(default_factory=list)
+
+
+class EngineModel:
+    """Runs attempts in steps; each step decodes one token and computes some prompt tokens.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Sizes and speeds.
+    versions : sequence of str
+        Versions that are ready at start.
+    role : str
+        Role named in the report.
+    rng : random.Random
+        Decides which attempts fail and which events are lost.
+    now_ms : float
+        Time of start, which is also the incarnation.
+
+    Notes
+    -----
+    Attempts are admitted in order of arrival; the engine knows no priority.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        versions: Sequence[str],
+        role: str,
+        rng: random.Random,
+        now_ms: float,
+    ) -> None:
+        self.faults = EngineFaults()
+        self.served: list[Served] = []
+        self.crashed = False
+        self.incarnation = int(now_ms)
+        self._settings = settings
+        self._rng = rng
+        self._role = role
+        self._versions = list(versions)
+        self._loading: dict[str, float | None] = {}
+        self._fencing = -1
+        self._requests: dict[str, int] = {}
+        self._attempts: dict[str, Attempt] = {}
+        self._waiting: deque[Attempt] = deque()
+        self._running: list[Attempt] = []
+        self._step: _Step | None = None
+        self._loads: deque[tuple[float, int, int, int]] = deque([(now_ms, 0, 0, 0)])
+        self._cache = PrefixCache(
+            settings.cache_tokens // BLOCK_TOKENS,
+            settings.event_delay_ms,
+            settings.event_gap_rate,
+            rng,
+        )
+
+    @property
+    def cache(self) -> PrefixCache:
+        """The prefix cache."""
+        return self._cache
+
+    @property
+    def running(self) -> tuple[Attempt, ...]:
+        """Attempts in the batch."""
+        return tuple(self._running)
+
+    def generate(self, request: Generate, now_ms: float) -> Attempt:
+        """Put an attempt in line.
+
+        Raises
+        ------
+        Leaving, VersionNotLoaded, AttemptExists
+            If the attempt is refused; nothing ran.
+        GenerateFailed
+            If a fault switch makes it fail.
+        """
+        self.advance(now_ms)
+        self._check(request)
+        attempt = self._make_attempt(request, now_ms)
+        self.served.append(attempt.served)
+        if self._fails(request, attempt):
+            self._end(attempt, Ended.ERROR, now_ms)
+            raise GenerateFailed("the attempt failed")
+        self._attempts[attempt.id] = attempt
+        self._waiting.append(attempt)
+        self._note_load(now_ms)
+        if self._step is None:
+            self._begin_step(now_ms)
+        return attempt
+
+    def attempt(self, attempt: str) -> Attempt:
+        """Return an attempt that is waiting, running or still kept.
+
+        Raises
+        ------
+        UnknownAttempt
+            If there is none.
+        """
+        found = self._attempts.get(attempt)
+        if found is None:
+            raise UnknownAttempt(f"no attempt {attempt!r}")
+        return found
+
+    def attach(self, attempt: Attempt) -> None:
+        """Note that a connection reads the attempt."""
+        attempt.detached_ms = None
+
+    def detach(self, attempt: Attempt, now_ms: float) -> None:
+        """Note that no connection reads the attempt any more."""
+        attempt.detached_ms = now_ms
+
+    def cancel(self, attempt: str, now_ms: float) -> bool:
+        """End an attempt; return whether it was waiting or running."""
+        self.advance(now_ms)
+        found = self._attempts.get(attempt)
+        if found is None or found.ended:
+            return False
+        self._end(found, Ended.CANCELLED, now_ms)
+        return True
+
+    def advance(self, now_ms: float) -> None:
+        """Carry out all that happens up to `now_ms`."""
+        if self.faults.frozen:
+            if self._step is not None:
+                self._step.end_ms = max(self._step.end_ms, now_ms)
+            return
+        self._finish_loads(now_ms)
+        while self._step is not None and self._step.end_ms <= now_ms and not self.crashed:
+            step, self._step = self._step, None
+            self._end_step(step)
+            self._expire(step.end_ms)
+            self._begin_step(step.end_ms)
+        self._expire(now_ms)
+
+    def next_ms(self) -> float | None:
+        """Return when the next step or load ends, or None if nothing is going on."""
+        if self.faults.frozen:
+            return None
+        times = [ready_ms for ready_ms in self._loading.values() if ready_ms is not None]
+        if self._step is not None:
+            times.append(self._step.end_ms)
+        return min(times, default=None)
+
+    def report(self, now_ms: float) -> Report:
+        """Return the report that the engine gives at `now_ms`."""
+        as_of_ms = now_ms - self._settings.report_lag_ms
+        while len(self._loads) > 1 and self._loads[1][0] <= as_of_ms:
+            self._loads.popleft()
+        at_ms, running, waiting, kv_used = self._loads[0]
+        return Report(
+            self.incarnation,
+            int(max(at_ms, as_of_ms)),
+            running,
+            waiting,
+            kv_used,
+            self._settings.kv_capacity_tokens,
+            self._settings.max_batch,
+            tuple(self._versions),
+            self._role,
+            self.faults.leaving,
+            tuple(self._loading),
+        )
+
+    def export_kv(self, attempt: str) -> KvHandle:
+        """Return a handle of the blocks that the attempt has in the cache.
+
+        Raises
+        ------
+        UnknownAttempt
+            If there is no such attempt.
+        """
+        hashes = self.attempt(attempt).hashes
+        count = self._cache.match(hashes)
+        return KvHandle(hashes[:count], count * BLOCK_TOKENS)
+
+    def import_kv(self, handle: KvHandle, now_ms: float) -> None:
+        """Store the blocks of a handle in the cache.
+
+        Raises
+        ------
+        Leaving
+            If the engine takes no new work.
+        """
+        if self.faults.leaving:
+            raise Leaving("the engine is leaving")
+        self._cache.store(handle.blocks, now_ms)
+
+    def order(self, order: Order, now_ms: float, load_ms: float | None) -> bool:
+        """Carry out an order.
+
+        Parameters
+        ----------
+        load_ms : float, optional
+            Time that a load takes; None if `finish_load` tells its end.
+
+        Returns
+        -------
+        bool
+            Whether a load has begun.
+
+        Raises
+        ------
+        OldFencing
+            If the token is old and this engine checks it.
+        """
+        if order.fencing < self._fencing and self._settings.checks_fencing:
+            raise OldFencing(f"fencing token {order.fencing} is below {self._fencing}")
+        self._fencing = max(self._fencing, order.fencing)
+        match order.order:
+            case OrderKind.LOAD:
+                if order.version in self._versions or order.version in self._loading:
+                    return False
+                self._loading[order.version] = None if load_ms is None else now_ms + load_ms
+                return True
+            case OrderKind.UNLOAD:
+                self._loading.pop(order.version, None)
+                if order.version in self._versions:
+                    self._versions.remove(order.version)
+            case OrderKind.ROLE:
+                self._role = order.role
+        return False
+
+    def is_loading(self, version: str) -> bool:
+        """Return whether a load of `version` is going on."""
+        return version in self._loading
+
+    def finish_load(self, version: str) -> None:
+        """Make a loading version ready, unless it was unloaded meanwhile."""
+        if version in self._loading:
+            del self._loading[version]
+            self._versions.append(version)
+
+    def _check(self, request: Generate) -> None:
+        if self.faults.leaving:
+            raise Leaving("the engine is leaving")
+        if request.version not in self._versions:
+            raise VersionNotLoaded(f"version {request.version!r} is not loaded")
+        if request.attempt in self._attempts:
+            raise AttemptExists(f"attempt {request.attempt!r} was already taken")
+
+    def _make_attempt(self, request: Generate, now_ms: float) -> Attempt:
+        words = request.prompt.split()
+        original = original_prompt(words, request.start_position)
+        text_hash = hash64(" ".join(original))
+        served = Served(
+            attempt=request.attempt,
+            version=request.version,
+            prompt_hash=hash64(request.prompt),
+            prompt_tokens=len(words),
+            start_position=request.start_position,
+            position=request.start_position,
+            total=answer_tokens(original, text_hash, request.max_tokens),
+            arrived_ms=now_ms,
+        )
+        return Attempt(served, text_hash, words, block_hashes(words))
+
+    def _fails(self, request: Generate, attempt: Attempt) -> bool:
+        count = self._requests.get(request.version, 0)
+        self._requests[request.version] = count + 1
+        faults = self.faults.versions.get(request.version, VersionFaults())
+        affected = (
+            count >= faults.after_requests
+            and faults.route_text in request.prompt
+            and len(self._running) >= faults.min_running
+        )
+        if affected:
+            attempt.slow_factor = faults.slow_factor
+        error_rate = max(self.faults.error_rate, faults.error_rate if affected else 0.0)
+        return self._rng.random() < error_rate
+
+    def _begin_step(self, now_ms: float) -> None:
+        self._admit(now_ms)
+        if not self._running or self.crashed:
+            return
+        step = _Step(now_ms)
+        duration_ms = 0.0
+        budget = self._settings.prefill_chunk_tokens
+        for attempt in self._running:
+            if attempt.prefill_left == 0:
+                step.decoding.append(attempt)
+            elif budget > 0:
+                tokens = min(attempt.prefill_left, budget)
+                budget -= tokens
+                step.prefilling.append((attempt, tokens))
+                seconds = tokens * attempt.slow_factor / self._settings.prefill_tokens_per_s
+                duration_ms += seconds * 1000
+        if step.decoding:
+            duration_ms += self._settings.decode_ms
+            duration_ms += self._settings.decode_ms_per_running * len(step.decoding)
+        step.end_ms = now_ms + duration_ms * self.faults.slow_factor
+        self._step = step
+
+    def _end_step(self, step: _Step) -> None:
+        for attempt, tokens in step.prefilling:
+            if attempt.ended:
+                continue
+            attempt.prefill_left -= tokens
+            attempt.served.prefill_tokens += tokens
+            if attempt.prefill_left == 0:
+                self._cache.store(attempt.hashes, step.end_ms)
+                self._emit(attempt, step.end_ms)
+        for attempt in step.decoding:
+            if attempt.ended:
+                continue
+            attempt.progress += 1 / attempt.slow_factor
+            if attempt.progress >= 1:
+                attempt.progress -= 1
+                self._emit(attempt, step.end_ms)
+        self._note_load(step.end_ms)
+
+    def _emit(self, attempt: Attempt, now_ms: float) -> None:
+        served = attempt.served
+        if served.position < served.total:
+            served.position += 1
+            if served.first_token_ms is None:
+                served.first_token_ms = now_ms
+        if served.position >= served.total:
+            self._end(attempt, Ended.DONE, now_ms)
+
+    def _admit(self, now_ms: float) -> None:
+        while self._waiting and len(self._running) < self._settings.max_batch:
+            attempt = self._waiting[0]
+            reserved = sum(other.kv_reserved for other in self._running)
+            if self._running and reserved + attempt.kv_reserved > self._settings.kv_capacity_tokens:
+                return
+            self._waiting.popleft()
+            self._running.append(attempt)
+            if self.faults.crash_on and self.faults.crash_on in " ".join(attempt.words):
+                self.crashed = True
+                return
+            cached = self._cache.match(attempt.hashes) * BLOCK_TOKENS
+            # The last token of a prompt is always computed, because it yields the first token
+            # of the answer.
+            cached = min(cached, max(0, len(attempt.words) - 1) // BLOCK_TOKENS * BLOCK_TOKENS)
+            attempt.served.cached_tokens = cached
+            attempt.served.admitted_ms = now_ms
+            attempt.prefill_left = max(1, len(attempt.words) - cached)
+        self._note_load(now_ms)
+
+    def _end(self, attempt: Attempt, end: Ended, now_ms: float) -> None:
+        served = attempt.served
+        served.end = end
+        served.ended_ms = now_ms
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+        if attempt in self._running:
+            self._running.remove(attempt)
+            if attempt.prefill_left == 0:
+                positions = range(served.start_position, served.position)
+                answer = [attempt.word(position) for position in positions]
+                attempt.hashes = block_hashes([*attempt.words, *answer])
+                self._cache.store(attempt.hashes, now_ms)
+        self._note_load(now_ms)
+
+    def _expire(self, now_ms: float) -> None:
+        for attempt in list(self._attempts.values()):
+            ended_ms = attempt.served.ended_ms
+            if ended_ms is not None:
+                if now_ms - ended_ms > self._settings.keep_ms:
+                    del self._attempts[attempt.id]
+            elif (
+                attempt.detached_ms is not None
+                and now_ms - attempt.detached_ms > self._settings.resume_grace_ms
+            ):
+                self._end(attempt, Ended.ABANDONED, now_ms)
+
+    def _finish_loads(self, now_ms: float) -> None:
+        for version, ready_ms in list(self._loading.items()):
+            if ready_ms is not None and ready_ms <= now_ms:
+                self.finish_load(version)
+
+    def _note_load(self, now_ms: float) -> None:
+        kv_used = sum(attempt.kv_tokens for attempt in self._running)
+        self._loads.append((now_ms, len(self._running), len(self._waiting), kv_used))
+        oldest_ms = now_ms - self._settings.report_lag_ms
+        while len(self._loads) > 1 and self._loads[1][0] <= oldest_ms:
+            self._loads.popleft()
--- a/libs/standins/src/skylarkmoor_standins/main.py
+++ b/libs/standins/src/skylarkmoor_standins/main.py
@@ -172,6 +172,57 @@
     serve(HostListService(model, SystemClock()).app, address)
 
 
+@cli.command()
+@_address
+@_faults
+@_seed
+@_version
+@click.option("--role", default="mixed", show_default=True, show_envvar=True, help="Role.")
+@_number("--prefill-tokens-per-s", 8000, "Prompt tokens computed a second.", float)
+@_number("--decode-ms", 15, "Fixed part of a decode step.", float)
+@_number("--decode-ms-per-running", 1, "Part of a decode step for each attempt in it.", float)
+@_number("--prefill-chunk-tokens", 128, "Prompt tokens that one step computes.")
+@_number("--max-batch", 8, "Attempts that run at a time; the others wait.")
+@_number("--kv-capacity-tokens", 32768, "Tokens of the attempts that run at a time.")
+@_number("--cache-tokens", 16384, "Tokens in the prefix cache.")
+@_number("--report-lag-ms", 500, "Age of the counts in a report.")
+@_number("--event-delay-ms", 300, "Age at which a cache event is published.")
+@_number("--event-gap-rate", 0.02, "Share of the cache events that are lost.", float)
+@_number("--resume-grace-ms", 1000, "Time for which an attempt goes on without a connection.")
+@_number("--keep-ms", 10000, "Time for which the text of an ended attempt is kept.")
+@_number("--load-ms", 1000, "Time to load a version without a weight store.")
+@click.option("--weights-url", show_envvar=True, help="Weight store from which versions load.")
+@click.option(
+    "--checks-fencing/--no-checks-fencing",
+    default=True,
+    show_default=True,
+    show_envvar=True,
+    help="Whether orders with an old fencing token are refused.",
+)
+def engine(
+    address: Address,
+    faults: dict[str, Any],
+    seed: int,
+    version: tuple[str, ...],
+    role: str,
+    weights_url: str | None,
+    **settings: Any,
+) -> None:
+    """Run a model engine.
+
+    Example: skylarkmoor-standin engine --address 127.0.0.1:7004 --decode-ms 30 --max-batch 4
+    """
+    from skylarkmoor_standins.engine import EngineService
+    from skylarkmoor_standins.engine_model import EngineModel, EngineSettings
+    from skylarkmoor_standins.server import merge_faults, serve
+
+    clock = SystemClock()
+    rng = random.Random(seed)
+    model = EngineModel(EngineSettings(**settings), version, role, rng, clock.wall_ms())
+    model.faults = merge_faults(model.faults, faults)
+    serve(EngineService(model, clock, rng, settings["load_ms"], weights_url).app, address)
+
+
 def main() -> None:
     """Install the asyncio reactor and run the command."""
     # Importing klein installs the default reactor, so this comes first.
--- /dev/null
+++ b/libs/standins/tests/test_engine_model.py
@@ -0,0 +1,253 @@
+"""Guards the engine's batching, cache, continuation, resume, versions and fencing."""
+
+import random
+
+import pytest
+
+from skylarkmoor_standins.engine_model import (
+    AttemptExists,
+    Ended,
+    EngineFaults,
+    EngineModel,
+    EngineSettings,
+    Generate,
+    GenerateFailed,
+    OldFencing,
+    Order,
+    OrderKind,
+    UnknownAttempt,
+    VersionFaults,
+    VersionNotLoaded,
+)
+from skylarkmoor_standins.plain_model import Leaving
+
+SETTINGS = {
+    "prefill_tokens_per_s": 1000,
+    "decode_ms": 10,
+    "decode_ms_per_running": 1,
+    "max_batch": 2,
+    "report_lag_ms": 100,
+    "resume_grace_ms": 50,
+    "keep_ms": 200,
+    "event_gap_rate": 0.0,
+}
+
+
+def make_engine(versions=("v1",), **settings):
+    settings = EngineSettings(**(SETTINGS | settings))
+    return EngineModel(settings, versions, "mixed", random.Random(1), now_ms=0)
+
+
+def ask(attempt, prompt="one two answer_tokens=3", version="v1", start=0, max_tokens=100):
+    return Generate(attempt, version, prompt, max_tokens, start)
+
+
+def text(attempt):
+    served = attempt.served
+    return [attempt.word(position) for position in range(served.start_position, served.position)]
+
+
+def test_prefill_then_one_token_a_step():
+    engine = make_engine()
+    attempt = engine.generate(ask("a"), 0)
+    engine.advance(3)
+    assert (attempt.served.prefill_tokens, attempt.served.position) == (3, 1)
+    engine.advance(13)
+    assert attempt.served.position == 1
+    engine.advance(14)
+    assert attempt.served.position == 2
+    engine.advance(25)
+    assert (attempt.served.end, attempt.served.position) == (Ended.DONE, 3)
+
+
+def test_decode_steps_grow_with_the_batch():
+    engine = make_engine()
+    first = engine.generate(ask("a"), 0)
+    second = engine.generate(ask("b"), 0)
+    engine.advance(1000)
+    # Each step decodes one token of each attempt, and the second prefill delays the first.
+    assert first.served.ended_ms == 3 + (11 + 3) + 12
+    assert second.served.ended_ms == 3 + (11 + 3) + 12 + 11
+
+
+def test_attempts_over_the_batch_wait_in_order_of_arrival():
+    engine = make_engine(max_batch=1)
+    attempts = [engine.generate(ask(name), 0) for name in "abc"]
+    engine.advance(1000)
+    admitted = [attempt.served.admitted_ms for attempt in attempts]
+    assert admitted == [0, 25, 50]
+
+
+def test_attempts_over_the_kv_capacity_wait():
+    engine = make_engine(kv_capacity_tokens=10)
+    engine.generate(ask("a"), 0)
+    second = engine.generate(ask("b"), 0)
+    engine.advance(20)
+    assert second.served.admitted_ms is None
+    engine.advance(25)
+    assert second.served.admitted_ms == 25
+
+
+def test_a_redo_with_the_sent_text_continues_the_same_answer():
+    engine = make_engine()
+    whole = engine.generate(ask("a", "tell me answer_tokens=6"), 0)
+    engine.advance(1000)
+    sent = text(whole)[:4]
+    other = make_engine()
+    redo = other.generate(ask("b", "tell me answer_tokens=6 " + " ".join(sent), start=4), 0)
+    other.advance(1000)
+    assert sent + text(redo) == text(whole)
+    assert redo.served.total == whole.served.total == 6
+
+
+def test_answers_to_different_prompts_differ():
+    engine = make_engine()
+    first = engine.generate(ask("a", "one answer_tokens=5"), 0)
+    second = engine.generate(ask("b", "two answer_tokens=5"), 0)
+    engine.advance(1000)
+    assert text(first) != text(second)
+
+
+def test_a_repeated_prompt_is_served_from_the_cache():
+    engine = make_engine()
+    prompt = " ".join(f"w{i}" for i in range(40)) + " answer_tokens=2"
+    first = engine.generate(ask("a", prompt), 0)
+    engine.advance(1000)
+    second = engine.generate(ask("b", prompt), 1000)
+    engine.advance(2000)
+    assert (first.served.prefill_tokens, first.served.cached_tokens) == (41, 0)
+    assert (second.served.prefill_tokens, second.served.cached_tokens) == (9, 32)
+
+
+def test_imported_blocks_are_cached():
+    prompt = " ".join(f"w{i}" for i in range(40))
+    source, target = make_engine(), make_engine()
+    source.generate(ask("a", prompt, max_tokens=1), 0)
+    source.advance(100)
+    handle = source.export_kv("a")
+    assert handle.tokens == 32
+    target.import_kv(handle, 0)
+    attempt = target.generate(ask("b", prompt), 0)
+    assert attempt.served.cached_tokens == 32
+
+
+def test_a_broken_attempt_goes_on_for_the_grace_time_only():
+    engine = make_engine()
+    attempt = engine.generate(ask("a", "x answer_tokens=50"), 0)
+    engine.advance(30)
+    engine.detach(attempt, 30)
+    engine.advance(60)
+    before = attempt.served.position
+    assert before > 2
+    assert engine.attempt("a") is attempt
+    engine.attach(attempt)
+    engine.advance(200)
+    assert not attempt.ended
+    engine.detach(attempt, 200)
+    engine.advance(300)
+    assert attempt.served.end is Ended.ABANDONED
+    engine.advance(600)
+    with pytest.raises(UnknownAttempt):
+        engine.attempt("a")
+
+
+def test_cancel_frees_the_place():
+    engine = make_engine(max_batch=1)
+    first = engine.generate(ask("a", "x answer_tokens=50"), 0)
+    second = engine.generate(ask("b"), 0)
+    assert engine.cancel("a", 20)
+    assert not engine.cancel("a", 20)
+    engine.advance(200)
+    assert (first.served.end, second.served.end) == (Ended.CANCELLED, Ended.DONE)
+
+
+def test_reports_lag():
+    engine = make_engine()
+    engine.generate(ask("a", "x answer_tokens=50"), 0)
+    engine.advance(99)
+    assert engine.report(99).running == 0
+    engine.advance(101)
+    report = engine.report(101)
+    assert (report.running, report.as_of_ms) == (1, 1)
+
+
+def test_refused_attempts_run_nothing():
+    engine = make_engine()
+    engine.generate(ask("a"), 0)
+    with pytest.raises(AttemptExists):
+        engine.generate(ask("a"), 0)
+    with pytest.raises(VersionNotLoaded):
+        engine.generate(ask("b", version="v2"), 0)
+    engine.faults = EngineFaults(leaving=True)
+    with pytest.raises(Leaving):
+        engine.generate(ask("c"), 0)
+    engine.advance(1000)
+    assert [(served.attempt, served.end) for served in engine.served] == [("a", Ended.DONE)]
+
+
+def test_a_version_fails_only_after_its_requests_and_on_its_route():
+    engine = make_engine(versions=("v1", "v2"))
+    faults = VersionFaults(error_rate=1.0, after_requests=1, route_text="brief")
+    engine.faults = EngineFaults(versions={"v2": faults})
+    engine.generate(ask("a", "brief", "v2"), 0)
+    engine.generate(ask("b", "other", "v2"), 0)
+    engine.generate(ask("c", "brief", "v1"), 0)
+    with pytest.raises(GenerateFailed):
+        engine.generate(ask("d", "brief", "v2"), 0)
+    assert engine.served[-1].end is Ended.ERROR
+
+
+def test_a_slow_version_does_not_slow_the_other():
+    engine = make_engine(versions=("v1", "v2"))
+    engine.faults = EngineFaults(versions={"v2": VersionFaults(slow_factor=3.0)})
+    slow = engine.generate(ask("a", "x answer_tokens=90", "v2"), 0)
+    fast = engine.generate(ask("b", "x answer_tokens=90", "v1"), 0)
+    engine.advance(500)
+    assert fast.served.position > 2.5 * slow.served.position
+
+
+def test_crash_on_shows_when_the_prompt_is_admitted():
+    engine = make_engine(max_batch=1)
+    engine.faults = EngineFaults(crash_on="boom")
+    engine.generate(ask("a"), 0)
+    engine.generate(ask("b", "boom"), 0)
+    engine.advance(20)
+    assert not engine.crashed
+    engine.advance(30)
+    assert engine.crashed
+
+
+def test_a_frozen_engine_stands_still():
+    engine = make_engine()
+    attempt = engine.generate(ask("a"), 0)
+    engine.faults = EngineFaults(frozen=True)
+    engine.advance(500)
+    assert (attempt.served.position, engine.next_ms()) == (0, None)
+    engine.faults = EngineFaults()
+    engine.advance(500 + 22)
+    assert attempt.served.ended_ms == 500 + 22
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_an_old_fencing_token_is_refused_only_where_it_is_checked(checks):
+    engine = make_engine(checks_fencing=checks)
+    engine.order(Order(OrderKind.ROLE, 5, role="prefill"), 0, None)
+    old = Order(OrderKind.ROLE, 4, role="decode")
+    if checks:
+        with pytest.raises(OldFencing):
+            engine.order(old, 0, None)
+    else:
+        engine.order(old, 0, None)
+    assert engine.report(0).role == ("prefill" if checks else "decode")
+
+
+def test_a_version_is_ready_after_its_load_time():
+    engine = make_engine()
+    assert engine.order(Order(OrderKind.LOAD, 1, "v2"), 0, load_ms=100)
+    assert not engine.order(Order(OrderKind.LOAD, 1, "v2"), 0, load_ms=100)
+    engine.advance(99)
+    assert (engine.report(99).versions, engine.report(99).loading) == (("v1",), ("v2",))
+    engine.advance(100)
+    assert engine.report(100).versions == ("v1", "v2")
+    engine.order(Order(OrderKind.UNLOAD, 1, "v1"), 100, None)
+    assert engine.report(100).versions == ("v2",)
