Add the peer message DocumentQuery

A daemon that cannot reach the log had no way to ask a peer for a document. The change only adds to the message types. Measured: the workspace type check passes with it.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -16,6 +16,7 @@
     "Demand",
     "Digest",
     "DocumentOffer",
+    "DocumentQuery",
     "Envelope",
     "Fact",
     "FactKind",
@@ -180,6 +181,12 @@
     published: Offset | None = None
 
 
+class DocumentQuery(_Message, frozen=True, tag="w"):
+    """Ask for documents that are newer than those in force on the sender, by offset."""
+
+    offsets: dict[ServiceName, Offset]
+
+
 Message = (
     Heartbeat
     | Gossip
@@ -192,6 +199,7 @@
     | OutcomeQuery
     | OutcomeAnswer
     | DocumentOffer
+    | DocumentQuery
 )
 
 
