--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -112,6 +112,8 @@
     # Latency seen since the last demand: worst first-token and between-tokens time in
     # milliseconds as a percentage of the tier's bound, 0 when nothing was measured.
     pressure_percent: int = 0
+    # Cost of the next waiting request of each tier. A smaller grant would run nothing.
+    next_cost: tuple[int, ...] = ()
 
 
 class Grant(_Message, frozen=True, tag="r"):
@@ -120,7 +122,15 @@
     upstream: UpstreamId
     seq: int
     allowed: tuple[int, ...]
+    # Counted from the time at which the receiver sent the demand `answers`, so that a grant
+    # that waited in a paused receiver's buffer is not taken for a fresh one.
     lease_ms: int
+    # Sequence number of the newest demand of the receiver that the owner knows.
+    answers: int = 0
+    # Learnt capacity of the upstream, for fallback shares and for the next owner.
+    capacity: int = 0
+    # Cost that is not allocated to this tier or a higher one, by tier.
+    room: tuple[int, ...] = ()
 
 
 class ClaimRequest(_Message, frozen=True, tag="c"):
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/allocation.py
@@ -0,0 +1,135 @@
+"""Division of an upstream's capacity among daemons and tiers."""
+
+import heapq
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from skylarkmoor_core.ids import HostId
+
+__all__ = ["HostDemand", "allocate"]
+
+# Bounds the steps of a division; a step is at least this part of the capacity.
+_MAX_STEPS = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class HostDemand:
+    """Cost that a daemon runs and waits for, by tier.
+
+    Attributes
+    ----------
+    running, waiting : tuple of int
+        Cost by tier, the highest tier first.
+    units : tuple of int
+        Cost of the next waiting request of each tier.
+    """
+
+    running: tuple[int, ...]
+    waiting: tuple[int, ...]
+    units: tuple[int, ...]
+
+
+def allocate(
+    capacity: int, demands: Mapping[HostId, HostDemand], unit: int = 1
+) -> dict[HostId, tuple[int, ...]]:
+    """Divide `capacity` in strict tier order and max-min fairly within a tier.
+
+    Parameters
+    ----------
+    capacity : int
+        Cost that the upstream can run.
+    demands : mapping of HostId to HostDemand
+        What each daemon runs and waits for; all have the same number of tiers.
+    unit : int
+        Cost of the smallest request; headroom is handed out in multiples of it.
+
+    Returns
+    -------
+    dict of HostId to tuple of int
+        Allowed cost by tier. Headroom is part of the lowest tier's, because higher tiers
+        may use the credit of lower ones.
+
+    Notes
+    -----
+    Running work is cut only in favour of waiting work in a higher tier: cancelling it for
+    fairness within a tier, or because the capacity was lowered, would waste its prefill.
+    While more runs than the capacity, new work only displaces lower-tier work.
+
+    If the next request of the daemon that has least does not fit, no further waiting work
+    of its tier or a lower one is allowed. Otherwise small requests would keep a large one
+    out for ever. Lower tiers' running work stays, since cutting it would not make the
+    request fit.
+
+    Examples
+    --------
+    >>> allocate(10, {"a": HostDemand((4, 0), (4, 0), (1, 1)),
+    ...               "b": HostDemand((0, 4), (0, 0), (1, 1))})
+    {'a': (8, 0), 'b': (0, 2)}
+    """
+    if capacity < 0:
+        raise ValueError(f"capacity must not be negative, got {capacity}")
+    tiers = max((len(demand.running) for demand in demands.values()), default=0)
+    left = max(capacity, sum(sum(demand.running) for demand in demands.values()))
+    given = {host: [0] * tiers for host in demands}
+    smallest = max(1, unit, capacity // _MAX_STEPS)
+    blocked: tuple[HostId, int] | None = None
+    for tier in range(tiers):
+        left -= _give_running(left, demands, given, tier)
+        if blocked is None:
+            left, short = _give_waiting(left, demands, given, tier, smallest)
+            blocked = None if short is None else (short, tier)
+    if blocked is not None:
+        host, tier = blocked
+        given[host][tier] += left
+    else:
+        _give_headroom(left, demands, given, smallest)
+    return {host: tuple(costs) for host, costs in given.items()}
+
+
+def _give_running(
+    left: int, demands: Mapping[HostId, HostDemand], given: dict[HostId, list[int]], tier: int
+) -> int:
+    hosts = sorted((demand.running[tier], host) for host, demand in demands.items())
+    total = 0
+    for i, (running, host) in enumerate(hosts):
+        share = (left - total) // (len(hosts) - i)
+        given[host][tier] = min(running, share)
+        total += given[host][tier]
+    return total
+
+
+def _give_waiting(
+    left: int,
+    demands: Mapping[HostId, HostDemand],
+    given: dict[HostId, list[int]],
+    tier: int,
+    smallest: int,
+) -> tuple[int, HostId | None]:
+    wanted = {host: demand.waiting[tier] for host, demand in demands.items()}
+    heap = [(given[host][tier], host) for host, want in wanted.items() if want > 0]
+    heapq.heapify(heap)
+    while heap:
+        cost, host = heapq.heappop(heap)
+        step = min(wanted[host], max(demands[host].units[tier], smallest))
+        if step > left:
+            return left, host
+        left -= step
+        wanted[host] -= step
+        given[host][tier] = cost + step
+        if wanted[host] > 0:
+            heapq.heappush(heap, (cost + step, host))
+    return left, None
+
+
+def _give_headroom(
+    left: int,
+    demands: Mapping[HostId, HostDemand],
+    given: dict[HostId, list[int]],
+    unit: int,
+) -> None:
+    if not given:
+        return
+    each, extra = divmod(left // unit, len(given))
+    busiest = sorted(given, key=lambda host: (-sum(demands[host].running), host))
+    for i, host in enumerate(busiest):
+        given[host][-1] += (each + (i < extra)) * unit
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -0,0 +1,481 @@
+"""Credit leases: the owner's table of demands and a daemon's account at one upstream."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from skylarkmoor_core.hashing import rendezvous_order
+from skylarkmoor_core.ids import HostId, UpstreamId
+from skylarkmoor_core.messages import Demand, Grant
+from skylarkmoor_policy.allocation import HostDemand, allocate
+from skylarkmoor_policy.capacity import Bounds
+
+__all__ = ["LEASE_MS", "CreditAccount", "CreditTable", "fallback_share"]
+
+# A lease outlives two lost renewals. A longer one would keep the credit of a dead daemon
+# from the others for longer.
+LEASE_MS = 3_000
+_RENEW_MS = 1_000
+# Least time between two demands: the owner's answer to the first is on its way.
+_URGENT_MS = 10
+_RELEASE_MS = 50
+# A need that grew by less than this is told at the next renewal.
+_GROWTH_PERCENT = 125
+_SHRINK_PERCENT = 75
+# How long a preemption waits for an answer when the owner did not know all that runs.
+_HOLD_MS = 100
+# A new owner hears the running work of all daemons before it gives any of it away.
+_SETTLE_MS = 100
+# An owner that has not answered for this long is taken to be gone.
+_SILENT_MS = 300
+# An account that was not used for this long is not renewed.
+_IDLE_MS = 10_000
+
+
+def _fit(costs: Sequence[int], tiers: int) -> tuple[int, ...]:
+    """Return `costs` for exactly `tiers` tiers; further tiers count as the lowest."""
+    if len(costs) <= tiers:
+        return (*costs, *(0,) * (tiers - len(costs)))
+    return (*costs[: tiers - 1], sum(costs[tiers - 1 :]))
+
+
+def _suffixes(costs: Sequence[int]) -> list[int]:
+    """Return for each tier the cost of this tier and all lower ones."""
+    sums = list(costs)
+    for tier in range(len(sums) - 2, -1, -1):
+        sums[tier] += sums[tier + 1]
+    return sums
+
+
+def fallback_share(capacity: int, unit: int, live: int, rank: int) -> int:
+    """Return the cost that a daemon may run without a lease.
+
+    Parameters
+    ----------
+    capacity : int
+        Cost that the upstream can run.
+    unit : int
+        Least cost of a request.
+    live : int
+        Number of live daemons.
+    rank : int
+        Place of this daemon in the upstream's rendezvous order, from 0.
+
+    Notes
+    -----
+    If an even share holds no whole request, the first daemons in rendezvous order get one
+    each, so that the shares of all together still fit the capacity.
+
+    Examples
+    --------
+    >>> fallback_share(100, 10, 4, 3)
+    25
+    >>> [fallback_share(20, 10, 4, rank) for rank in range(4)]
+    [10, 10, 0, 0]
+    """
+    share = capacity // max(1, live)
+    if share >= unit:
+        return share
+    return unit if rank < capacity // unit else 0
+
+
+@dataclass(slots=True)
+class _Holder:
+    demand: Demand
+    expires_ms: int
+    # Allowed cost in the newest grant.
+    granted: tuple[int, ...] | None = None
+
+
+class CreditTable:
+    """What the owner of an upstream knows of the demands for it.
+
+    Parameters
+    ----------
+    upstream : UpstreamId
+        The upstream.
+    tiers : int
+        Number of tiers.
+    now_ms : int
+        Monotonic time at which this daemon became the owner.
+
+    Notes
+    -----
+    Demands are absolute and the newest sequence number of a sender wins, so lost, repeated
+    and reordered messages do no harm. A sender that is silent keeps its last demand until
+    the lease ends. By then it uses no more than its fallback share.
+    """
+
+    def __init__(self, upstream: UpstreamId, tiers: int, now_ms: int) -> None:
+        self._upstream = upstream
+        self._tiers = tiers
+        self._settled_ms = now_ms + _SETTLE_MS
+        self._seq = now_ms
+        self._holders: dict[HostId, _Holder] = {}
+
+    def set_tiers(self, tiers: int) -> None:
+        """Change the number of tiers."""
+        self._tiers = tiers
+
+    @property
+    def running(self) -> int:
+        """Cost that all daemons together run, as far as known."""
+        return sum(sum(holder.demand.running) for holder in self._holders.values())
+
+    @property
+    def contended(self) -> bool:
+        """Whether anybody waits."""
+        return any(any(holder.demand.waiting) for holder in self._holders.values())
+
+    def settled(self, now_ms: int) -> bool:
+        """Return whether this daemon has been the owner for long enough to grant."""
+        return now_ms >= self._settled_ms
+
+    def take(self, sender: HostId, demand: Demand, now_ms: int) -> bool:
+        """Note a demand and return whether it is newer than the sender's last one."""
+        self._expire(now_ms)
+        holder = self._holders.get(sender)
+        if holder is not None and demand.seq <= holder.demand.seq:
+            return False
+        granted = None if holder is None else holder.granted
+        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS, granted)
+        return True
+
+    def grants(
+        self, capacity: int, unit: int, now_ms: int, answer: HostId | None = None
+    ) -> list[tuple[HostId, Grant]]:
+        """Return the grants to send.
+
+        Parameters
+        ----------
+        capacity, unit : int
+            Learnt capacity of the upstream and least cost of a request.
+        now_ms : int
+            Monotonic time.
+        answer : HostId, optional
+            A daemon that gets a grant in any case.
+
+        Returns
+        -------
+        list of HostId and Grant
+            For `answer`, and for those whose credit was cut or who wait and get more.
+        """
+        self._expire(now_ms)
+        if not self.settled(now_ms) or not self._holders:
+            return []
+        demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
+        allowed = allocate(capacity, demands, unit)
+        room = self._room(capacity, demands, allowed)
+        result = []
+        for host, holder in self._holders.items():
+            if host != answer and not _differs(holder, allowed[host], unit):
+                continue
+            self._seq = max(self._seq + 1, now_ms)
+            holder.granted = allowed[host]
+            grant = Grant(
+                self._upstream,
+                self._seq,
+                allowed[host],
+                LEASE_MS,
+                holder.demand.seq,
+                capacity,
+                room,
+            )
+            result.append((host, grant))
+        return result
+
+    def _expire(self, now_ms: int) -> None:
+        gone = [host for host, holder in self._holders.items() if holder.expires_ms <= now_ms]
+        for host in gone:
+            del self._holders[host]
+
+    def _host_demand(self, holder: _Holder) -> HostDemand:
+        demand = holder.demand
+        units = (*demand.next_cost, *(1,) * self._tiers)[: self._tiers]
+        return HostDemand(
+            _fit(demand.running, self._tiers), _fit(demand.waiting, self._tiers), units
+        )
+
+    def _room(
+        self,
+        capacity: int,
+        demands: dict[HostId, HostDemand],
+        allowed: dict[HostId, tuple[int, ...]],
+    ) -> tuple[int, ...]:
+        room = []
+        left = capacity
+        for tier in range(self._tiers):
+            for host, demand in demands.items():
+                wanted = demand.running[tier] + demand.waiting[tier]
+                left -= min(allowed[host][tier], wanted)
+            room.append(max(0, left))
+        return tuple(room)
+
+
+def _differs(holder: _Holder, allowed: tuple[int, ...], unit: int) -> bool:
+    """Return whether a daemon has to hear of its new credit before its next renewal."""
+    if holder.granted is None:
+        return True
+    granted = _fit(holder.granted, len(allowed))
+    pairs = list(zip(_suffixes(allowed), _suffixes(granted), strict=True))
+    if any(new <= old - unit for new, old in pairs):
+        return True
+    return any(holder.demand.waiting) and any(new >= old + unit for new, old in pairs)
+
+
+@dataclass(slots=True)
+class _Lease:
+    seq: int = -1
+    owner: HostId | None = None
+    allowed: tuple[int, ...] = ()
+    expires_ms: int = -1
+    answers: int = -1
+    room: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class _Sent:
+    """The newest demand sent and where to."""
+
+    demand: Demand
+    owner: HostId
+    at_ms: int
+
+
+class CreditAccount:
+    """The credit of one daemon at one upstream and what uses it.
+
+    Parameters
+    ----------
+    upstream : UpstreamId
+        The upstream.
+    tiers : int
+        Number of tiers.
+    bounds : Bounds
+        Bounds of the upstream, from its newest report.
+
+    Notes
+    -----
+    A tier may use its own credit and that of lower tiers: for each tier, what runs in it
+    and in the lower ones is at most what is allowed in them.
+    """
+
+    def __init__(self, upstream: UpstreamId, tiers: int, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.capacity = bounds.limit
+        self.learnt = False
+        self.owner: HostId | None = None
+        self._host = HostId("")
+        self._members: tuple[HostId, ...] = ()
+        self._rank: int | None = None
+        self._upstream = upstream
+        self._tiers = tiers
+        self._running = [0] * tiers
+        self._stopping = [0] * tiers
+        self._waiting: tuple[int, ...] = (0,) * tiers
+        self._units: tuple[int, ...] = (1,) * tiers
+        self._lease = _Lease()
+        self._newest: _Sent | None = None
+        self._sent: dict[int, _Sent] = {}
+        self._hold_until_ms = -1
+        self._hold_seq = -1
+        self._active_ms = -_IDLE_MS
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take new bounds and keep the learnt part of the limit."""
+        if bounds != self.bounds:
+            self.capacity = max(1, self.capacity * bounds.limit // self.bounds.limit)
+            self.bounds = bounds
+
+    def set_members(self, owner: HostId | None, host: HostId, members: tuple[HostId, ...]) -> None:
+        """Set the upstream's owner, this daemon and all live daemons."""
+        self.owner = owner
+        self._host = host
+        self._members = members
+        self._rank = None
+
+    def set_tiers(self, tiers: int) -> None:
+        """Add tiers below the present ones."""
+        more = tiers - self._tiers
+        self._tiers = tiers
+        self._running += [0] * more
+        self._stopping += [0] * more
+        self._waiting += (0,) * more
+        self._units += (1,) * more
+
+    @property
+    def running(self) -> tuple[int, ...]:
+        """Cost that this daemon runs, by tier, with attempts that are being preempted."""
+        return tuple(self._running)
+
+    def leased(self, now_ms: int) -> bool:
+        """Return whether there is a lease in force."""
+        return now_ms < self._lease.expires_ms
+
+    def allowed(self, now_ms: int) -> tuple[int, ...]:
+        """Return the cost allowed by tier, by the lease or else by the fallback share.
+
+        Notes
+        -----
+        While the owner does not answer, higher tiers displace the lower ones of this daemon
+        within the credit that is left, as the owner would have them do.
+        """
+        if self.leased(now_ms):
+            allowed = _fit(self._lease.allowed, self._tiers)
+            return allowed if not self._silent(now_ms) else self._divide(sum(allowed))
+        return self._divide(self._fallback())
+
+    def room(self, tier: int, now_ms: int) -> int:
+        """Return the cost that may be started in a tier now."""
+        allowed = _suffixes(self.allowed(now_ms))
+        running = _suffixes(self._running)
+        return min(allowed[each] - running[each] for each in range(tier + 1))
+
+    def reach(self, tier: int, now_ms: int) -> int:
+        """Return the cost that a tier may hope for, with that of lower tiers elsewhere."""
+        room = self.room(tier, now_ms)
+        if self.leased(now_ms) and self._lease.room:
+            return max(room, _fit(self._lease.room, self._tiers)[tier])
+        return max(room, self.allowed(now_ms)[tier] - self._running[tier])
+
+    def start(self, tier: int, cost: int, now_ms: int) -> None:
+        """Note that an attempt was started."""
+        self._running[tier] += cost
+        self._active_ms = now_ms
+
+    def stop(self, tier: int, cost: int) -> None:
+        """Note that an attempt is being preempted."""
+        self._stopping[tier] += cost
+
+    def end(self, tier: int, cost: int, stopping: bool) -> None:
+        """Note that an attempt ended."""
+        self._running[tier] -= cost
+        if stopping:
+            self._stopping[tier] -= cost
+
+    def excess(self, now_ms: int) -> list[tuple[int, int]]:
+        """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
+        if self.leased(now_ms) and now_ms < self._hold_until_ms:
+            return []
+        allowed = _suffixes(self.allowed(now_ms))
+        live = [run - stop for run, stop in zip(self._running, self._stopping, strict=True)]
+        pairs = zip(_suffixes(live), allowed, strict=True)
+        over = [(tier, run - allow) for tier, (run, allow) in enumerate(pairs) if run > allow]
+        return over[::-1]
+
+    def wait(self, waiting: tuple[int, ...], units: tuple[int, ...]) -> None:
+        """Set the cost that waits for this upstream and the cost of each tier's next request."""
+        self._waiting = waiting
+        self._units = units
+
+    def accept(self, sender: HostId, grant: Grant, now_ms: int) -> bool:
+        """Take a grant and return whether it is from the owner and newer than the last one."""
+        if sender != self.owner:
+            return False
+        if self._lease.owner == sender and grant.seq <= self._lease.seq:
+            return False
+        answered = self._sent.get(grant.answers)
+        if answered is None:
+            return False
+        self._lease = _Lease(
+            grant.seq,
+            sender,
+            grant.allowed,
+            answered.at_ms + grant.lease_ms,
+            grant.answers,
+            grant.room,
+        )
+        if grant.capacity > 0:
+            self.capacity = min(grant.capacity, self.bounds.limit)
+            self.learnt = True
+        self._hold(now_ms)
+        return True
+
+    def due(self, now_ms: int) -> bool:
+        """Return whether the owner has to hear of a new demand now."""
+        if self.owner is None:
+            return False
+        needed = any(self._running) or any(self._waiting)
+        if needed:
+            self._active_ms = now_ms
+        active = now_ms - self._active_ms < _IDLE_MS
+        sent = self._newest
+        if sent is None or sent.owner != self.owner:
+            return sent is None or active
+        age_ms = now_ms - sent.at_ms
+        if age_ms >= _RENEW_MS:
+            return active
+        if age_ms < _URGENT_MS:
+            return False
+        if self._hold_seq > sent.demand.seq or self._grew(sent.demand):
+            return True
+        return age_ms >= _RELEASE_MS and self._shrank(sent.demand)
+
+    def demand(self, pressure_percent: int, now_ms: int) -> Demand:
+        """Return the demand to send to the owner now."""
+        if self.owner is None:
+            raise ValueError(f"upstream {self._upstream!r} has no owner")
+        # Sequence numbers follow the clock, so that they rise over a restart of the daemon.
+        last = self._newest.demand.seq if self._newest is not None else -1
+        seq = max(last + 1, now_ms)
+        demand = Demand(
+            self._upstream, seq, self.running, self._waiting, pressure_percent, self._units
+        )
+        self._newest = _Sent(demand, self.owner, now_ms)
+        recent = {each: sent for each, sent in self._sent.items() if now_ms - sent.at_ms < LEASE_MS}
+        self._sent = recent | {seq: self._newest}
+        return demand
+
+    def _fallback(self) -> int:
+        if self._rank is None:
+            order = rendezvous_order(self._upstream, self._members)
+            self._rank = order.index(self._host) if self._host in order else 0
+        return fallback_share(self.capacity, self.bounds.unit, len(self._members), self._rank)
+
+    def _divide(self, left: int) -> tuple[int, ...]:
+        costs = []
+        for running, waiting in zip(self._running, self._waiting, strict=True):
+            cost = min(left, running + waiting)
+            costs.append(cost)
+            left -= cost
+        costs[-1] += left
+        return tuple(costs)
+
+    def _silent(self, now_ms: int) -> bool:
+        unanswered = (sent.at_ms for seq, sent in self._sent.items() if seq > self._lease.answers)
+        return now_ms - next(unanswered, now_ms) > _SILENT_MS
+
+    def _hold(self, now_ms: int) -> None:
+        """Put off preemption if the owner did not know of all that runs here.
+
+        Work that was started on headroom since the last demand is unknown to the owner. It
+        would be cut without need if its credit was given away as unused.
+        """
+        if 0 <= self._hold_seq <= self._lease.answers:
+            self._hold_seq = -1
+            self._hold_until_ms = -1
+            return
+        if self._hold_seq >= 0 or self._newest is None:
+            return
+        running = _suffixes(self._running)
+        known = _suffixes(_fit(self._sent[self._lease.answers].demand.running, self._tiers))
+        newest = _suffixes(_fit(self._newest.demand.running, self._tiers))
+        cut = [tier for tier, _ in self.excess(now_ms) if running[tier] > known[tier]]
+        if cut:
+            told = all(newest[tier] >= running[tier] for tier in cut)
+            self._hold_seq = self._newest.demand.seq + (0 if told else 1)
+            self._hold_until_ms = now_ms + _HOLD_MS
+
+    def _grew(self, sent: Demand) -> bool:
+        return any(
+            now * 100 > before * _GROWTH_PERCENT
+            for now, before in zip(self._waiting, _fit(sent.waiting, self._tiers), strict=True)
+        )
+
+    def _shrank(self, sent: Demand) -> bool:
+        pairs = zip(sent.running, sent.waiting, strict=True)
+        before = _fit([run + wait for run, wait in pairs], self._tiers)
+        now = [run + wait for run, wait in zip(self._running, self._waiting, strict=True)]
+        return any(
+            new * 100 < old * _SHRINK_PERCENT
+            for new, old in zip(_suffixes(now), _suffixes(before), strict=True)
+        )
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -1,21 +1,37 @@
 """The composition of the scheduling decisions of one service on one daemon."""
 
+import heapq
 import random
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from skylarkmoor_core.document import ServiceDocument, ServiceKind
+from skylarkmoor_core.document import ServiceDocument, ServiceKind, Tier
+from skylarkmoor_core.hashing import rendezvous_owner
 from skylarkmoor_core.ids import (
     AttemptId,
     FailureDomain,
     HostId,
+    Incarnation,
     RequestId,
+    RouteName,
+    TierRank,
     UpstreamId,
     VersionId,
 )
 from skylarkmoor_core.messages import Demand, Grant
 from skylarkmoor_core.outcome import ErrorCode
-from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse
+from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
+from skylarkmoor_policy.capacity import (
+    ENGINE_START_PERCENT,
+    CapacityModel,
+    PressureWindow,
+    SpeedModel,
+    bounds_of,
+)
+from skylarkmoor_policy.credit import CreditAccount, CreditTable
+from skylarkmoor_policy.limits import CustomerLimits
+from skylarkmoor_policy.prefixes import PrefixIndex
+from skylarkmoor_policy.queueing import Queue, Waiting
 from skylarkmoor_policy.requests import (
     AttemptEnd,
     AttemptResult,
@@ -23,27 +39,50 @@
     Request,
     UpstreamInfo,
 )
+from skylarkmoor_policy.retrying import Retry, RetryBudget, decide_retry
+from skylarkmoor_policy.routing import Candidate, LoadEstimate, choose
 
 __all__ = ["Scheduler", "SchedulerStatus"]
 
-_MAX_ATTEMPTS = 3
-# Capacity of an upstream that has not reported yet, in requests of its largest batch.
-_DEFAULT_BATCH = 16
-_DEFAULT_KV_TOKENS = 65_536
+# Requests of a tier that are passed over in one round because they cannot run now.
+_MAX_SKIPS = 8
+# Rounds of dispatching and asking for credit in one step.
+_MAX_ROUNDS = 3
+# With more upstreams than this a daemon prefers those of its own failure domain.
+_MANY_UPSTREAMS = 16
+# Waiting cost is spread over the upstreams in at most this many parts for each.
+_PARTS = 4
+# Rest after a failed connection, doubled up to the bound at each further failure.
+_COOLDOWN_MS = 100
+_MAX_COOLDOWN_MS = 2_000
+# A preempted attempt whose end is not reported for this long is taken to have ended.
+_STOP_TIMEOUT_MS = 5_000
+# Shorter spans measure the network's batching and not the engine.
+_MIN_SPAN_MS = 200
+_OUTPUT_WEIGHT = 0.1
+# Least time between two divisions of the waiting cost among the upstreams.
+_SPREAD_MS = 5
+# Least time between two looks at an owned upstream's grants that no demand asked for.
+_REGRANT_MS = 100
+_RETRY_AFTER_MS = 1_000
+# Time for waiting requests after a drain begins.
+_DRAIN_MS = 10_000
+# A higher tier may exceed the queue's bound by this factor while lower-tier work still runs.
+_QUEUE_SLACK = 2
 
 
 @dataclass(frozen=True, slots=True)
 class SchedulerStatus:
-    """Counts since the start, by tier, the highest tier first.
+    """Counts by tier, the highest tier first.
 
     Attributes
     ----------
     running, waiting : tuple of int
         Requests that run or wait now.
     refusals, preemptions : tuple of int
-        Requests refused and attempts preempted.
+        Requests refused and attempts preempted since the start.
     prefill_tokens, wasted_prefill_tokens : tuple of int
-        Prompt tokens computed, and those of attempts that did not complete.
+        Prompt tokens computed since the start, and those of attempts that did not complete.
     """
 
     running: tuple[int, ...]
@@ -57,18 +96,78 @@
 @dataclass(slots=True)
 class _Attempt:
     attempt: AttemptId
+    request: Request
     upstream: UpstreamId
     cost: int
+    prefill_tokens: int
+    start_position: int
+    started_ms: int
+    position: int
+    # Time and position at the last measurement of the time between tokens.
+    measured_ms: int = -1
+    measured_position: int = 0
+    stopped_ms: int | None = None
+
+    def computed(self, prefill_ms: float, now_ms: int) -> int:
+        """Return how many tokens have been computed, estimated before the first token."""
+        if self.position > self.start_position:
+            return self.prefill_tokens + self.position - self.start_position
+        elapsed_ms = now_ms - self.started_ms
+        return min(self.prefill_tokens, int(elapsed_ms / max(prefill_ms, 1e-3)))
 
 
 @dataclass(slots=True)
 class _Entry:
+    """A request that has not ended."""
+
     request: Request
     attempts: int = 0
+    failures: int = 0
     position: int = 0
     running: _Attempt | None = None
+    # Upstreams that failed the request.
     avoid: set[UpstreamId] = field(default_factory=set)
-    cancelled: bool = False
+
+
+class _Upstream:
+    """What this daemon knows of one upstream."""
+
+    def __init__(self, info: UpstreamInfo, engine: bool, tiers: int) -> None:
+        bounds = bounds_of(None, engine)
+        self.info = info
+        self.listed = True
+        self.leaving = info.leaving
+        self.incarnation: Incarnation | None = None
+        self.report: LoadReport | None = None
+        self.account = CreditAccount(info.upstream, tiers, bounds)
+        self.capacity = CapacityModel(bounds, ENGINE_START_PERCENT if engine else 100)
+        self.owned = False
+        self.table: CreditTable | None = None
+        self.granted_ms = -1
+        self.speed = SpeedModel()
+        self.load = LoadEstimate()
+        self.pressure = PressureWindow()
+        self.attempts: dict[AttemptId, _Attempt] = {}
+        self.failures = 0
+        self.rest_until_ms = -1
+
+    def usable(self, now_ms: int) -> bool:
+        """Return whether new work may go here."""
+        return self.listed and not self.leaving and now_ms >= self.rest_until_ms
+
+    def serves(self, version: VersionId) -> bool:
+        """Return whether the upstream runs a version, as far as known."""
+        return self.report is None or not self.report.versions or version in self.report.versions
+
+    def rest(self, now_ms: int) -> None:
+        """Give the upstream no new work for a while after a failed connection."""
+        self.rest_until_ms = now_ms + min(_MAX_COOLDOWN_MS, _COOLDOWN_MS << self.failures)
+        self.failures = min(self.failures + 1, 10)
+
+    def recover(self) -> None:
+        """Note that the upstream works."""
+        self.failures = 0
+        self.rest_until_ms = -1
 
 
 class Scheduler:
@@ -86,6 +185,11 @@
         Gives the version a request must run on; by default the document's version.
     blocked : callable, optional
         Tells whether a request must not go to an upstream; by default none is blocked.
+
+    Notes
+    -----
+    Every submitted request ends in exactly one of these: a completed attempt, a `Refuse`, or
+    the caller's `cancel`. Nothing here reads a clock or does I/O.
     """
 
     def __init__(
@@ -102,211 +206,688 @@
         self._rng = rng
         self._choose_version = choose_version or (lambda request: self._document.version)
         self._blocked = blocked or (lambda request, upstream: False)
+        self._engine = document.kind is ServiceKind.ENGINE
+        self._tiers = len(document.tiers)
+        self._limits = CustomerLimits(document)
+        self._retries = RetryBudget(document.limits.retry_budget_percent)
+        self._queue = Queue(self._tiers, self._limits.share)
+        self._prefixes = PrefixIndex()
         self._entries: dict[RequestId, _Entry] = {}
-        self._waiting: list[_Entry] = []
-        self._upstreams: dict[UpstreamId, UpstreamInfo] = {}
-        self._reports: dict[UpstreamId, LoadReport] = {}
-        self._leaving: set[UpstreamId] = set()
+        self._deadlines: list[tuple[int, RequestId]] = []
+        self._upstreams: dict[UpstreamId, _Upstream] = {}
         self._domains: dict[HostId, FailureDomain] = {}
-        self._draining = False
-        tiers = len(document.tiers)
-        self._refusals = [0] * tiers
-        self._prefill = [0] * tiers
-        self._wasted = [0] * tiers
+        self._outputs: dict[RouteName, float] = {}
+        self._spread_ms = -_SPREAD_MS
+        self._drained_ms: int | None = None
+        self._refusals = [0] * self._tiers
+        self._preemptions = [0] * self._tiers
+        self._prefill = [0] * self._tiers
+        self._wasted = [0] * self._tiers
 
     def submit(self, request: Request, now_ms: int) -> list[Action]:
         """Take a request and return what to do now."""
+        self._retries.count_request(request.customer)
         entry = _Entry(request)
         self._entries[request.request] = entry
-        if self._draining:
-            return [self._refuse(entry, ErrorCode.DRAINING, "the daemon is draining")]
-        if len(self._waiting) >= self._document.limits.max_waiting:
-            return [self._refuse(entry, ErrorCode.OVERLOADED, "the queue is full")]
-        self._waiting.append(entry)
-        return self._dispatch(now_ms)
+        heapq.heappush(self._deadlines, (request.deadline_ms, request.request))
+        refusal = self._admission_fault(entry, now_ms)
+        if refusal is not None:
+            return [refusal]
+        self._enqueue(entry)
+        actions = self._shed(now_ms)
+        return actions + self._pump(now_ms)
 
     def cancel(self, request_id: RequestId, now_ms: int) -> list[Action]:
-        """Forget a request whose caller is gone and cancel its attempt."""
-        entry = self._entries.get(request_id)
+        """Forget a request whose caller is gone and cancel its attempt.
+
+        The attempt's end has to be reported all the same.
+        """
+        entry = self._entries.pop(request_id, None)
         if entry is None:
             return []
-        entry.cancelled = True
-        if entry.running is not None:
-            return [Preempt(entry.running.attempt, entry.running.upstream)]
-        self._waiting.remove(entry)
-        del self._entries[request_id]
-        return []
+        if entry.running is None:
+            self._queue.remove(request_id)
+            return []
+        return self._stop(entry.running, now_ms)
 
     def attempt_progress(self, attempt: AttemptId, position_tokens: int, now_ms: int) -> None:
-        """Note the position an attempt's answer has reached."""
+        """Note the position that an attempt's answer has reached."""
         entry = self._entry_of(attempt)
-        if entry is not None:
-            entry.position = max(entry.position, position_tokens)
+        if entry is None or entry.running is None:
+            return
+        running = entry.running
+        if position_tokens <= running.position:
+            return
+        upstream = self._upstreams[running.upstream]
+        self._measure(running, upstream, position_tokens, now_ms)
+        upstream.recover()
+        running.position = position_tokens
+        entry.position = max(entry.position, position_tokens)
 
     def attempt_ended(self, end: AttemptEnd, now_ms: int) -> list[Action]:
         """Note the end of an attempt; complete, retry or refuse its request."""
         entry = self._entry_of(end.attempt)
-        if entry is None:
+        attempt = self._release(end.upstream, end.attempt, now_ms)
+        if attempt is None:
             return []
-        request = entry.request
-        entry.running = None
-        entry.position = max(entry.position, end.position_tokens)
-        self._prefill[request.tier] += end.prefill_tokens
-        if end.result is AttemptResult.COMPLETED or entry.cancelled:
-            del self._entries[request.request]
-            return self._dispatch(now_ms)
-        self._wasted[request.tier] += end.prefill_tokens
+        self._learn(end, attempt, now_ms)
         actions: list[Action] = []
-        match end.result:
-            case AttemptResult.NOT_STARTED | AttemptResult.LEAVING:
-                if end.result is AttemptResult.LEAVING:
-                    self._leaving.add(end.upstream)
-                entry.avoid.add(end.upstream)
-                self._waiting.append(entry)
-            case AttemptResult.ABANDONED:
-                actions.append(self._refuse(entry, ErrorCode.DEADLINE_PASSED, "deadline passed"))
-            case AttemptResult.PREEMPTED if request.idempotent:
-                self._waiting.append(entry)
-            case _ if request.idempotent and entry.attempts < _MAX_ATTEMPTS:
-                entry.avoid.add(end.upstream)
-                self._waiting.append(entry)
-            case _:
-                message = f"upstream {end.upstream} failed: {end.result.value}"
-                actions.append(self._refuse(entry, ErrorCode.UPSTREAM_FAILED, message))
-        return actions + self._dispatch(now_ms)
+        if entry is not None:
+            entry.running = None
+            entry.position = max(entry.position, end.position_tokens)
+            actions = self._settle(entry, end, now_ms)
+        return actions + self._pump(now_ms)
 
     def receive(self, sender: HostId, message: Demand | Grant, now_ms: int) -> list[Action]:
         """Take a message of another daemon."""
-        return []
+        upstream = self._upstreams.get(message.upstream)
+        if upstream is None:
+            return []
+        match message:
+            case Demand():
+                actions = self._take_demand(sender, upstream, message, now_ms)
+            case Grant():
+                if not upstream.account.accept(sender, message, now_ms):
+                    return []
+                actions = []
+        return actions + self._pump(now_ms)
 
     def set_document(self, document: ServiceDocument) -> None:
         """Put a new document in force."""
         self._document = document
+        self._limits.set_document(document)
+        self._retries.set_percent(document.limits.retry_budget_percent)
+        more = len(document.tiers) - self._tiers
+        if more <= 0:
+            return
+        self._tiers += more
+        self._queue.set_tiers(self._tiers)
+        for counts in (self._refusals, self._preemptions, self._prefill, self._wasted):
+            counts.extend([0] * more)
+        for upstream in self._upstreams.values():
+            upstream.account.set_tiers(self._tiers)
+            if upstream.table is not None:
+                upstream.table.set_tiers(self._tiers)
 
     def set_upstreams(self, infos: Sequence[UpstreamInfo]) -> None:
         """Set the service's upstreams as the host list names them."""
-        self._upstreams = {info.upstream: info for info in infos}
-        self._leaving.update(info.upstream for info in infos if info.leaving)
+        listed = {info.upstream: info for info in infos}
+        for name, upstream in list(self._upstreams.items()):
+            upstream.listed = name in listed
+            if not upstream.listed and not upstream.attempts:
+                del self._upstreams[name]
+                self._prefixes.forget(name)
+        for name, info in listed.items():
+            known = self._upstreams.get(name)
+            if known is None:
+                self._upstreams[name] = _Upstream(info, self._engine, self._tiers)
+            else:
+                known.info = info
+                known.leaving = known.leaving or info.leaving
+        self._place_owners()
 
     def set_members(self, domains: Mapping[HostId, FailureDomain]) -> None:
         """Set the live daemons, this one among them, with their failure domains."""
         self._domains = dict(domains)
+        self._limits.set_daemons(len(domains))
+        self._place_owners()
 
     def report(self, report: LoadReport) -> None:
         """Note an upstream's own report of its load."""
-        self._reports[report.upstream] = report
-        if report.leaving:
-            self._leaving.add(report.upstream)
+        upstream = self._upstreams.get(report.upstream)
+        if upstream is None:
+            return
+        if upstream.report is not None and report.as_of_ms < upstream.report.as_of_ms:
+            return
+        if upstream.incarnation is not None and report.incarnation > upstream.incarnation:
+            self._prefixes.forget(report.upstream)
+            upstream.leaving = False
+            upstream.recover()
+        upstream.incarnation = report.incarnation
+        upstream.report = report
+        upstream.leaving = upstream.leaving or report.leaving
+        bounds = bounds_of(report, self._engine)
+        upstream.capacity.set_bounds(bounds)
+        upstream.account.set_bounds(bounds)
+        calls = report.running + report.waiting
+        used = max(report.kv_used_tokens, calls * bounds.unit) if self._engine else calls
+        upstream.load.report(report, used)
 
     def cache_event(
         self, upstream: UpstreamId, added: Sequence[int], removed: Sequence[int]
     ) -> None:
         """Note prefixes that an upstream has cached or dropped."""
+        if upstream in self._upstreams:
+            self._prefixes.add(upstream, added)
+            self._prefixes.remove(upstream, removed)
 
     def mark_leaving(self, upstream: UpstreamId) -> None:
         """Give an upstream no new work from now on."""
-        self._leaving.add(upstream)
+        if upstream in self._upstreams:
+            self._upstreams[upstream].leaving = True
 
     def drain(self, now_ms: int) -> None:
-        """Take no new requests from now on."""
-        self._draining = True
+        """Take no new requests from now on; waiting ones get a bounded time to start."""
+        if self._drained_ms is None:
+            self._drained_ms = now_ms
 
     def tick(self, now_ms: int) -> list[Action]:
-        """Apply deadlines and leases; to be called about every 20 ms."""
-        expired = [entry for entry in self._waiting if entry.request.deadline_ms <= now_ms]
-        actions: list[Action] = []
-        for entry in expired:
-            self._waiting.remove(entry)
-            actions.append(self._refuse(entry, ErrorCode.DEADLINE_PASSED, "deadline passed"))
-        return actions + self._dispatch(now_ms)
+        """Apply deadlines, leases and renewals; to be called about every 20 ms."""
+        actions = self._expire(now_ms)
+        actions += self._release_lost(now_ms)
+        if self._drained_ms is not None and now_ms - self._drained_ms >= _DRAIN_MS:
+            actions += self._refuse_waiting(ErrorCode.DRAINING, "the daemon is draining")
+        actions += self._shed(now_ms)
+        for upstream in self._upstreams.values():
+            actions += self._review_capacity(upstream, now_ms)
+        return actions + self._pump(now_ms, renew=True)
 
     def status(self) -> SchedulerStatus:
         """Return counts by tier."""
-        tiers = len(self._document.tiers)
-        running = [0] * tiers
-        waiting = [0] * tiers
+        running = [0] * self._tiers
         for entry in self._entries.values():
-            counts = waiting if entry.running is None else running
-            counts[entry.request.tier] += 1
+            running[entry.request.tier] += entry.running is not None
         return SchedulerStatus(
             tuple(running),
-            tuple(waiting),
+            tuple(self._queue.count(tier) for tier in range(self._tiers)),
             tuple(self._refusals),
-            (0,) * tiers,
+            tuple(self._preemptions),
             tuple(self._prefill),
             tuple(self._wasted),
         )
 
+    def _admission_fault(self, entry: _Entry, now_ms: int) -> Refuse | None:
+        request = entry.request
+        if self._drained_ms is not None:
+            return self._refuse(entry, ErrorCode.DRAINING, "the daemon is draining")
+        if request.deadline_ms <= now_ms:
+            return self._refuse(entry, ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+        wait_ms = self._limits.admit(request.customer, now_ms)
+        if wait_ms is not None:
+            message = f"customer {request.customer!r} is over its request rate"
+            return self._refuse(entry, ErrorCode.CUSTOMER_LIMIT, message, wait_ms)
+        most = self._limits.max_waiting(request.customer)
+        if most is not None and self._queue.customer_count(request.customer) >= most:
+            message = f"customer {request.customer!r} has {most} requests waiting"
+            return self._refuse(entry, ErrorCode.CUSTOMER_LIMIT, message, _RETRY_AFTER_MS)
+        return None
+
+    def _shed(self, now_ms: int) -> list[Action]:
+        """Refuse waiting requests beyond the queue's bound, the lowest tier first."""
+        actions: list[Action] = []
+        bound = self._document.limits.max_waiting
+        while len(self._queue) > bound:
+            item = self._queue.shed_candidate()
+            if item is None:
+                break
+            hard = len(self._queue) > bound * _QUEUE_SLACK
+            if not hard and self._displaces(item.request.tier, now_ms):
+                break
+            self._queue.remove(item.request.request)
+            entry = self._entries[item.request.request]
+            message = f"{bound} requests wait already"
+            actions.append(self._refuse(entry, ErrorCode.OVERLOADED, message, _RETRY_AFTER_MS))
+        return actions
+
+    def _displaces(self, tier: int, now_ms: int) -> bool:
+        """Return whether lower-tier work may run whose capacity a tier could take."""
+        return any(
+            upstream.account.reach(tier, now_ms) >= upstream.account.bounds.unit
+            for upstream in self._upstreams.values()
+            if upstream.usable(now_ms)
+        )
+
+    def _refuse(
+        self, entry: _Entry, code: ErrorCode, message: str, retry_after_ms: int | None = None
+    ) -> Refuse:
+        self._entries.pop(entry.request.request, None)
+        self._refusals[entry.request.tier] += 1
+        return Refuse(entry.request.request, code, message, retry_after_ms)
+
+    def _refuse_waiting(self, code: ErrorCode, message: str) -> list[Action]:
+        actions: list[Action] = []
+        while (item := self._queue.shed_candidate()) is not None:
+            self._queue.remove(item.request.request)
+            actions.append(self._refuse(self._entries[item.request.request], code, message))
+        return actions
+
+    def _enqueue(self, entry: _Entry) -> None:
+        request = entry.request
+        cost = 1
+        if self._engine:
+            cost = max(1, request.prompt_tokens + self._expected_output(request))
+        version = self._choose_version(request)
+        self._queue.add(Waiting(request, cost, version, started=entry.position > 0))
+
+    def _expected_output(self, request: Request) -> int:
+        if not self._engine:
+            return 1
+        expected = self._outputs.get(request.route, request.max_output_tokens / 2)
+        return max(1, min(request.max_output_tokens, round(expected)))
+
+    def _expire(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            _, name = heapq.heappop(self._deadlines)
+            entry = self._entries.get(name)
+            if entry is None:
+                continue
+            if entry.running is None:
+                self._queue.remove(name)
+                actions.append(self._deadline_passed(entry))
+            elif entry.request.idempotent:
+                # The answer would be late, and its capacity can serve another request. A
+                # call that must not run twice goes on, so that its outcome becomes known.
+                actions.append(self._deadline_passed(entry))
+                actions += self._stop(entry.running, now_ms)
+        return actions
+
+    def _deadline_passed(self, entry: _Entry) -> Refuse:
+        return self._refuse(entry, ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+
+    def _release_lost(self, now_ms: int) -> list[Action]:
+        """End preempted attempts whose end was never reported."""
+        actions: list[Action] = []
+        lost = [
+            attempt
+            for upstream in self._upstreams.values()
+            for attempt in upstream.attempts.values()
+            if attempt.stopped_ms is not None and now_ms - attempt.stopped_ms > _STOP_TIMEOUT_MS
+        ]
+        for attempt in lost:
+            entry = self._entry_of(attempt.attempt)
+            self._release(attempt.upstream, attempt.attempt, now_ms)
+            if entry is not None:
+                entry.running = None
+                actions += self._requeue(entry, now_ms)
+        return actions
+
     def _entry_of(self, attempt: AttemptId) -> _Entry | None:
         entry = self._entries.get(RequestId(attempt.rpartition(".")[0]))
         if entry is None or entry.running is None or entry.running.attempt != attempt:
             return None
         return entry
 
-    def _refuse(self, entry: _Entry, code: ErrorCode, message: str) -> Refuse:
-        del self._entries[entry.request.request]
-        self._refusals[entry.request.tier] += 1
-        return Refuse(entry.request.request, code, message)
+    def _release(self, name: UpstreamId, attempt: AttemptId, now_ms: int) -> _Attempt | None:
+        upstream = self._upstreams.get(name)
+        ended = None if upstream is None else upstream.attempts.pop(attempt, None)
+        if upstream is None or ended is None:
+            return None
+        upstream.account.end(ended.request.tier, ended.cost, ended.stopped_ms is not None)
+        upstream.load.change(-ended.cost, now_ms)
+        return ended
+
+    def _settle(self, entry: _Entry, end: AttemptEnd, now_ms: int) -> list[Action]:
+        upstream = self._upstreams[end.upstream]
+        request = entry.request
+        match end.result:
+            case AttemptResult.COMPLETED:
+                upstream.recover()
+                del self._entries[request.request]
+                return []
+            case AttemptResult.ABANDONED:
+                return [self._deadline_passed(entry)]
+            case AttemptResult.LEAVING:
+                upstream.leaving = True
+            case AttemptResult.NOT_STARTED:
+                upstream.rest(now_ms)
+                entry.avoid.add(end.upstream)
+            case AttemptResult.CRASHED:
+                upstream.rest(now_ms)
+                entry.avoid.add(end.upstream)
+                entry.failures += 1
+            case AttemptResult.FAILED:
+                entry.avoid.add(end.upstream)
+                entry.failures += 1
+            case AttemptResult.PREEMPTED:
+                pass
+        retry = decide_retry(end.result, request.idempotent, entry.failures)
+        charged = retry is Retry.CHARGED
+        if retry is Retry.NEVER or (charged and not self._retries.take(request.customer, now_ms)):
+            message = f"upstream {end.upstream} ended the attempt as {end.result.value}"
+            return [self._refuse(entry, ErrorCode.UPSTREAM_FAILED, message)]
+        return self._requeue(entry, now_ms)
+
+    def _requeue(self, entry: _Entry, now_ms: int) -> list[Action]:
+        if entry.request.deadline_ms <= now_ms:
+            return [self._deadline_passed(entry)]
+        self._enqueue(entry)
+        return []
+
+    def _learn(self, end: AttemptEnd, attempt: _Attempt, now_ms: int) -> None:
+        upstream = self._upstreams[end.upstream]
+        request = attempt.request
+        completed = end.result is AttemptResult.COMPLETED
+        prefill = end.prefill_tokens
+        if self._engine and not completed and prefill == 0:
+            computed = attempt.computed(upstream.speed.prefill_ms, now_ms)
+            ran = end.result not in (AttemptResult.NOT_STARTED, AttemptResult.LEAVING)
+            prefill = min(attempt.prefill_tokens, computed) if ran else 0
+        self._prefill[request.tier] += prefill
+        if not completed:
+            self._wasted[request.tier] += prefill
+            return
+        if not self._engine:
+            upstream.speed.observe_between(now_ms - attempt.started_ms)
+            return
+        position = max(end.position_tokens, attempt.position)
+        mean = self._outputs.get(request.route, position)
+        self._outputs[request.route] = mean + _OUTPUT_WEIGHT * (position - mean)
+        if end.first_token_ms is not None:
+            upstream.speed.observe_prefill(end.prefill_tokens, end.first_token_ms)
+        if attempt.measured_ms >= 0:
+            return
+        tier = self._tier(request.tier)
+        if end.first_token_ms is not None:
+            prefill_ms = end.prefill_tokens * upstream.speed.prefill_ms
+            upstream.pressure.observe_first(end.first_token_ms, prefill_ms, tier)
+        if end.between_tokens_ms is not None:
+            upstream.pressure.observe_between(end.between_tokens_ms, tier)
+            upstream.speed.observe_between(end.between_tokens_ms)
+
+    def _measure(self, attempt: _Attempt, upstream: _Upstream, position: int, now_ms: int) -> None:
+        tier = self._tier(attempt.request.tier)
+        if attempt.measured_ms < 0:
+            prefill_ms = attempt.prefill_tokens * upstream.speed.prefill_ms
+            upstream.pressure.observe_first(now_ms - attempt.started_ms, prefill_ms, tier)
+            self._prefixes.add(attempt.upstream, attempt.request.prefix_hashes)
+        else:
+            span_ms = now_ms - attempt.measured_ms
+            if span_ms < _MIN_SPAN_MS:
+                return
+            between_ms = span_ms / (position - attempt.measured_position)
+            upstream.pressure.observe_between(between_ms, tier)
+            upstream.speed.observe_between(between_ms)
+        attempt.measured_ms = now_ms
+        attempt.measured_position = position
+
+    def _tier(self, rank: TierRank) -> Tier:
+        tiers = sorted(self._document.tiers, key=lambda tier: tier.rank)
+        return tiers[min(rank, len(tiers) - 1)]
+
+    def _place_owners(self) -> None:
+        for name, upstream in self._upstreams.items():
+            domain = upstream.info.failure_domain
+            local = [host for host, each in self._domains.items() if each == domain]
+            owner = rendezvous_owner(name, local or self._domains)
+            upstream.account.set_members(
+                None if owner is None else HostId(owner), self._host, tuple(self._domains)
+            )
+            upstream.owned = owner == self._host
+            if not upstream.owned:
+                upstream.table = None
+
+    def _table(self, upstream: _Upstream, now_ms: int) -> CreditTable | None:
+        """Return the table of an upstream that this daemon owns."""
+        if upstream.owned and upstream.table is None:
+            upstream.table = CreditTable(upstream.info.upstream, self._tiers, now_ms)
+            if upstream.account.learnt:
+                upstream.capacity.adopt(upstream.account.capacity)
+        return upstream.table
+
+    def _take_demand(
+        self, sender: HostId, upstream: _Upstream, demand: Demand, now_ms: int
+    ) -> list[Action]:
+        table = self._table(upstream, now_ms)
+        if table is None or not table.take(sender, demand, now_ms):
+            return []
+        upstream.capacity.observe(demand.pressure_percent, table.running, now_ms)
+        return self._grant(upstream, table, now_ms, sender)
+
+    def _review_capacity(self, upstream: _Upstream, now_ms: int) -> list[Action]:
+        """Hand out capacity that was learnt, or that ended leases have given back."""
+        table = self._table(upstream, now_ms)
+        if table is None or now_ms - upstream.granted_ms < _REGRANT_MS or not table.contended:
+            return []
+        return self._grant(upstream, table, now_ms)
+
+    def _grant(
+        self, upstream: _Upstream, table: CreditTable, now_ms: int, answer: HostId | None = None
+    ) -> list[Action]:
+        upstream.granted_ms = now_ms
+        bounds = upstream.account.bounds
+        actions: list[Action] = []
+        for host, grant in table.grants(upstream.capacity.value, bounds.unit, now_ms, answer):
+            if host == self._host:
+                upstream.account.accept(host, grant, now_ms)
+            else:
+                actions.append(Send(host, grant))
+        return actions
+
+    def _pump(self, now_ms: int, *, renew: bool = False) -> list[Action]:
+        """Dispatch, preempt and tell owners until nothing changes any more."""
+        actions: list[Action] = []
+        for _ in range(_MAX_ROUNDS):
+            actions += self._dispatch(now_ms)
+            actions += self._preempt(now_ms)
+            told = self._tell_owners(now_ms, renew)
+            if told is None:
+                break
+            actions += told
+            renew = False
+        return actions
 
     def _dispatch(self, now_ms: int) -> list[Action]:
-        self._waiting.sort(key=lambda entry: (entry.request.tier, entry.request.deadline_ms))
         actions: list[Action] = []
-        for entry in list(self._waiting):
-            version = self._choose_version(entry.request)
-            upstream = self._pick(entry, version)
-            if upstream is None:
-                continue
-            self._waiting.remove(entry)
-            entry.attempts += 1
-            attempt = AttemptId(f"{entry.request.request}.{entry.attempts}")
-            entry.running = _Attempt(attempt, upstream, self._cost(entry.request, upstream))
-            actions.append(
-                Dispatch(entry.request.request, attempt, upstream, version, entry.position)
-            )
+        if len(self._queue) == 0:
+            return actions
+        free = [each for each in self._upstreams.values() if each.usable(now_ms)]
+        for tier in range(self._tiers):
+            skip: set[RequestId] = set()
+            while len(skip) < _MAX_SKIPS:
+                free = [
+                    each
+                    for each in free
+                    if each.account.room(tier, now_ms) >= each.account.bounds.unit
+                ]
+                # Lower tiers have no more room than this one.
+                if not free:
+                    return actions
+                item = self._queue.next(tier, skip)
+                if item is None:
+                    break
+                action = self._place(item, free, now_ms)
+                if action is None:
+                    skip.add(item.request.request)
+                else:
+                    actions.append(action)
         return actions
 
-    def _pick(self, entry: _Entry, version: VersionId) -> UpstreamId | None:
-        able = [
-            upstream
-            for upstream in self._upstreams
-            if upstream not in self._leaving
-            and self._serves(upstream, version)
-            and not self._blocked(entry.request, upstream)
-            and self._used(upstream) + self._cost(entry.request, upstream)
-            <= self._fallback(upstream)
+    def _place(self, item: Waiting, free: list[_Upstream], now_ms: int) -> Action | None:
+        """Start a waiting request if it fits somewhere.
+
+        If it does not, the upstream where it has the best prospects is taken off `free`, so
+        that requests after it do not use up the credit that it waits for.
+        """
+        request = item.request
+        entry = self._entries[request.request]
+        version = self._choose_version(request)
+        if version != item.version:
+            self._queue.replace(item, version)
+        able = self._eligible(entry, version, now_ms)
+        fitting = [
+            each
+            for each in able
+            if each in free and each.account.room(request.tier, now_ms) >= self._cost(entry, each)
         ]
-        fresh = [upstream for upstream in able if upstream not in entry.avoid]
-        return min(
-            fresh or able,
-            key=lambda upstream: (self._used(upstream), self._rng.random()),
-            default=None,
-        )
+        if not fitting:
+            if able:
+                best = max(able, key=lambda each: self._prospect(each, request.tier, 0, now_ms))
+                if best in free:
+                    free.remove(best)
+            return None
+        return self._start(entry, version, self._near(fitting), now_ms)
 
-    def _serves(self, upstream: UpstreamId, version: VersionId) -> bool:
-        report = self._reports.get(upstream)
-        return report is None or not report.versions or version in report.versions
+    def _start(
+        self, entry: _Entry, version: VersionId, fitting: list[_Upstream], now_ms: int
+    ) -> Action:
+        request = entry.request
+        self._rng.shuffle(fitting)
+        prompt = request.prompt_tokens + entry.position
+        output = self._expected_output(request)
+        candidates = [self._candidate(each, request, prompt) for each in fitting]
+        cost = self._cost(entry, fitting[0])
+        chosen = choose(candidates, prompt, output, cost)
+        assert chosen is not None
+        candidate, time_ms = chosen
+        hopeless = now_ms + time_ms > request.deadline_ms
+        if hopeless and self._may_reject(request.tier):
+            self._queue.remove(request.request)
+            message = f"{time_ms:.0f} ms are needed and the deadline is before that"
+            return self._refuse(entry, ErrorCode.OVERLOADED, message, _RETRY_AFTER_MS)
+        upstream = self._upstreams[candidate.upstream]
+        self._queue.take(request.request)
+        entry.attempts += 1
+        attempt = _Attempt(
+            AttemptId(f"{request.request}.{entry.attempts}"),
+            request,
+            candidate.upstream,
+            self._cost(entry, upstream),
+            prompt - candidate.cached_tokens,
+            entry.position,
+            now_ms,
+            entry.position,
+        )
+        entry.running = attempt
+        upstream.attempts[attempt.attempt] = attempt
+        upstream.account.start(request.tier, attempt.cost, now_ms)
+        upstream.load.change(attempt.cost, now_ms)
+        return Dispatch(
+            request.request, attempt.attempt, candidate.upstream, version, entry.position
+        )
 
-    def _used(self, upstream: UpstreamId) -> int:
-        return sum(
-            entry.running.cost
-            for entry in self._entries.values()
-            if entry.running is not None and entry.running.upstream == upstream
+    def _may_reject(self, tier: TierRank) -> bool:
+        """Return whether a tier's requests may be refused for their deadline before it."""
+        lowest = tier > 0 and tier >= self._tiers // 2
+        return lowest and len(self._queue) > 1
+
+    def _candidate(self, upstream: _Upstream, request: Request, prompt: int) -> Candidate:
+        name = upstream.info.upstream
+        cached = self._prefixes.cached_tokens(name, request.prefix_hashes, request.prompt_tokens)
+        return Candidate(
+            name,
+            upstream.load.used(),
+            upstream.account.capacity,
+            min(cached, prompt),
+            upstream.speed.prefill_ms,
+            upstream.speed.decode_ms,
         )
 
-    def _capacity(self, upstream: UpstreamId) -> tuple[int, int]:
-        report = self._reports.get(upstream)
-        batch = report.max_batch if report is not None else _DEFAULT_BATCH
-        if self._document.kind is ServiceKind.PLAIN:
-            return batch, 1
-        tokens = report.kv_capacity_tokens if report is not None else _DEFAULT_KV_TOKENS
-        return tokens, tokens // batch
-
-    def _cost(self, request: Request, upstream: UpstreamId) -> int:
-        capacity, unit = self._capacity(upstream)
-        if self._document.kind is ServiceKind.PLAIN:
+    def _eligible(self, entry: _Entry, version: VersionId, now_ms: int) -> list[_Upstream]:
+        able = [
+            each
+            for name, each in self._upstreams.items()
+            if each.usable(now_ms)
+            and each.serves(version)
+            and not self._blocked(entry.request, name)
+        ]
+        fresh = [each for each in able if each.info.upstream not in entry.avoid]
+        return fresh or able
+
+    def _near(self, upstreams: list[_Upstream]) -> list[_Upstream]:
+        """Return those of this daemon's failure domain if there are very many upstreams."""
+        if len(self._upstreams) <= _MANY_UPSTREAMS:
+            return upstreams
+        domain = self._domains.get(self._host)
+        return [each for each in upstreams if each.info.failure_domain == domain] or upstreams
+
+    def _cost(self, entry: _Entry, upstream: _Upstream) -> int:
+        """Return what a request costs on an upstream, where it has to fit when alone."""
+        if not self._engine:
             return 1
-        return min(capacity, max(unit, request.prompt_tokens + request.max_output_tokens))
+        request = entry.request
+        output = max(self._expected_output(request), entry.position)
+        cost = max(upstream.account.bounds.unit, request.prompt_tokens + output)
+        return min(cost, upstream.account.capacity)
 
-    def _fallback(self, upstream: UpstreamId) -> int:
-        capacity, unit = self._capacity(upstream)
-        return max(unit, capacity // max(1, len(self._domains)))
+    def _prospect(self, upstream: _Upstream, tier: int, planned: int, now_ms: int) -> float:
+        """Return the part of an upstream's capacity that a tier may yet hope for."""
+        reach = upstream.account.reach(tier, now_ms) - planned
+        return reach / max(1, upstream.account.capacity)
+
+    def _preempt(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for upstream in self._upstreams.values():
+            freed = 0
+            for tier, excess in upstream.account.excess(now_ms):
+                for attempt in self._victims(upstream, tier, now_ms):
+                    if freed >= excess:
+                        break
+                    freed += attempt.cost
+                    self._preemptions[attempt.request.tier] += 1
+                    actions += self._stop(attempt, now_ms)
+        return actions
+
+    def _victims(self, upstream: _Upstream, tier: int, now_ms: int) -> list[_Attempt]:
+        """Return what may be preempted, the lowest tier and the least computed work first."""
+        prefill_ms = upstream.speed.prefill_ms
+        return sorted(
+            (
+                attempt
+                for attempt in upstream.attempts.values()
+                if attempt.request.tier >= tier
+                and attempt.request.idempotent
+                and attempt.stopped_ms is None
+            ),
+            key=lambda each: (-each.request.tier, each.computed(prefill_ms, now_ms)),
+        )
+
+    def _stop(self, attempt: _Attempt, now_ms: int) -> list[Action]:
+        if attempt.stopped_ms is not None:
+            return []
+        attempt.stopped_ms = now_ms
+        account = self._upstreams[attempt.upstream].account
+        account.stop(attempt.request.tier, attempt.cost)
+        return [Preempt(attempt.attempt, attempt.upstream)]
+
+    def _tell_owners(self, now_ms: int, renew: bool) -> list[Action] | None:
+        """Send the demands that are due; None if none was."""
+        if not renew and now_ms - self._spread_ms < _SPREAD_MS:
+            return None
+        self._spread_ms = now_ms
+        self._spread(now_ms)
+        actions: list[Action] = []
+        told = False
+        for upstream in self._upstreams.values():
+            owner = upstream.account.owner
+            if owner is None or not upstream.account.due(now_ms):
+                continue
+            told = True
+            demand = upstream.account.demand(upstream.pressure.percent(), now_ms)
+            upstream.pressure.clear()
+            if owner == self._host:
+                actions += self._take_demand(owner, upstream, demand, now_ms)
+            else:
+                actions.append(Send(owner, demand))
+        return actions if told else None
+
+    def _spread(self, now_ms: int) -> None:
+        """Divide the waiting cost among the upstreams by how much they may yet take.
+
+        The parts add up to what waits. Demanding everything everywhere would preempt several
+        times as much lower-tier work as is needed.
+        """
+        usable = [each for each in self._upstreams.values() if each.usable(now_ms)]
+        planned = {each.info.upstream: [0] * self._tiers for each in usable}
+        units = {each.info.upstream: [1] * self._tiers for each in usable}
+        for tier in range(self._tiers):
+            for version, (count, cost) in self._queue.groups(tier).items():
+                able = self._near([each for each in usable if each.serves(version)])
+                if not able:
+                    continue
+                parts = min(count, _PARTS * len(able))
+                for _ in range(parts):
+                    best = max(
+                        able,
+                        key=lambda each: self._prospect(
+                            each, tier, sum(planned[each.info.upstream]), now_ms
+                        ),
+                    )
+                    name = best.info.upstream
+                    single = max(best.account.bounds.unit, cost // count)
+                    units[name][tier] = max(units[name][tier], single)
+                    planned[name][tier] += max(single, single * count // parts)
+        for each in self._upstreams.values():
+            name = each.info.upstream
+            none = [0] * self._tiers
+            each.account.wait(tuple(planned.get(name, none)), tuple(units.get(name, none)))
