Compute credit sums once per change

Dividing the waiting cost among the upstreams recomputed each upstream's credit for every part and dominated the scheduler's time.

Sums over tiers are kept with the lease and the running cost, and the division runs at most every 10 ms unless a tier's first request waits.

--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -1,7 +1,8 @@
 """Credit leases: the owner's table of demands and a daemon's account at one upstream."""
 
+import operator
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import HostId, UpstreamId
@@ -227,6 +228,8 @@
     seq: int = -1
     owner: HostId | None = None
     allowed: tuple[int, ...] = ()
+    # Sums of `allowed` over each tier and the lower ones.
+    suffixes: list[int] = field(default_factory=list)
     expires_ms: int = -1
     answers: int = -1
     room: tuple[int, ...] = ()
@@ -270,12 +273,14 @@
         self._upstream = upstream
         self._tiers = tiers
         self._running = [0] * tiers
+        self._running_suffixes = [0] * tiers
         self._stopping = [0] * tiers
         self._waiting: tuple[int, ...] = (0,) * tiers
         self._units: tuple[int, ...] = (1,) * tiers
         self._lease = _Lease()
         self._newest: _Sent | None = None
         self._sent: dict[int, _Sent] = {}
+        self._unanswered_ms: int | None = None
         self._hold_until_ms = -1
         self._hold_seq = -1
         self._active_ms = -_IDLE_MS
@@ -298,9 +303,11 @@
         more = tiers - self._tiers
         self._tiers = tiers
         self._running += [0] * more
+        self._running_suffixes += [0] * more
         self._stopping += [0] * more
         self._waiting += (0,) * more
         self._units += (1,) * more
+        self._lease.suffixes = _suffixes(_fit(self._lease.allowed, tiers))
 
     @property
     def running(self) -> tuple[int, ...]:
@@ -326,20 +333,27 @@
 
     def room(self, tier: int, now_ms: int) -> int:
         """Return the cost that may be started in a tier now."""
-        allowed = _suffixes(self.allowed(now_ms))
-        running = _suffixes(self._running)
-        return min(allowed[each] - running[each] for each in range(tier + 1))
-
-    def reach(self, tier: int, now_ms: int) -> int:
-        """Return the cost that a tier may hope for, with that of lower tiers elsewhere."""
-        room = self.room(tier, now_ms)
+        allowed = self._allowed_suffixes(now_ms)
+        running = self._running_suffixes
+        room = allowed[0] - running[0]
+        for each in range(1, tier + 1):
+            room = min(room, allowed[each] - running[each])
+        return room
+
+    def reach(self, now_ms: int) -> list[int]:
+        """Return by tier the cost it may hope for, with that of lower tiers elsewhere."""
+        rooms = [self.room(tier, now_ms) for tier in range(self._tiers)]
         if self.leased(now_ms) and self._lease.room:
-            return max(room, _fit(self._lease.room, self._tiers)[tier])
-        return max(room, self.allowed(now_ms)[tier] - self._running[tier])
+            hints = _fit(self._lease.room, self._tiers)
+        else:
+            allowed = self.allowed(now_ms)
+            hints = tuple(map(operator.sub, allowed, self._running))
+        return list(map(max, rooms, hints))
 
     def start(self, tier: int, cost: int, now_ms: int) -> None:
         """Note that an attempt was started."""
         self._running[tier] += cost
+        self._running_suffixes = _suffixes(self._running)
         self._active_ms = now_ms
 
     def stop(self, tier: int, cost: int) -> None:
@@ -349,6 +363,7 @@
     def end(self, tier: int, cost: int, stopping: bool) -> None:
         """Note that an attempt ended."""
         self._running[tier] -= cost
+        self._running_suffixes = _suffixes(self._running)
         if stopping:
             self._stopping[tier] -= cost
 
@@ -356,7 +371,7 @@
         """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
         if self.leased(now_ms) and now_ms < self._hold_until_ms:
             return []
-        allowed = _suffixes(self.allowed(now_ms))
+        allowed = self._allowed_suffixes(now_ms)
         live = [run - stop for run, stop in zip(self._running, self._stopping, strict=True)]
         pairs = zip(_suffixes(live), allowed, strict=True)
         over = [(tier, run - allow) for tier, (run, allow) in enumerate(pairs) if run > allow]
@@ -380,10 +395,14 @@
             grant.seq,
             sender,
             grant.allowed,
+            _suffixes(_fit(grant.allowed, self._tiers)),
             answered.at_ms + grant.lease_ms,
             grant.answers,
             grant.room,
         )
+        newest = self._newest
+        if newest is not None:
+            self._unanswered_ms = None if newest is answered else newest.at_ms
         if grant.capacity > 0:
             self.capacity = min(grant.capacity, self.bounds.limit)
             self.learnt = True
@@ -421,6 +440,8 @@
             self._upstream, seq, self.running, self._waiting, pressure_percent, self._units
         )
         self._newest = _Sent(demand, self.owner, now_ms)
+        if self._unanswered_ms is None:
+            self._unanswered_ms = now_ms
         recent = {each: sent for each, sent in self._sent.items() if now_ms - sent.at_ms < LEASE_MS}
         self._sent = recent | {seq: self._newest}
         return demand
@@ -441,8 +462,12 @@
         return tuple(costs)
 
     def _silent(self, now_ms: int) -> bool:
-        unanswered = (sent.at_ms for seq, sent in self._sent.items() if seq > self._lease.answers)
-        return now_ms - next(unanswered, now_ms) > _SILENT_MS
+        return self._unanswered_ms is not None and now_ms - self._unanswered_ms > _SILENT_MS
+
+    def _allowed_suffixes(self, now_ms: int) -> list[int]:
+        if self.leased(now_ms) and not self._silent(now_ms):
+            return self._lease.suffixes
+        return _suffixes(self.allowed(now_ms))
 
     def _hold(self, now_ms: int) -> None:
         """Put off preemption if the owner did not know of all that runs here.
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -61,7 +61,7 @@
 _MIN_SPAN_MS = 200
 _OUTPUT_WEIGHT = 0.1
 # Least time between two divisions of the waiting cost among the upstreams.
-_SPREAD_MS = 5
+_SPREAD_MS = 10
 # Least time between two looks at an owned upstream's grants that no demand asked for.
 _REGRANT_MS = 100
 _RETRY_AFTER_MS = 1_000
@@ -155,6 +155,10 @@
         """Return whether new work may go here."""
         return self.listed and not self.leaving and now_ms >= self.rest_until_ms
 
+    def has_room(self, tier: int, now_ms: int) -> bool:
+        """Return whether the smallest request of a tier may start."""
+        return self.account.room(tier, now_ms) >= self.account.bounds.unit
+
     def serves(self, version: VersionId) -> bool:
         """Return whether the upstream runs a version, as far as known."""
         return self.report is None or not self.report.versions or version in self.report.versions
@@ -170,6 +174,31 @@
         self.rest_until_ms = -1
 
 
+class _Plan:
+    """Waiting cost that is being assigned to an upstream."""
+
+    def __init__(self, upstream: _Upstream, now_ms: int) -> None:
+        account = upstream.account
+        self._reach = account.reach(now_ms)
+        self._capacity = max(1, account.capacity)
+        self._unit = account.bounds.unit
+        self._planned = 0
+        self.waiting = [0] * len(self._reach)
+        self.units = [0] * len(self._reach)
+
+    def prospect(self, tier: int) -> float:
+        """Return the part of the capacity that a tier may yet hope for."""
+        return (self._reach[tier] - self._planned) / self._capacity
+
+    def add(self, tier: int, cost: int, requests: float) -> None:
+        """Assign some requests of a mean cost."""
+        single = max(self._unit, cost)
+        total = max(single, round(single * requests))
+        self.units[tier] = max(self.units[tier], single)
+        self.waiting[tier] += total
+        self._planned += total
+
+
 class Scheduler:
     """Decides which requests of a service run, when and on which upstream.
 
@@ -235,7 +264,9 @@
             return [refusal]
         self._enqueue(entry)
         actions = self._shed(now_ms)
-        return actions + self._pump(now_ms)
+        # The first request that waits in a tier must not wait for the next tick as well.
+        first = self._queue.count(request.tier) == 1
+        return actions + self._pump(now_ms, renew=first)
 
     def cancel(self, request_id: RequestId, now_ms: int) -> list[Action]:
         """Forget a request whose caller is gone and cancel its attempt.
@@ -432,7 +463,7 @@
     def _displaces(self, tier: int, now_ms: int) -> bool:
         """Return whether lower-tier work may run whose capacity a tier could take."""
         return any(
-            upstream.account.reach(tier, now_ms) >= upstream.account.bounds.unit
+            upstream.account.reach(now_ms)[tier] >= upstream.account.bounds.unit
             for upstream in self._upstreams.values()
             if upstream.usable(now_ms)
         )
@@ -675,11 +706,7 @@
         for tier in range(self._tiers):
             skip: set[RequestId] = set()
             while len(skip) < _MAX_SKIPS:
-                free = [
-                    each
-                    for each in free
-                    if each.account.room(tier, now_ms) >= each.account.bounds.unit
-                ]
+                free = [each for each in free if each.has_room(tier, now_ms)]
                 # Lower tiers have no more room than this one.
                 if not free:
                     return actions
@@ -712,7 +739,12 @@
         ]
         if not fitting:
             if able:
-                best = max(able, key=lambda each: self._prospect(each, request.tier, 0, now_ms))
+                best = max(
+                    able,
+                    key=lambda each: (
+                        each.account.reach(now_ms)[request.tier] / each.account.capacity
+                    ),
+                )
                 if best in free:
                     free.remove(best)
             return None
@@ -800,11 +832,6 @@
         cost = max(upstream.account.bounds.unit, request.prompt_tokens + output)
         return min(cost, upstream.account.capacity)
 
-    def _prospect(self, upstream: _Upstream, tier: int, planned: int, now_ms: int) -> float:
-        """Return the part of an upstream's capacity that a tier may yet hope for."""
-        reach = upstream.account.reach(tier, now_ms) - planned
-        return reach / max(1, upstream.account.capacity)
-
     def _preempt(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
         for upstream in self._upstreams.values():
@@ -868,26 +895,21 @@
         times as much lower-tier work as is needed.
         """
         usable = [each for each in self._upstreams.values() if each.usable(now_ms)]
-        planned = {each.info.upstream: [0] * self._tiers for each in usable}
-        units = {each.info.upstream: [1] * self._tiers for each in usable}
+        plans = {each.info.upstream: _Plan(each, now_ms) for each in usable}
         for tier in range(self._tiers):
             for version, (count, cost) in self._queue.groups(tier).items():
                 able = self._near([each for each in usable if each.serves(version)])
                 if not able:
                     continue
-                parts = min(count, _PARTS * len(able))
+                choices = [plans[each.info.upstream] for each in able]
+                parts = min(count, _PARTS * len(choices))
                 for _ in range(parts):
-                    best = max(
-                        able,
-                        key=lambda each: self._prospect(
-                            each, tier, sum(planned[each.info.upstream]), now_ms
-                        ),
-                    )
-                    name = best.info.upstream
-                    single = max(best.account.bounds.unit, cost // count)
-                    units[name][tier] = max(units[name][tier], single)
-                    planned[name][tier] += max(single, single * count // parts)
-        for each in self._upstreams.values():
-            name = each.info.upstream
-            none = [0] * self._tiers
-            each.account.wait(tuple(planned.get(name, none)), tuple(units.get(name, none)))
+                    best = max(choices, key=lambda plan: plan.prospect(tier))
+                    best.add(tier, cost // count, count / parts)
+        none = (0,) * self._tiers
+        for name, each in self._upstreams.items():
+            plan = plans.get(name)
+            if plan is None:
+                each.account.wait(none, none)
+            else:
+                each.account.wait(tuple(plan.waiting), tuple(plan.units))
