Add the daemon with its callers' API, streams and claims

The programs that callers reach did not exist: nothing carried out the decisions of the policy library. This adds skylarkmoord: the HTTP API on klein, the client of upstreams, the peer sockets, the follower of documents, shared state, claims and the wiring of one scheduler per service.

--- /dev/null
+++ b/libs/daemon/src/skylarkmoor_daemon/main.py
@@ -0,0 +1,190 @@
+"""The command `skylarkmoord`."""
+
+import asyncio
+import random
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import click
+import msgspec
+
+from skylarkmoor_core.clock import SystemClock
+from skylarkmoor_core.errors import SettingsError
+from skylarkmoor_core.ids import FailureDomain, HostId
+from skylarkmoor_core.logs import configure_logs, part_logger
+from skylarkmoor_core.settings import ENV_PREFIX, Address, collect_faults, parse_address
+from skylarkmoor_platform.httpclient import parse_base_url
+
+__all__ = ["EXIT_FORCED", "EXIT_SETTINGS", "main"]
+
+EXIT_SETTINGS = 2
+# The daemon was told to stop before its requests had ended.
+EXIT_FORCED = 3
+
+_LEVELS = ("debug", "info", "warning", "error")
+
+_log = part_logger("main")
+
+
+def _option(name: str, text: str, default: str | None = None) -> Callable[[Any], Any]:
+    # Options are plain text here, so that all faults can be listed together.
+    return click.option(name, default=default, show_default=True, show_envvar=True, help=text)
+
+
+@click.command(context_settings={"auto_envvar_prefix": ENV_PREFIX})
+@_option("--host", "Name of this host in the host list.")
+@_option("--failure-domain", "Failure domain of this host.")
+@_option("--http-address", "IP:PORT for callers and operators; port 0 picks a free one.")
+@_option("--peer-address", "IP:PORT for other daemons; port 0 picks a free one.")
+@_option("--log-url", "Base URL of the log service.")
+@_option("--hosts-url", "Base URL of the host list.")
+@_option("--log-level", f"One of {', '.join(_LEVELS)}.", "info")
+def main(
+    host: str | None,
+    failure_domain: str | None,
+    http_address: str | None,
+    peer_address: str | None,
+    log_url: str | None,
+    hosts_url: str | None,
+    log_level: str,
+) -> None:
+    """Run the skylarkmoor daemon.
+
+    Prints {"ready": {"http": "ip:port", "peer": "ip:port"}} when it listens. The first SIGTERM
+    drains the daemon, the second one stops it at once.
+
+    Example: skylarkmoord --host entry-1 --failure-domain caerdydd
+    --http-address 10.0.0.1:8080 --peer-address 10.0.0.1:8081
+    --log-url http://10.0.0.9:7001 --hosts-url http://10.0.0.9:7003
+    """
+    try:
+        collect_faults(
+            [
+                ("--host", lambda: _required(host)),
+                ("--failure-domain", lambda: _required(failure_domain)),
+                ("--http-address", lambda: parse_address(_required(http_address))),
+                ("--peer-address", lambda: parse_address(_required(peer_address))),
+                ("--log-url", lambda: parse_base_url(_required(log_url))),
+                ("--hosts-url", lambda: parse_base_url(_required(hosts_url))),
+                ("--log-level", lambda: _level(log_level)),
+            ]
+        )
+    except ExceptionGroup as group:
+        for fault in group.exceptions:
+            click.echo(f"skylarkmoord: {fault}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    configure_logs(_level(log_level))
+    sys.exit(
+        _run(
+            _required(host),
+            _required(failure_domain),
+            parse_address(_required(http_address)),
+            parse_address(_required(peer_address)),
+            _required(log_url),
+            _required(hosts_url),
+        )
+    )
+
+
+def _required(value: str | None) -> str:
+    if not value:
+        raise SettingsError("must be set")
+    return value
+
+
+def _level(value: str) -> str:
+    if value.lower() not in _LEVELS:
+        raise SettingsError(f"must be one of {', '.join(_LEVELS)}, got {value!r}")
+    return value
+
+
+def _run(
+    host: str,
+    failure_domain: str,
+    http_address: Address,
+    peer_address: Address,
+    log_url: str,
+    hosts_url: str,
+) -> int:
+    reactor, loop = _install_reactor()
+    # Imported late, because klein installs the default reactor.
+    from skylarkmoor_daemon.daemon import Daemon, Settings
+
+    settings = Settings(
+        HostId(host),
+        FailureDomain(failure_domain),
+        http_address,
+        peer_address,
+        log_url,
+        hosts_url,
+    )
+    daemon = Daemon(settings, reactor, SystemClock(), random.Random())
+    runner = _Runner(daemon, reactor)
+    reactor.callWhenRunning(runner.start)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, runner.signalled)
+    reactor.run(installSignalHandlers=False)
+    return runner.exit_code
+
+
+def _install_reactor() -> tuple[Any, asyncio.AbstractEventLoop]:
+    from twisted.internet import asyncioreactor
+
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    install: Any = asyncioreactor.install
+    install(loop)
+    from twisted.internet import reactor
+
+    return reactor, loop
+
+
+class _Runner:
+    """Starts a daemon and stops it on signals."""
+
+    def __init__(self, daemon: Any, reactor: Any) -> None:
+        self.exit_code = 0
+        self._daemon = daemon
+        self._reactor = reactor
+        self._signals = 0
+
+    def start(self) -> None:
+        """Start and print the ready line."""
+        try:
+            http, peer = self._daemon.start()
+        except Exception as error:
+            click.echo(f"skylarkmoord: cannot listen: {error}", err=True)
+            self.exit_code = EXIT_SETTINGS
+            self._reactor.stop()
+            return
+        ready = {"ready": {"http": str(http), "peer": str(peer)}}
+        print(msgspec.json.encode(ready).decode(), flush=True)
+
+    def signalled(self) -> None:
+        """Drain on the first signal and stop at once on the second."""
+        from twisted.internet.defer import ensureDeferred
+
+        self._signals += 1
+        if self._signals == 1:
+            self._daemon.drain()
+            ensureDeferred(self._drain()).addErrback(self._failed)
+        elif self._signals == 2:
+            self.exit_code = EXIT_FORCED
+            self._daemon.abort_requests()
+
+    async def _drain(self) -> None:
+        await self._daemon.drained()
+        await self._daemon.stop()
+        _log.info("stopped", extra={"exit_code": self.exit_code})
+        self._reactor.stop()
+
+    def _failed(self, failure: Any) -> None:
+        _log.error("the stop failed", extra={"error": failure.getTraceback()})
+        self.exit_code = 1
+        self._reactor.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/daemon/src/skylarkmoor_daemon/metrics.py
@@ -0,0 +1,94 @@
+"""Metrics of one daemon, in the text format of Prometheus."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+__all__ = ["Metrics"]
+
+_TIME_BUCKETS_MS = [10.0, 20.0, 40.0, 70.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 5000.0, 20000.0]
+
+
+class Metrics:
+    """The collectors of one daemon and their registry.
+
+    Notes
+    -----
+    Each daemon has a registry of its own, so that several daemons fit into one process.
+    """
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._answers = self._counter("answers_total", "Answers by service, route and code.")
+        self._attempts = self._counter("attempts_total", "Attempts by service and result.")
+        self._tokens = self._counter("tokens_total", "Tokens by service and kind.")
+        self._claims = self._counter("claims_total", "Claim requests by answer.")
+        self._first = self._histogram("first_token_ms", "Arrival to first token.")
+        self._between = self._histogram("between_tokens_ms", "Mean time between tokens.")
+        self._waiting = self._gauge("waiting_requests", "Requests that wait, by service.")
+        self._running = self._gauge("running_requests", "Requests that run, by service.")
+        self._offset = self._gauge("document_offset", "Offset of the document in force.")
+        self._share = self._gauge("move_share_percent", "Share of the move in progress.")
+        self._peers = self._gauge("peer_messages_dropped", "Messages dropped by reason.")
+
+    def answered(self, service: str, route: str, code: str) -> None:
+        """Count an answer; `code` is ``ok`` or an error code."""
+        self._answers.inc({"service": service, "route": route, "code": code})
+
+    def attempted(self, service: str, result: str) -> None:
+        """Count the end of an attempt."""
+        self._attempts.inc({"service": service, "result": result})
+
+    def prefilled(self, service: str, computed: int, cached: int, wasted: int) -> None:
+        """Count prompt tokens that an attempt computed, reused from a cache and wasted."""
+        for kind, tokens in (("computed", computed), ("cached", cached), ("wasted", wasted)):
+            if tokens > 0:
+                self._tokens.add({"service": service, "kind": kind}, tokens)
+
+    def claimed(self, answer: str) -> None:
+        """Count the answer to a claim request."""
+        self._claims.inc({"answer": answer})
+
+    def first_token(self, service: str, tier: int, elapsed_ms: int) -> None:
+        """Add a time from arrival to first token."""
+        self._first.add({"service": service, "tier": str(tier)}, elapsed_ms)
+
+    def between_tokens(self, service: str, tier: int, elapsed_ms: int) -> None:
+        """Add a mean time between tokens."""
+        self._between.add({"service": service, "tier": str(tier)}, elapsed_ms)
+
+    def held(self, service: str, waiting: int, running: int) -> None:
+        """Set how many requests wait and run."""
+        self._waiting.set({"service": service}, waiting)
+        self._running.set({"service": service}, running)
+
+    def document(self, service: str, offset: int) -> None:
+        """Set the offset of the document in force."""
+        self._offset.set({"service": service}, offset)
+
+    def share(self, service: str, percent: int) -> None:
+        """Set the share of a move's new version."""
+        self._share.set({"service": service}, percent)
+
+    def dropped(self, full: int, stale: int) -> None:
+        """Set how many peer messages were dropped."""
+        self._peers.set({"reason": "unsent"}, full)
+        self._peers.set({"reason": "stale"}, stale)
+
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text with the headers to send."""
+        content, headers = render(self.registry, list(accepts))
+        return content, headers
+
+    def _counter(self, name: str, doc: str) -> Any:
+        return Counter(f"skylarkmoor_{name}", doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Any:
+        return Gauge(f"skylarkmoor_{name}", doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> Any:
+        return Histogram(
+            f"skylarkmoor_{name}", doc, registry=self.registry, buckets=_TIME_BUCKETS_MS
+        )
--- /dev/null
+++ b/libs/daemon/src/skylarkmoor_daemon/shared.py
@@ -0,0 +1,170 @@
+"""Shared soft state: facts, gossip, membership and leaving upstreams."""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, UpstreamId
+from skylarkmoor_core.messages import Digest, Fact, Gossip, Heartbeat, HostState, Message
+from skylarkmoor_daemon.tasks import Tasks
+from skylarkmoor_platform.hostlist import HostEntry, HostKind, ListedState
+from skylarkmoor_policy.actions import Send
+from skylarkmoor_policy.facts import DIGEST_MS, GOSSIP_MS, FactStore
+from skylarkmoor_policy.membership import Announce, Membership, UpstreamStates
+from skylarkmoor_policy.membership import HostEntry as ListedHost
+
+__all__ = ["SharedPeers", "SharedState"]
+
+# Half of the longest interval that membership allows, so that one late call does no harm.
+_MEMBERSHIP_MS = 250
+
+
+class SharedPeers(Protocol):
+    """What the shared state needs of the daemon."""
+
+    @property
+    def host(self) -> HostId:
+        """Host of the daemon."""
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Incarnation of the daemon."""
+
+    @property
+    def clock(self) -> Clock:
+        """Source of times."""
+
+    @property
+    def rng(self) -> random.Random:
+        """Source of random choices."""
+
+    def send(self, to: HostId, message: Message) -> None:
+        """Send a message to a peer."""
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to every peer."""
+
+
+class SharedState:
+    """What this daemon knows through its peers.
+
+    Parameters
+    ----------
+    daemon : SharedPeers
+        The daemon.
+    failure_domain : str
+        Where it runs.
+    tasks : Tasks
+        Runs the rounds.
+    on_facts : callable
+        Gets the facts that changed the map, each with its merged value.
+    """
+
+    def __init__(
+        self,
+        daemon: SharedPeers,
+        failure_domain: FailureDomain,
+        tasks: Tasks,
+        on_facts: Callable[[Sequence[Fact]], None],
+    ) -> None:
+        self.facts = FactStore()
+        self.membership = Membership(daemon.host, daemon.incarnation, failure_domain)
+        self.upstreams = UpstreamStates()
+        self._daemon = daemon
+        self._tasks = tasks
+        self._on_facts = on_facts
+
+    def start(self) -> None:
+        """Announce this daemon and begin the rounds."""
+        self.put(self.membership.own_fact(self._daemon.clock.wall_ms()))
+        self._tasks.every(_MEMBERSHIP_MS, self._beat)
+        self._tasks.every(GOSSIP_MS, self._gossip)
+        self._tasks.every(DIGEST_MS, self._digest)
+
+    def listed(self, entries: Iterable[HostEntry]) -> None:
+        """Take the host list."""
+        entries = tuple(entries)
+        self.membership.listed(
+            ListedHost(HostId(entry.host), entry.failure_domain, entry.state is ListedState.LEAVING)
+            for entry in entries
+            if entry.kind is HostKind.ENTRY
+        )
+        leaving = {
+            UpstreamId(entry.host): entry.state is ListedState.LEAVING
+            for entry in entries
+            if entry.kind is HostKind.UPSTREAM
+        }
+        self._carry_out(self.upstreams.listed(leaving, self._daemon.clock.wall_ms()))
+
+    def upstream_answered(
+        self, upstream: UpstreamId, incarnation: Incarnation | None, leaving: bool
+    ) -> None:
+        """Take what an upstream says of itself."""
+        wall_ms = self._daemon.clock.wall_ms()
+        self._carry_out(self.upstreams.answered(upstream, incarnation, leaving, wall_ms))
+
+    def enter(self, state: HostState) -> None:
+        """Change this daemon's state and tell all peers at once."""
+        for announce in self.membership.enter(state, self._daemon.clock.wall_ms()):
+            self.put(announce.fact)
+            self._daemon.broadcast(Gossip((announce.fact,)))
+
+    def put(self, fact: Fact) -> None:
+        """Put a fact of this daemon's own into the map."""
+        self._learn(self.facts.merge((fact,)))
+
+    def put_at_once(self, fact: Fact) -> None:
+        """Put a fact into the map and send it to all peers without waiting for gossip."""
+        self.put(fact)
+        self._daemon.broadcast(Gossip((fact,)))
+
+    def take(self, sender: HostId, incarnation: Incarnation, message: Message) -> bool:
+        """Take a message about shared state and return whether it was one."""
+        match message:
+            case Heartbeat():
+                clock = self._daemon.clock
+                self._carry_out(
+                    self.membership.heartbeat(
+                        sender, incarnation, message, clock.now_ms(), clock.wall_ms()
+                    )
+                )
+            case Gossip(facts=facts):
+                self._learn(self.facts.merge(facts))
+            case Digest(hashes=hashes):
+                differing = self.facts.diff(hashes)
+                if differing:
+                    self._daemon.send(sender, Gossip(tuple(differing)))
+            case _:
+                return False
+        return True
+
+    def _learn(self, changed: Sequence[Fact]) -> None:
+        if not changed:
+            return
+        self.upstreams.apply(changed)
+        announces = self.membership.apply(changed, self._daemon.clock.wall_ms())
+        self._on_facts(changed)
+        self._carry_out(announces)
+
+    def _carry_out(self, decisions: Iterable[Announce | Send]) -> None:
+        for decision in decisions:
+            match decision:
+                case Announce(fact=fact):
+                    self.put(fact)
+                case Send(to=to, message=message):
+                    self._daemon.send(to, message)
+
+    def _beat(self) -> None:
+        clock = self._daemon.clock
+        self._carry_out(self.membership.tick(clock.now_ms(), clock.wall_ms()))
+
+    def _gossip(self) -> None:
+        peers = self.membership.reachable()
+        self._carry_out(self.facts.gossip(self._daemon.rng, self._daemon.clock.wall_ms(), peers))
+
+    def _digest(self) -> None:
+        peers = self.membership.reachable()
+        if peers:
+            peer = self._daemon.rng.choice(peers)
+            self._daemon.send(peer, Digest(self.facts.digest()))
