Add the operator commands

Cause: operators change behaviour only by publishing documents, and must be told truthfully whether a publication was accepted, what is in force, and how a move ended. Change: skylarkmoorctl with validate, publish, show, moves and drain, and skylarkmoor-audit. A publication whose answer is lost is looked for in the log and never sent again; if it does not show, the outcome is reported as unknown. Accepted publications and drains leave an audit record.

--- /dev/null
+++ b/libs/operator/src/skylarkmoor_operator/audit.py
@@ -0,0 +1,127 @@
+"""The command ``skylarkmoor-audit``: prints the audit trail."""
+
+from collections.abc import Iterator
+
+import click
+import msgspec
+
+from skylarkmoor_core.ids import Offset
+from skylarkmoor_core.records import AuditEntry
+from skylarkmoor_operator.history import read_to_end
+from skylarkmoor_operator.runner import ExitCode, check_settings, run, warn
+from skylarkmoor_operator.text import printable, time_text
+from skylarkmoor_operator.trail import AUDIT_STREAM
+from skylarkmoor_platform.httpclient import parse_base_url
+from skylarkmoor_platform.logservice import LogClient, LogEntry
+
+__all__ = ["main", "matches", "print_trail"]
+
+
+class _Line(msgspec.Struct, frozen=True, rename={"before": "from", "after": "to"}):
+    """An audit record as a line of JSON.
+
+    `offset` is that of the change in `stream`; `audit_offset` is that of the record itself.
+    """
+
+    time: str
+    at_ms: int
+    who: str
+    what: str
+    before: str
+    after: str
+    stream: str
+    offset: Offset | None
+    audit_offset: Offset
+
+
+def matches(entry: AuditEntry, service: str | None, who: str | None) -> bool:
+    """Return whether `entry` is by `who` and about `service`, as far as these are given.
+
+    Examples
+    --------
+    >>> entry = AuditEntry(who="mair", what="publish orders: for assistant", before="", after="",
+    ...                    at_ms=0)
+    >>> matches(entry, "orders", None), matches(entry, "assistant", None)
+    (True, False)
+    """
+    if who is not None and entry.who != who:
+        return False
+    # The subject stands before the colon; the reason after it may name other services.
+    return service is None or service in entry.what.partition(":")[0].split()
+
+
+async def print_trail(
+    log: LogClient, *, service: str | None = None, who: str | None = None, as_json: bool = False
+) -> ExitCode:
+    """Print the audit records that match, oldest first.
+
+    Raises
+    ------
+    PlatformError
+        If the log does not answer.
+    """
+    async for entry in read_to_end(log, AUDIT_STREAM):
+        if not isinstance(entry.record, AuditEntry):
+            warn(f"the record at offset {entry.offset} is no audit record {entry.error}".rstrip())
+        elif matches(entry.record, service, who):
+            click.echo(_json(entry, entry.record) if as_json else _text(entry.record))
+    return ExitCode.DONE
+
+
+def _json(entry: LogEntry, record: AuditEntry) -> bytes:
+    return msgspec.json.encode(
+        _Line(
+            time=time_text(record.at_ms),
+            at_ms=record.at_ms,
+            who=record.who,
+            what=record.what,
+            before=record.before,
+            after=record.after,
+            stream=record.stream,
+            offset=record.offset,
+            audit_offset=entry.offset,
+        )
+    )
+
+
+def _text(record: AuditEntry) -> str:
+    return printable("; ".join(_parts(record)))
+
+
+def _parts(record: AuditEntry) -> Iterator[str]:
+    yield f"{time_text(record.at_ms)} {record.who}"
+    yield record.what
+    yield f"from {record.before or 'none'}"
+    yield f"to {record.after or 'none'}"
+    if record.offset is not None:
+        yield f"{record.stream} offset {record.offset}"
+
+
+@click.command(
+    epilog="""\b
+Exit status:
+  0  the trail was printed
+  2  an option is invalid
+  3  the log did not answer
+
+\b
+Examples:
+  skylarkmoor-audit --log-url http://10.0.0.5:7000 --service assistant
+  skylarkmoor-audit --who mair --json
+"""
+)
+@click.option(
+    "--log-url",
+    envvar="SKYLARKMOOR_LOG_URL",
+    show_envvar=True,
+    default="",
+    metavar="URL",
+    help="Base URL of the log service, http://IP:PORT.",
+)
+@click.option("--service", metavar="NAME", help="Only changes of this service.")
+@click.option("--who", metavar="NAME", help="Only changes made by this author or host.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object a line.")
+def main(log_url: str, service: str | None, who: str | None, as_json: bool) -> None:
+    """Print who changed what, from what, to what, when and at which log offset."""
+    check_settings([("--log-url", lambda: parse_base_url(log_url))])
+    run(lambda: print_trail(LogClient(log_url), service=service, who=who, as_json=as_json))
--- /dev/null
+++ b/libs/operator/src/skylarkmoor_operator/main.py
@@ -0,0 +1,225 @@
+"""The command ``skylarkmoorctl``: validates, publishes and shows what operators change."""
+
+import getpass
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, BinaryIO
+
+import click
+
+from skylarkmoor_core.clock import SystemClock
+from skylarkmoor_core.document import ServiceDocument
+from skylarkmoor_core.errors import DocumentError, SettingsError
+from skylarkmoor_core.ids import HostId, Offset, ServiceName
+from skylarkmoor_operator.drain import drain
+from skylarkmoor_operator.moves import show_moves
+from skylarkmoor_operator.publish import Base, move_faults, publish
+from skylarkmoor_operator.runner import ExitCode, check_settings, fail, run
+from skylarkmoor_operator.status import show
+from skylarkmoor_operator.validate import MAX_DOCUMENT_BYTES, load_document
+from skylarkmoor_platform.hostlist import HostListClient
+from skylarkmoor_platform.httpclient import parse_base_url
+from skylarkmoor_platform.logservice import LogClient
+
+__all__ = ["main"]
+
+Check = tuple[str, Callable[[], object]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Urls:
+    log: str
+    hosts: str
+
+    def log_check(self) -> Check:
+        return "--log-url", lambda: parse_base_url(self.log)
+
+    def hosts_check(self) -> Check:
+        return "--hosts-url", lambda: parse_base_url(self.hosts)
+
+
+class _BaseType(click.ParamType[Any]):
+    """An offset, or ``none`` for a service without a document."""
+
+    name = "offset"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Base:
+        if isinstance(value, Base):
+            return value
+        if value == "none":
+            return Base(None)
+        if not str(value).isdecimal():
+            self.fail(f"{value!r} is neither an offset nor 'none'", param, ctx)
+        return Base(Offset(int(value)))
+
+
+@click.group(
+    epilog="""\b
+Exit status:
+  0  done
+  1  refused, or another publication won
+  2  an option, argument or document is invalid
+  3  the platform did not answer, or the outcome is unknown
+
+\b
+Examples:
+  skylarkmoorctl validate assistant.json
+  skylarkmoorctl --log-url http://10.0.0.5:7000 publish assistant.json --author mair
+  skylarkmoorctl show assistant
+"""
+)
+@click.option(
+    "--log-url",
+    envvar="SKYLARKMOOR_LOG_URL",
+    show_envvar=True,
+    default="",
+    metavar="URL",
+    help="Base URL of the log service, http://IP:PORT.",
+)
+@click.option(
+    "--hosts-url",
+    envvar="SKYLARKMOOR_HOSTS_URL",
+    show_envvar=True,
+    default="",
+    metavar="URL",
+    help="Base URL of the host list, http://IP:PORT.",
+)
+@click.pass_context
+def main(ctx: click.Context, log_url: str, hosts_url: str) -> None:
+    """Operate skylarkmoor: publish service documents, follow moves, drain entry hosts."""
+    ctx.obj = _Urls(log_url, hosts_url)
+
+
+@main.command(
+    "validate",
+    epilog="""\b
+Examples:
+  skylarkmoorctl validate assistant.json
+  skylarkmoorctl validate - < assistant.json
+""",
+)
+@click.argument("file", type=click.File("rb"))
+def validate_command(file: BinaryIO) -> None:
+    """Check the service document in FILE and print every fault with its path."""
+    document = _load(file)
+    click.echo(f"valid: service {document.service}, version {document.version}")
+
+
+@main.command(
+    "publish",
+    epilog="""\b
+Examples:
+  skylarkmoorctl publish assistant.json --author mair --reason "more depots"
+  skylarkmoorctl publish assistant.json --author mair --based-on 41
+""",
+)
+@click.argument("file", type=click.File("rb"))
+@click.option("--author", required=True, metavar="NAME", help="Who publishes the document.")
+@click.option(
+    "--based-on",
+    type=_BaseType(),
+    metavar="OFFSET",
+    help="Offset of the document that this one replaces, or 'none'. "
+    "Without it, the accepted offset is read from the log.",
+)
+@click.option("--reason", default="", metavar="TEXT", help="Why, for the audit trail.")
+@click.pass_obj
+def publish_command(
+    urls: _Urls, file: BinaryIO, author: str, based_on: Base | None, reason: str
+) -> None:
+    """Publish the service document in FILE and tell whether it was accepted."""
+    check_settings([urls.log_check(), ("--author", lambda: _check_author(author))])
+    document = _load(file)
+    clock = SystemClock()
+    _exit_if_any([DocumentError(text) for text in move_faults(document, clock.wall_ms())])
+    run(
+        lambda: publish(
+            LogClient(urls.log), clock, document, author=author, reason=reason, based_on=based_on
+        )
+    )
+
+
+@main.command(
+    "show",
+    epilog="""\b
+Examples:
+  skylarkmoorctl show
+  skylarkmoorctl show assistant
+""",
+)
+@click.argument("service", required=False)
+@click.pass_obj
+def show_command(urls: _Urls, service: str | None) -> None:
+    """Show accepted documents and what is in force on each entry host.
+
+    With SERVICE, the whole document is printed.
+    """
+    check_settings([urls.log_check(), urls.hosts_check()])
+    wanted = ServiceName(service) if service is not None else None
+    run(lambda: show(LogClient(urls.log), HostListClient(urls.hosts), wanted))
+
+
+@main.command(
+    "moves",
+    epilog="""\b
+Examples:
+  skylarkmoorctl moves
+  skylarkmoorctl moves assistant
+""",
+)
+@click.argument("service", required=False)
+@click.pass_obj
+def moves_command(urls: _Urls, service: str | None) -> None:
+    """Show each move: its share, its steps, and whether and why it is done or undone."""
+    check_settings([urls.log_check()])
+    wanted = ServiceName(service) if service is not None else None
+    run(lambda: show_moves(LogClient(urls.log), wanted))
+
+
+@main.command(
+    "drain",
+    epilog="""\b
+Examples:
+  skylarkmoorctl --hosts-url http://10.0.0.6:7001 drain nadi-1
+  skylarkmoorctl drain nadi-1 --author mair
+""",
+)
+@click.argument("host")
+@click.option(
+    "--author",
+    default=getpass.getuser,
+    show_default="login name",
+    metavar="NAME",
+    help="Who drains the host.",
+)
+@click.pass_obj
+def drain_command(urls: _Urls, host: str, author: str) -> None:
+    """Drain entry host HOST: it refuses new requests and finishes those in progress.
+
+    The audit record is written only if a log URL is given.
+    """
+    checks = [urls.hosts_check(), ("--author", lambda: _check_author(author))]
+    check_settings([*checks, urls.log_check()] if urls.log else checks)
+    log = LogClient(urls.log) if urls.log else None
+    run(lambda: drain(log, HostListClient(urls.hosts), SystemClock(), HostId(host), author=author))
+
+
+def _load(file: BinaryIO) -> ServiceDocument:
+    try:
+        return load_document(file.read(MAX_DOCUMENT_BYTES + 1))
+    except ExceptionGroup as group:
+        _exit_if_any(list(group.exceptions))
+        raise
+
+
+def _exit_if_any(faults: list[Any]) -> None:
+    for fault in faults:
+        fail(str(fault))
+    if faults:
+        sys.exit(ExitCode.INVALID)
+
+
+def _check_author(author: str) -> None:
+    if not author.strip() or not author.isprintable():
+        raise SettingsError(f"{author!r} is not a name")
--- /dev/null
+++ b/libs/operator/src/skylarkmoor_operator/runner.py
@@ -0,0 +1,93 @@
+"""Runs one command on the asyncio reactor and ends the process with its exit code."""
+
+import sys
+from collections.abc import Awaitable, Callable, Iterable
+from enum import IntEnum
+from typing import Any
+
+import click
+from twisted.internet import task
+from twisted.internet.defer import CancelledError
+
+from skylarkmoor_core.errors import PlatformError
+from skylarkmoor_core.settings import collect_faults
+
+__all__ = ["ExitCode", "check_settings", "fail", "pause", "run", "warn"]
+
+
+class ExitCode(IntEnum):
+    """How a command ended."""
+
+    DONE = 0
+    REFUSED = 1
+    INVALID = 2
+    UNAVAILABLE = 3
+
+
+def fail(message: str) -> None:
+    """Print an error to standard error."""
+    click.echo(f"error: {message}", err=True)
+
+
+def warn(message: str) -> None:
+    """Print a warning to standard error."""
+    click.echo(f"warning: {message}", err=True)
+
+
+def check_settings(checks: Iterable[tuple[str, Callable[[], object]]]) -> None:
+    """Run all checks; if any fails, print every fault and end the process.
+
+    Parameters
+    ----------
+    checks : iterable of (str, callable)
+        Name of the setting and a function that raises `SettingsError` if it is invalid.
+
+    Raises
+    ------
+    SystemExit
+        With `ExitCode.INVALID` if a check fails.
+    """
+    try:
+        collect_faults(checks)
+    except ExceptionGroup as group:
+        for fault in group.exceptions:
+            fail(str(fault))
+        sys.exit(ExitCode.INVALID)
+
+
+async def pause(wait_ms: int) -> None:
+    """Return after `wait_ms`."""
+    from twisted.internet import reactor
+
+    clock: Any = reactor
+    await task.deferLater(clock, wait_ms / 1000)
+
+
+async def guarded(call: Callable[[], Awaitable[ExitCode]]) -> ExitCode:
+    """Await `call` and turn failures of the platform into an exit code."""
+    try:
+        return await call()
+    except PlatformError as error:
+        fail(str(error))
+    except CancelledError:
+        fail("interrupted; a change that was being made may have taken effect")
+    return ExitCode.UNAVAILABLE
+
+
+def run(call: Callable[[], Awaitable[ExitCode]]) -> None:
+    """Await `call` on the asyncio reactor, then end the process.
+
+    Raises
+    ------
+    SystemExit
+        With the code that `call` returns.
+    """
+    # The default reactor is installed by the first import of `twisted.internet.reactor`.
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install()  # type: ignore[no-untyped-call]
+
+    async def main(_: Any) -> None:
+        raise SystemExit(int(await guarded(call)))
+
+    task.react(main)
--- /dev/null
+++ b/libs/operator/src/skylarkmoor_operator/text.py
@@ -0,0 +1,29 @@
+"""Text forms of times and of values that come from the log."""
+
+from datetime import UTC, datetime
+
+__all__ = ["printable", "time_text"]
+
+
+def time_text(at_ms: int) -> str:
+    """Return epoch milliseconds as UTC time to the second.
+
+    Examples
+    --------
+    >>> time_text(0)
+    '1970-01-01T00:00:00Z'
+    """
+    return datetime.fromtimestamp(at_ms / 1000, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def printable(text: str) -> str:
+    r"""Return `text` with control characters escaped, so that it cannot steer a terminal.
+
+    Examples
+    --------
+    >>> printable("a\x1b[2J")
+    'a\\x1b[2J'
+    """
+    return "".join(
+        char if char.isprintable() else char.encode("unicode_escape").decode() for char in text
+    )
--- /dev/null
+++ b/libs/operator/tests/test_moves.py
@@ -0,0 +1,90 @@
+"""Guards the replay of moves against racing, repeated and late records."""
+
+import pytest_twisted
+
+from skylarkmoor_core.records import MoveEnded, MoveResult, MoveStep
+from skylarkmoor_operator.moves import replay_moves, show_moves
+from skylarkmoor_platform.logservice import LogClient, LogEntry
+
+
+def step(number, share, predecessor, move="assistant@7", author="nadi-1"):
+    return MoveStep(
+        service=move.partition("@")[0],
+        move=move,
+        version="v2",
+        step=number,
+        share_percent=share,
+        predecessor=predecessor,
+        author=author,
+    )
+
+
+def ended(result, why="", move="assistant@7"):
+    return MoveEnded(
+        service=move.partition("@")[0],
+        move=move,
+        version="v2",
+        result=result,
+        why=why,
+        author="suva-1",
+    )
+
+
+def replay(*records, start=0):
+    entries = [LogEntry(start + i, 0, record) for i, record in enumerate(records)]
+    return replay_moves(entries)
+
+
+def offsets(state):
+    return [entry.offset for entry, _ in state.steps]
+
+
+def test_racing_and_repeated_steps_count_once():
+    moves = replay(step(0, 1, None), step(0, 1, None), step(1, 5, 0), step(1, 5, 0), step(2, 25, 2))
+    assert offsets(moves["assistant@7"]) == [0, 2, 4]
+    assert moves["assistant@7"].share_percent == 25
+
+
+def test_moves_are_kept_apart():
+    moves = replay(step(0, 1, None), step(0, 1, None, move="orders@9"), step(1, 5, 0))
+    assert offsets(moves["assistant@7"]) == [0, 2]
+    assert offsets(moves["orders@9"]) == [1]
+
+
+def test_first_end_counts_and_later_steps_do_not():
+    moves = replay(
+        step(0, 1, None),
+        ended(MoveResult.UNDONE, "errors"),
+        step(1, 5, 0),
+        ended(MoveResult.DONE),
+    )
+    state = moves["assistant@7"]
+    assert (offsets(state), state.ended[1].why, state.share_percent) == ([0], "errors", 0)
+
+
+def test_undecodable_records_are_passed_over():
+    assert offsets(replay(None, step(0, 1, None), step(1, 5, 1))["assistant@7"]) == [1, 2]
+
+
+def test_first_step_kept_after_retention_is_accepted():
+    moves = replay(step(2, 25, 3), step(3, 100, 8), start=8)
+    assert offsets(moves["assistant@7"]) == [8, 9]
+
+
+@pytest_twisted.ensureDeferred
+async def test_moves_of_one_service_are_shown_with_the_reason(fake_log, log_url, capsys):
+    fake_log.add("moves", step(0, 1, None))
+    fake_log.add("moves", step(0, 1, None, move="orders@9"))
+    fake_log.add("moves", ended(MoveResult.UNDONE, "12% errors above v1"))
+    await show_moves(LogClient(log_url), "assistant")
+    assert capsys.readouterr().out.splitlines() == [
+        "assistant: move assistant@7 to v2: undone, 12% errors above v1; share 0%",
+        "  step 0: 1% at 1970-01-01T00:00:00Z, offset 0, by nadi-1",
+        "  undone at 1970-01-01T00:00:02Z, offset 2, by suva-1",
+    ]
+
+
+@pytest_twisted.ensureDeferred
+async def test_absence_of_moves_is_said(log_url, capsys):
+    await show_moves(LogClient(log_url), None)
+    assert capsys.readouterr().out == "no moves\n"
--- /dev/null
+++ b/libs/operator/tests/test_publish.py
@@ -0,0 +1,204 @@
+"""Guards publishing against false claims and against repeating an append."""
+
+import json
+
+import pytest
+import pytest_twisted
+
+from skylarkmoor_core.clock import ManualClock, SystemClock
+from skylarkmoor_core.errors import LogOutage
+from skylarkmoor_core.records import AuditEntry, DocumentCarried, decode_record, encode_record
+from skylarkmoor_operator.publish import Base, Patience, move_faults, publish
+from skylarkmoor_operator.runner import ExitCode
+from skylarkmoor_platform.logservice import LogClient
+
+SHORT = Patience(resolve_ms=50, pause_ms=5, tries=3)
+
+
+class Publisher:
+    """Publishes as `author` through a log client of its own."""
+
+    def __init__(self, url, patience=SHORT):
+        self._log = LogClient(url)
+        self._patience = patience
+
+    async def publish(self, document, based_on=None, reason=""):
+        return await publish(
+            self._log,
+            SystemClock(),
+            document,
+            author="mair",
+            reason=reason,
+            based_on=based_on,
+            patience=self._patience,
+        )
+
+
+@pytest.fixture
+def publisher(log_url):
+    return Publisher(log_url)
+
+
+def audits(fake_log):
+    entries = fake_log.streams.get("audit", [])
+    return [decode_record(json.dumps(entry["data"]).encode()) for entry in entries]
+
+
+@pytest_twisted.ensureDeferred
+async def test_accepted_publication_is_audited(fake_log, publisher, publication, make_document):
+    fake_log.add("config", publication(None))
+    code = await publisher.publish(make_document("v1", move_to="v2"), reason="faster")
+    assert code is ExitCode.DONE
+    entry = audits(fake_log)[0]
+    assert entry == AuditEntry(
+        who="mair",
+        what="publish assistant: faster",
+        before="offset 0, version v1",
+        after="offset 1, version v1, moving to v2",
+        at_ms=entry.at_ms,
+        stream="config",
+        offset=1,
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_first_document_has_no_base(fake_log, publisher, make_document, capsys):
+    assert await publisher.publish(make_document()) is ExitCode.DONE
+    assert fake_log.streams["config"][0]["data"]["based_on"] is None
+    assert "first document of service assistant" in capsys.readouterr().out
+
+
+@pytest_twisted.ensureDeferred
+async def test_loser_of_a_race_is_told_who_won(
+    fake_log, publisher, publication, make_document, capsys
+):
+    fake_log.add("config", publication(None))
+
+    def race(stream):
+        if stream == "config":
+            fake_log.add("config", publication(0, author="ann", version="v7"))
+
+    fake_log.before_append = race
+    assert await publisher.publish(make_document("v2")) is ExitCode.REFUSED
+    assert "offset 1, version v7, published by ann" in capsys.readouterr().err
+    assert audits(fake_log) == []
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize("base", [Base(None), Base(0), Base(9)])
+async def test_stale_base_is_refused_without_an_append(
+    fake_log, publisher, publication, make_document, base
+):
+    fake_log.add("config", publication(None))
+    fake_log.add("config", publication(0))
+    assert await publisher.publish(make_document("v2"), based_on=base) is ExitCode.REFUSED
+    assert len(fake_log.streams["config"]) == 2
+
+
+@pytest_twisted.ensureDeferred
+async def test_carried_document_keeps_its_author(
+    fake_log, publisher, publication, make_document, capsys
+):
+    fake_log.add("config", publication(None, author="ann"))
+    carried = DocumentCarried(service="assistant", document=make_document(), predecessor=0)
+    fake_log.add("config", carried)
+    await publisher.publish(make_document("v2"), based_on=Base(0))
+    assert "offset 1, version v1, published by ann" in capsys.readouterr().err
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize("status", [500, 503])
+async def test_lost_answer_is_resolved_by_reading(fake_log, publisher, make_document, status):
+    fake_log.answer_status["config"] = status
+    assert await publisher.publish(make_document()) is ExitCode.DONE
+    assert len(fake_log.streams["config"]) == 1
+    assert audits(fake_log)[0].offset == 0
+
+
+@pytest_twisted.ensureDeferred
+async def test_lost_answer_of_a_loser_is_no_success(
+    fake_log, publisher, publication, make_document
+):
+    def race(stream):
+        if stream == "config":
+            fake_log.add("config", publication(None, author="ann"))
+
+    fake_log.before_append = race
+    fake_log.answer_status["config"] = 503
+    assert await publisher.publish(make_document("v2")) is ExitCode.REFUSED
+
+
+@pytest_twisted.ensureDeferred
+async def test_append_that_never_shows_is_unknown_and_sent_once(
+    fake_log, publisher, make_document, capsys
+):
+    appends = []
+
+    def swallow(stream):
+        appends.append(stream)
+        return 503
+
+    fake_log.before_append = swallow
+    assert await publisher.publish(make_document()) is ExitCode.UNAVAILABLE
+    assert appends == ["config"]
+    assert "--based-on none" in capsys.readouterr().err
+
+
+@pytest_twisted.ensureDeferred
+async def test_append_that_shows_late_is_found(fake_log, log_url, make_document):
+    fake_log.answer_status["config"] = 503
+    fake_log.hidden.add(0)
+    fake_log.reads = 0
+
+    class Clock(ManualClock):
+        def now_ms(self):
+            if fake_log.reads > 3:
+                fake_log.hidden.clear()
+            return 0
+
+    code = await publish(
+        LogClient(log_url), Clock(), make_document(), author="mair", patience=SHORT
+    )
+    assert code is ExitCode.DONE
+
+
+@pytest_twisted.ensureDeferred
+async def test_rate_limited_append_is_tried_again(fake_log, publisher, make_document):
+    answers = iter([429, 429])
+    fake_log.before_append = lambda stream: next(answers, None)
+    assert await publisher.publish(make_document()) is ExitCode.DONE
+    assert len(fake_log.streams["config"]) == 1
+
+
+@pytest_twisted.ensureDeferred
+async def test_lasting_rate_limit_is_reported_as_not_published(
+    fake_log, publisher, make_document, capsys
+):
+    fake_log.before_append = lambda stream: 429
+    assert await publisher.publish(make_document()) is ExitCode.UNAVAILABLE
+    assert "not published" in capsys.readouterr().err
+
+
+@pytest_twisted.ensureDeferred
+async def test_lost_audit_record_is_only_a_warning(fake_log, publisher, make_document, capsys):
+    fake_log.before_append = lambda stream: 503 if stream == "audit" else None
+    assert await publisher.publish(make_document()) is ExitCode.DONE
+    assert "the audit record may be missing" in capsys.readouterr().err
+
+
+@pytest_twisted.ensureDeferred
+async def test_nothing_is_appended_when_the_log_cannot_be_read(make_document):
+    with pytest.raises(LogOutage, match="read of 'config' failed"):
+        await Publisher("http://127.0.0.1:1").publish(make_document())
+
+
+@pytest.mark.parametrize(("wall_ms", "count"), [(89_999, 0), (90_000, 1)])
+def test_move_that_is_already_late_is_a_fault(make_document, wall_ms, count):
+    document = make_document(move_to="v2", by_ms=90_000)
+    faults = list(move_faults(document, wall_ms))
+    assert [fault.partition(":")[0] for fault in faults] == ["$.move.by_ms"] * count
+
+
+def test_record_round_trip_keeps_equality(publication):
+    record = publication(3, move_to="v2")
+    assert decode_record(encode_record(record)) == record
