Refuse deeply nested data as invalid

Cause: msgspec raises RecursionError, not a decoding error, for an unknown field that is nested too deeply. decode_record, decode_envelope, the log client and the host list let it through, so one record in the log could stop every follower. Change: decode_record and decode_envelope turn it into MessageError. The log client steps over such a record; the other decoders report invalid data. Tests of records and messages cover round trips and rubbish.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -220,3 +220,6 @@
         return _DECODER.decode(data)
     except msgspec.DecodeError as error:
         raise MessageError(f"not a message: {error}") from error
+    # Raised in place of a decoding error by an unknown field that is nested too deeply.
+    except RecursionError as error:
+        raise MessageError(f"not a message: {error}") from error
--- a/libs/core/src/skylarkmoor_core/records.py
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -139,3 +139,6 @@
         return _DECODER.decode(data)
     except msgspec.DecodeError as error:
         raise MessageError(f"not a record: {error}") from error
+    # Raised in place of a decoding error by an unknown field that is nested too deeply.
+    except RecursionError as error:
+        raise MessageError(f"not a record: {error}") from error
--- /dev/null
+++ b/libs/core/tests/test_messages.py
@@ -0,0 +1,98 @@
+"""Guards peer messages against loss in a round trip and against rubbish from the network."""
+
+import contextlib
+
+import msgspec
+import pytest
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from skylarkmoor_core.document import Customer, Route, ServiceDocument, ServiceKind, Tier
+from skylarkmoor_core.errors import MessageError
+from skylarkmoor_core.messages import (
+    ClaimRequest,
+    ClaimResult,
+    ClaimStatus,
+    Demand,
+    Digest,
+    DocumentOffer,
+    Envelope,
+    Fact,
+    FactKind,
+    Gossip,
+    Grant,
+    Heartbeat,
+    HostState,
+    OutcomeAnswer,
+    OutcomeQuery,
+    ReleaseRequest,
+    decode_envelope,
+    encode_envelope,
+)
+from skylarkmoor_core.outcome import Outcome
+
+DOCUMENT = ServiceDocument(
+    service="orders",
+    kind=ServiceKind.PLAIN,
+    tiers=(Tier(name="top", rank=0),),
+    routes=(Route(name="place", tier="top", idempotent=False),),
+    customers=(Customer(name="depots"),),
+    version="v1",
+)
+MESSAGES = [
+    Heartbeat(HostState.DRAINING, 4),
+    Gossip((Fact(FactKind.SUSPECT, "9", (1, 2)),)),
+    Digest((1, 2**64 - 1)),
+    Demand("gpu-1", 3, (1, 2), (0, 4), 120),
+    Grant("gpu-1", 3, (5, 0), 500),
+    ClaimRequest("nadi-1/5/1", 2**64 - 1, 2, 7),
+    ClaimResult("nadi-1/5/1", ClaimStatus.HELD, "suva-1/2/9", "suva-1", 2, 8),
+    ReleaseRequest("nadi-1/5/1", 2**64 - 1),
+    OutcomeQuery("nadi-1/5/1", 6),
+    OutcomeAnswer("nadi-1/5/1", 6, True, Outcome.RAN, 200, b"\x00\xff"),
+    DocumentOffer("orders", 3, DOCUMENT),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda message: type(message).__name__)
+def test_message_survives_a_round_trip(message):
+    envelope = Envelope("nadi-1", 5, message)
+    assert decode_envelope(encode_envelope(envelope)) == envelope
+
+
+def test_message_kinds_have_distinct_tags():
+    tags = [message.__struct_config__.tag for message in MESSAGES]
+    assert len(set(tags)) == len(tags)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode(None),
+        msgspec.msgpack.encode(["nadi-1", 5]),
+        msgspec.msgpack.encode(["nadi-1", "5", ["h", 0, 1]]),
+        msgspec.msgpack.encode(["nadi-1", 5, ["unheard", 0, 1]]),
+        msgspec.msgpack.encode(["nadi-1", 5, ["h", 9, 1]]),
+        msgspec.msgpack.encode(["nadi-1", 5, ["h", 0]]),
+        encode_envelope(Envelope("nadi-1", 5, MESSAGES[0]))[:-1],
+        encode_envelope(Envelope("nadi-1", 5, MESSAGES[0])) + b"x",
+        b"\x94\xa1a\x05\x93\xa1h\x00\x01" + b"\x91" * 9_000,
+    ],
+)
+def test_rubbish_is_refused(data):
+    with pytest.raises(MessageError, match="not a message"):
+        decode_envelope(data)
+
+
+@seed(20261204)
+@given(st.binary(max_size=200))
+def test_no_bytes_cause_another_error(data):
+    with contextlib.suppress(MessageError):
+        decode_envelope(data)
+
+
+def test_demand_of_an_earlier_version_has_no_pressure():
+    data = msgspec.msgpack.encode(["nadi-1", 5, ["q", "gpu-1", 3, [1], [2]]])
+    assert decode_envelope(data).message == Demand("gpu-1", 3, (1,), (2,), 0)
--- /dev/null
+++ b/libs/core/tests/test_records.py
@@ -0,0 +1,104 @@
+"""Guards log records against loss in a round trip and against rubbish in the log."""
+
+import contextlib
+import json
+
+import pytest
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from skylarkmoor_core.document import Customer, Route, ServiceDocument, ServiceKind, Tier
+from skylarkmoor_core.errors import MessageError
+from skylarkmoor_core.records import (
+    AuditEntry,
+    Claim,
+    DocumentCarried,
+    DocumentPublished,
+    MoveEnded,
+    MoveResult,
+    MoveStep,
+    Release,
+    decode_record,
+    encode_record,
+)
+
+DOCUMENT = ServiceDocument(
+    service="orders",
+    kind=ServiceKind.PLAIN,
+    tiers=(Tier(name="top", rank=0),),
+    routes=(Route(name="place", tier="top", idempotent=False),),
+    customers=(Customer(name="depots"),),
+    version="v1",
+)
+RECORDS = [
+    DocumentPublished(service="orders", document=DOCUMENT, based_on=None, author="mair"),
+    DocumentPublished(service="orders", document=DOCUMENT, based_on=3, author="mair", reason="x"),
+    DocumentCarried(service="orders", document=DOCUMENT, predecessor=3),
+    MoveStep(
+        service="orders",
+        move="orders@3",
+        version="v2",
+        step=1,
+        share_percent=5,
+        predecessor=8,
+        author="bangor-1",
+    ),
+    MoveEnded(
+        service="orders",
+        move="orders@3",
+        version="v2",
+        result=MoveResult.UNDONE,
+        why="errors",
+        author="bangor-1",
+    ),
+    Claim(
+        claim="bangor-1/5/1",
+        key_hash=2**64 - 1,
+        body_hash=0,
+        host="bangor-1",
+        incarnation=5,
+        issued_wall_ms=7,
+    ),
+    Release(claim="bangor-1/5/1", key_hash=2**64 - 1),
+    AuditEntry(who="mair", what="publish orders", before="a", after="b", at_ms=7, offset=3),
+]
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
+def test_record_survives_a_round_trip_under_its_name(record):
+    data = encode_record(record)
+    assert decode_record(data) == record
+    assert json.loads(data)["type"] == type(record).__name__
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"null",
+        b"[]",
+        b"{}",
+        b'{"type": "Unheard"}',
+        b'{"type": "Release", "claim": "a"}',
+        b'{"type": "Release", "claim": "a", "key_hash": "1"}',
+        b'{"type": "Release", "claim": "\xff", "key_hash": 1}',
+        b'{"type": "Release", "claim": "a", "key_hash": 1} x',
+        b'{"type": "Release", "claim": "a", "key_hash": 1, "x": ' + b"[" * 9_000,
+    ],
+)
+def test_rubbish_is_refused(data):
+    with pytest.raises(MessageError, match="not a record"):
+        decode_record(data)
+
+
+@seed(20261204)
+@given(st.binary(max_size=200))
+def test_no_bytes_cause_another_error(data):
+    with contextlib.suppress(MessageError):
+        decode_record(data)
+
+
+def test_later_version_may_add_fields():
+    assert decode_record(b'{"type": "Release", "claim": "a", "key_hash": 1, "new": 2}') == Release(
+        claim="a", key_hash=1
+    )
--- a/libs/operator/src/skylarkmoor_operator/entryhosts.py
+++ b/libs/operator/src/skylarkmoor_operator/entryhosts.py
@@ -50,7 +50,7 @@
         raise PlatformError(f"{host.host!r} refused: {answer.summary()}")
     try:
         return msgspec.json.decode(answer.body, type=HostStatus)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise PlatformError(f"{host.host!r} sent no valid status: {error}") from error
 
 
--- a/libs/operator/src/skylarkmoor_operator/validate.py
+++ b/libs/operator/src/skylarkmoor_operator/validate.py
@@ -39,7 +39,7 @@
 def _json_faults(data: bytes) -> Iterator[str]:
     try:
         value = msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         yield f"$: {error}"
         return
     yield from _shape_faults("$", value, ServiceDocument)
--- a/libs/operator/tests/test_status.py
+++ b/libs/operator/tests/test_status.py
@@ -30,7 +30,7 @@
 
     @app.route("/admin/status")
     def answer(request):
-        return json.dumps(status)
+        return status if isinstance(status, str) else json.dumps(status)
 
     return app
 
@@ -57,19 +57,21 @@
         entry_host("c", serve(status_app({"state": "alive", "documents": {}}))),
         entry_host("d", "http://127.0.0.1:1"),
         entry_host("e", serve(status_app([]))),
+        entry_host("f", serve(status_app("[" * 9_000))),
     ]
     code = await show(LogClient(log_url), HostListClient(serve(hosts_app(hosts))), None)
     lines = capsys.readouterr().out.splitlines()
     assert code is ExitCode.DONE
     assert lines[:4] == [
         "assistant: accepted at offset 1, version v2, by mair at 1970-01-01T00:00:01Z",
-        "assistant: in force on 1 of 5 entry hosts",
+        "assistant: in force on 1 of 6 entry hosts",
         "  a (nadi): current",
         "  b (nadi): offset 0, draining",
     ]
     assert lines[4] == "  c (nadi): no document, alive"
     assert lines[5].startswith("  d (nadi): unknown")
     assert lines[6].startswith("  e (nadi): unknown")
+    assert lines[7].startswith("  f (nadi): unknown")
 
 
 @pytest_twisted.ensureDeferred
--- a/libs/operator/tests/test_validate.py
+++ b/libs/operator/tests/test_validate.py
@@ -37,6 +37,10 @@
     ("data", "fault"),
     [
         (b"{", "$: Input data was truncated"),
+        (
+            b'{"x":' + b"[" * 9_000,
+            "$: maximum recursion depth exceeded while deserializing an object",
+        ),
         (b"[]", "$: Expected `object`, got `array`"),
         (b" " * 1_000_001, "$: 1000001 bytes exceed 1000000"),
     ],
--- a/libs/platform/src/skylarkmoor_platform/hostlist.py
+++ b/libs/platform/src/skylarkmoor_platform/hostlist.py
@@ -98,7 +98,7 @@
             raise PlatformError(f"host list was refused: {answer.summary()}")
         try:
             hosts = msgspec.json.decode(answer.body, type=_HostList).hosts
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise PlatformError(f"not a host list: {error}") from error
         faults = list(_faults(hosts))
         if faults:
--- a/libs/platform/src/skylarkmoor_platform/logservice.py
+++ b/libs/platform/src/skylarkmoor_platform/logservice.py
@@ -125,7 +125,7 @@
             raise LogOutage(f"append to {stream!r} may have taken effect: {answer.summary()}")
         try:
             return Offset(msgspec.json.decode(answer.body, type=_Appended).offset)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise LogOutage(
                 f"append to {stream!r} may have taken effect, invalid answer: {error}"
             ) from error
@@ -145,8 +145,9 @@
         Returns
         -------
         LogPage
-            A record that cannot be decoded, or that alone exceeds the bound on a page, comes
-            as an entry without a record, so that it does not stop a follower.
+            A record that cannot be decoded, that alone exceeds the bound on a page, or that is
+            nested too deeply comes as an entry without a record, so that it does not stop a
+            follower.
 
         Raises
         ------
@@ -161,13 +162,11 @@
             raise ValueError(f"limit must be positive, got {limit}")
         while True:
             try:
-                answer = await self._get(stream, from_offset, limit, wait_ms)
-            except AnswerTooLarge as error:
+                return _page(await self._get(stream, from_offset, limit, wait_ms), from_offset)
+            except (AnswerTooLarge, RecursionError) as error:
                 if limit == 1:
-                    return _oversized(from_offset, str(error))
+                    return _stepped_over(from_offset, str(error))
                 limit //= 2
-            else:
-                return _page(answer, from_offset)
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -227,5 +226,5 @@
     return LogEntry(Offset(item.offset), item.at_ms, record)
 
 
-def _oversized(offset: Offset, error: str) -> LogPage:
+def _stepped_over(offset: Offset, error: str) -> LogPage:
     return LogPage((LogEntry(offset, 0, None, error),), offset, Offset(offset + 1))
--- a/libs/platform/tests/test_hostlist.py
+++ b/libs/platform/tests/test_hostlist.py
@@ -75,6 +75,7 @@
     ("body", "fault"),
     [
         ("{}", "hosts"),
+        ('{"x":' + "[" * 9_000, "not a host list"),
         (listing(ENTRY, ENTRY), "'nadi-1' is listed twice"),
         (listing(ENTRY | {"host": ""}), "has no id"),
         (listing(ENTRY | {"state": "gone"}), "gone"),
--- a/libs/platform/tests/test_logservice.py
+++ b/libs/platform/tests/test_logservice.py
@@ -66,6 +66,7 @@
         (answer_with(302, b"", [("Location", "/elsewhere")]), LogOutage),
         (answer_with(200, b"{}"), LogOutage),
         (answer_with(200, b"x" * 20_000), LogOutage),
+        (answer_with(200, b'{"x":' + b"[" * 4_000), LogOutage),
     ],
 )
 async def test_append_is_called_not_applied_only_with_proof(serve, answer, error):
@@ -192,3 +193,19 @@
     got = await log.read("config", 0, limit=1)
     assert (got.records[0].record, got.next) == (None, 1)
     assert "1000 bytes" in got.records[0].error
+
+
+@pytest_twisted.ensureDeferred
+async def test_record_nested_too_deeply_is_stepped_over(serve):
+    nested = '{"offset": 0, "at_ms": 5, "data": ' + "[" * 9_000 + "]" * 9_000 + "}"
+    good = '{"offset": 1, "at_ms": 5, "data": ' + encode_record(ENTRY).decode() + "}"
+
+    def answer(request):
+        start, limit = int(request.args[b"from"][0]), int(request.args[b"limit"][0])
+        shown = ", ".join([nested, good][start : start + limit])
+        return f'{{"records": [{shown}], "first": 0, "next": 2}}'
+
+    log = LogClient(serve(app_answering("GET", answer)))
+    bad = await log.read("config", 0)
+    assert (bad.records[0].offset, bad.records[0].record, bad.next) == (0, None, 1)
+    assert (await log.read("config", bad.next)).records == (LogEntry(1, 5, ENTRY),)
