--- /dev/null
+++ b/libs/core/tests/test_clock.py
@@ -0,0 +1,29 @@
+"""Guards clocks against going back and against mixing wall and monotonic time."""
+
+import pytest
+
+from skylarkmoor_core.clock import ManualClock, SystemClock
+
+
+def test_manual_clock_moves_both_readings_by_the_step():
+    clock = ManualClock(now_ms=5, wall_offset_ms=1_000)
+    clock.advance(10)
+    assert (clock.now_ms(), clock.wall_ms()) == (15, 1_015)
+
+
+def test_manual_clock_does_not_go_back():
+    with pytest.raises(ValueError, match="-1"):
+        ManualClock().advance(-1)
+
+
+def test_system_clock_never_goes_back():
+    clock = SystemClock()
+    readings = [clock.now_ms() for _ in range(1_000)]
+    assert readings == sorted(readings)
+
+
+def test_system_clock_reads_milliseconds_of_both_sources(monkeypatch):
+    monkeypatch.setattr("time.time_ns", lambda: 1_700_000_000_123_999_999)
+    monkeypatch.setattr("time.monotonic_ns", lambda: 5_999_999)
+    clock = SystemClock()
+    assert (clock.wall_ms(), clock.now_ms()) == (1_700_000_000_123, 5)
