Name the cause of a failed call to the platform

Cause: a trial with the stand-in log printed Twisted's wrapped failures in place of the cause, and a refusal that read badly. Change: the message names the first cause, and a refusal says at which offset the accepted document is.

--- a/libs/operator/src/skylarkmoor_operator/publish.py
+++ b/libs/operator/src/skylarkmoor_operator/publish.py
@@ -205,7 +205,7 @@
     if held is None:
         return f"service {document.service} has no accepted document"
     author = printable(held.author) or "an author no longer in the log"
-    return f"the accepted document is {held.summary()}, published by {author}"
+    return f"the accepted document is at {held.summary()}, published by {author}"
 
 
 def _warn_if_short_of_time(document: ServiceDocument, wall_ms: int) -> None:
--- a/libs/platform/src/skylarkmoor_platform/httpclient.py
+++ b/libs/platform/src/skylarkmoor_platform/httpclient.py
@@ -243,7 +243,14 @@
         raise
     except Exception as error:
         # The reactor and the HTTP client raise many unrelated types for a failed call.
-        raise PlatformError(f"{what}: no answer: {type(error).__name__}: {error}") from error
+        raise PlatformError(f"{what}: no answer: {_reason(error)}") from error
+
+
+def _reason(error: Exception) -> str:
+    # Twisted wraps the cause of a failed request in a list of failures.
+    causes: list[Failure] = getattr(error, "reasons", None) or []
+    cause = causes[0].value if causes else error
+    return f"{type(cause).__name__}: {cause}"
 
 
 class _Body(Protocol):
--- a/libs/platform/tests/test_logservice.py
+++ b/libs/platform/tests/test_logservice.py
@@ -209,3 +209,15 @@
     bad = await log.read("config", 0)
     assert (bad.records[0].offset, bad.records[0].record, bad.next) == (0, None, 1)
     assert (await log.read("config", bad.next)).records == (LogEntry(1, 5, ENTRY),)
+
+
+@pytest_twisted.ensureDeferred
+async def test_message_of_a_broken_connection_names_the_cause(serve):
+    def answer(request):
+        request.transport.abortConnection()
+        return Deferred()
+
+    log = LogClient(serve(app_answering("GET", answer)))
+    with pytest.raises(LogOutage, match="no answer: Connection(Lost|Done): ") as caught:
+        await log.read("config", 0)
+    assert "Failure" not in str(caught.value)
