Add the measuring command with baselines and an upper bound

Cause: the decisions must be measured beside baselines in the same run. Change: a seeded workload, fake engines with continuous batching, a session on a simulated clock, three baselines, a queue that knows true lengths, and a report as table, JSON and plot.

--- /dev/null
+++ b/libs/measure/src/skylarkmoor_measure/session.py
@@ -0,0 +1,373 @@
+"""One measured run: a workload, engines, daemons and faults on a simulated clock."""
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+
+from skylarkmoor_core.ids import (
+    AttemptId,
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
+from skylarkmoor_core.messages import Demand, Grant
+from skylarkmoor_core.outcome import ErrorCode
+from skylarkmoor_measure.baselines import Decider
+from skylarkmoor_measure.engines import FakeEngine
+from skylarkmoor_measure.engines import Sequence as EngineSequence
+from skylarkmoor_measure.workload import Arrival
+from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
+from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request, UpstreamInfo
+
+__all__ = ["START_MS", "Fault", "FaultKind", "RequestLog", "Session", "upstream_name"]
+
+NETWORK_MS = 1.0
+TICK_MS = 20
+REPORT_PERIOD_MS = 500
+REPORT_LAG_MS = 1_000
+CACHE_EVENT_LAG_MS = 800
+CACHE_EVENT_LOSS = 0.2
+HOST_LIST_LAG_MS = 3_000
+# The simulated monotonic clocks start here, so that no module can rely on a clock near 0.
+START_MS = 100_000
+
+
+class FaultKind(Enum):
+    """Faults that a run can contain."""
+
+    KILL = "kill"
+    SLOW = "slow"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault of one engine from `start_ms` to `end_ms` of the run."""
+
+    kind: FaultKind
+    engine: int
+    start_ms: int
+    end_ms: int
+    factor: float = 1.0
+
+
+@dataclass(slots=True)
+class RequestLog:
+    """What became of one request."""
+
+    arrival: Arrival
+    first_token_ms: float | None = None
+    dispatched_ms: float | None = None
+    completed_ms: float | None = None
+    worst_gap_ms: float = 0.0
+    mean_gap_ms: float = 0.0
+    refusal: ErrorCode | None = None
+    attempts: int = 0
+    preemptions: int = 0
+
+
+@dataclass(slots=True)
+class _Running:
+    """An attempt on its way."""
+
+    host: HostId
+    dispatch: Dispatch
+    engine: FakeEngine
+    sequence: EngineSequence | None = None
+
+
+@dataclass(slots=True)
+class _Queue:
+    """Events in order of time and then of their scheduling."""
+
+    heap: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    count: int = 0
+
+    def push(self, at_ms: float, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (at_ms, self.count, call))
+
+
+class Session:
+    """Drives deciders through a workload with faults and keeps what became of each request.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the balancer and the network.
+    engines : sequence of FakeEngine
+        The upstreams.
+    deciders : sequence of Decider
+        One for each daemon; a single one stands for a central queue.
+    arrivals : sequence of Arrival
+        The workload.
+    faults : sequence of Fault
+        Faults of engines.
+    duration_ms : int
+        Length of the run; requests still open then count as not completed.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        engines: Sequence[FakeEngine],
+        deciders: Sequence[Decider],
+        arrivals: Sequence[Arrival],
+        faults: Sequence[Fault],
+        duration_ms: int,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._engines = {engine.upstream: engine for engine in engines}
+        self._domains = {
+            e.upstream: FailureDomain(f"domain-{i % 3}") for i, e in enumerate(engines)
+        }
+        self._deciders = {HostId(f"host-{i}"): decider for i, decider in enumerate(deciders)}
+        self._events = _Queue()
+        self._now_ms = float(START_MS)
+        self._end_ms = START_MS + duration_ms
+        self._attempts: dict[AttemptId, _Running] = {}
+        self._homes: dict[RequestId, HostId] = {}
+        self.logs: dict[RequestId, RequestLog] = {}
+        self.wasted_prefill_tokens = 0
+        self.useful_prefill_tokens = 0
+        self.messages = 0
+        self._prepare(arrivals, faults)
+
+    def run(self) -> None:
+        """Process all events up to the end of the run."""
+        events = self._events
+        while events.heap and events.heap[0][0] < self._end_ms:
+            self._now_ms, _, call = heapq.heappop(events.heap)
+            call()
+
+    def output_tokens(self, request: RequestId) -> int:
+        """Return the true output length of a request."""
+        return self.logs[request].arrival.output_tokens
+
+    def _prepare(self, arrivals: Sequence[Arrival], faults: Sequence[Fault]) -> None:
+        hosts = {host: FailureDomain(f"domain-{i % 3}") for i, host in enumerate(self._deciders)}
+        for decider in self._deciders.values():
+            decider.set_members(hosts)
+            decider.set_upstreams(self._host_list())
+        for arrival in arrivals:
+            self._events.push(START_MS + arrival.at_ms, partial(self._arrive, arrival))
+        for fault in faults:
+            self._events.push(START_MS + fault.start_ms, partial(self._begin_fault, fault))
+            self._events.push(START_MS + fault.end_ms, partial(self._end_fault, fault))
+        for i, host in enumerate(self._deciders):
+            self._events.push(START_MS + i, partial(self._tick, host))
+        for i, engine in enumerate(self._engines.values()):
+            self._events.push(START_MS + 10 * i, partial(self._report, engine))
+
+    def _host_list(self) -> list[UpstreamInfo]:
+        return [
+            UpstreamInfo(engine.upstream, ServiceName("assistant"), self._domains[engine.upstream])
+            for engine in self._engines.values()
+        ]
+
+    def _arrive(self, arrival: Arrival) -> None:
+        request = Request(
+            request=RequestId(f"r{arrival.number}"),
+            customer=arrival.customer,
+            route=arrival.route.name,
+            tier=arrival.route.tier,
+            fingerprint=Fingerprint(arrival.number),
+            arrived_ms=int(self._now_ms),
+            deadline_ms=int(self._now_ms) + arrival.route.deadline_ms,
+            prompt_tokens=arrival.prompt_tokens,
+            max_output_tokens=800,
+            prefix_hashes=arrival.prefix_hashes,
+        )
+        host = self._rng.choice(list(self._deciders))
+        self.logs[request.request] = RequestLog(arrival)
+        self._homes[request.request] = host
+        self._events.push(request.deadline_ms, partial(self._expire, request.request))
+        self._perform(host, self._deciders[host].submit(request, int(self._now_ms)))
+
+    def _expire(self, request: RequestId) -> None:
+        """Cancel a request whose caller has stopped waiting."""
+        log = self.logs[request]
+        if log.completed_ms is None and log.refusal is None:
+            host = self._homes[request]
+            self._perform(host, self._deciders[host].cancel(request, int(self._now_ms)))
+
+    def _tick(self, host: HostId) -> None:
+        self._perform(host, self._deciders[host].tick(int(self._now_ms)))
+        self._events.push(self._now_ms + TICK_MS, partial(self._tick, host))
+
+    def _perform(self, host: HostId, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case Dispatch():
+                    self._dispatch(host, action)
+                case Preempt(attempt=attempt):
+                    self._later(partial(self._preempt, attempt))
+                case Refuse(request=request, code=code):
+                    self.logs[request].refusal = code
+                case Send(to=to, message=message):
+                    self.messages += 1
+                    self._later(partial(self._deliver, host, to, message))
+
+    def _later(self, call: Callable[[], None]) -> None:
+        self._events.push(self._now_ms + NETWORK_MS, call)
+
+    def _deliver(self, sender: HostId, to: HostId, message: object) -> None:
+        assert isinstance(message, Demand | Grant)
+        decider = self._deciders.get(to)
+        if decider is not None:
+            self._perform(to, decider.receive(sender, message, int(self._now_ms)))
+
+    def _dispatch(self, host: HostId, dispatch: Dispatch) -> None:
+        log = self.logs[dispatch.request]
+        log.attempts += 1
+        if log.dispatched_ms is None:
+            log.dispatched_ms = self._now_ms
+        running = _Running(host, dispatch, self._engines[dispatch.upstream])
+        self._attempts[dispatch.attempt] = running
+        self._later(partial(self._admit, running))
+
+    def _admit(self, running: _Running) -> None:
+        if running.dispatch.attempt not in self._attempts:
+            return
+        if running.engine.down:
+            self._finish(running, AttemptResult.NOT_STARTED)
+            return
+        dispatch = running.dispatch
+        arrival = self.logs[dispatch.request].arrival
+        running.sequence = EngineSequence(
+            attempt=dispatch.attempt,
+            version=dispatch.version,
+            prompt_tokens=arrival.prompt_tokens + dispatch.start_position,
+            output_tokens=max(1, arrival.output_tokens - dispatch.start_position),
+            prefix_hashes=arrival.prefix_hashes,
+            arrived_ms=self._now_ms,
+        )
+        running.engine.admit(running.sequence)
+        self._step(running.engine)
+
+    def _step(self, engine: FakeEngine) -> None:
+        """Begin a step unless one is under way."""
+        if engine.stepping or engine.down:
+            return
+        step_ms = engine.begin_step()
+        if step_ms is None:
+            return
+        engine.stepping = True
+        epoch = engine.epoch
+        self._events.push(self._now_ms + step_ms, partial(self._end_step, engine, epoch))
+
+    def _end_step(self, engine: FakeEngine, epoch: int) -> None:
+        if engine.epoch != epoch:
+            return
+        engine.stepping = False
+        result = engine.end_step(self._now_ms)
+        for sequence in result.progressed:
+            self._progress(sequence)
+        for sequence in result.completed:
+            running = self._attempts.get(sequence.attempt)
+            if running is not None:
+                self._progress(sequence)
+                self._finish(running, AttemptResult.COMPLETED)
+        self._step(engine)
+
+    def _progress(self, sequence: EngineSequence) -> None:
+        running = self._attempts.get(sequence.attempt)
+        if running is None:
+            return
+        log = self.logs[running.dispatch.request]
+        if log.first_token_ms is None:
+            log.first_token_ms = self._now_ms
+        log.worst_gap_ms = max(log.worst_gap_ms, sequence.worst_gap_ms)
+        position = running.dispatch.start_position + sequence.generated_tokens
+        decider = self._deciders[running.host]
+        decider.attempt_progress(sequence.attempt, position, int(self._now_ms))
+
+    def _preempt(self, attempt: AttemptId) -> None:
+        running = self._attempts.get(attempt)
+        if running is None:
+            return
+        running.engine.cancel(attempt)
+        self.logs[running.dispatch.request].preemptions += 1
+        self._finish(running, AttemptResult.PREEMPTED)
+
+    def _finish(self, running: _Running, result: AttemptResult) -> None:
+        """Account for an attempt's end and tell its daemon."""
+        dispatch, sequence = running.dispatch, running.sequence
+        del self._attempts[dispatch.attempt]
+        log = self.logs[dispatch.request]
+        prefilled = sequence.prefilled_tokens if sequence else 0
+        if result is AttemptResult.COMPLETED:
+            self.useful_prefill_tokens += prefilled
+            log.completed_ms = self._now_ms
+        else:
+            self.wasted_prefill_tokens += prefilled
+        end = self._attempt_end(running, result)
+        if result is AttemptResult.COMPLETED and end.between_tokens_ms is not None:
+            log.mean_gap_ms = end.between_tokens_ms
+        actions = self._deciders[running.host].attempt_ended(end, int(self._now_ms))
+        self._perform(running.host, actions)
+
+    def _attempt_end(self, running: _Running, result: AttemptResult) -> AttemptEnd:
+        dispatch, sequence = running.dispatch, running.sequence
+        first_ms = between_ms = None
+        if sequence is not None and sequence.first_token_ms is not None:
+            first_ms = int(sequence.first_token_ms - sequence.arrived_ms)
+            if sequence.generated_tokens > 1:
+                span_ms = sequence.last_token_ms - sequence.first_token_ms
+                between_ms = int(span_ms / (sequence.generated_tokens - 1))
+        return AttemptEnd(
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            upstream=dispatch.upstream,
+            version=dispatch.version,
+            result=result,
+            position_tokens=dispatch.start_position
+            + (sequence.generated_tokens if sequence else 0),
+            prefill_tokens=sequence.prefilled_tokens if sequence else 0,
+            cached_tokens=sequence.cached_tokens if sequence else 0,
+            first_token_ms=first_ms,
+            between_tokens_ms=between_ms,
+        )
+
+    def _report(self, engine: FakeEngine) -> None:
+        """Publish a load report and cache events, which arrive late and with gaps."""
+        self._events.push(self._now_ms + REPORT_PERIOD_MS, partial(self._report, engine))
+        if engine.down:
+            return
+        report = engine.report(int(self._now_ms))
+        added, removed = engine.take_cache_events()
+        lost = self._rng.random() < CACHE_EVENT_LOSS
+        for decider in self._deciders.values():
+            self._events.push(self._now_ms + REPORT_LAG_MS, partial(decider.report, report))
+            if not lost and (added or removed):
+                self._events.push(
+                    self._now_ms + CACHE_EVENT_LAG_MS,
+                    partial(decider.cache_event, engine.upstream, added, removed),
+                )
+
+    def _begin_fault(self, fault: Fault) -> None:
+        engine = list(self._engines.values())[fault.engine]
+        if fault.kind is FaultKind.SLOW:
+            engine.slow_factor = fault.factor
+            return
+        for sequence in engine.kill():
+            running = self._attempts.get(sequence.attempt)
+            if running is not None:
+                self._finish(running, AttemptResult.CRASHED)
+
+    def _end_fault(self, fault: Fault) -> None:
+        engine = list(self._engines.values())[fault.engine]
+        if fault.kind is FaultKind.SLOW:
+            engine.slow_factor = 1.0
+        else:
+            engine.restart()
+
+
+def upstream_name(number: int) -> UpstreamId:
+    """Return the id of the engine with the given number."""
+    return UpstreamId(f"engine-{number}")
