Add the stand-in for the weight store and test the command

Loading a version must take time that depends on a shared rate, so that late moves can be tested. The command's ready line, environment settings, help and SIGTERM are tested for each stand-in.

--- a/libs/standins/src/skylarkmoor_standins/main.py
+++ b/libs/standins/src/skylarkmoor_standins/main.py
@@ -223,16 +223,37 @@
     serve(EngineService(model, clock, rng, settings["load_ms"], weights_url).app, address)
 
 
+@cli.command()
+@_address
+@_faults
+@_number("--bytes-per-s", 10_000_000, "Rate over all downloads.")
+@_number("--size-bytes", 20_000_000, "Size of each version.")
+def weights(address: Address, faults: dict[str, Any], bytes_per_s: int, size_bytes: int) -> None:
+    """Run the weight store.
+
+    Example: skylarkmoor-standin weights --address 127.0.0.1:7005 --size-bytes 1000000
+    """
+    from skylarkmoor_standins.server import merge_faults, serve
+    from skylarkmoor_standins.weights import WeightService
+    from skylarkmoor_standins.weights_model import WeightModel
+
+    clock = SystemClock()
+    model = WeightModel(bytes_per_s, size_bytes, clock.now_ms())
+    model.faults = merge_faults(model.faults, faults)
+    serve(WeightService(model, clock).app, address)
+
+
 def main() -> None:
     """Install the asyncio reactor and run the command."""
     # Importing klein installs the default reactor, so this comes first.
     from twisted.internet import asyncioreactor
+    from twisted.internet.error import CannotListenError
 
     install: Any = asyncioreactor.install
     install()
     try:
         cli()
-    except (SkylarkmoorError, ValueError) as error:
+    except (SkylarkmoorError, CannotListenError, ValueError) as error:
         print(f"skylarkmoor-standin: {error}", file=sys.stderr)
         sys.exit(2)
 
--- /dev/null
+++ b/libs/standins/tests/test_main.py
@@ -0,0 +1,54 @@
+"""Guards the command: ready line, environment settings, help with an example, SIGTERM."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+from click.testing import CliRunner
+
+from skylarkmoor_standins.main import cli
+
+COMMANDS = ["log", "hosts", "weights", "engine", "plain"]
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_help_has_an_example_and_names_the_variables(command):
+    result = CliRunner().invoke(cli, [command, "--help"], terminal_width=200)
+    assert result.exit_code == 0
+    assert f"Example: skylarkmoor-standin {command} " in result.output
+    assert f"SKYLARKMOOR_STANDIN_{command.upper()}_ADDRESS" in result.output
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [["--address", "localhost:80"], ["--faults", "[]"], ["--faults", "{"], ["--lag-ms", "-1"]],
+)
+def test_invalid_settings_are_refused(arguments):
+    result = CliRunner().invoke(cli, ["hosts", *arguments])
+    assert result.exit_code == 2
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_a_stand_in_prints_that_it_is_ready_and_stops_on_sigterm(command):
+    variables = {
+        "PYTHONPATH": os.pathsep.join(sys.path),
+        f"SKYLARKMOOR_STANDIN_{command.upper()}_ADDRESS": "127.0.0.1:0",
+    }
+    process = subprocess.Popen(
+        [sys.executable, "-m", "skylarkmoor_standins.main", command],
+        env=os.environ | variables,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        ready = json.loads(process.stdout.readline())
+        assert ready["ready"].startswith("127.0.0.1:")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=20) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
