--- a/libs/standins/src/skylarkmoor_standins/hosts_model.py
+++ b/libs/standins/src/skylarkmoor_standins/hosts_model.py
@@ -21,14 +21,14 @@
     LEAVING = "leaving"
 
 
-class HostEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=False):
-    """An entry of the list; `peer_address` is set for entry hosts only."""
+class HostEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry of the list; `service` is set for upstreams, `peer_address` for entry hosts."""
 
     host: str
     kind: HostKind
     address: str
     failure_domain: str
-    service: str = ""
+    service: str | None = None
     state: HostState = HostState.LIVE
     checks_fencing: bool = False
     peer_address: str | None = None
--- /dev/null
+++ b/libs/standins/tests/test_examples.py
@@ -0,0 +1,21 @@
+"""Guards the sample documents, which the demonstration publishes, against changes of the schema."""
+
+from pathlib import Path
+
+import pytest
+
+from skylarkmoor_core.document import decode_document
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+@pytest.mark.parametrize("service", ["assistant", "ordering"])
+def test_a_sample_document_is_valid(service):
+    document = decode_document((EXAMPLES / f"{service}.json").read_bytes())
+    assert document.service == service
+    assert len({customer.share for customer in document.customers}) > 2
+
+
+def test_orders_are_the_only_calls_that_must_not_run_twice():
+    document = decode_document((EXAMPLES / "ordering.json").read_bytes())
+    assert [route.name for route in document.routes if not route.idempotent] == ["order"]
--- a/libs/standins/tests/test_hosts.py
+++ b/libs/standins/tests/test_hosts.py
@@ -19,7 +19,7 @@
         "peer_address": "127.0.0.1:2",
     }
     assert await hosts.post("/hosts", {"add": [entry]}) == (200, {})
-    shown = entry | {"service": "", "state": "live", "checks_fencing": False}
+    shown = entry | {"service": None, "state": "live", "checks_fencing": False}
     assert await hosts.get("/hosts") == (200, {"hosts": [shown]})
     assert (await hosts.post("/hosts", {"leaving": ["h2"]}))[0] == 400
     await hosts.post("/faults", {"outage": True})
