Split the engine model and name the refusals

Types now stand in engine_types, refusals in refusals; behaviour is unchanged.

94 tests of libs/standins pass.

--- a/libs/standins/src/skylarkmoor_standins/engine.py
+++ b/libs/standins/src/skylarkmoor_standins/engine.py
@@ -15,23 +15,20 @@
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import MessageError
-from skylarkmoor_standins.engine_model import (
-    Attempt,
+from skylarkmoor_standins.engine_model import Attempt, EngineModel
+from skylarkmoor_standins.engine_types import Generate, KvHandle, Order
+from skylarkmoor_standins.engine_wire import LineWriter
+from skylarkmoor_standins.faults import merge_faults
+from skylarkmoor_standins.refusals import (
     AttemptExists,
-    EngineModel,
-    Generate,
     GenerateFailed,
-    KvHandle,
+    Leaving,
     OldFencing,
-    Order,
     UnknownAttempt,
     VersionNotLoaded,
 )
-from skylarkmoor_standins.engine_wire import LineWriter
-from skylarkmoor_standins.faults import merge_faults
-from skylarkmoor_standins.plain import CRASH_EXIT_CODE
-from skylarkmoor_standins.plain_model import Leaving
 from skylarkmoor_standins.server import (
+    CRASH_EXIT_CODE,
     Timer,
     answer,
     answer_leaving,
--- a/libs/standins/src/skylarkmoor_standins/engine_wire.py
+++ b/libs/standins/src/skylarkmoor_standins/engine_wire.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from skylarkmoor_standins.engine_model import Attempt, Ended, EngineFaults
+from skylarkmoor_standins.engine_model import Attempt
+from skylarkmoor_standins.engine_types import Ended, EngineFaults
 
 __all__ = ["LineWriter", "Lines"]
 
--- a/libs/standins/src/skylarkmoor_standins/main.py
+++ b/libs/standins/src/skylarkmoor_standins/main.py
@@ -216,7 +216,8 @@
     Example: skylarkmoor-standin engine --address 127.0.0.1:7004 --decode-ms 30 --max-batch 4
     """
     from skylarkmoor_standins.engine import EngineService
-    from skylarkmoor_standins.engine_model import EngineModel, EngineSettings
+    from skylarkmoor_standins.engine_model import EngineModel
+    from skylarkmoor_standins.engine_types import EngineSettings
     from skylarkmoor_standins.faults import merge_faults
     from skylarkmoor_standins.server import serve
 
--- a/libs/standins/src/skylarkmoor_standins/plain.py
+++ b/libs/standins/src/skylarkmoor_standins/plain.py
@@ -11,8 +11,10 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import MessageError
 from skylarkmoor_standins.faults import merge_faults
-from skylarkmoor_standins.plain_model import CallEnd, CallRecord, Leaving, PlainModel
+from skylarkmoor_standins.plain_model import CallEnd, CallRecord, PlainModel
+from skylarkmoor_standins.refusals import Leaving
 from skylarkmoor_standins.server import (
+    CRASH_EXIT_CODE,
     Timer,
     answer,
     answer_leaving,
@@ -23,9 +25,7 @@
     sleep_ms,
 )
 
-__all__ = ["CRASH_EXIT_CODE", "PlainService"]
-
-CRASH_EXIT_CODE = 70
+__all__ = ["PlainService"]
 
 
 class _Call(msgspec.Struct):
--- a/libs/standins/src/skylarkmoor_standins/plain_model.py
+++ b/libs/standins/src/skylarkmoor_standins/plain_model.py
@@ -10,21 +10,17 @@
 
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_standins.faults import Count, Share
+from skylarkmoor_standins.refusals import Leaving
 
 __all__ = [
     "CallEnd",
     "CallRecord",
-    "Leaving",
     "PlainFaults",
     "PlainModel",
     "body_text",
 ]
 
 
-class Leaving(Exception):
-    """The upstream is leaving and takes no new work."""
-
-
 class PlainFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Fault switches of a plain service.
 
--- a/libs/standins/src/skylarkmoor_standins/server.py
+++ b/libs/standins/src/skylarkmoor_standins/server.py
@@ -17,6 +17,7 @@
 from skylarkmoor_core.settings import Address
 
 __all__ = [
+    "CRASH_EXIT_CODE",
     "Timer",
     "answer",
     "answer_leaving",
@@ -33,6 +34,9 @@
 reactor: Any = _reactor
 _Site: Any = _server.Site
 
+# Tells the crash fault from other ends of a process.
+CRASH_EXIT_CODE = 70
+
 T = TypeVar("T")
 
 
--- a/libs/standins/tests/test_engine.py
+++ b/libs/standins/tests/test_engine.py
@@ -7,7 +7,8 @@
 import pytest_twisted
 
 from skylarkmoor_core.clock import SystemClock
-from skylarkmoor_standins.engine_model import EngineFaults, EngineModel, EngineSettings
+from skylarkmoor_standins.engine_model import EngineModel
+from skylarkmoor_standins.engine_types import EngineFaults, EngineSettings
 
 
 @pytest.fixture
--- a/libs/standins/tests/test_engine_model.py
+++ b/libs/standins/tests/test_engine_model.py
@@ -6,22 +6,24 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from skylarkmoor_standins.engine_model import (
-    AttemptExists,
+from skylarkmoor_standins.engine_model import EngineModel
+from skylarkmoor_standins.engine_types import (
     Ended,
     EngineFaults,
-    EngineModel,
     EngineSettings,
     Generate,
-    GenerateFailed,
-    OldFencing,
     Order,
     OrderKind,
-    UnknownAttempt,
     VersionFaults,
+)
+from skylarkmoor_standins.refusals import (
+    AttemptExists,
+    GenerateFailed,
+    Leaving,
+    OldFencing,
+    UnknownAttempt,
     VersionNotLoaded,
 )
-from skylarkmoor_standins.plain_model import Leaving
 
 SETTINGS = {
     "prefill_tokens_per_s": 1000,
--- a/libs/standins/tests/test_engine_wire.py
+++ b/libs/standins/tests/test_engine_wire.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from skylarkmoor_standins.engine_model import EngineFaults, EngineModel, EngineSettings, Generate
+from skylarkmoor_standins.engine_model import EngineModel
+from skylarkmoor_standins.engine_types import EngineFaults, EngineSettings, Generate
 from skylarkmoor_standins.engine_wire import LineWriter
 
 
--- a/libs/standins/tests/test_faults.py
+++ b/libs/standins/tests/test_faults.py
@@ -3,7 +3,7 @@
 import pytest
 
 from skylarkmoor_core.errors import MessageError
-from skylarkmoor_standins.engine_model import EngineFaults, VersionFaults
+from skylarkmoor_standins.engine_types import EngineFaults, VersionFaults
 from skylarkmoor_standins.faults import merge_faults
 from skylarkmoor_standins.log_model import LogFaults
 
--- a/libs/standins/tests/test_plain_model.py
+++ b/libs/standins/tests/test_plain_model.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from skylarkmoor_standins.plain_model import CallEnd, Leaving, PlainFaults, PlainModel, body_text
+from skylarkmoor_standins.plain_model import CallEnd, PlainFaults, PlainModel, body_text
+from skylarkmoor_standins.refusals import Leaving
 
 
 def make_service(capacity=8, **faults):
--- a/libs/standins/tests/test_weights.py
+++ b/libs/standins/tests/test_weights.py
@@ -5,7 +5,8 @@
 import pytest_twisted
 
 from skylarkmoor_core.clock import SystemClock
-from skylarkmoor_standins.engine_model import EngineModel, EngineSettings
+from skylarkmoor_standins.engine_model import EngineModel
+from skylarkmoor_standins.engine_types import EngineSettings
 from skylarkmoor_standins.weights_model import WeightFaults, WeightModel
 
 
