--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -16,6 +16,7 @@
     "Demand",
     "Digest",
     "DocumentOffer",
+    "DocumentQuery",
     "Envelope",
     "Fact",
     "FactKind",
@@ -179,11 +180,21 @@
 
 
 class DocumentOffer(_Message, frozen=True, tag="f"):
-    """An accepted document with its offset, for a peer that has an older one."""
+    """An accepted document with its offset, for a peer that has an older one.
+
+    `published` is the offset of the original publication; None stands for `offset`.
+    """
 
     service: ServiceName
     offset: Offset
     document: ServiceDocument
+    published: Offset | None = None
+
+
+class DocumentQuery(_Message, frozen=True, tag="w"):
+    """Ask for documents that are newer than those in force on the sender, by offset."""
+
+    offsets: dict[ServiceName, Offset]
 
 
 Message = (
@@ -198,6 +209,7 @@
     | OutcomeQuery
     | OutcomeAnswer
     | DocumentOffer
+    | DocumentQuery
 )
 
 
--- a/libs/core/src/skylarkmoor_core/records.py
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -19,6 +19,7 @@
 __all__ = [
     "AuditEntry",
     "Claim",
+    "ClaimBatch",
     "DocumentCarried",
     "DocumentPublished",
     "MoveEnded",
@@ -53,11 +54,16 @@
 
 
 class DocumentCarried(_Record, frozen=True):
-    """The accepted document at `predecessor` is repeated before retention ends."""
+    """The accepted document at `predecessor` is repeated before retention ends.
+
+    `published` is the offset of the original publication, which names the document's move;
+    None stands for `predecessor`.
+    """
 
     service: ServiceName
     document: ServiceDocument
     predecessor: Offset
+    published: Offset | None = None
 
 
 class MoveStep(_Record, frozen=True):
@@ -105,6 +111,15 @@
     key_hash: int
 
 
+class ClaimBatch(_Record, frozen=True):
+    """Claims and releases that one append brings into the log, in the order in which they count.
+
+    One record for each claim would exceed the appends that the log allows.
+    """
+
+    entries: tuple[Claim | Release, ...]
+
+
 class AuditEntry(_Record, frozen=True):
     """A change: who made it, what changed, from what to what, and at which offset."""
 
@@ -117,7 +132,16 @@
     offset: Offset | None = None
 
 
-Record = DocumentPublished | DocumentCarried | MoveStep | MoveEnded | Claim | Release | AuditEntry
+Record = (
+    DocumentPublished
+    | DocumentCarried
+    | MoveStep
+    | MoveEnded
+    | Claim
+    | Release
+    | ClaimBatch
+    | AuditEntry
+)
 
 _DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
 
