Count a draining host that has the document in force

Cause: in a trial with two daemons, `show` listed a draining host as current but left it out of the count. Change: the count goes by the offset alone.

--- a/libs/operator/src/skylarkmoor_operator/status.py
+++ b/libs/operator/src/skylarkmoor_operator/status.py
@@ -56,18 +56,19 @@
     current = 0
     lines: list[str] = []
     for host, status in statuses:
-        text = _in_force(held, status)
-        current += text == "current"
+        is_current, text = _in_force(held, status)
+        current += is_current
         lines.append(f"  {host.host} ({host.failure_domain}): {text}")
     click.echo(f"{service}: in force on {current} of {len(statuses)} entry hosts")
     for line in lines:
         click.echo(printable(line))
 
 
-def _in_force(held: AcceptedDocument, status: HostStatus | PlatformError) -> str:
+def _in_force(held: AcceptedDocument, status: HostStatus | PlatformError) -> tuple[bool, str]:
     if isinstance(status, PlatformError):
-        return f"unknown, {status}"
+        return False, f"unknown, {status}"
     offset = status.documents.get(held.document.service)
     if offset == held.offset:
-        return "current" if status.state == "alive" else f"current, {status.state}"
-    return f"{'no document' if offset is None else f'offset {offset}'}, {status.state}"
+        return True, "current" if status.state == "alive" else f"current, {status.state}"
+    text = "no document" if offset is None else f"offset {offset}"
+    return False, f"{text}, {status.state}"
--- a/libs/operator/tests/test_status.py
+++ b/libs/operator/tests/test_status.py
@@ -54,6 +54,7 @@
     hosts = [
         entry_host("a", serve(status_app({"state": "alive", "documents": {"assistant": 1}}))),
         entry_host("b", serve(status_app({"state": "draining", "documents": {"assistant": 0}}))),
+        entry_host("b2", serve(status_app({"state": "draining", "documents": {"assistant": 1}}))),
         entry_host("c", serve(status_app({"state": "alive", "documents": {}}))),
         entry_host("d", "http://127.0.0.1:1"),
         entry_host("e", serve(status_app([]))),
@@ -62,16 +63,17 @@
     code = await show(LogClient(log_url), HostListClient(serve(hosts_app(hosts))), None)
     lines = capsys.readouterr().out.splitlines()
     assert code is ExitCode.DONE
-    assert lines[:4] == [
+    assert lines[:5] == [
         "assistant: accepted at offset 1, version v2, by mair at 1970-01-01T00:00:01Z",
-        "assistant: in force on 1 of 6 entry hosts",
+        "assistant: in force on 2 of 7 entry hosts",
         "  a (nadi): current",
         "  b (nadi): offset 0, draining",
+        "  b2 (nadi): current, draining",
     ]
-    assert lines[4] == "  c (nadi): no document, alive"
-    assert lines[5].startswith("  d (nadi): unknown")
-    assert lines[6].startswith("  e (nadi): unknown")
-    assert lines[7].startswith("  f (nadi): unknown")
+    assert lines[5] == "  c (nadi): no document, alive"
+    assert lines[6].startswith("  d (nadi): unknown")
+    assert lines[7].startswith("  e (nadi): unknown")
+    assert lines[8].startswith("  f (nadi): unknown")
 
 
 @pytest_twisted.ensureDeferred
