Use the shared follower of documents in the operator commands

The cases of test_replay.py are kept unchanged and run through ConfigHistory. The round-trip tests of core now name every kind of message and record; they had missed DocumentQuery and ClaimBatch, which were added since.

--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -1,6 +1,7 @@
 """Guards peer messages against loss in a round trip and against rubbish from the network."""
 
 import contextlib
+from typing import get_args
 
 import msgspec
 import pytest
@@ -16,6 +17,7 @@
     Demand,
     Digest,
     DocumentOffer,
+    DocumentQuery,
     Envelope,
     Fact,
     FactKind,
@@ -23,6 +25,7 @@
     Grant,
     Heartbeat,
     HostState,
+    Message,
     OutcomeAnswer,
     OutcomeQuery,
     ReleaseRequest,
@@ -50,10 +53,15 @@
     ReleaseRequest("nadi-1/5/1", 2**64 - 1),
     OutcomeQuery("nadi-1/5/1", 6),
     OutcomeAnswer("nadi-1/5/1", 6, True, Outcome.RAN, 200, b"\x00\xff"),
-    DocumentOffer("orders", 3, DOCUMENT),
+    DocumentOffer("orders", 3, DOCUMENT, 1),
+    DocumentQuery({"orders": 3}),
 ]
 
 
+def test_every_kind_is_covered():
+    assert {type(message) for message in MESSAGES} == set(get_args(Message))
+
+
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda message: type(message).__name__)
 def test_message_survives_a_round_trip(message):
     envelope = Envelope("nadi-1", 5, message)
--- a/libs/core/tests/test_records.py
+++ b/libs/core/tests/test_records.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+from typing import get_args
 
 import pytest
 from hypothesis import given, seed
@@ -12,11 +13,13 @@
 from skylarkmoor_core.records import (
     AuditEntry,
     Claim,
+    ClaimBatch,
     DocumentCarried,
     DocumentPublished,
     MoveEnded,
     MoveResult,
     MoveStep,
+    Record,
     Release,
     decode_record,
     encode_record,
@@ -30,10 +33,19 @@
     customers=(Customer(name="depots"),),
     version="v1",
 )
+CLAIM = Claim(
+    claim="bangor-1/5/1",
+    key_hash=2**64 - 1,
+    body_hash=0,
+    host="bangor-1",
+    incarnation=5,
+    issued_wall_ms=7,
+)
+RELEASE = Release(claim="bangor-1/5/1", key_hash=2**64 - 1)
 RECORDS = [
     DocumentPublished(service="orders", document=DOCUMENT, based_on=None, author="mair"),
     DocumentPublished(service="orders", document=DOCUMENT, based_on=3, author="mair", reason="x"),
-    DocumentCarried(service="orders", document=DOCUMENT, predecessor=3),
+    DocumentCarried(service="orders", document=DOCUMENT, predecessor=3, published=1),
     MoveStep(
         service="orders",
         move="orders@3",
@@ -51,19 +63,17 @@
         why="errors",
         author="bangor-1",
     ),
-    Claim(
-        claim="bangor-1/5/1",
-        key_hash=2**64 - 1,
-        body_hash=0,
-        host="bangor-1",
-        incarnation=5,
-        issued_wall_ms=7,
-    ),
-    Release(claim="bangor-1/5/1", key_hash=2**64 - 1),
+    CLAIM,
+    RELEASE,
+    ClaimBatch(entries=(CLAIM, RELEASE)),
     AuditEntry(who="mair", what="publish orders", before="a", after="b", at_ms=7, offset=3),
 ]
 
 
+def test_every_kind_is_covered():
+    assert {type(record) for record in RECORDS} == set(get_args(Record))
+
+
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
 def test_record_survives_a_round_trip_under_its_name(record):
     data = encode_record(record)
--- a/libs/operator/src/skylarkmoor_operator/history.py
+++ b/libs/operator/src/skylarkmoor_operator/history.py
@@ -7,8 +7,8 @@
 from skylarkmoor_core.errors import MessageError
 from skylarkmoor_core.ids import Offset, ServiceName
 from skylarkmoor_core.records import DocumentCarried, DocumentPublished
-from skylarkmoor_operator.replay import Accepted, Decision, DocumentFollower
 from skylarkmoor_platform.logservice import LogClient, LogEntry
+from skylarkmoor_policy.configuration import Accepted, DocumentFollower, Ignored, Rejected
 
 __all__ = ["CONFIG_STREAM", "AcceptedDocument", "ConfigHistory", "read_to_end"]
 
@@ -53,7 +53,7 @@
         """Offset of the next entry to read."""
         return self._follower.next_offset
 
-    def apply(self, entry: LogEntry) -> Decision:
+    def apply(self, entry: LogEntry) -> Accepted | Rejected | Ignored:
         """Take the next entry of the stream."""
         decision = self._follower.apply(entry.offset, entry.record or MessageError(entry.error))
         match decision, entry.record:
--- a/libs/operator/src/skylarkmoor_operator/publish.py
+++ b/libs/operator/src/skylarkmoor_operator/publish.py
@@ -11,11 +11,11 @@
 from skylarkmoor_core.ids import Offset
 from skylarkmoor_core.records import DocumentPublished
 from skylarkmoor_operator.history import CONFIG_STREAM, AcceptedDocument, ConfigHistory
-from skylarkmoor_operator.replay import Accepted, Ignored, Rejected
 from skylarkmoor_operator.runner import ExitCode, fail, pause, warn
 from skylarkmoor_operator.text import printable, time_text
 from skylarkmoor_operator.trail import write_audit
 from skylarkmoor_platform.logservice import LogClient
+from skylarkmoor_policy.configuration import Accepted, Ignored, Rejected
 
 __all__ = ["Base", "Patience", "move_faults", "publish"]
 
--- /dev/null
+++ b/libs/operator/tests/test_history.py
@@ -0,0 +1,74 @@
+"""Guards the history of documents against deciding otherwise than every other reader."""
+
+import pytest
+
+from skylarkmoor_core.records import DocumentCarried
+from skylarkmoor_operator.history import ConfigHistory
+from skylarkmoor_platform.logservice import LogEntry
+from skylarkmoor_policy.configuration import Accepted, Ignored, Rejected
+
+
+def apply(history, offset, record):
+    return history.apply(LogEntry(offset, 0, record))
+
+
+def carry(publication, predecessor):
+    published = publication(None)
+    return DocumentCarried(
+        service=published.service, document=published.document, predecessor=predecessor
+    )
+
+
+def test_first_of_two_racing_publications_wins(publication):
+    history = ConfigHistory()
+    decisions = [
+        apply(history, 0, publication(None)),
+        apply(history, 1, publication(0, version="v2")),
+        apply(history, 2, publication(0, version="v3")),
+    ]
+    assert [type(decision) for decision in decisions] == [Accepted, Accepted, Rejected]
+    assert history.accepted("assistant").offset == 1
+
+
+@pytest.mark.parametrize("base", [None, 0, 2])
+def test_publication_on_another_base_is_rejected(publication, base):
+    history = ConfigHistory()
+    apply(history, 0, publication(None))
+    apply(history, 1, publication(0))
+    assert isinstance(apply(history, 2, publication(base)), Rejected)
+
+
+def test_publication_based_on_a_replaced_copy_is_rejected(publication):
+    history = ConfigHistory()
+    apply(history, 0, publication(None))
+    assert isinstance(apply(history, 1, carry(publication, 0)), Accepted)
+    assert isinstance(apply(history, 2, publication(0)), Rejected)
+    assert isinstance(apply(history, 3, carry(publication, 0)), Rejected)
+    assert history.accepted("assistant").offset == 1
+
+
+def test_invalid_document_is_rejected_with_its_faults(publication):
+    history = ConfigHistory()
+    decision = apply(history, 0, publication(None, version="Not A Name"))
+    assert isinstance(decision, Rejected)
+    assert "$.version" in decision.reason
+
+
+def test_undecodable_record_changes_nothing(publication):
+    history = ConfigHistory()
+    apply(history, 0, publication(None))
+    history.apply(LogEntry(1, 0, None, "not a record"))
+    assert isinstance(apply(history, 2, publication(0)), Accepted)
+
+
+def test_repeated_record_is_ignored(publication):
+    history = ConfigHistory()
+    apply(history, 0, publication(None))
+    assert isinstance(apply(history, 0, publication(None)), Ignored)
+
+
+def test_reader_that_starts_after_retention_takes_the_carried_document(publication):
+    history = ConfigHistory()
+    assert isinstance(apply(history, 7, carry(publication, 3)), Accepted)
+    assert isinstance(apply(history, 8, publication(3)), Rejected)
+    assert isinstance(apply(history, 9, publication(7)), Accepted)
