Let a changed document continue its move

Cause: a move was named by the offset of the last publication, so a change of a limit in the middle of a move began it anew, tried a stopped version again, and took all requests back to the old version after the move's end. Change: DocumentPublished has an optional field with the publication that the move continues from; readers accept it only if version and move are those in force. DocumentFollower.publication builds the record. Result: the tests of libs pass. The operator commands do not set the field yet; until they do, a publication begins the move anew as before.

--- a/libs/core/src/skylarkmoor_core/records.py
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -44,13 +44,19 @@
 
 
 class DocumentPublished(_Record, frozen=True):
-    """An operator publishes a document, based on the accepted one at offset `based_on`."""
+    """An operator publishes a document, based on the accepted one at offset `based_on`.
+
+    `continues` is set if the document asks for the same move as the one before and changes
+    other parts only: the offset of the publication that names the move. Without it, the move
+    would begin anew with each change, and a version that was stopped would be tried again.
+    """
 
     service: ServiceName
     document: ServiceDocument
     based_on: Offset | None
     author: str
     reason: str = ""
+    continues: Offset | None = None
 
 
 class DocumentCarried(_Record, frozen=True):
--- a/libs/policy/src/skylarkmoor_policy/configuration.py
+++ b/libs/policy/src/skylarkmoor_policy/configuration.py
@@ -149,11 +149,11 @@
         self.skip_to(offset)
         self._next = offset + 1
         match record:
-            case DocumentPublished(service=service, document=document, based_on=base):
-                return self._decide(offset, service, document, base, None)
-            case DocumentCarried(service=service, document=document, predecessor=base):
+            case DocumentPublished(based_on=base):
+                return self._decide(offset, record, base, record.continues)
+            case DocumentCarried(predecessor=base):
                 published = base if record.published is None else record.published
-                return self._decide(offset, service, document, base, published)
+                return self._decide(offset, record, base, published)
             case MessageError():
                 return Rejected(None, offset, str(record))
             case _:
@@ -211,14 +211,36 @@
             published=current.published,
         )
 
+    def publication(
+        self, document: ServiceDocument, author: str, reason: str = ""
+    ) -> DocumentPublished:
+        """Return the record that publishes `document` after the one in force.
+
+        Notes
+        -----
+        A document with the same version and move as the one in force continues that move.
+        """
+        current = self._current.get(document.service)
+        continues = None
+        if current is not None and _asks_the_same(document, current.document):
+            continues = current.published
+        return DocumentPublished(
+            service=document.service,
+            document=document,
+            based_on=None if current is None else current.offset,
+            author=author,
+            reason=reason,
+            continues=continues,
+        )
+
     def _decide(
         self,
         offset: Offset,
-        service: ServiceName,
-        document: ServiceDocument,
+        record: DocumentPublished | DocumentCarried,
         base: Offset | None,
         published: Offset | None,
     ) -> Accepted | Rejected | Ignored:
+        service, document = record.service, record.document
         current = self._current.get(service)
         if current is not None and offset <= current.offset:
             return Ignored(offset, f"offset {current.offset} from a peer is in force")
@@ -232,10 +254,12 @@
             after_gap = -1 if base is None else base
         else:
             return Rejected(service, offset, f"based on {base}, but {in_force} is in force")
-        if published is not None and current is not None and base == current.offset:
-            if document != current.document:
-                return Rejected(service, offset, f"differs from the document at {base}")
-            published = current.published
+        if current is not None and base == current.offset:
+            reason = _identity_fault(record, current)
+            if reason is not None:
+                return Rejected(service, offset, reason)
+            if published is not None:
+                published = current.published
         if published is None:
             published = offset
         return self._accept(service, _Current(offset, published, document, after_gap))
@@ -266,6 +290,23 @@
         return current.after_gap is not None and base > current.after_gap
 
 
+def _identity_fault(record: DocumentPublished | DocumentCarried, current: _Current) -> str | None:
+    """Return why a record may not keep the publication of the document in force."""
+    match record:
+        case DocumentCarried(document=document) if document != current.document:
+            return f"differs from the document at {current.offset}"
+        case DocumentPublished(document=document, continues=published) if published is not None:
+            if not _asks_the_same(document, current.document):
+                return f"asks for another move than the document at {current.offset}"
+            if published != current.published:
+                return f"continues {published}, but the move is that of {current.published}"
+    return None
+
+
+def _asks_the_same(one: ServiceDocument, other: ServiceDocument) -> bool:
+    return one.version == other.version and one.move == other.move
+
+
 def _fault(service: ServiceName, document: ServiceDocument) -> str | None:
     if document.service != service:
         return f"$.service: {document.service!r} in a record of {service!r}"
--- a/libs/policy/tests/test_configuration.py
+++ b/libs/policy/tests/test_configuration.py
@@ -5,7 +5,14 @@
 import msgspec
 import pytest
 
-from skylarkmoor_core.document import Customer, Route, ServiceDocument, ServiceKind, Tier
+from skylarkmoor_core.document import (
+    Customer,
+    Route,
+    ServiceDocument,
+    ServiceKind,
+    Tier,
+    VersionMove,
+)
 from skylarkmoor_core.errors import MessageError
 from skylarkmoor_core.messages import DocumentOffer
 from skylarkmoor_core.records import DocumentCarried, DocumentPublished
@@ -102,6 +109,48 @@
     assert in_force(follower) == (0, "v1")
 
 
+MOVE = VersionMove(version="v2", by_ms=10**9)
+MOVING = msgspec.structs.replace(DOCUMENT, move=MOVE)
+
+
+def moving(based_on, continues=None, **changes):
+    changed = msgspec.structs.replace(MOVING, **changes)
+    return DocumentPublished(
+        service="assistant",
+        document=changed,
+        based_on=based_on,
+        author="anwen",
+        continues=continues,
+    )
+
+
+def test_change_of_another_part_continues_the_move():
+    # The move would begin anew otherwise, and try a version again that was stopped.
+    follower = replay([published(None), moving(0)])
+    limits = msgspec.structs.replace(DOCUMENT.limits, max_waiting=5)
+    record = follower.publication(msgspec.structs.replace(MOVING, limits=limits), "anwen")
+    assert (record.based_on, record.continues) == (1, 1)
+    follower.apply(2, record)
+    assert in_force(follower) == (2, "v1")
+    assert follower.published("assistant") == 1
+
+
+def test_other_move_is_a_new_one():
+    follower = replay([published(None), moving(0)])
+    later = msgspec.structs.replace(MOVE, by_ms=2 * 10**9)
+    record = follower.publication(msgspec.structs.replace(MOVING, move=later), "anwen")
+    assert record.continues is None
+    follower.apply(2, record)
+    assert follower.published("assistant") == 2
+
+
+@pytest.mark.parametrize("record", [moving(1, continues=0), moving(1, continues=1, version="v9")])
+def test_publication_that_continues_what_is_not_in_force_is_rejected(record):
+    follower = replay([published(None), moving(0)])
+    assert isinstance(follower.apply(2, record), Rejected)
+    assert in_force(follower) == (1, "v1")
+
+
 def test_offer_from_a_peer_replaces_an_older_document_and_log_goes_on_from_it():
     follower = replay([published(None)])
     offer = DocumentOffer("assistant", 5, document("v5"), published=3)
