Continue a move when another part of the document changes

Cause: a publication did not name the move in progress, so an unrelated change would have restarted it and tried a stopped version again.

--- a/libs/operator/src/skylarkmoor_operator/history.py
+++ b/libs/operator/src/skylarkmoor_operator/history.py
@@ -79,6 +79,12 @@
         """Return the accepted document of `service`, if there is one."""
         return self._accepted.get(service)
 
+    def publication(
+        self, document: ServiceDocument, author: str, reason: str = ""
+    ) -> DocumentPublished:
+        """Return the record that publishes `document` after the one accepted so far."""
+        return self._follower.publication(document, author, reason)
+
     def services(self) -> list[ServiceName]:
         """Return all services that have an accepted document, by name."""
         return sorted(self._accepted)
--- a/libs/operator/src/skylarkmoor_operator/publish.py
+++ b/libs/operator/src/skylarkmoor_operator/publish.py
@@ -91,13 +91,7 @@
         fail(f"not published: it is based on offset {based_on.offset}; {_winner(document, before)}")
         return ExitCode.REFUSED
     _warn_if_short_of_time(document, clock.wall_ms())
-    record = DocumentPublished(
-        service=document.service,
-        document=document,
-        based_on=accepted,
-        author=author,
-        reason=reason,
-    )
+    record = history.publication(document, author, reason)
     try:
         decision = await _append_and_read_back(log, clock, history, record, patience)
     except LogRateLimited as error:
--- a/libs/operator/tests/test_publish.py
+++ b/libs/operator/tests/test_publish.py
@@ -2,10 +2,12 @@
 
 import json
 
+import msgspec
 import pytest
 import pytest_twisted
 
 from skylarkmoor_core.clock import ManualClock, SystemClock
+from skylarkmoor_core.document import Limits
 from skylarkmoor_core.errors import LogOutage
 from skylarkmoor_core.records import AuditEntry, DocumentCarried, decode_record, encode_record
 from skylarkmoor_operator.publish import Base, Patience, move_faults, publish
@@ -61,6 +63,17 @@
     )
 
 
+@pytest_twisted.ensureDeferred
+async def test_change_beside_a_move_continues_it(fake_log, publisher, make_document):
+    move = make_document("v1", move_to="v2")
+    assert await publisher.publish(move) is ExitCode.DONE
+    assert (
+        await publisher.publish(msgspec.structs.replace(move, limits=Limits(max_waiting=5)))
+        is ExitCode.DONE
+    )
+    assert fake_log.streams["config"][1]["data"]["continues"] == 0
+
+
 @pytest_twisted.ensureDeferred
 async def test_first_document_has_no_base(fake_log, publisher, make_document, capsys):
     assert await publisher.publish(make_document()) is ExitCode.DONE
