Let lower tiers give way as their attempts end

Nearly every higher-tier request preempted one or more lower-tier ones, and their prefill was wasted. Cuts were also divided evenly, so that several daemons lost a whole request each.

Grants now tell how much may be started and how much may go on running. Cuts take whole requests from the daemons that run most.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -131,6 +131,8 @@
     capacity: int = 0
     # Cost that is not allocated to this tier or a higher one, by tier.
     room: tuple[int, ...] = ()
+    # Cost that may go on running, by tier, where it is more than may be started anew.
+    keep: tuple[int, ...] = ()
 
 
 class ClaimRequest(_Message, frozen=True, tag="c"):
--- a/libs/policy/src/skylarkmoor_policy/allocation.py
+++ b/libs/policy/src/skylarkmoor_policy/allocation.py
@@ -51,9 +51,8 @@
 
     Notes
     -----
-    Running work is cut only in favour of waiting work in a higher tier: cancelling it for
-    fairness within a tier, or because the capacity was lowered, would waste its prefill.
-    While more runs than the capacity, new work only displaces lower-tier work.
+    Within a tier, running work comes before waiting work: cancelling it for fairness would
+    waste its prefill. Fairness follows as attempts end.
 
     If the next request of the daemon that has least does not fit, no further waiting work
     of its tier or a lower one is allowed. Otherwise small requests would keep a large one
@@ -69,12 +68,12 @@
     if capacity < 0:
         raise ValueError(f"capacity must not be negative, got {capacity}")
     tiers = max((len(demand.running) for demand in demands.values()), default=0)
-    left = max(capacity, sum(sum(demand.running) for demand in demands.values()))
+    left = capacity
     given = {host: [0] * tiers for host in demands}
     smallest = max(1, unit, capacity // _MAX_STEPS)
     blocked: tuple[HostId, int] | None = None
     for tier in range(tiers):
-        left -= _give_running(left, demands, given, tier)
+        left -= _give_running(left, demands, given, tier, smallest)
         if blocked is None:
             left, short = _give_waiting(left, demands, given, tier, smallest)
             blocked = None if short is None else (short, tier)
@@ -87,14 +86,27 @@
 
 
 def _give_running(
-    left: int, demands: Mapping[HostId, HostDemand], given: dict[HostId, list[int]], tier: int
+    left: int,
+    demands: Mapping[HostId, HostDemand],
+    given: dict[HostId, list[int]],
+    tier: int,
+    smallest: int,
 ) -> int:
-    hosts = sorted((demand.running[tier], host) for host, demand in demands.items())
-    total = 0
-    for i, (running, host) in enumerate(hosts):
-        share = (left - total) // (len(hosts) - i)
-        given[host][tier] = min(running, share)
-        total += given[host][tier]
+    """Allow running work and return its cost.
+
+    If not all fits, the daemons that run most are cut first and by whole requests. An even
+    cut would be less than one request for each and cost every daemon one.
+    """
+    total = sum(demand.running[tier] for demand in demands.values())
+    heap = [(-demand.running[tier], host) for host, demand in demands.items()]
+    heapq.heapify(heap)
+    while total > left:
+        cost, host = heapq.heappop(heap)
+        step = min(smallest, -cost)
+        total -= step
+        heapq.heappush(heap, (cost + step, host))
+    for cost, host in heap:
+        given[host][tier] = -cost
     return total
 
 
--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -83,8 +83,9 @@
 class _Holder:
     demand: Demand
     expires_ms: int
-    # Allowed cost in the newest grant.
+    # Cost allowed and kept in the newest grant.
     granted: tuple[int, ...] | None = None
+    kept: tuple[int, ...] = ()
 
 
 class CreditTable:
@@ -137,19 +138,26 @@
         holder = self._holders.get(sender)
         if holder is not None and demand.seq <= holder.demand.seq:
             return False
-        granted = None if holder is None else holder.granted
-        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS, granted)
+        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS)
+        if holder is not None:
+            self._holders[sender].granted = holder.granted
+            self._holders[sender].kept = holder.kept
         return True
 
     def grants(
-        self, capacity: int, unit: int, now_ms: int, answer: HostId | None = None
+        self, capacity: int, hard: int, unit: int, now_ms: int, answer: HostId | None = None
     ) -> list[tuple[HostId, Grant]]:
         """Return the grants to send.
 
         Parameters
         ----------
-        capacity, unit : int
-            Learnt capacity of the upstream and least cost of a request.
+        capacity : int
+            Learnt capacity of the upstream.
+        hard : int
+            Cost beyond which running work of lower tiers is preempted. Between the two, work
+            of a higher tier may start and lower tiers give way as their attempts end.
+        unit : int
+            Least cost of a request.
         now_ms : int
             Monotonic time.
         answer : HostId, optional
@@ -165,13 +173,15 @@
             return []
         demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
         allowed = allocate(capacity, demands, unit)
+        keep = allocate(max(hard, self.running), demands, unit)
         room = self._room(capacity, demands, allowed)
         result = []
         for host, holder in self._holders.items():
-            if host != answer and not _differs(holder, allowed[host], unit):
+            if host != answer and not _differs(holder, allowed[host], keep[host], unit):
                 continue
             self._seq = max(self._seq + 1, now_ms)
             holder.granted = allowed[host]
+            holder.kept = keep[host]
             grant = Grant(
                 self._upstream,
                 self._seq,
@@ -180,6 +190,7 @@
                 holder.demand.seq,
                 capacity,
                 room,
+                keep[host],
             )
             result.append((host, grant))
         return result
@@ -212,12 +223,16 @@
         return tuple(room)
 
 
-def _differs(holder: _Holder, allowed: tuple[int, ...], unit: int) -> bool:
+def _differs(holder: _Holder, allowed: tuple[int, ...], keep: tuple[int, ...], unit: int) -> bool:
     """Return whether a daemon has to hear of its new credit before its next renewal."""
     if holder.granted is None:
         return True
     granted = _fit(holder.granted, len(allowed))
     pairs = list(zip(_suffixes(allowed), _suffixes(granted), strict=True))
+    kept = _suffixes(_fit(holder.kept, len(keep)))
+    pairs_kept = zip(_suffixes(keep), kept, _suffixes(holder.demand.running), strict=False)
+    if any(new < run and new < old for new, old, run in pairs_kept):
+        return True
     if any(new <= old - unit for new, old in pairs):
         return True
     return any(holder.demand.waiting) and any(new >= old + unit for new, old in pairs)
@@ -228,8 +243,9 @@
     seq: int = -1
     owner: HostId | None = None
     allowed: tuple[int, ...] = ()
-    # Sums of `allowed` over each tier and the lower ones.
+    # Sums of the cost that may be started and kept, over each tier and the lower ones.
     suffixes: list[int] = field(default_factory=list)
+    keep: list[int] = field(default_factory=list)
     expires_ms: int = -1
     answers: int = -1
     room: tuple[int, ...] = ()
@@ -307,7 +323,8 @@
         self._stopping += [0] * more
         self._waiting += (0,) * more
         self._units += (1,) * more
-        self._lease.suffixes = _suffixes(_fit(self._lease.allowed, tiers))
+        self._lease.suffixes += [0] * more
+        self._lease.keep += [0] * more
 
     @property
     def running(self) -> tuple[int, ...]:
@@ -350,6 +367,15 @@
             hints = tuple(map(operator.sub, allowed, self._running))
         return list(map(max, rooms, hints))
 
+    def displaces(self, tier: int, now_ms: int) -> bool:
+        """Return whether lower-tier work may run that a tier could displace.
+
+        Without word from the owner it is taken to run.
+        """
+        if not self.leased(now_ms) or not self._lease.room:
+            return True
+        return _fit(self._lease.room, self._tiers)[tier] >= self.bounds.unit
+
     def start(self, tier: int, cost: int, now_ms: int) -> None:
         """Note that an attempt was started."""
         self._running[tier] += cost
@@ -369,14 +395,22 @@
 
     def excess(self, now_ms: int) -> list[tuple[int, int]]:
         """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
-        if self.leased(now_ms) and now_ms < self._hold_until_ms:
-            return []
         allowed = self._allowed_suffixes(now_ms)
+        if allowed is self._lease.suffixes:
+            allowed = list(map(max, allowed, self._lease.keep))
         live = [run - stop for run, stop in zip(self._running, self._stopping, strict=True)]
         pairs = zip(_suffixes(live), allowed, strict=True)
         over = [(tier, run - allow) for tier, (run, allow) in enumerate(pairs) if run > allow]
+        if self.leased(now_ms) and now_ms < self._hold_until_ms:
+            return []
         return over[::-1]
 
+    def spare(self, now_ms: int) -> bool:
+        """Return whether the owner has credit that nobody wants, as far as known."""
+        if not self.leased(now_ms) or not self._lease.room:
+            return True
+        return self._lease.room[-1] >= self.bounds.unit
+
     def wait(self, waiting: tuple[int, ...], units: tuple[int, ...]) -> None:
         """Set the cost that waits for this upstream and the cost of each tier's next request."""
         self._waiting = waiting
@@ -396,6 +430,7 @@
             sender,
             grant.allowed,
             _suffixes(_fit(grant.allowed, self._tiers)),
+            _suffixes(_fit(grant.keep or grant.allowed, self._tiers)),
             answered.at_ms + grant.lease_ms,
             grant.answers,
             grant.room,
