Learn capacity from smoothed latency

One daemon measures few streams, so a single bad measurement in the first seconds halved the capacity, and it took more than 10 s to return.

The owner smooths the pressure of all demands and lowers the capacity by a fifth at a time.

--- a/libs/policy/src/skylarkmoor_policy/capacity.py
+++ b/libs/policy/src/skylarkmoor_policy/capacity.py
@@ -24,8 +24,10 @@
 _FLOOR_PERCENT = 10
 _INCREASE_PERCENT = 3
 _INCREASE_EVERY_MS = 250
-_DECREASE_PERCENT = 90
+_DECREASE_PERCENT = 80
 _DECREASE_EVERY_MS = 1_000
+# Each daemon measures a few streams only, so one measurement is noisy.
+_PRESSURE_WEIGHT = 0.2
 # Latency above this part of its bound leaves no margin for an increase.
 _EASY_PERCENT = 90
 # Evidence counts for an increase only if this part of the capacity was in use.
@@ -85,6 +87,7 @@
     def __init__(self, bounds: Bounds, start_percent: int = 100) -> None:
         self._bounds = bounds
         self._value = self._clamp(bounds.limit * start_percent // 100)
+        self._pressure = float(_EASY_PERCENT)
         self._increased_ms = 0
         self._decreased_ms = 0
 
@@ -116,26 +119,28 @@
         now_ms : int
             Monotonic time.
         """
+        if pressure_percent <= 0:
+            return False
         before = self._value
-        if pressure_percent > 100:
+        self._pressure += _PRESSURE_WEIGHT * (pressure_percent - self._pressure)
+        if self._pressure > 100:
             self._decrease(running, now_ms)
-        elif 0 < pressure_percent <= _EASY_PERCENT and running * 100 >= self._value * _FULL_PERCENT:
+        elif self._pressure <= _EASY_PERCENT and running * 100 >= self._value * _FULL_PERCENT:
             self._increase(now_ms)
         return self._value != before
 
     def _decrease(self, running: int, now_ms: int) -> None:
         # While more runs than an earlier decrease allows, its effect cannot be seen yet.
-        settled = running <= self._value and now_ms - self._decreased_ms >= _DECREASE_EVERY_MS
-        if settled:
-            self._value = self._clamp(max(running, self._value // 2) * _DECREASE_PERCENT // 100)
+        if running <= self._value and now_ms - self._decreased_ms >= _DECREASE_EVERY_MS:
+            self._value = self._clamp(self._value * _DECREASE_PERCENT // 100)
             self._decreased_ms = now_ms
+            self._pressure = _EASY_PERCENT
 
     def _increase(self, now_ms: int) -> None:
         recent = max(self._increased_ms, self._decreased_ms)
         if now_ms - recent >= _INCREASE_EVERY_MS:
-            self._value = self._clamp(
-                self._value + max(1, self._bounds.limit * _INCREASE_PERCENT // 100)
-            )
+            step = max(1, self._bounds.limit * _INCREASE_PERCENT // 100)
+            self._value = self._clamp(self._value + step)
             self._increased_ms = now_ms
 
     def _clamp(self, value: int) -> int:
--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -405,12 +405,6 @@
             return []
         return over[::-1]
 
-    def spare(self, now_ms: int) -> bool:
-        """Return whether the owner has credit that nobody wants, as far as known."""
-        if not self.leased(now_ms) or not self._lease.room:
-            return True
-        return self._lease.room[-1] >= self.bounds.unit
-
     def wait(self, waiting: tuple[int, ...], units: tuple[int, ...]) -> None:
         """Set the cost that waits for this upstream and the cost of each tier's next request."""
         self._waiting = waiting
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -2,7 +2,6 @@
 
 import heapq
 import random
-from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -68,10 +67,6 @@
 # Higher-tier work may overfill an engine by this part while lower tiers give way as their
 # attempts end. Preempting at once would waste prefill for nearly every higher-tier request.
 _OVERFILL_PERCENT = 10
-# A higher tier first waits this long for credit that attempts of this daemon give back when
-# they end. Asking the owner at once would preempt work for nearly every request.
-_PATIENCE_MS = 1
-_TURNOVER_MS = 1_000
 _RETRY_AFTER_MS = 1_000
 # Time for waiting requests after a drain begins.
 _DRAIN_MS = 10_000
@@ -255,10 +250,6 @@
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
-        # When each tier last began to wait or started a request.
-        self._progress_ms = [0] * self._tiers
-        # Times and tiers of the attempts that ended lately.
-        self._ends: deque[tuple[int, int]] = deque()
         self._drained_ms: int | None = None
         self._refusals = [0] * self._tiers
         self._preemptions = [0] * self._tiers
@@ -278,8 +269,6 @@
         actions = self._shed(now_ms)
         # The first request that waits in a tier must not wait for the next tick as well.
         first = self._queue.count(request.tier) == 1
-        if first:
-            self._progress_ms[request.tier] = now_ms
         return actions + self._pump(now_ms, renew=first)
 
     def cancel(self, request_id: RequestId, now_ms: int) -> list[Action]:
@@ -352,7 +341,6 @@
             self._preemptions,
             self._prefill,
             self._wasted,
-            self._progress_ms,
         ):
             counts.extend([0] * more)
         for upstream in self._upstreams.values():
@@ -566,8 +554,6 @@
             return None
         upstream.account.end(ended.request.tier, ended.cost, ended.stopped_ms is not None)
         upstream.load.change(-ended.cost, now_ms)
-        if ended.stopped_ms is None:
-            self._ends.append((now_ms, ended.request.tier))
         return ended
 
     def _settle(self, entry: _Entry, end: AttemptEnd, now_ms: int) -> list[Action]:
@@ -807,7 +793,6 @@
             entry.position,
         )
         entry.running = attempt
-        self._progress_ms[request.tier] = now_ms
         upstream.attempts[attempt.attempt] = attempt
         upstream.account.start(request.tier, attempt.cost, now_ms)
         upstream.load.change(attempt.cost, now_ms)
@@ -929,20 +914,15 @@
         usable = [each for each in self._upstreams.values() if each.usable(now_ms)]
         plans = {each.info.upstream: _Plan(each, now_ms) for each in usable}
         for tier in range(self._tiers):
-            patient = self._patient(tier, usable, now_ms)
             for version, (count, cost) in self._queue.groups(tier).items():
-                asked = count - min(patient, count)
-                patient -= count - asked
-                if asked == 0:
-                    continue
                 able = self._near([each for each in usable if each.serves(version)])
                 if not able:
                     continue
                 choices = [plans[each.info.upstream] for each in able]
-                parts = min(asked, _PARTS * len(choices))
+                parts = min(count, _PARTS * len(choices))
                 for _ in range(parts):
                     best = max(choices, key=lambda plan: plan.prospect(tier))
-                    best.add(tier, cost // count, asked / parts)
+                    best.add(tier, cost // count, count / parts)
         none = (0,) * self._tiers
         for name, each in self._upstreams.items():
             plan = plans.get(name)
@@ -950,14 +930,3 @@
                 each.account.wait(none, none)
             else:
                 each.account.wait(tuple(plan.waiting), tuple(plan.units))
-
-    def _patient(self, tier: int, usable: list[_Upstream], now_ms: int) -> int:
-        """Return how many waiting requests of a tier need not ask for credit yet."""
-        while self._ends and self._ends[0][0] < now_ms - _TURNOVER_MS:
-            self._ends.popleft()
-        if tier == self._tiers - 1 or now_ms - self._progress_ms[tier] >= _PATIENCE_MS:
-            return 0
-        if any(each.account.spare(now_ms) for each in usable):
-            return 0
-        ends = sum(ended >= tier for _, ended in self._ends)
-        return round(ends * _PATIENCE_MS / _TURNOVER_MS)
