--- a/libs/policy/tests/test_scheduler.py
+++ b/libs/policy/tests/test_scheduler.py
@@ -2,7 +2,7 @@
 
 import random
 
-from skylarkmoor_core.document import Customer, Route, ServiceDocument, ServiceKind, Tier
+from skylarkmoor_core.document import Customer, Limits, Route, ServiceDocument, ServiceKind, Tier
 from skylarkmoor_core.ids import (
     CustomerId,
     FailureDomain,
@@ -16,8 +16,8 @@
     VersionId,
 )
 from skylarkmoor_core.outcome import ErrorCode
-from skylarkmoor_policy.actions import Dispatch, Refuse
-from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request, UpstreamInfo
+from skylarkmoor_policy.actions import Dispatch, Preempt, Refuse
+from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, LoadReport, Request, UpstreamInfo
 from skylarkmoor_policy.scheduler import Scheduler
 
 HOST = HostId("a")
@@ -106,3 +106,165 @@
     scheduler.mark_leaving(ONE)
     used = {_dispatches(scheduler.submit(_request(f"r{i}"), 0))[0].upstream for i in range(8)}
     assert used == {TWO}
+
+
+def _fill(scheduler: Scheduler, count: int, tier: int, now_ms: int = 0) -> list[Dispatch]:
+    actions = []
+    for i in range(count):
+        actions += scheduler.submit(_request(f"fill{tier}-{i}", tier, 60_000), now_ms)
+    return _dispatches(actions)
+
+
+def _codes(actions) -> list[ErrorCode]:
+    return [action.code for action in actions if isinstance(action, Refuse)]
+
+
+def _report(upstream: UpstreamId, max_batch: int = 16, **changes) -> LoadReport:
+    fields = {
+        "incarnation": 1,
+        "as_of_ms": 0,
+        "running": 0,
+        "waiting": 0,
+        "kv_used_tokens": 0,
+        "kv_capacity_tokens": 0,
+        "versions": ("v1",),
+    }
+    return LoadReport(upstream, max_batch=max_batch, **(fields | changes))
+
+
+def test_resumed_attempt_starts_after_the_text_already_sent():
+    scheduler = _scheduler(ONE, TWO)
+    [first] = _dispatches(scheduler.submit(_request("r1"), 0))
+    scheduler.attempt_progress(first.attempt, 7, 10)
+    [second] = _dispatches(scheduler.attempt_ended(_end(first, AttemptResult.CRASHED), 20))
+    assert second.start_position == 7
+
+
+def test_late_end_of_an_earlier_attempt_is_ignored():
+    scheduler = _scheduler(ONE, TWO)
+    [first] = _dispatches(scheduler.submit(_request("r1"), 0))
+    scheduler.attempt_ended(_end(first, AttemptResult.CRASHED), 5)
+    assert scheduler.attempt_ended(_end(first, AttemptResult.COMPLETED), 6) == []
+    assert scheduler.status().running == (1, 0, 0)
+
+
+def test_cancelled_request_is_not_queued_again():
+    scheduler = _scheduler(ONE)
+    [dispatch] = _dispatches(scheduler.submit(_request("r1"), 0))
+    assert scheduler.cancel("r1", 5) == [Preempt(dispatch.attempt, ONE)]
+    scheduler.attempt_ended(_end(dispatch, AttemptResult.PREEMPTED), 6)
+    assert scheduler.tick(20) == []
+    assert scheduler.status().running == scheduler.status().waiting == (0, 0, 0)
+
+
+def test_running_request_is_refused_and_stopped_at_its_deadline():
+    scheduler = _scheduler(ONE)
+    scheduler.submit(_request("r1"), 0)
+    actions = scheduler.tick(1_000)
+    assert _codes(actions) == [ErrorCode.DEADLINE_PASSED]
+    assert any(isinstance(action, Preempt) for action in actions)
+
+
+def test_running_call_that_must_not_run_twice_goes_on_past_its_deadline():
+    scheduler = _scheduler(ONE)
+    [dispatch] = _dispatches(scheduler.submit(_request("r1", idempotent=False), 0))
+    assert _codes(scheduler.tick(1_000)) == []
+    scheduler.attempt_ended(_end(dispatch, AttemptResult.COMPLETED), 1_100)
+    assert scheduler.status().running == (0, 0, 0)
+
+
+def test_end_that_is_never_reported_does_not_hold_capacity():
+    scheduler = _scheduler(ONE)
+    scheduler.report(_report(ONE, max_batch=1))
+    scheduler.submit(_request("r1"), 0)
+    scheduler.cancel("r1", 0)
+    assert _dispatches(scheduler.submit(_request("r2", deadline_ms=60_000), 0)) == []
+    assert _dispatches(scheduler.tick(6_000)) != []
+
+
+def test_customer_over_its_rate_is_refused_with_its_own_code():
+    customer = Customer(name=CustomerId("c"), requests_per_s=1)
+    scheduler = _scheduler(ONE, customers=(customer,))
+    scheduler.submit(_request("r1"), 0)
+    assert _codes(scheduler.submit(_request("r2"), 0)) == [ErrorCode.CUSTOMER_LIMIT]
+
+
+def test_full_queue_sheds_the_lowest_tier_first():
+    scheduler = _scheduler(limits=Limits(max_waiting=2))
+    scheduler.submit(_request("low1", tier=2), 0)
+    scheduler.submit(_request("low2", tier=2), 0)
+    actions = scheduler.submit(_request("top", tier=0), 0)
+    [refusal] = [action for action in actions if isinstance(action, Refuse)]
+    assert refusal.request in ("low1", "low2")
+    assert refusal.code is ErrorCode.OVERLOADED
+
+
+def test_top_tier_beyond_the_queue_bound_is_kept_while_lower_tiers_may_run():
+    scheduler = _scheduler(ONE, limits=Limits(max_waiting=2))
+    scheduler.report(_report(ONE, max_batch=1))
+    _fill(scheduler, 1, tier=2)
+    actions = []
+    for i in range(4):
+        actions += scheduler.submit(_request(f"top{i}", 0), 0)
+    assert _codes(actions) == []
+
+
+def test_blocked_upstream_is_avoided():
+    scheduler = Scheduler(
+        HOST, _document(), random.Random(1), blocked=lambda request, upstream: upstream == ONE
+    )
+    scheduler.set_upstreams(
+        [UpstreamInfo(each, ServiceName("orders"), FailureDomain("d")) for each in (ONE, TWO)]
+    )
+    assert {dispatch.upstream for dispatch in _fill(scheduler, 8, 0)} == {TWO}
+
+
+def test_request_waits_for_an_upstream_with_its_version():
+    scheduler = _scheduler(ONE, version=VersionId("v2"))
+    scheduler.report(_report(ONE))
+    assert scheduler.submit(_request("r1"), 0) == []
+    scheduler.report(_report(ONE, as_of_ms=10, versions=("v1", "v2")))
+    [dispatch] = _dispatches(scheduler.tick(20))
+    assert dispatch.version == "v2"
+
+
+def test_upstream_that_started_again_is_no_longer_leaving():
+    scheduler = _scheduler(ONE)
+    scheduler.report(_report(ONE, leaving=True))
+    assert _dispatches(scheduler.submit(_request("r1"), 0)) == []
+    scheduler.report(_report(ONE, as_of_ms=10, incarnation=2))
+    assert len(_dispatches(scheduler.tick(20))) == 1
+
+
+def test_unreachable_upstream_is_not_tried_in_a_loop():
+    scheduler = _scheduler(ONE)
+    [dispatch] = _dispatches(scheduler.submit(_request("r1"), 0))
+    actions = scheduler.attempt_ended(_end(dispatch, AttemptResult.NOT_STARTED), 1)
+    assert _dispatches(actions) == []
+    assert len(_dispatches(scheduler.tick(200))) == 1
+
+
+def test_draining_daemon_takes_nothing_new_and_finishes_what_waits():
+    scheduler = _scheduler(ONE)
+    scheduler.report(_report(ONE, max_batch=1))
+    [running] = _fill(scheduler, 2, 0)
+    scheduler.drain(10)
+    assert _codes(scheduler.submit(_request("new"), 10)) == [ErrorCode.DRAINING]
+    actions = scheduler.attempt_ended(_end(running, AttemptResult.COMPLETED), 500)
+    assert len(_dispatches(actions)) == 1
+
+
+def test_preempted_request_counts_its_prefill_as_wasted():
+    scheduler = _scheduler(ONE, kind=ServiceKind.ENGINE)
+    [dispatch] = _dispatches(scheduler.submit(_request("r1", prompt_tokens=100), 0))
+    scheduler.attempt_progress(dispatch.attempt, 1, 50)
+    scheduler.attempt_ended(_end(dispatch, AttemptResult.PREEMPTED), 60)
+    assert scheduler.status().wasted_prefill_tokens == (100, 0, 0)
+
+
+def test_more_tiers_in_a_new_document_are_usable():
+    scheduler = _scheduler(ONE)
+    tiers = tuple(Tier(name=f"t{i}", rank=TierRank(i)) for i in range(4))
+    scheduler.set_document(_document(tiers=tiers))
+    assert len(_dispatches(scheduler.submit(_request("r1", tier=3), 0))) == 1
+    assert scheduler.status().running == (0, 0, 0, 1)
