Bound overfilling when daemons start at the same moment

The fleet tests showed that an owner granted credit that other daemons were just using: their idle headroom, what they had been granted but not yet reported, and fallback shares. An upstream for 12 calls got 18, and a daemon that held all credit of a tier kept it for ever.

The owner now counts granted waiting work as running, gives cut headroom away only after its holders have heard of it, and allows a daemon with more than its fair share nothing new. A daemon without a lease asks first and uses its fallback share only if the owner is silent.

--- a/libs/policy/src/skylarkmoor_policy/allocation.py
+++ b/libs/policy/src/skylarkmoor_policy/allocation.py
@@ -1,12 +1,12 @@
 """Division of an upstream's capacity among daemons and tiers."""
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId
 
-__all__ = ["HostDemand", "allocate"]
+__all__ = ["HostDemand", "allocate", "keep_running"]
 
 # Bounds the steps of a division; a step is at least this part of the capacity.
 _MAX_STEPS = 1_024
@@ -34,6 +34,8 @@
 ) -> dict[HostId, tuple[int, ...]]:
     """Divide `capacity` in strict tier order and max-min fairly within a tier.
 
+    The result bounds what may be started. `keep_running` tells what may go on running.
+
     Parameters
     ----------
     capacity : int
@@ -51,8 +53,9 @@
 
     Notes
     -----
-    Within a tier, running work comes before waiting work: cancelling it for fairness would
-    waste its prefill. Fairness follows as attempts end.
+    Running work takes part of the capacity even if its daemon has more than a fair share of
+    the tier. Such a daemon is allowed its share only, so it starts nothing, and the others
+    get the rest as its attempts end.
 
     If the next request of the daemon that has least does not fit, no further waiting work
     of its tier or a lower one is allowed. Otherwise small requests would keep a large one
@@ -73,10 +76,16 @@
     smallest = max(1, unit, capacity // _MAX_STEPS)
     blocked: tuple[HostId, int] | None = None
     for tier in range(tiers):
+        share = _fair_share(
+            left, [each.running[tier] + each.waiting[tier] for each in demands.values()]
+        )
         left -= _give_running(left, demands, given, tier, smallest)
         if blocked is None:
             left, short = _give_waiting(left, demands, given, tier, smallest)
             blocked = None if short is None else (short, tier)
+            if short is not None:
+                for costs in given.values():
+                    costs[tier] = min(costs[tier], max(share, smallest))
     if blocked is not None:
         host, tier = blocked
         given[host][tier] += left
@@ -85,6 +94,63 @@
     return {host: tuple(costs) for host, costs in given.items()}
 
 
+def keep_running(
+    hard: int,
+    demands: Mapping[HostId, HostDemand],
+    allowed: Mapping[HostId, tuple[int, ...]],
+    unit: int = 1,
+) -> dict[HostId, tuple[int, ...]]:
+    """Return by daemon and tier the cost that may run, at least what `allowed` says.
+
+    Parameters
+    ----------
+    hard : int
+        Cost beyond which lower-tier work gives way to higher-tier work at once.
+    demands : mapping of HostId to HostDemand
+        What each daemon runs and waits for.
+    allowed : mapping of HostId to tuple of int
+        The result of `allocate` for these demands.
+    unit : int
+        Cost of the smallest request.
+
+    Notes
+    -----
+    Higher tiers displace at most their own cost. So work is never preempted because the
+    capacity was lowered, or for fairness within a tier: that would waste its prefill.
+    """
+    tiers = max((len(demand.running) for demand in demands.values()), default=0)
+    kept = {host: [0] * tiers for host in demands}
+    left = hard
+    higher = 0
+    for tier in range(tiers):
+        running = sum(demand.running[tier] for demand in demands.values())
+        room = max(left, running - higher)
+        total = _give_running(room, demands, kept, tier, max(1, unit))
+        new = sum(
+            max(
+                0,
+                min(allowed[host][tier], demand.running[tier] + demand.waiting[tier])
+                - demand.running[tier],
+            )
+            for host, demand in demands.items()
+        )
+        left = max(0, left - total - new)
+        higher += running + new
+    return {host: tuple(map(max, kept[host], allowed[host])) for host in demands}
+
+
+def _fair_share(capacity: int, needs: Sequence[int]) -> int:
+    """Return the most that each may have if `capacity` is divided max-min fairly."""
+    left = capacity
+    ordered = sorted(needs)
+    for i, need in enumerate(ordered):
+        share = left // (len(ordered) - i)
+        if need > share:
+            return share
+        left -= need
+    return capacity
+
+
 def _give_running(
     left: int,
     demands: Mapping[HostId, HostDemand],
@@ -92,7 +158,7 @@
     tier: int,
     smallest: int,
 ) -> int:
-    """Allow running work and return its cost.
+    """Allow running work and return the cost allowed.
 
     If not all fits, the daemons that run most are cut first and by whole requests. An even
     cut would be less than one request for each and cost every daemon one.
--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -7,10 +7,10 @@
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import HostId, UpstreamId
 from skylarkmoor_core.messages import Demand, Grant
-from skylarkmoor_policy.allocation import HostDemand, allocate
+from skylarkmoor_policy.allocation import HostDemand, allocate, keep_running
 from skylarkmoor_policy.capacity import Bounds
 
-__all__ = ["LEASE_MS", "CreditAccount", "CreditTable", "fallback_share"]
+__all__ = ["LEASE_MS", "SETTLE_MS", "CreditAccount", "CreditTable", "fallback_share"]
 
 # A lease outlives two lost renewals. A longer one would keep the credit of a dead daemon
 # from the others for longer.
@@ -19,15 +19,19 @@
 # Least time between two demands: the owner's answer to the first is on its way.
 _URGENT_MS = 10
 _RELEASE_MS = 50
+# A demand without answer is repeated after this time if something waits.
+_RESEND_MS = 100
 # A need that grew by less than this is told at the next renewal.
 _GROWTH_PERCENT = 125
 _SHRINK_PERCENT = 75
 # How long a preemption waits for an answer when the owner did not know all that runs.
 _HOLD_MS = 100
+# Time in which a daemon hears of a cut and tells of work that it has started meanwhile.
+_RETURN_MS = 10
 # A new owner hears the running work of all daemons before it gives any of it away.
-_SETTLE_MS = 100
+SETTLE_MS = 100
 # An owner that has not answered for this long is taken to be gone.
-_SILENT_MS = 300
+_SILENT_MS = 200
 # An account that was not used for this long is not renewed.
 _IDLE_MS = 10_000
 
@@ -39,6 +43,12 @@
     return (*costs[: tiers - 1], sum(costs[tiers - 1 :]))
 
 
+def _needs(demand: Demand, tiers: int) -> tuple[int, ...]:
+    """Return by tier the cost that runs or waits."""
+    pairs = zip(_fit(demand.running, tiers), _fit(demand.waiting, tiers), strict=True)
+    return tuple(running + waiting for running, waiting in pairs)
+
+
 def _suffixes(costs: Sequence[int]) -> list[int]:
     """Return for each tier the cost of this tier and all lower ones."""
     sums = list(costs)
@@ -83,9 +93,14 @@
 class _Holder:
     demand: Demand
     expires_ms: int
+    # What runs at the daemon if it has started all that it waits for and was granted.
+    running: tuple[int, ...]
     # Cost allowed and kept in the newest grant.
     granted: tuple[int, ...] | None = None
     kept: tuple[int, ...] = ()
+    # Unused credit that was cut and may have been used before the daemon heard of it.
+    returning: int = 0
+    returned_ms: int = -1
 
 
 class CreditTable:
@@ -97,8 +112,8 @@
         The upstream.
     tiers : int
         Number of tiers.
-    now_ms : int
-        Monotonic time at which this daemon became the owner.
+    granting_ms : int
+        Time from which grants are given.
 
     Notes
     -----
@@ -107,11 +122,11 @@
     the lease ends. By then it uses no more than its fallback share.
     """
 
-    def __init__(self, upstream: UpstreamId, tiers: int, now_ms: int) -> None:
+    def __init__(self, upstream: UpstreamId, tiers: int, granting_ms: int) -> None:
         self._upstream = upstream
         self._tiers = tiers
-        self._settled_ms = now_ms + _SETTLE_MS
-        self._seq = now_ms
+        self._granting_ms = granting_ms
+        self._seq = granting_ms
         self._holders: dict[HostId, _Holder] = {}
 
     def set_tiers(self, tiers: int) -> None:
@@ -121,16 +136,19 @@
     @property
     def running(self) -> int:
         """Cost that all daemons together run, as far as known."""
-        return sum(sum(holder.demand.running) for holder in self._holders.values())
+        return sum(sum(holder.running) for holder in self._holders.values())
 
     @property
     def contended(self) -> bool:
-        """Whether anybody waits."""
-        return any(any(holder.demand.waiting) for holder in self._holders.values())
+        """Whether anybody waits for more than was granted, or for the first grant."""
+        return any(
+            each.granted is None or any(self._host_demand(each).waiting)
+            for each in self._holders.values()
+        )
 
     def settled(self, now_ms: int) -> bool:
         """Return whether this daemon has been the owner for long enough to grant."""
-        return now_ms >= self._settled_ms
+        return now_ms >= self._granting_ms
 
     def take(self, sender: HostId, demand: Demand, now_ms: int) -> bool:
         """Note a demand and return whether it is newer than the sender's last one."""
@@ -138,7 +156,8 @@
         holder = self._holders.get(sender)
         if holder is not None and demand.seq <= holder.demand.seq:
             return False
-        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS)
+        running = _fit(demand.running, self._tiers)
+        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS, running)
         if holder is not None:
             self._holders[sender].granted = holder.granted
             self._holders[sender].kept = holder.kept
@@ -172,8 +191,10 @@
         if not self.settled(now_ms) or not self._holders:
             return []
         demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
-        allowed = allocate(capacity, demands, unit)
-        keep = allocate(max(hard, self.running), demands, unit)
+        allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        if self._reclaim(allowed, now_ms):
+            allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        keep = keep_running(hard, demands, allowed, unit)
         room = self._room(capacity, demands, allowed)
         result = []
         for host, holder in self._holders.items():
@@ -182,6 +203,7 @@
             self._seq = max(self._seq + 1, now_ms)
             holder.granted = allowed[host]
             holder.kept = keep[host]
+            holder.running = self._assumed(holder, allowed[host])
             grant = Grant(
                 self._upstream,
                 self._seq,
@@ -195,6 +217,36 @@
             result.append((host, grant))
         return result
 
+    def _returning(self, now_ms: int) -> int:
+        return sum(
+            holder.returning for holder in self._holders.values() if now_ms < holder.returned_ms
+        )
+
+    def _reclaim(self, allowed: dict[HostId, tuple[int, ...]], now_ms: int) -> bool:
+        """Note unused credit that is being cut and return whether there is any.
+
+        It is given away a little later. A burst that reaches all daemons at once would else
+        use the headroom of each of them and the credit granted in its place as well.
+        """
+        found = False
+        for host, holder in self._holders.items():
+            if holder.granted is None:
+                continue
+            rest = max(sum(allowed[host]), sum(holder.running))
+            unused = sum(holder.granted) - rest
+            if unused > 0:
+                holder.returning = unused
+                holder.returned_ms = now_ms + _RETURN_MS
+                found = True
+        return found
+
+    def returned(self, now_ms: int) -> bool:
+        """Return whether cut credit has come back since the last call."""
+        back = [holder for holder in self._holders.values() if 0 <= holder.returned_ms <= now_ms]
+        for holder in back:
+            holder.returned_ms = -1
+        return bool(back)
+
     def _expire(self, now_ms: int) -> None:
         gone = [host for host, holder in self._holders.items() if holder.expires_ms <= now_ms]
         for host in gone:
@@ -202,9 +254,18 @@
 
     def _host_demand(self, holder: _Holder) -> HostDemand:
         demand = holder.demand
+        running = _fit(holder.running, self._tiers)
+        needs = _needs(demand, self._tiers)
+        waiting = tuple(max(0, need - run) for need, run in zip(needs, running, strict=True))
         units = (*demand.next_cost, *(1,) * self._tiers)[: self._tiers]
-        return HostDemand(
-            _fit(demand.running, self._tiers), _fit(demand.waiting, self._tiers), units
+        return HostDemand(running, waiting, units)
+
+    def _assumed(self, holder: _Holder, allowed: tuple[int, ...]) -> tuple[int, ...]:
+        running = _fit(holder.running, self._tiers)
+        needs = _needs(holder.demand, self._tiers)
+        return tuple(
+            max(run, min(allow, need))
+            for run, allow, need in zip(running, allowed, needs, strict=True)
         )
 
     def _room(
@@ -309,6 +370,8 @@
 
     def set_members(self, owner: HostId | None, host: HostId, members: tuple[HostId, ...]) -> None:
         """Set the upstream's owner, this daemon and all live daemons."""
+        if owner != self.owner:
+            self._unanswered_ms = None
         self.owner = owner
         self._host = host
         self._members = members
@@ -336,17 +399,24 @@
         return now_ms < self._lease.expires_ms
 
     def allowed(self, now_ms: int) -> tuple[int, ...]:
-        """Return the cost allowed by tier, by the lease or else by the fallback share.
+        """Return the cost by tier up to which new work may be started.
 
         Notes
         -----
         While the owner does not answer, higher tiers displace the lower ones of this daemon
         within the credit that is left, as the owner would have them do.
+
+        Without a lease of the present owner nothing starts until the owner answers or stays
+        silent. If all daemons started on their fallback shares at once, an owner that has
+        already granted the whole capacity could not know of it.
         """
-        if self.leased(now_ms):
+        silent = self._silent(now_ms)
+        if self.leased(now_ms) and self._lease.owner == self.owner:
             allowed = _fit(self._lease.allowed, self._tiers)
-            return allowed if not self._silent(now_ms) else self._divide(sum(allowed))
-        return self._divide(self._fallback())
+            return self._divide(sum(allowed)) if silent else allowed
+        if silent or self.owner is None:
+            return self._divide(self._fallback())
+        return (0,) * self._tiers
 
     def room(self, tier: int, now_ms: int) -> int:
         """Return the cost that may be started in a tier now."""
@@ -395,9 +465,12 @@
 
     def excess(self, now_ms: int) -> list[tuple[int, int]]:
         """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
-        allowed = self._allowed_suffixes(now_ms)
-        if allowed is self._lease.suffixes:
-            allowed = list(map(max, allowed, self._lease.keep))
+        if self.leased(now_ms) and not self._silent(now_ms):
+            allowed = list(map(max, self._lease.suffixes, self._lease.keep))
+        elif self.leased(now_ms):
+            allowed = _suffixes(self.allowed(now_ms))
+        else:
+            allowed = _suffixes(self._divide(self._fallback()))
         live = [run - stop for run, stop in zip(self._running, self._stopping, strict=True)]
         pairs = zip(_suffixes(live), allowed, strict=True)
         over = [(tier, run - allow) for tier, (run, allow) in enumerate(pairs) if run > allow]
@@ -454,6 +527,8 @@
             return active
         if age_ms < _URGENT_MS:
             return False
+        if age_ms >= _RESEND_MS and self._unanswered_ms is not None and any(self._waiting):
+            return True
         if self._hold_seq > sent.demand.seq or self._grew(sent.demand):
             return True
         return age_ms >= _RELEASE_MS and self._shrank(sent.demand)
@@ -494,7 +569,8 @@
         return self._unanswered_ms is not None and now_ms - self._unanswered_ms > _SILENT_MS
 
     def _allowed_suffixes(self, now_ms: int) -> list[int]:
-        if self.leased(now_ms) and not self._silent(now_ms):
+        current = self.leased(now_ms) and self._lease.owner == self.owner
+        if current and not self._silent(now_ms):
             return self._lease.suffixes
         return _suffixes(self.allowed(now_ms))
 
@@ -520,14 +596,19 @@
             self._hold_until_ms = now_ms + _HOLD_MS
 
     def _grew(self, sent: Demand) -> bool:
-        return any(
-            now * 100 > before * _GROWTH_PERCENT
-            for now, before in zip(self._waiting, _fit(sent.waiting, self._tiers), strict=True)
-        )
+        """Return whether a tier needs notably more than told, or than the owner has granted."""
+        told = _needs(sent, self._tiers)
+        granted = _fit(self._lease.allowed, self._tiers)
+        for tier, waiting in enumerate(self._waiting):
+            need = self._running[tier] + waiting
+            satisfied = told[tier] <= granted[tier]
+            much = need * 100 > told[tier] * _GROWTH_PERCENT
+            if waiting and need > told[tier] and (satisfied or much):
+                return True
+        return False
 
     def _shrank(self, sent: Demand) -> bool:
-        pairs = zip(sent.running, sent.waiting, strict=True)
-        before = _fit([run + wait for run, wait in pairs], self._tiers)
+        before = _needs(sent, self._tiers)
         now = [run + wait for run, wait in zip(self._running, self._waiting, strict=True)]
         return any(
             new * 100 < old * _SHRINK_PERCENT
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -28,7 +28,7 @@
     SpeedModel,
     bounds_of,
 )
-from skylarkmoor_policy.credit import CreditAccount, CreditTable
+from skylarkmoor_policy.credit import SETTLE_MS, CreditAccount, CreditTable
 from skylarkmoor_policy.limits import CustomerLimits
 from skylarkmoor_policy.prefixes import PrefixIndex
 from skylarkmoor_policy.queueing import Queue, Waiting
@@ -68,6 +68,8 @@
 # attempts end. Preempting at once would waste prefill for nearly every higher-tier request.
 _OVERFILL_PERCENT = 10
 _RETRY_AFTER_MS = 1_000
+# Ticks further apart than this mean that the process was paused.
+_PAUSE_MS = 1_000
 # Time for waiting requests after a drain begins.
 _DRAIN_MS = 10_000
 # A higher tier may exceed the queue's bound by this factor while lower-tier work still runs.
@@ -250,6 +252,7 @@
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
+        self._tick_ms = 0
         self._drained_ms: int | None = None
         self._refusals = [0] * self._tiers
         self._preemptions = [0] * self._tiers
@@ -412,6 +415,9 @@
 
     def tick(self, now_ms: int) -> list[Action]:
         """Apply deadlines, leases and renewals; to be called about every 20 ms."""
+        if now_ms - self._tick_ms >= _PAUSE_MS:
+            self._forget_demands()
+        self._tick_ms = now_ms
         actions = self._expire(now_ms)
         actions += self._release_lost(now_ms)
         if self._drained_ms is not None and now_ms - self._drained_ms >= _DRAIN_MS:
@@ -659,11 +665,18 @@
     def _table(self, upstream: _Upstream, now_ms: int) -> CreditTable | None:
         """Return the table of an upstream that this daemon owns."""
         if upstream.owned and upstream.table is None:
-            upstream.table = CreditTable(upstream.info.upstream, self._tiers, now_ms)
+            settle_ms = SETTLE_MS if len(self._domains) > 1 else 0
+            name = upstream.info.upstream
+            upstream.table = CreditTable(name, self._tiers, now_ms + settle_ms)
             if upstream.account.learnt:
                 upstream.capacity.adopt(upstream.account.capacity)
         return upstream.table
 
+    def _forget_demands(self) -> None:
+        """Start anew as owner after a pause, in which another daemon may have taken over."""
+        for upstream in self._upstreams.values():
+            upstream.table = None
+
     def _take_demand(
         self, sender: HostId, upstream: _Upstream, demand: Demand, now_ms: int
     ) -> list[Action]:
@@ -676,7 +689,9 @@
     def _review_capacity(self, upstream: _Upstream, now_ms: int) -> list[Action]:
         """Hand out capacity that was learnt, or that ended leases have given back."""
         table = self._table(upstream, now_ms)
-        if table is None or now_ms - upstream.granted_ms < _REGRANT_MS or not table.contended:
+        if table is None or not table.contended:
+            return []
+        if not table.returned(now_ms) and now_ms - upstream.granted_ms < _REGRANT_MS:
             return []
         return self._grant(upstream, table, now_ms)
 
@@ -687,7 +702,7 @@
         bounds = upstream.account.bounds
         actions: list[Action] = []
         capacity = upstream.capacity.value
-        hard = capacity
+        hard = upstream.capacity.hard(now_ms)
         if self._engine:
             hard += max(bounds.unit, capacity * _OVERFILL_PERCENT // 100)
         for host, grant in table.grants(capacity, hard, bounds.unit, now_ms, answer):
