Let granted higher-tier work start beside lower-tier work that is kept

A daemon that kept lower-tier work beyond its credit could not start the higher-tier request that it had been granted, and lowered capacity preempted work without any higher tier's need.

Kept work no longer counts against higher tiers, and what was admitted before a decrease ends by itself.

--- a/libs/policy/src/skylarkmoor_policy/capacity.py
+++ b/libs/policy/src/skylarkmoor_policy/capacity.py
@@ -26,8 +26,9 @@
 _INCREASE_EVERY_MS = 250
 _DECREASE_PERCENT = 80
 _DECREASE_EVERY_MS = 1_000
-# Most attempts that ran before a decrease have ended after this time.
-_PEAK_MS = 10_000
+# Running cost up to this part of the capacity is at the capacity. Higher tiers may overfill
+# an engine a little.
+_SETTLED_PERCENT = 115
 # Each daemon measures a few streams only, so one measurement is noisy.
 _PRESSURE_WEIGHT = 0.2
 # Latency above this part of its bound leaves no margin for an increase.
@@ -90,8 +91,6 @@
         self._bounds = bounds
         self._value = self._clamp(bounds.limit * start_percent // 100)
         self._pressure = float(_EASY_PERCENT)
-        self._peak = 0
-        self._peak_until_ms = -1
         self._increased_ms = 0
         self._decreased_ms = 0
 
@@ -100,13 +99,6 @@
         """Cost that the upstream can run within the latency targets."""
         return self._value
 
-    def hard(self, now_ms: int) -> int:
-        """Return the capacity before decreases whose effect is still to come.
-
-        Attempts that were admitted before a decrease are left to end by themselves.
-        """
-        return max(self._value, self._peak if now_ms < self._peak_until_ms else 0)
-
     def set_bounds(self, bounds: Bounds) -> None:
         """Take new bounds and keep the learnt part of the limit."""
         if bounds != self._bounds:
@@ -142,9 +134,8 @@
 
     def _decrease(self, running: int, now_ms: int) -> None:
         # While more runs than an earlier decrease allows, its effect cannot be seen yet.
-        if running <= self._value and now_ms - self._decreased_ms >= _DECREASE_EVERY_MS:
-            self._peak = self.hard(now_ms)
-            self._peak_until_ms = now_ms + _PEAK_MS
+        settled = running * 100 <= self._value * _SETTLED_PERCENT
+        if settled and now_ms - self._decreased_ms >= _DECREASE_EVERY_MS:
             self._value = self._clamp(self._value * _DECREASE_PERCENT // 100)
             self._decreased_ms = now_ms
             self._pressure = _EASY_PERCENT
--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -1,6 +1,7 @@
 """Credit leases: the owner's table of demands and a daemon's account at one upstream."""
 
 import operator
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -27,7 +28,7 @@
 # How long a preemption waits for an answer when the owner did not know all that runs.
 _HOLD_MS = 100
 # Time in which a daemon hears of a cut and tells of work that it has started meanwhile.
-_RETURN_MS = 10
+_RETURN_MS = 15
 # A new owner hears the running work of all daemons before it gives any of it away.
 SETTLE_MS = 100
 # An owner that has not answered for this long is taken to be gone.
@@ -57,6 +58,29 @@
     return sums
 
 
+def _rooms(allowed: Sequence[int], running: Sequence[int]) -> list[int]:
+    """Return by tier the cost that may be started.
+
+    For each tier, what runs in it and in the lower ones must fit what is allowed in them.
+    Work of lower tiers that is kept beyond their credit does not count: it would take away
+    the credit that a higher tier was granted in its place.
+    """
+    tiers = len(allowed)
+    rooms = []
+    for tier in range(tiers):
+        room = sum(
+            allow - min(run, allow)
+            for allow, run in zip(allowed[tier + 1 :], running[tier + 1 :], strict=True)
+        )
+        least = room + allowed[tier] - running[tier]
+        free = least
+        for higher in range(tier - 1, -1, -1):
+            free += allowed[higher] - running[higher]
+            least = min(least, free)
+        rooms.append(least)
+    return rooms
+
+
 def fallback_share(capacity: int, unit: int, live: int, rank: int) -> int:
     """Return the cost that a daemon may run without a lease.
 
@@ -127,6 +151,7 @@
         self._tiers = tiers
         self._granting_ms = granting_ms
         self._seq = granting_ms
+        self._ceiling = sys.maxsize
         self._holders: dict[HostId, _Holder] = {}
 
     def set_tiers(self, tiers: int) -> None:
@@ -194,7 +219,9 @@
         allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
         if self._reclaim(allowed, now_ms):
             allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
-        keep = keep_running(hard, demands, allowed, unit)
+        # What was admitted before the capacity was lowered is left to end by itself.
+        self._ceiling = max(hard, min(self._ceiling, self.running))
+        keep = keep_running(self._ceiling, demands, allowed, unit)
         room = self._room(capacity, demands, allowed)
         result = []
         for host, holder in self._holders.items():
@@ -304,8 +331,7 @@
     seq: int = -1
     owner: HostId | None = None
     allowed: tuple[int, ...] = ()
-    # Sums of the cost that may be started and kept, over each tier and the lower ones.
-    suffixes: list[int] = field(default_factory=list)
+    # Sums of the cost that may go on running, over each tier and the lower ones.
     keep: list[int] = field(default_factory=list)
     expires_ms: int = -1
     answers: int = -1
@@ -350,7 +376,8 @@
         self._upstream = upstream
         self._tiers = tiers
         self._running = [0] * tiers
-        self._running_suffixes = [0] * tiers
+        # Room by tier for the credit and the running work that it was computed for.
+        self._rooms: tuple[tuple[int, ...], list[int]] | None = None
         self._stopping = [0] * tiers
         self._waiting: tuple[int, ...] = (0,) * tiers
         self._units: tuple[int, ...] = (1,) * tiers
@@ -382,11 +409,11 @@
         more = tiers - self._tiers
         self._tiers = tiers
         self._running += [0] * more
-        self._running_suffixes += [0] * more
+        self._rooms = None
         self._stopping += [0] * more
         self._waiting += (0,) * more
         self._units += (1,) * more
-        self._lease.suffixes += [0] * more
+        self._lease.allowed += (0,) * more
         self._lease.keep += [0] * more
 
     @property
@@ -394,6 +421,11 @@
         """Cost that this daemon runs, by tier, with attempts that are being preempted."""
         return tuple(self._running)
 
+    @property
+    def must_correct(self) -> bool:
+        """Whether the owner cut credit because it did not know of all that runs here."""
+        return self._newest is not None and self._hold_seq > self._newest.demand.seq
+
     def leased(self, now_ms: int) -> bool:
         """Return whether there is a lease in force."""
         return now_ms < self._lease.expires_ms
@@ -412,7 +444,7 @@
         """
         silent = self._silent(now_ms)
         if self.leased(now_ms) and self._lease.owner == self.owner:
-            allowed = _fit(self._lease.allowed, self._tiers)
+            allowed = self._lease.allowed
             return self._divide(sum(allowed)) if silent else allowed
         if silent or self.owner is None:
             return self._divide(self._fallback())
@@ -420,12 +452,10 @@
 
     def room(self, tier: int, now_ms: int) -> int:
         """Return the cost that may be started in a tier now."""
-        allowed = self._allowed_suffixes(now_ms)
-        running = self._running_suffixes
-        room = allowed[0] - running[0]
-        for each in range(1, tier + 1):
-            room = min(room, allowed[each] - running[each])
-        return room
+        allowed = self.allowed(now_ms)
+        if self._rooms is None or self._rooms[0] is not allowed:
+            self._rooms = allowed, _rooms(allowed, self._running)
+        return self._rooms[1][tier]
 
     def reach(self, now_ms: int) -> list[int]:
         """Return by tier the cost it may hope for, with that of lower tiers elsewhere."""
@@ -449,7 +479,7 @@
     def start(self, tier: int, cost: int, now_ms: int) -> None:
         """Note that an attempt was started."""
         self._running[tier] += cost
-        self._running_suffixes = _suffixes(self._running)
+        self._rooms = None
         self._active_ms = now_ms
 
     def stop(self, tier: int, cost: int) -> None:
@@ -459,14 +489,14 @@
     def end(self, tier: int, cost: int, stopping: bool) -> None:
         """Note that an attempt ended."""
         self._running[tier] -= cost
-        self._running_suffixes = _suffixes(self._running)
+        self._rooms = None
         if stopping:
             self._stopping[tier] -= cost
 
     def excess(self, now_ms: int) -> list[tuple[int, int]]:
         """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
         if self.leased(now_ms) and not self._silent(now_ms):
-            allowed = list(map(max, self._lease.suffixes, self._lease.keep))
+            allowed = list(map(max, _suffixes(self._lease.allowed), self._lease.keep))
         elif self.leased(now_ms):
             allowed = _suffixes(self.allowed(now_ms))
         else:
@@ -495,8 +525,7 @@
         self._lease = _Lease(
             grant.seq,
             sender,
-            grant.allowed,
-            _suffixes(_fit(grant.allowed, self._tiers)),
+            _fit(grant.allowed, self._tiers),
             _suffixes(_fit(grant.keep or grant.allowed, self._tiers)),
             answered.at_ms + grant.lease_ms,
             grant.answers,
@@ -525,11 +554,13 @@
         age_ms = now_ms - sent.at_ms
         if age_ms >= _RENEW_MS:
             return active
+        if self.must_correct:
+            return True
         if age_ms < _URGENT_MS:
             return False
         if age_ms >= _RESEND_MS and self._unanswered_ms is not None and any(self._waiting):
             return True
-        if self._hold_seq > sent.demand.seq or self._grew(sent.demand):
+        if self._grew(sent.demand):
             return True
         return age_ms >= _RELEASE_MS and self._shrank(sent.demand)
 
@@ -568,12 +599,6 @@
     def _silent(self, now_ms: int) -> bool:
         return self._unanswered_ms is not None and now_ms - self._unanswered_ms > _SILENT_MS
 
-    def _allowed_suffixes(self, now_ms: int) -> list[int]:
-        current = self.leased(now_ms) and self._lease.owner == self.owner
-        if current and not self._silent(now_ms):
-            return self._lease.suffixes
-        return _suffixes(self.allowed(now_ms))
-
     def _hold(self, now_ms: int) -> None:
         """Put off preemption if the owner did not know of all that runs here.
 
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -253,6 +253,8 @@
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
         self._tick_ms = 0
+        # An owner has to hear at once of work that it did not know of.
+        self._correcting = False
         self._drained_ms: int | None = None
         self._refusals = [0] * self._tiers
         self._preemptions = [0] * self._tiers
@@ -324,7 +326,7 @@
             case Demand():
                 actions = self._take_demand(sender, upstream, message, now_ms)
             case Grant():
-                if not upstream.account.accept(sender, message, now_ms):
+                if not self._accept(sender, upstream, message, now_ms):
                     return []
                 actions = []
         return actions + self._pump(now_ms)
@@ -702,16 +704,21 @@
         bounds = upstream.account.bounds
         actions: list[Action] = []
         capacity = upstream.capacity.value
-        hard = upstream.capacity.hard(now_ms)
+        hard = capacity
         if self._engine:
             hard += max(bounds.unit, capacity * _OVERFILL_PERCENT // 100)
         for host, grant in table.grants(capacity, hard, bounds.unit, now_ms, answer):
             if host == self._host:
-                upstream.account.accept(host, grant, now_ms)
+                self._accept(host, upstream, grant, now_ms)
             else:
                 actions.append(Send(host, grant))
         return actions
 
+    def _accept(self, sender: HostId, upstream: _Upstream, grant: Grant, now_ms: int) -> bool:
+        accepted = upstream.account.accept(sender, grant, now_ms)
+        self._correcting = self._correcting or upstream.account.must_correct
+        return accepted
+
     def _pump(self, now_ms: int, *, renew: bool = False) -> list[Action]:
         """Dispatch, preempt and tell owners until nothing changes any more."""
         actions: list[Action] = []
@@ -901,8 +908,9 @@
 
     def _tell_owners(self, now_ms: int, renew: bool) -> list[Action] | None:
         """Send the demands that are due; None if none was."""
-        if not renew and now_ms - self._spread_ms < _SPREAD_MS:
+        if not renew and now_ms - self._spread_ms < _SPREAD_MS and not self._correcting:
             return None
+        self._correcting = False
         self._spread_ms = now_ms
         self._spread(now_ms)
         actions: list[Action] = []
--- a/libs/policy/tests/test_credit.py
+++ b/libs/policy/tests/test_credit.py
@@ -101,6 +101,17 @@
     assert account.room(1, 1) == 3
 
 
+def test_kept_work_of_a_lower_tier_does_not_use_up_credit_of_a_higher_one():
+    account = _account()
+    account.accept("b", _grant(1, (0, 8), account.demand(0, 0).seq), 1)
+    account.start(1, 8, 1)
+    grant = Grant("u", 2, (2, 3), LEASE_MS, account.demand(0, 20).seq, 20, (0, 0), (2, 8))
+    account.accept("b", grant, 21)
+    assert account.room(0, 21) == 2
+    assert account.room(1, 21) == -5
+    assert account.excess(21) == []
+
+
 def test_work_unknown_to_the_owner_is_not_cut_before_it_is_told():
     account = _account()
     account.accept("b", _grant(1, (0, 10), account.demand(0, 0).seq), 1)
