Give lower-tier attempts time to end before they are preempted

Higher-tier requests were started at once in engines that were full, so they waited in the engine's queue, and a preemption followed for most of them. A burst could also be refused while lower-tier work was still being displaced.

The owner now withholds such starts for up to 100 ms while daemons that hold more than their part start nothing, and preempts after that. Work that ends beyond its credit is told at once. Room in grants counts what runs, so that a burst is kept until it has displaced what it can. One test, of two owners at once, still fails: 50 calls run where it allows 48.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -129,7 +129,7 @@
     answers: int = 0
     # Learnt capacity of the upstream, for fallback shares and for the next owner.
     capacity: int = 0
-    # Cost that is not allocated to this tier or a higher one, by tier.
+    # Cost that this tier and the higher ones do not use yet, by tier.
     room: tuple[int, ...] = ()
     # Cost that may go on running, by tier, where it is more than may be started anew.
     keep: tuple[int, ...] = ()
--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -29,6 +29,9 @@
 _HOLD_MS = 100
 # Time in which a daemon hears of a cut and tells of work that it has started meanwhile.
 _RETURN_MS = 15
+# Attempts that end by themselves usually make room within this time. Preempting at once
+# would waste prefill for nearly every higher-tier request.
+_PATIENCE_MS = 100
 # A new owner hears the running work of all daemons before it gives any of it away.
 SETTLE_MS = 100
 # An owner that has not answered for this long is taken to be gone.
@@ -122,6 +125,8 @@
     # Cost allowed and kept in the newest grant.
     granted: tuple[int, ...] | None = None
     kept: tuple[int, ...] = ()
+    # By tier, since when starts have been withheld.
+    unmet_ms: dict[int, int] = field(default_factory=dict)
     # Unused credit that was cut and may have been used before the daemon heard of it.
     returning: int = 0
     returned_ms: int = -1
@@ -186,6 +191,7 @@
         if holder is not None:
             self._holders[sender].granted = holder.granted
             self._holders[sender].kept = holder.kept
+            self._holders[sender].unmet_ms = holder.unmet_ms
         return True
 
     def grants(
@@ -216,13 +222,16 @@
         if not self.settled(now_ms) or not self._holders:
             return []
         demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
-        allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
-        if self._reclaim(allowed, now_ms):
-            allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        if self._reclaim(ideal, now_ms):
+            ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        allowed = self._withhold(ideal, demands, hard, unit, now_ms)
         # What was admitted before the capacity was lowered is left to end by itself.
         self._ceiling = max(hard, min(self._ceiling, self.running))
         keep = keep_running(self._ceiling, demands, allowed, unit)
-        room = self._room(capacity, demands, allowed)
+        for host, holder in self._holders.items():
+            holder.running = self._assumed(holder, allowed[host])
+        room = self._room(capacity)
         result = []
         for host, holder in self._holders.items():
             if host != answer and not _differs(holder, allowed[host], keep[host], unit):
@@ -230,7 +239,6 @@
             self._seq = max(self._seq + 1, now_ms)
             holder.granted = allowed[host]
             holder.kept = keep[host]
-            holder.running = self._assumed(holder, allowed[host])
             grant = Grant(
                 self._upstream,
                 self._seq,
@@ -244,6 +252,40 @@
             result.append((host, grant))
         return result
 
+    def _withhold(
+        self,
+        ideal: dict[HostId, tuple[int, ...]],
+        demands: dict[HostId, HostDemand],
+        hard: int,
+        unit: int,
+        now_ms: int,
+    ) -> dict[HostId, tuple[int, ...]]:
+        """Return the division without the starts that would have to preempt other work yet.
+
+        Daemons that run more than their part start nothing meanwhile, so that the next
+        attempt that ends makes room. Only after a while are their attempts preempted.
+        """
+        budget = max(0, hard - self.running)
+        allowed = {host: list(costs) for host, costs in ideal.items()}
+        for tier in range(self._tiers):
+            for host, demand in demands.items():
+                unmet_ms = self._holders[host].unmet_ms
+                need = demand.running[tier] + demand.waiting[tier]
+                start = min(ideal[host][tier], need) - demand.running[tier]
+                if start <= 0:
+                    unmet_ms.pop(tier, None)
+                    continue
+                given = start
+                if now_ms - unmet_ms.get(tier, now_ms) < _PATIENCE_MS:
+                    given = min(start, budget) if budget >= min(start, unit) else 0
+                budget = max(0, budget - given)
+                allowed[host][tier] -= start - given
+                if given < start:
+                    unmet_ms.setdefault(tier, now_ms)
+                else:
+                    unmet_ms.pop(tier, None)
+        return {host: tuple(costs) for host, costs in allowed.items()}
+
     def _returning(self, now_ms: int) -> int:
         return sum(
             holder.returning for holder in self._holders.values() if now_ms < holder.returned_ms
@@ -295,18 +337,11 @@
             for run, allow, need in zip(running, allowed, needs, strict=True)
         )
 
-    def _room(
-        self,
-        capacity: int,
-        demands: dict[HostId, HostDemand],
-        allowed: dict[HostId, tuple[int, ...]],
-    ) -> tuple[int, ...]:
+    def _room(self, capacity: int) -> tuple[int, ...]:
         room = []
         left = capacity
         for tier in range(self._tiers):
-            for host, demand in demands.items():
-                wanted = demand.running[tier] + demand.waiting[tier]
-                left -= min(allowed[host][tier], wanted)
+            left -= sum(holder.running[tier] for holder in self._holders.values())
             room.append(max(0, left))
         return tuple(room)
 
@@ -385,6 +420,8 @@
         self._newest: _Sent | None = None
         self._sent: dict[int, _Sent] = {}
         self._unanswered_ms: int | None = None
+        # Work that was kept beyond its credit has ended since the last demand.
+        self._gave_back = False
         self._hold_until_ms = -1
         self._hold_seq = -1
         self._active_ms = -_IDLE_MS
@@ -423,8 +460,10 @@
 
     @property
     def must_correct(self) -> bool:
-        """Whether the owner cut credit because it did not know of all that runs here."""
-        return self._newest is not None and self._hold_seq > self._newest.demand.seq
+        """Whether the owner waits to hear of what ended here or did not know what runs."""
+        if self._newest is None:
+            return False
+        return self._gave_back or self._hold_seq > self._newest.demand.seq
 
     def leased(self, now_ms: int) -> bool:
         """Return whether there is a lease in force."""
@@ -488,6 +527,8 @@
 
     def end(self, tier: int, cost: int, stopping: bool) -> None:
         """Note that an attempt ended."""
+        allowed = self._lease.allowed[tier] if self._lease.allowed else 0
+        self._gave_back = self._gave_back or self._running[tier] > allowed
         self._running[tier] -= cost
         self._rooms = None
         if stopping:
@@ -575,6 +616,7 @@
             self._upstream, seq, self.running, self._waiting, pressure_percent, self._units
         )
         self._newest = _Sent(demand, self.owner, now_ms)
+        self._gave_back = False
         if self._unanswered_ms is None:
             self._unanswered_ms = now_ms
         recent = {each: sent for each, sent in self._sent.items() if now_ms - sent.at_ms < LEASE_MS}
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -63,9 +63,9 @@
 # Least time between two divisions of the waiting cost among the upstreams.
 _SPREAD_MS = 10
 # Least time between two looks at an owned upstream's grants that no demand asked for.
-_REGRANT_MS = 100
-# Higher-tier work may overfill an engine by this part while lower tiers give way as their
-# attempts end. Preempting at once would waste prefill for nearly every higher-tier request.
+_REGRANT_MS = 40
+# Higher-tier work may go beyond an engine's learnt capacity, but not its limit, by this part
+# while lower tiers give way as their attempts end.
 _OVERFILL_PERCENT = 10
 _RETRY_AFTER_MS = 1_000
 # Ticks further apart than this mean that the process was paused.
@@ -562,6 +562,7 @@
             return None
         upstream.account.end(ended.request.tier, ended.cost, ended.stopped_ms is not None)
         upstream.load.change(-ended.cost, now_ms)
+        self._correcting = self._correcting or upstream.account.must_correct
         return ended
 
     def _settle(self, entry: _Entry, end: AttemptEnd, now_ms: int) -> list[Action]:
@@ -707,6 +708,7 @@
         hard = capacity
         if self._engine:
             hard += max(bounds.unit, capacity * _OVERFILL_PERCENT // 100)
+            hard = max(capacity, min(hard, bounds.limit))
         for host, grant in table.grants(capacity, hard, bounds.unit, now_ms, answer):
             if host == self._host:
                 self._accept(host, upstream, grant, now_ms)
