Count all unused credit of a cut daemon until it has answered

An owner counted only the part that it cut from a daemon's headroom, so it gave away credit that the daemon was just using without having told.

--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -301,9 +301,8 @@
         for host, holder in self._holders.items():
             if holder.granted is None:
                 continue
-            rest = max(sum(allowed[host]), sum(holder.running))
-            unused = sum(holder.granted) - rest
-            if unused > 0:
+            unused = sum(holder.granted) - sum(holder.running)
+            if unused > 0 and sum(allowed[host]) < sum(holder.granted):
                 holder.returning = unused
                 holder.returned_ms = now_ms + _RETURN_MS
                 found = True
