--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -1,16 +1,17 @@
 """Credit leases: the owner's table of demands and a daemon's account at one upstream."""
 
 import operator
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import HostId, UpstreamId
 from skylarkmoor_core.messages import Demand, Grant
-from skylarkmoor_policy.allocation import HostDemand, allocate
+from skylarkmoor_policy.allocation import HostDemand, allocate, keep_running
 from skylarkmoor_policy.capacity import Bounds
 
-__all__ = ["LEASE_MS", "CreditAccount", "CreditTable", "fallback_share"]
+__all__ = ["LEASE_MS", "SETTLE_MS", "CreditAccount", "CreditTable", "fallback_share"]
 
 # A lease outlives two lost renewals. A longer one would keep the credit of a dead daemon
 # from the others for longer.
@@ -19,15 +20,22 @@
 # Least time between two demands: the owner's answer to the first is on its way.
 _URGENT_MS = 10
 _RELEASE_MS = 50
+# A demand without answer is repeated after this time if something waits.
+_RESEND_MS = 100
 # A need that grew by less than this is told at the next renewal.
 _GROWTH_PERCENT = 125
 _SHRINK_PERCENT = 75
 # How long a preemption waits for an answer when the owner did not know all that runs.
 _HOLD_MS = 100
+# Time in which a daemon hears of a cut and tells of work that it has started meanwhile.
+_RETURN_MS = 15
+# Attempts that end by themselves usually make room within this time. Preempting at once
+# would waste prefill for nearly every higher-tier request.
+_PATIENCE_MS = 100
 # A new owner hears the running work of all daemons before it gives any of it away.
-_SETTLE_MS = 100
+SETTLE_MS = 100
 # An owner that has not answered for this long is taken to be gone.
-_SILENT_MS = 300
+_SILENT_MS = 200
 # An account that was not used for this long is not renewed.
 _IDLE_MS = 10_000
 
@@ -39,6 +47,12 @@
     return (*costs[: tiers - 1], sum(costs[tiers - 1 :]))
 
 
+def _needs(demand: Demand, tiers: int) -> tuple[int, ...]:
+    """Return by tier the cost that runs or waits."""
+    pairs = zip(_fit(demand.running, tiers), _fit(demand.waiting, tiers), strict=True)
+    return tuple(running + waiting for running, waiting in pairs)
+
+
 def _suffixes(costs: Sequence[int]) -> list[int]:
     """Return for each tier the cost of this tier and all lower ones."""
     sums = list(costs)
@@ -47,6 +61,29 @@
     return sums
 
 
+def _rooms(allowed: Sequence[int], running: Sequence[int]) -> list[int]:
+    """Return by tier the cost that may be started.
+
+    For each tier, what runs in it and in the lower ones must fit what is allowed in them.
+    Work of lower tiers that is kept beyond their credit does not count: it would take away
+    the credit that a higher tier was granted in its place.
+    """
+    tiers = len(allowed)
+    rooms = []
+    for tier in range(tiers):
+        room = sum(
+            allow - min(run, allow)
+            for allow, run in zip(allowed[tier + 1 :], running[tier + 1 :], strict=True)
+        )
+        least = room + allowed[tier] - running[tier]
+        free = least
+        for higher in range(tier - 1, -1, -1):
+            free += allowed[higher] - running[higher]
+            least = min(least, free)
+        rooms.append(least)
+    return rooms
+
+
 def fallback_share(capacity: int, unit: int, live: int, rank: int) -> int:
     """Return the cost that a daemon may run without a lease.
 
@@ -83,8 +120,16 @@
 class _Holder:
     demand: Demand
     expires_ms: int
-    # Allowed cost in the newest grant.
+    # What runs at the daemon if it has started all that it waits for and was granted.
+    running: tuple[int, ...]
+    # Cost allowed and kept in the newest grant.
     granted: tuple[int, ...] | None = None
+    kept: tuple[int, ...] = ()
+    # By tier, since when starts have been withheld.
+    unmet_ms: dict[int, int] = field(default_factory=dict)
+    # Unused credit that was cut and may have been used before the daemon heard of it.
+    returning: int = 0
+    returned_ms: int = -1
 
 
 class CreditTable:
@@ -96,8 +141,8 @@
         The upstream.
     tiers : int
         Number of tiers.
-    now_ms : int
-        Monotonic time at which this daemon became the owner.
+    granting_ms : int
+        Time from which grants are given.
 
     Notes
     -----
@@ -106,11 +151,12 @@
     the lease ends. By then it uses no more than its fallback share.
     """
 
-    def __init__(self, upstream: UpstreamId, tiers: int, now_ms: int) -> None:
+    def __init__(self, upstream: UpstreamId, tiers: int, granting_ms: int) -> None:
         self._upstream = upstream
         self._tiers = tiers
-        self._settled_ms = now_ms + _SETTLE_MS
-        self._seq = now_ms
+        self._granting_ms = granting_ms
+        self._seq = granting_ms
+        self._ceiling = sys.maxsize
         self._holders: dict[HostId, _Holder] = {}
 
     def set_tiers(self, tiers: int) -> None:
@@ -120,16 +166,19 @@
     @property
     def running(self) -> int:
         """Cost that all daemons together run, as far as known."""
-        return sum(sum(holder.demand.running) for holder in self._holders.values())
+        return sum(sum(holder.running) for holder in self._holders.values())
 
     @property
     def contended(self) -> bool:
-        """Whether anybody waits."""
-        return any(any(holder.demand.waiting) for holder in self._holders.values())
+        """Whether anybody waits for more than was granted, or for the first grant."""
+        return any(
+            each.granted is None or any(self._host_demand(each).waiting)
+            for each in self._holders.values()
+        )
 
     def settled(self, now_ms: int) -> bool:
         """Return whether this daemon has been the owner for long enough to grant."""
-        return now_ms >= self._settled_ms
+        return now_ms >= self._granting_ms
 
     def take(self, sender: HostId, demand: Demand, now_ms: int) -> bool:
         """Note a demand and return whether it is newer than the sender's last one."""
@@ -137,19 +186,28 @@
         holder = self._holders.get(sender)
         if holder is not None and demand.seq <= holder.demand.seq:
             return False
-        granted = None if holder is None else holder.granted
-        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS, granted)
+        running = _fit(demand.running, self._tiers)
+        self._holders[sender] = _Holder(demand, now_ms + LEASE_MS, running)
+        if holder is not None:
+            self._holders[sender].granted = holder.granted
+            self._holders[sender].kept = holder.kept
+            self._holders[sender].unmet_ms = holder.unmet_ms
         return True
 
     def grants(
-        self, capacity: int, unit: int, now_ms: int, answer: HostId | None = None
+        self, capacity: int, hard: int, unit: int, now_ms: int, answer: HostId | None = None
     ) -> list[tuple[HostId, Grant]]:
         """Return the grants to send.
 
         Parameters
         ----------
-        capacity, unit : int
-            Learnt capacity of the upstream and least cost of a request.
+        capacity : int
+            Learnt capacity of the upstream.
+        hard : int
+            Cost beyond which running work of lower tiers is preempted. Between the two, work
+            of a higher tier may start and lower tiers give way as their attempts end.
+        unit : int
+            Least cost of a request.
         now_ms : int
             Monotonic time.
         answer : HostId, optional
@@ -164,14 +222,23 @@
         if not self.settled(now_ms) or not self._holders:
             return []
         demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
-        allowed = allocate(capacity, demands, unit)
-        room = self._room(capacity, demands, allowed)
+        ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        if self._reclaim(ideal, now_ms):
+            ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        allowed = self._withhold(ideal, demands, hard, unit, now_ms)
+        # What was admitted before the capacity was lowered is left to end by itself.
+        self._ceiling = max(hard, min(self._ceiling, self.running))
+        keep = keep_running(self._ceiling, demands, allowed, unit)
+        for host, holder in self._holders.items():
+            holder.running = self._assumed(holder, allowed[host])
+        room = self._room(capacity)
         result = []
         for host, holder in self._holders.items():
-            if host != answer and not _differs(holder, allowed[host], unit):
+            if host != answer and not _differs(holder, allowed[host], keep[host], unit):
                 continue
             self._seq = max(self._seq + 1, now_ms)
             holder.granted = allowed[host]
+            holder.kept = keep[host]
             grant = Grant(
                 self._upstream,
                 self._seq,
@@ -180,10 +247,74 @@
                 holder.demand.seq,
                 capacity,
                 room,
+                keep[host],
             )
             result.append((host, grant))
         return result
 
+    def _withhold(
+        self,
+        ideal: dict[HostId, tuple[int, ...]],
+        demands: dict[HostId, HostDemand],
+        hard: int,
+        unit: int,
+        now_ms: int,
+    ) -> dict[HostId, tuple[int, ...]]:
+        """Return the division without the starts that would have to preempt other work yet.
+
+        Daemons that run more than their part start nothing meanwhile, so that the next
+        attempt that ends makes room. Only after a while are their attempts preempted.
+        """
+        budget = max(0, hard - self.running)
+        allowed = {host: list(costs) for host, costs in ideal.items()}
+        for tier in range(self._tiers):
+            for host, demand in demands.items():
+                unmet_ms = self._holders[host].unmet_ms
+                need = demand.running[tier] + demand.waiting[tier]
+                start = min(ideal[host][tier], need) - demand.running[tier]
+                if start <= 0:
+                    unmet_ms.pop(tier, None)
+                    continue
+                given = start
+                if now_ms - unmet_ms.get(tier, now_ms) < _PATIENCE_MS:
+                    given = min(start, budget) if budget >= min(start, unit) else 0
+                budget = max(0, budget - given)
+                allowed[host][tier] -= start - given
+                if given < start:
+                    unmet_ms.setdefault(tier, now_ms)
+                else:
+                    unmet_ms.pop(tier, None)
+        return {host: tuple(costs) for host, costs in allowed.items()}
+
+    def _returning(self, now_ms: int) -> int:
+        return sum(
+            holder.returning for holder in self._holders.values() if now_ms < holder.returned_ms
+        )
+
+    def _reclaim(self, allowed: dict[HostId, tuple[int, ...]], now_ms: int) -> bool:
+        """Note unused credit that is being cut and return whether there is any.
+
+        It is given away a little later. A burst that reaches all daemons at once would else
+        use the headroom of each of them and the credit granted in its place as well.
+        """
+        found = False
+        for host, holder in self._holders.items():
+            if holder.granted is None:
+                continue
+            unused = sum(holder.granted) - sum(holder.running)
+            if unused > 0 and sum(allowed[host]) < sum(holder.granted):
+                holder.returning = unused
+                holder.returned_ms = now_ms + _RETURN_MS
+                found = True
+        return found
+
+    def returned(self, now_ms: int) -> bool:
+        """Return whether cut credit has come back since the last call."""
+        back = [holder for holder in self._holders.values() if 0 <= holder.returned_ms <= now_ms]
+        for holder in back:
+            holder.returned_ms = -1
+        return bool(back)
+
     def _expire(self, now_ms: int) -> None:
         gone = [host for host, holder in self._holders.items() if holder.expires_ms <= now_ms]
         for host in gone:
@@ -191,33 +322,39 @@
 
     def _host_demand(self, holder: _Holder) -> HostDemand:
         demand = holder.demand
+        running = _fit(holder.running, self._tiers)
+        needs = _needs(demand, self._tiers)
+        waiting = tuple(max(0, need - run) for need, run in zip(needs, running, strict=True))
         units = (*demand.next_cost, *(1,) * self._tiers)[: self._tiers]
-        return HostDemand(
-            _fit(demand.running, self._tiers), _fit(demand.waiting, self._tiers), units
+        return HostDemand(running, waiting, units)
+
+    def _assumed(self, holder: _Holder, allowed: tuple[int, ...]) -> tuple[int, ...]:
+        running = _fit(holder.running, self._tiers)
+        needs = _needs(holder.demand, self._tiers)
+        return tuple(
+            max(run, min(allow, need))
+            for run, allow, need in zip(running, allowed, needs, strict=True)
         )
 
-    def _room(
-        self,
-        capacity: int,
-        demands: dict[HostId, HostDemand],
-        allowed: dict[HostId, tuple[int, ...]],
-    ) -> tuple[int, ...]:
+    def _room(self, capacity: int) -> tuple[int, ...]:
         room = []
         left = capacity
         for tier in range(self._tiers):
-            for host, demand in demands.items():
-                wanted = demand.running[tier] + demand.waiting[tier]
-                left -= min(allowed[host][tier], wanted)
+            left -= sum(holder.running[tier] for holder in self._holders.values())
             room.append(max(0, left))
         return tuple(room)
 
 
-def _differs(holder: _Holder, allowed: tuple[int, ...], unit: int) -> bool:
+def _differs(holder: _Holder, allowed: tuple[int, ...], keep: tuple[int, ...], unit: int) -> bool:
     """Return whether a daemon has to hear of its new credit before its next renewal."""
     if holder.granted is None:
         return True
     granted = _fit(holder.granted, len(allowed))
     pairs = list(zip(_suffixes(allowed), _suffixes(granted), strict=True))
+    kept = _suffixes(_fit(holder.kept, len(keep)))
+    pairs_kept = zip(_suffixes(keep), kept, _suffixes(holder.demand.running), strict=False)
+    if any(new < run and new < old for new, old, run in pairs_kept):
+        return True
     if any(new <= old - unit for new, old in pairs):
         return True
     return any(holder.demand.waiting) and any(new >= old + unit for new, old in pairs)
@@ -228,8 +365,8 @@
     seq: int = -1
     owner: HostId | None = None
     allowed: tuple[int, ...] = ()
-    # Sums of `allowed` over each tier and the lower ones.
-    suffixes: list[int] = field(default_factory=list)
+    # Sums of the cost that may go on running, over each tier and the lower ones.
+    keep: list[int] = field(default_factory=list)
     expires_ms: int = -1
     answers: int = -1
     room: tuple[int, ...] = ()
@@ -273,7 +410,8 @@
         self._upstream = upstream
         self._tiers = tiers
         self._running = [0] * tiers
-        self._running_suffixes = [0] * tiers
+        # Room by tier for the credit and the running work that it was computed for.
+        self._rooms: tuple[tuple[int, ...], list[int]] | None = None
         self._stopping = [0] * tiers
         self._waiting: tuple[int, ...] = (0,) * tiers
         self._units: tuple[int, ...] = (1,) * tiers
@@ -281,6 +419,8 @@
         self._newest: _Sent | None = None
         self._sent: dict[int, _Sent] = {}
         self._unanswered_ms: int | None = None
+        # Work that was kept beyond its credit has ended since the last demand.
+        self._gave_back = False
         self._hold_until_ms = -1
         self._hold_seq = -1
         self._active_ms = -_IDLE_MS
@@ -293,6 +433,8 @@
 
     def set_members(self, owner: HostId | None, host: HostId, members: tuple[HostId, ...]) -> None:
         """Set the upstream's owner, this daemon and all live daemons."""
+        if owner != self.owner:
+            self._unanswered_ms = None
         self.owner = owner
         self._host = host
         self._members = members
@@ -303,42 +445,55 @@
         more = tiers - self._tiers
         self._tiers = tiers
         self._running += [0] * more
-        self._running_suffixes += [0] * more
+        self._rooms = None
         self._stopping += [0] * more
         self._waiting += (0,) * more
         self._units += (1,) * more
-        self._lease.suffixes = _suffixes(_fit(self._lease.allowed, tiers))
+        self._lease.allowed += (0,) * more
+        self._lease.keep += [0] * more
 
     @property
     def running(self) -> tuple[int, ...]:
         """Cost that this daemon runs, by tier, with attempts that are being preempted."""
         return tuple(self._running)
 
+    @property
+    def must_correct(self) -> bool:
+        """Whether the owner waits to hear of what ended here or did not know what runs."""
+        if self._newest is None:
+            return False
+        return self._gave_back or self._hold_seq > self._newest.demand.seq
+
     def leased(self, now_ms: int) -> bool:
         """Return whether there is a lease in force."""
         return now_ms < self._lease.expires_ms
 
     def allowed(self, now_ms: int) -> tuple[int, ...]:
-        """Return the cost allowed by tier, by the lease or else by the fallback share.
+        """Return the cost by tier up to which new work may be started.
 
         Notes
         -----
         While the owner does not answer, higher tiers displace the lower ones of this daemon
         within the credit that is left, as the owner would have them do.
+
+        Without a lease of the present owner nothing starts until the owner answers or stays
+        silent. If all daemons started on their fallback shares at once, an owner that has
+        already granted the whole capacity could not know of it.
         """
-        if self.leased(now_ms):
-            allowed = _fit(self._lease.allowed, self._tiers)
-            return allowed if not self._silent(now_ms) else self._divide(sum(allowed))
-        return self._divide(self._fallback())
+        silent = self._silent(now_ms)
+        if self.leased(now_ms) and self._lease.owner == self.owner:
+            allowed = self._lease.allowed
+            return self._divide(sum(allowed)) if silent else allowed
+        if silent or self.owner is None:
+            return self._divide(self._fallback())
+        return (0,) * self._tiers
 
     def room(self, tier: int, now_ms: int) -> int:
         """Return the cost that may be started in a tier now."""
-        allowed = self._allowed_suffixes(now_ms)
-        running = self._running_suffixes
-        room = allowed[0] - running[0]
-        for each in range(1, tier + 1):
-            room = min(room, allowed[each] - running[each])
-        return room
+        allowed = self.allowed(now_ms)
+        if self._rooms is None or self._rooms[0] is not allowed:
+            self._rooms = allowed, _rooms(allowed, self._running)
+        return self._rooms[1][tier]
 
     def reach(self, now_ms: int) -> list[int]:
         """Return by tier the cost it may hope for, with that of lower tiers elsewhere."""
@@ -350,10 +505,19 @@
             hints = tuple(map(operator.sub, allowed, self._running))
         return list(map(max, rooms, hints))
 
+    def displaces(self, tier: int, now_ms: int) -> bool:
+        """Return whether lower-tier work may run that a tier could displace.
+
+        Without word from the owner it is taken to run.
+        """
+        if not self.leased(now_ms) or not self._lease.room:
+            return True
+        return _fit(self._lease.room, self._tiers)[tier] >= self.bounds.unit
+
     def start(self, tier: int, cost: int, now_ms: int) -> None:
         """Note that an attempt was started."""
         self._running[tier] += cost
-        self._running_suffixes = _suffixes(self._running)
+        self._rooms = None
         self._active_ms = now_ms
 
     def stop(self, tier: int, cost: int) -> None:
@@ -362,19 +526,26 @@
 
     def end(self, tier: int, cost: int, stopping: bool) -> None:
         """Note that an attempt ended."""
+        allowed = self._lease.allowed[tier] if self._lease.allowed else 0
+        self._gave_back = self._gave_back or self._running[tier] > allowed
         self._running[tier] -= cost
-        self._running_suffixes = _suffixes(self._running)
+        self._rooms = None
         if stopping:
             self._stopping[tier] -= cost
 
     def excess(self, now_ms: int) -> list[tuple[int, int]]:
         """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
-        if self.leased(now_ms) and now_ms < self._hold_until_ms:
-            return []
-        allowed = self._allowed_suffixes(now_ms)
+        if self.leased(now_ms) and not self._silent(now_ms):
+            allowed = list(map(max, _suffixes(self._lease.allowed), self._lease.keep))
+        elif self.leased(now_ms):
+            allowed = _suffixes(self.allowed(now_ms))
+        else:
+            allowed = _suffixes(self._divide(self._fallback()))
         live = [run - stop for run, stop in zip(self._running, self._stopping, strict=True)]
         pairs = zip(_suffixes(live), allowed, strict=True)
         over = [(tier, run - allow) for tier, (run, allow) in enumerate(pairs) if run > allow]
+        if self.leased(now_ms) and now_ms < self._hold_until_ms:
+            return []
         return over[::-1]
 
     def wait(self, waiting: tuple[int, ...], units: tuple[int, ...]) -> None:
@@ -394,8 +565,8 @@
         self._lease = _Lease(
             grant.seq,
             sender,
-            grant.allowed,
-            _suffixes(_fit(grant.allowed, self._tiers)),
+            _fit(grant.allowed, self._tiers),
+            _suffixes(_fit(grant.keep or grant.allowed, self._tiers)),
             answered.at_ms + grant.lease_ms,
             grant.answers,
             grant.room,
@@ -423,9 +594,13 @@
         age_ms = now_ms - sent.at_ms
         if age_ms >= _RENEW_MS:
             return active
+        if self.must_correct:
+            return True
         if age_ms < _URGENT_MS:
             return False
-        if self._hold_seq > sent.demand.seq or self._grew(sent.demand):
+        if age_ms >= _RESEND_MS and self._unanswered_ms is not None and any(self._waiting):
+            return True
+        if self._grew(sent.demand):
             return True
         return age_ms >= _RELEASE_MS and self._shrank(sent.demand)
 
@@ -440,6 +615,7 @@
             self._upstream, seq, self.running, self._waiting, pressure_percent, self._units
         )
         self._newest = _Sent(demand, self.owner, now_ms)
+        self._gave_back = False
         if self._unanswered_ms is None:
             self._unanswered_ms = now_ms
         recent = {each: sent for each, sent in self._sent.items() if now_ms - sent.at_ms < LEASE_MS}
@@ -464,11 +640,6 @@
     def _silent(self, now_ms: int) -> bool:
         return self._unanswered_ms is not None and now_ms - self._unanswered_ms > _SILENT_MS
 
-    def _allowed_suffixes(self, now_ms: int) -> list[int]:
-        if self.leased(now_ms) and not self._silent(now_ms):
-            return self._lease.suffixes
-        return _suffixes(self.allowed(now_ms))
-
     def _hold(self, now_ms: int) -> None:
         """Put off preemption if the owner did not know of all that runs here.
 
@@ -491,14 +662,19 @@
             self._hold_until_ms = now_ms + _HOLD_MS
 
     def _grew(self, sent: Demand) -> bool:
-        return any(
-            now * 100 > before * _GROWTH_PERCENT
-            for now, before in zip(self._waiting, _fit(sent.waiting, self._tiers), strict=True)
-        )
+        """Return whether a tier needs notably more than told, or than the owner has granted."""
+        told = _needs(sent, self._tiers)
+        granted = _fit(self._lease.allowed, self._tiers)
+        for tier, waiting in enumerate(self._waiting):
+            need = self._running[tier] + waiting
+            satisfied = told[tier] <= granted[tier]
+            much = need * 100 > told[tier] * _GROWTH_PERCENT
+            if waiting and need > told[tier] and (satisfied or much):
+                return True
+        return False
 
     def _shrank(self, sent: Demand) -> bool:
-        pairs = zip(sent.running, sent.waiting, strict=True)
-        before = _fit([run + wait for run, wait in pairs], self._tiers)
+        before = _needs(sent, self._tiers)
         now = [run + wait for run, wait in zip(self._running, self._waiting, strict=True)]
         return any(
             new * 100 < old * _SHRINK_PERCENT
