--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -31,7 +31,7 @@
 _RETURN_MS = 15
 # Attempts that end by themselves usually make room within this time. Preempting at once
 # would waste prefill for nearly every higher-tier request.
-_PATIENCE_MS = 100
+_PATIENCE_MS = 150
 # A new owner hears the running work of all daemons before it gives any of it away.
 SETTLE_MS = 100
 # An owner that has not answered for this long is taken to be gone.
@@ -69,18 +69,16 @@
     the credit that a higher tier was granted in its place.
     """
     tiers = len(allowed)
-    rooms = []
-    for tier in range(tiers):
-        room = sum(
-            allow - min(run, allow)
-            for allow, run in zip(allowed[tier + 1 :], running[tier + 1 :], strict=True)
-        )
-        least = room + allowed[tier] - running[tier]
-        free = least
+    rooms = [0] * tiers
+    lower = 0
+    for tier in range(tiers - 1, -1, -1):
+        own = allowed[tier] - running[tier]
+        least = free = lower + own
         for higher in range(tier - 1, -1, -1):
             free += allowed[higher] - running[higher]
             least = min(least, free)
-        rooms.append(least)
+        rooms[tier] = least
+        lower += max(0, own)
     return rooms
 
 
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -252,6 +252,8 @@
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
+        # Nothing waits and no account has been told otherwise.
+        self._spread_empty = False
         self._tick_ms = 0
         # An owner has to hear at once of work that it did not know of.
         self._correcting = False
@@ -876,6 +878,8 @@
     def _preempt(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
         for upstream in self._upstreams.values():
+            if not upstream.attempts:
+                continue
             freed = 0
             for tier, excess in upstream.account.excess(now_ms):
                 for attempt in self._victims(upstream, tier, now_ms):
@@ -936,6 +940,10 @@
         The parts add up to what waits. Demanding everything everywhere would preempt several
         times as much lower-tier work as is needed.
         """
+        empty = len(self._queue) == 0
+        if empty and self._spread_empty:
+            return
+        self._spread_empty = empty
         usable = [each for each in self._upstreams.values() if each.usable(now_ms)]
         plans = {each.info.upstream: _Plan(each, now_ms) for each in usable}
         for tier in range(self._tiers):
