Return a preempted request to the upstream that has its prefill

A preempted attempt's prompt and answer stay in the engine's cache, and any other upstream computes them again.

Routing takes the whole prompt as cached there. The new test fails without the change.

--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -130,6 +130,8 @@
     failures: int = 0
     position: int = 0
     running: _Attempt | None = None
+    # Where the request was preempted; its prompt and answer so far are still cached there.
+    cached_at: UpstreamId | None = None
     # Upstreams that failed the request.
     avoid: set[UpstreamId] = field(default_factory=set)
 
@@ -590,7 +592,7 @@
                 entry.avoid.add(end.upstream)
                 entry.failures += 1
             case AttemptResult.PREEMPTED:
-                pass
+                entry.cached_at = end.upstream
         retry = decide_retry(end.result, request.idempotent, entry.failures)
         charged = retry is Retry.CHARGED
         if retry is Retry.NEVER or (charged and not self._retries.take(request.customer, now_ms)):
@@ -795,7 +797,7 @@
         self._rng.shuffle(fitting)
         prompt = request.prompt_tokens + entry.position
         output = self._expected_output(request)
-        candidates = [self._candidate(each, request, prompt) for each in fitting]
+        candidates = [self._candidate(each, entry, prompt) for each in fitting]
         cost = self._cost(entry, fitting[0])
         chosen = choose(candidates, prompt, output, cost)
         assert chosen is not None
@@ -836,14 +838,15 @@
         lowest = tier == self._tiers - 1
         return lowest or (tier > 0 and not self._displaces(tier, now_ms))
 
-    def _candidate(self, upstream: _Upstream, request: Request, prompt: int) -> Candidate:
+    def _candidate(self, upstream: _Upstream, entry: _Entry, prompt: int) -> Candidate:
         name = upstream.info.upstream
+        request = entry.request
         cached = self._prefixes.cached_tokens(name, request.prefix_hashes, request.prompt_tokens)
         return Candidate(
             name,
             upstream.load.used(),
             upstream.account.capacity,
-            min(cached, prompt),
+            prompt if entry.cached_at == name else min(cached, prompt),
             upstream.speed.prefill_ms,
             upstream.speed.decode_ms,
         )
--- a/libs/policy/tests/test_scheduler.py
+++ b/libs/policy/tests/test_scheduler.py
@@ -262,6 +262,15 @@
     assert scheduler.status().wasted_prefill_tokens == (100, 0, 0)
 
 
+def test_preempted_request_returns_to_the_upstream_that_has_its_prefill():
+    scheduler = _scheduler(ONE, TWO, kind=ServiceKind.ENGINE)
+    for i in range(10):
+        [first] = _dispatches(scheduler.submit(_request(f"r{i}", prompt_tokens=1_000), 0))
+        [again] = _dispatches(scheduler.attempt_ended(_end(first, AttemptResult.PREEMPTED), 0))
+        assert again.upstream == first.upstream
+        scheduler.attempt_ended(_end(again, AttemptResult.COMPLETED), 0)
+
+
 def test_more_tiers_in_a_new_document_are_usable():
     scheduler = _scheduler(ONE)
     tiers = tuple(Tier(name=f"t{i}", rank=TierRank(i)) for i in range(4))
