Divide the credit and scheduler modules and document their interface

credit keeps the owner's table; accounts holds a daemon's own credit, upstreams the state of an upstream and its attempts, tiers the arithmetic by tier.

--- a/libs/policy/src/skylarkmoor_policy/routing.py
+++ b/libs/policy/src/skylarkmoor_policy/routing.py
@@ -59,8 +59,8 @@
 
 def choose(
     candidates: Sequence[Candidate], prompt_tokens: int, output_tokens: int, cost: int
-) -> tuple[Candidate, float] | None:
-    """Return the candidate with the least predicted time and that time in milliseconds.
+) -> tuple[Candidate, float]:
+    """Return the candidate with the least predicted time, and that time.
 
     Parameters
     ----------
@@ -71,21 +71,25 @@
 
     Returns
     -------
-    tuple of Candidate and float, or None
-        None if there are no candidates.
+    tuple of Candidate and float
+        The candidate and the time in milliseconds.
+
+    Raises
+    ------
+    ValueError
+        If there are no candidates.
     """
     if not candidates:
-        return None
+        raise ValueError("there are no candidates")
     loads = [each.used / max(1, each.capacity) for each in candidates]
     mean = sum(loads) / len(loads)
     bound = max(_AFFINITY_FREE_LOAD, mean * _AFFINITY_LOAD_PERCENT / 100)
-    best: tuple[Candidate, float] | None = None
+    times = []
     for candidate, load in zip(candidates, loads, strict=True):
-        uncached = candidate.cached_tokens if load > bound else 0
-        time_ms = predict_ms(candidate, prompt_tokens + uncached, output_tokens, cost)
-        if best is None or time_ms < best[1]:
-            best = candidate, time_ms
-    return best
+        lost = candidate.cached_tokens if load > bound else 0
+        times.append(predict_ms(candidate, prompt_tokens + lost, output_tokens, cost))
+    best = min(range(len(times)), key=times.__getitem__)
+    return candidates[best], times[best]
 
 
 class LoadEstimate:
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -11,7 +11,6 @@
     AttemptId,
     FailureDomain,
     HostId,
-    Incarnation,
     RequestId,
     RouteName,
     TierRank,
@@ -21,14 +20,8 @@
 from skylarkmoor_core.messages import Demand, Grant
 from skylarkmoor_core.outcome import ErrorCode
 from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
-from skylarkmoor_policy.capacity import (
-    ENGINE_START_PERCENT,
-    CapacityModel,
-    PressureWindow,
-    SpeedModel,
-    bounds_of,
-)
-from skylarkmoor_policy.credit import SETTLE_MS, CreditAccount, CreditTable
+from skylarkmoor_policy.capacity import bounds_of
+from skylarkmoor_policy.credit import SETTLE_MS, CreditTable
 from skylarkmoor_policy.limits import CustomerLimits
 from skylarkmoor_policy.prefixes import PrefixIndex
 from skylarkmoor_policy.queueing import Queue, Waiting
@@ -40,7 +33,8 @@
     UpstreamInfo,
 )
 from skylarkmoor_policy.retrying import Retry, RetryBudget, decide_retry
-from skylarkmoor_policy.routing import Candidate, LoadEstimate, choose
+from skylarkmoor_policy.routing import Candidate, choose
+from skylarkmoor_policy.upstreams import Attempt, Upstream, WaitingPlan
 
 __all__ = ["Scheduler", "SchedulerStatus"]
 
@@ -52,9 +46,6 @@
 _MANY_UPSTREAMS = 16
 # Waiting cost is spread over the upstreams in at most this many parts for each.
 _PARTS = 4
-# Rest after a failed connection, doubled up to the bound at each further failure.
-_COOLDOWN_MS = 100
-_MAX_COOLDOWN_MS = 2_000
 # A preempted attempt whose end is not reported for this long is taken to have ended.
 _STOP_TIMEOUT_MS = 5_000
 # Shorter spans measure the network's batching and not the engine.
@@ -98,29 +89,6 @@
     wasted_prefill_tokens: tuple[int, ...]
 
 
-@dataclass(slots=True)
-class _Attempt:
-    attempt: AttemptId
-    request: Request
-    upstream: UpstreamId
-    cost: int
-    prefill_tokens: int
-    start_position: int
-    started_ms: int
-    position: int
-    # Time and position at the last measurement of the time between tokens.
-    measured_ms: int = -1
-    measured_position: int = 0
-    stopped_ms: int | None = None
-
-    def computed(self, prefill_ms: float, now_ms: int) -> int:
-        """Return how many tokens have been computed, estimated before the first token."""
-        if self.position > self.start_position:
-            return self.prefill_tokens + self.position - self.start_position
-        elapsed_ms = now_ms - self.started_ms
-        return min(self.prefill_tokens, int(elapsed_ms / max(prefill_ms, 1e-3)))
-
-
 @dataclass(slots=True)
 class _Entry:
     """A request that has not ended."""
@@ -129,83 +97,13 @@
     attempts: int = 0
     failures: int = 0
     position: int = 0
-    running: _Attempt | None = None
+    running: Attempt | None = None
     # Where the request was preempted; its prompt and answer so far are still cached there.
     cached_at: UpstreamId | None = None
     # Upstreams that failed the request.
     avoid: set[UpstreamId] = field(default_factory=set)
 
 
-class _Upstream:
-    """What this daemon knows of one upstream."""
-
-    def __init__(self, info: UpstreamInfo, engine: bool, tiers: int) -> None:
-        bounds = bounds_of(None, engine)
-        self.info = info
-        self.listed = True
-        self.leaving = info.leaving
-        self.incarnation: Incarnation | None = None
-        self.report: LoadReport | None = None
-        self.account = CreditAccount(info.upstream, tiers, bounds)
-        self.capacity = CapacityModel(bounds, ENGINE_START_PERCENT if engine else 100)
-        self.owned = False
-        self.table: CreditTable | None = None
-        self.granted_ms = -1
-        self.speed = SpeedModel()
-        self.load = LoadEstimate()
-        self.pressure = PressureWindow()
-        self.attempts: dict[AttemptId, _Attempt] = {}
-        self.failures = 0
-        self.rest_until_ms = -1
-
-    def usable(self, now_ms: int) -> bool:
-        """Return whether new work may go here."""
-        return self.listed and not self.leaving and now_ms >= self.rest_until_ms
-
-    def has_room(self, tier: int, now_ms: int) -> bool:
-        """Return whether the smallest request of a tier may start."""
-        return self.account.room(tier, now_ms) >= self.account.bounds.unit
-
-    def serves(self, version: VersionId) -> bool:
-        """Return whether the upstream runs a version, as far as known."""
-        return self.report is None or not self.report.versions or version in self.report.versions
-
-    def rest(self, now_ms: int) -> None:
-        """Give the upstream no new work for a while after a failed connection."""
-        self.rest_until_ms = now_ms + min(_MAX_COOLDOWN_MS, _COOLDOWN_MS << self.failures)
-        self.failures = min(self.failures + 1, 10)
-
-    def recover(self) -> None:
-        """Note that the upstream works."""
-        self.failures = 0
-        self.rest_until_ms = -1
-
-
-class _Plan:
-    """Waiting cost that is being assigned to an upstream."""
-
-    def __init__(self, upstream: _Upstream, now_ms: int) -> None:
-        account = upstream.account
-        self._reach = account.reach(now_ms)
-        self._capacity = max(1, account.capacity)
-        self._unit = account.bounds.unit
-        self._planned = 0
-        self.waiting = [0] * len(self._reach)
-        self.units = [0] * len(self._reach)
-
-    def prospect(self, tier: int) -> float:
-        """Return the part of the capacity that a tier may yet hope for."""
-        return (self._reach[tier] - self._planned) / self._capacity
-
-    def add(self, tier: int, cost: int, requests: float) -> None:
-        """Assign some requests of a mean cost."""
-        single = max(self._unit, cost)
-        total = max(single, round(single * requests))
-        self.units[tier] = max(self.units[tier], single)
-        self.waiting[tier] += total
-        self._planned += total
-
-
 class Scheduler:
     """Decides which requests of a service run, when and on which upstream.
 
@@ -250,7 +148,7 @@
         self._prefixes = PrefixIndex()
         self._entries: dict[RequestId, _Entry] = {}
         self._deadlines: list[tuple[int, RequestId]] = []
-        self._upstreams: dict[UpstreamId, _Upstream] = {}
+        self._upstreams: dict[UpstreamId, Upstream] = {}
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
@@ -266,7 +164,20 @@
         self._wasted = [0] * self._tiers
 
     def submit(self, request: Request, now_ms: int) -> list[Action]:
-        """Take a request and return what to do now."""
+        """Take a request.
+
+        Parameters
+        ----------
+        request : Request
+            Its id must not have been used before.
+        now_ms : int
+            Monotonic time.
+
+        Returns
+        -------
+        list of Action
+            What to do now, in this order. The request is dispatched, refused or waits.
+        """
         self._retries.count_request(request.customer)
         entry = _Entry(request)
         self._entries[request.request] = entry
@@ -281,9 +192,20 @@
         return actions + self._pump(now_ms, renew=first)
 
     def cancel(self, request_id: RequestId, now_ms: int) -> list[Action]:
-        """Forget a request whose caller is gone and cancel its attempt.
-
-        The attempt's end has to be reported all the same.
+        """Forget a request whose caller is gone.
+
+        Parameters
+        ----------
+        request_id : RequestId
+            An unknown or ended request is ignored.
+        now_ms : int
+            Monotonic time.
+
+        Returns
+        -------
+        list of Action
+            A `Preempt` if an attempt runs. Its end has to be reported as for any other; it
+            holds its capacity until then, but for 5 s at most.
         """
         entry = self._entries.pop(request_id, None)
         if entry is None:
@@ -294,7 +216,17 @@
         return self._stop(entry.running, now_ms)
 
     def attempt_progress(self, attempt: AttemptId, position_tokens: int, now_ms: int) -> None:
-        """Note the position that an attempt's answer has reached."""
+        """Note the position that an attempt's answer has reached.
+
+        Parameters
+        ----------
+        attempt : AttemptId
+            An attempt that has ended is ignored.
+        position_tokens : int
+            Tokens of the whole answer, with those of earlier attempts.
+        now_ms : int
+            Monotonic time.
+        """
         entry = self._entry_of(attempt)
         if entry is None or entry.running is None:
             return
@@ -308,7 +240,21 @@
         entry.position = max(entry.position, position_tokens)
 
     def attempt_ended(self, end: AttemptEnd, now_ms: int) -> list[Action]:
-        """Note the end of an attempt; complete, retry or refuse its request."""
+        """Note the end of an attempt.
+
+        Parameters
+        ----------
+        end : AttemptEnd
+            How it ended. The end of an unknown attempt is ignored.
+        now_ms : int
+            Monotonic time.
+
+        Returns
+        -------
+        list of Action
+            What to do now. The request is complete, waits again, is dispatched again or is
+            refused. A call that is not idempotent runs again only if nothing of it was sent.
+        """
         entry = self._entry_of(end.attempt)
         attempt = self._release(end.upstream, end.attempt, now_ms)
         if attempt is None:
@@ -322,7 +268,23 @@
         return actions + self._pump(now_ms)
 
     def receive(self, sender: HostId, message: Demand | Grant, now_ms: int) -> list[Action]:
-        """Take a message of another daemon."""
+        """Take a message of another daemon.
+
+        Parameters
+        ----------
+        sender : HostId
+            The other daemon.
+        message : Demand or Grant
+            One for an upstream that this daemon does not know, or that is older than one
+            received before, is ignored.
+        now_ms : int
+            Monotonic time.
+
+        Returns
+        -------
+        list of Action
+            What to do now.
+        """
         upstream = self._upstreams.get(message.upstream)
         if upstream is None:
             return []
@@ -368,7 +330,7 @@
         for name, info in listed.items():
             known = self._upstreams.get(name)
             if known is None:
-                self._upstreams[name] = _Upstream(info, self._engine, self._tiers)
+                self._upstreams[name] = Upstream(info, self._engine, self._tiers)
             else:
                 known.info = info
                 known.leaving = known.leaving or info.leaving
@@ -420,7 +382,19 @@
             self._drained_ms = now_ms
 
     def tick(self, now_ms: int) -> list[Action]:
-        """Apply deadlines, leases and renewals; to be called about every 20 ms."""
+        """Apply deadlines, leases and renewals.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time. Calls should be about 20 ms apart; a gap of a second is taken for
+            a pause of the process.
+
+        Returns
+        -------
+        list of Action
+            What to do now.
+        """
         if now_ms - self._tick_ms >= _PAUSE_MS:
             self._forget_demands()
         self._tick_ms = now_ms
@@ -559,7 +533,7 @@
             return None
         return entry
 
-    def _release(self, name: UpstreamId, attempt: AttemptId, now_ms: int) -> _Attempt | None:
+    def _release(self, name: UpstreamId, attempt: AttemptId, now_ms: int) -> Attempt | None:
         upstream = self._upstreams.get(name)
         ended = None if upstream is None else upstream.attempts.pop(attempt, None)
         if upstream is None or ended is None:
@@ -606,7 +580,7 @@
         self._enqueue(entry)
         return []
 
-    def _learn(self, end: AttemptEnd, attempt: _Attempt, now_ms: int) -> None:
+    def _learn(self, end: AttemptEnd, attempt: Attempt, now_ms: int) -> None:
         upstream = self._upstreams[end.upstream]
         request = attempt.request
         completed = end.result is AttemptResult.COMPLETED
@@ -637,7 +611,7 @@
             upstream.pressure.observe_between(end.between_tokens_ms, tier)
             upstream.speed.observe_between(end.between_tokens_ms)
 
-    def _measure(self, attempt: _Attempt, upstream: _Upstream, position: int, now_ms: int) -> None:
+    def _measure(self, attempt: Attempt, upstream: Upstream, position: int, now_ms: int) -> None:
         tier = self._tier(attempt.request.tier)
         if attempt.measured_ms < 0:
             prefill_ms = attempt.prefill_tokens * upstream.speed.prefill_ms
@@ -669,7 +643,7 @@
             if not upstream.owned:
                 upstream.table = None
 
-    def _table(self, upstream: _Upstream, now_ms: int) -> CreditTable | None:
+    def _table(self, upstream: Upstream, now_ms: int) -> CreditTable | None:
         """Return the table of an upstream that this daemon owns."""
         if upstream.owned and upstream.table is None:
             settle_ms = SETTLE_MS if len(self._domains) > 1 else 0
@@ -685,7 +659,7 @@
             upstream.table = None
 
     def _take_demand(
-        self, sender: HostId, upstream: _Upstream, demand: Demand, now_ms: int
+        self, sender: HostId, upstream: Upstream, demand: Demand, now_ms: int
     ) -> list[Action]:
         table = self._table(upstream, now_ms)
         if table is None or not table.take(sender, demand, now_ms):
@@ -693,7 +667,7 @@
         upstream.capacity.observe(demand.pressure_percent, table.running, now_ms)
         return self._grant(upstream, table, now_ms, sender)
 
-    def _review_capacity(self, upstream: _Upstream, now_ms: int) -> list[Action]:
+    def _review_capacity(self, upstream: Upstream, now_ms: int) -> list[Action]:
         """Hand out capacity that was learnt, or that ended leases have given back."""
         table = self._table(upstream, now_ms)
         if table is None or not table.contended:
@@ -703,7 +677,7 @@
         return self._grant(upstream, table, now_ms)
 
     def _grant(
-        self, upstream: _Upstream, table: CreditTable, now_ms: int, answer: HostId | None = None
+        self, upstream: Upstream, table: CreditTable, now_ms: int, answer: HostId | None = None
     ) -> list[Action]:
         upstream.granted_ms = now_ms
         bounds = upstream.account.bounds
@@ -720,7 +694,7 @@
                 actions.append(Send(host, grant))
         return actions
 
-    def _accept(self, sender: HostId, upstream: _Upstream, grant: Grant, now_ms: int) -> bool:
+    def _accept(self, sender: HostId, upstream: Upstream, grant: Grant, now_ms: int) -> bool:
         accepted = upstream.account.accept(sender, grant, now_ms)
         self._correcting = self._correcting or upstream.account.must_correct
         return accepted
@@ -760,7 +734,7 @@
                     actions.append(action)
         return actions
 
-    def _place(self, item: Waiting, free: list[_Upstream], now_ms: int) -> Action | None:
+    def _place(self, item: Waiting, free: list[Upstream], now_ms: int) -> Action | None:
         """Start a waiting request if it fits somewhere.
 
         If it does not, the upstream where it has the best prospects is taken off `free`, so
@@ -791,7 +765,7 @@
         return self._start(entry, version, self._near(fitting), now_ms)
 
     def _start(
-        self, entry: _Entry, version: VersionId, fitting: list[_Upstream], now_ms: int
+        self, entry: _Entry, version: VersionId, fitting: list[Upstream], now_ms: int
     ) -> Action:
         request = entry.request
         self._rng.shuffle(fitting)
@@ -799,9 +773,7 @@
         output = self._expected_output(request)
         candidates = [self._candidate(each, entry, prompt) for each in fitting]
         cost = self._cost(entry, fitting[0])
-        chosen = choose(candidates, prompt, output, cost)
-        assert chosen is not None
-        candidate, time_ms = chosen
+        candidate, time_ms = choose(candidates, prompt, output, cost)
         hopeless = now_ms + time_ms > request.deadline_ms
         if hopeless and self._may_reject(request.tier, now_ms):
             self._queue.remove(request.request)
@@ -810,7 +782,7 @@
         upstream = self._upstreams[candidate.upstream]
         self._queue.take(request.request)
         entry.attempts += 1
-        attempt = _Attempt(
+        attempt = Attempt(
             AttemptId(f"{request.request}.{entry.attempts}"),
             request,
             candidate.upstream,
@@ -838,7 +810,7 @@
         lowest = tier == self._tiers - 1
         return lowest or (tier > 0 and not self._displaces(tier, now_ms))
 
-    def _candidate(self, upstream: _Upstream, entry: _Entry, prompt: int) -> Candidate:
+    def _candidate(self, upstream: Upstream, entry: _Entry, prompt: int) -> Candidate:
         name = upstream.info.upstream
         request = entry.request
         cached = self._prefixes.cached_tokens(name, request.prefix_hashes, request.prompt_tokens)
@@ -851,7 +823,7 @@
             upstream.speed.decode_ms,
         )
 
-    def _eligible(self, entry: _Entry, version: VersionId, now_ms: int) -> list[_Upstream]:
+    def _eligible(self, entry: _Entry, version: VersionId, now_ms: int) -> list[Upstream]:
         able = [
             each
             for name, each in self._upstreams.items()
@@ -862,14 +834,14 @@
         fresh = [each for each in able if each.info.upstream not in entry.avoid]
         return fresh or able
 
-    def _near(self, upstreams: list[_Upstream]) -> list[_Upstream]:
+    def _near(self, upstreams: list[Upstream]) -> list[Upstream]:
         """Return those of this daemon's failure domain if there are very many upstreams."""
         if len(self._upstreams) <= _MANY_UPSTREAMS:
             return upstreams
         domain = self._domains.get(self._host)
         return [each for each in upstreams if each.info.failure_domain == domain] or upstreams
 
-    def _cost(self, entry: _Entry, upstream: _Upstream) -> int:
+    def _cost(self, entry: _Entry, upstream: Upstream) -> int:
         """Return what a request costs on an upstream, where it has to fit when alone."""
         if not self._engine:
             return 1
@@ -893,7 +865,7 @@
                     actions += self._stop(attempt, now_ms)
         return actions
 
-    def _victims(self, upstream: _Upstream, tier: int, now_ms: int) -> list[_Attempt]:
+    def _victims(self, upstream: Upstream, tier: int, now_ms: int) -> list[Attempt]:
         """Return what may be preempted, the lowest tier and the least computed work first."""
         prefill_ms = upstream.speed.prefill_ms
         return sorted(
@@ -907,7 +879,7 @@
             key=lambda each: (-each.request.tier, each.computed(prefill_ms, now_ms)),
         )
 
-    def _stop(self, attempt: _Attempt, now_ms: int) -> list[Action]:
+    def _stop(self, attempt: Attempt, now_ms: int) -> list[Action]:
         if attempt.stopped_ms is not None:
             return []
         attempt.stopped_ms = now_ms
@@ -948,7 +920,7 @@
             return
         self._spread_empty = empty
         usable = [each for each in self._upstreams.values() if each.usable(now_ms)]
-        plans = {each.info.upstream: _Plan(each, now_ms) for each in usable}
+        plans = {each.info.upstream: WaitingPlan(each, now_ms) for each in usable}
         for tier in range(self._tiers):
             for version, (count, cost) in self._queue.groups(tier).items():
                 able = self._near([each for each in usable if each.serves(version)])
--- a/libs/policy/tests/test_scheduler.py
+++ b/libs/policy/tests/test_scheduler.py
@@ -1,6 +1,9 @@
 """Guards the scheduler's answers to single events against lost and misdirected requests."""
 
 import random
+from dataclasses import replace
+
+import pytest
 
 from skylarkmoor_core.document import Customer, Limits, Route, ServiceDocument, ServiceKind, Tier
 from skylarkmoor_core.ids import (
@@ -254,6 +257,43 @@
     assert len(_dispatches(actions)) == 1
 
 
+def _busy_engine() -> tuple[Scheduler, Dispatch]:
+    """Return a scheduler whose only slot is taken while two requests wait."""
+    scheduler = _scheduler(ONE, kind=ServiceKind.ENGINE)
+    scheduler.report(_report(ONE, max_batch=1, kv_capacity_tokens=10_000))
+    [running] = _fill(scheduler, 1, 1)
+    scheduler.submit(_request("other", 2, 60_000), 0)
+    return scheduler, running
+
+
+@pytest.mark.parametrize(("tier", "refused"), [(2, True), (0, False)])
+def test_only_the_lowest_tier_is_refused_for_a_deadline_it_cannot_meet(tier, refused):
+    scheduler, running = _busy_engine()
+    request = _request("late", tier, deadline_ms=1_000, max_output_tokens=1_000)
+    assert _codes(scheduler.submit(request, 0)) == []
+    end = replace(_end(running, AttemptResult.COMPLETED), position_tokens=1_000)
+    actions = scheduler.attempt_ended(end, 100)
+    assert _codes(actions) == ([ErrorCode.OVERLOADED] if refused else [])
+
+
+def test_deadline_that_cannot_be_met_is_no_reason_to_refuse_an_idle_service():
+    scheduler = _scheduler(ONE, kind=ServiceKind.ENGINE)
+    request = _request("late", 2, deadline_ms=1_000, max_output_tokens=10_000)
+    assert len(_dispatches(scheduler.submit(request, 0))) == 1
+
+
+def test_version_chosen_while_a_request_waits_is_the_one_it_runs_on():
+    wanted = [VersionId("v1")]
+    scheduler = Scheduler(
+        HOST, _document(), random.Random(1), choose_version=lambda request: wanted[0]
+    )
+    scheduler.submit(_request("r1"), 0)
+    wanted[0] = VersionId("v2")
+    scheduler.set_upstreams([UpstreamInfo(ONE, ServiceName("orders"), FailureDomain("d"))])
+    [dispatch] = _dispatches(scheduler.tick(20))
+    assert dispatch.version == "v2"
+
+
 def test_preempted_request_counts_its_prefill_as_wasted():
     scheduler = _scheduler(ONE, kind=ServiceKind.ENGINE)
     [dispatch] = _dispatches(scheduler.submit(_request("r1", prompt_tokens=100), 0))
