Keep mean latency below its bound and change capacity in small steps

Cause: capacity grew until the mean time between tokens reached its bound, so about half of the streams on a full engine were slower, and each decrease took a fifth of the engine.

--- a/libs/policy/src/skylarkmoor_policy/capacity.py
+++ b/libs/policy/src/skylarkmoor_policy/capacity.py
@@ -22,17 +22,19 @@
 # in it until its work has drained.
 ENGINE_START_PERCENT = 75
 _FLOOR_PERCENT = 10
-_INCREASE_PERCENT = 3
+_INCREASE_PERCENT = 2
 _INCREASE_EVERY_MS = 250
-_DECREASE_PERCENT = 80
+_DECREASE_PERCENT = 90
 _DECREASE_EVERY_MS = 1_000
 # Running cost up to this part of the capacity is at the capacity. Higher tiers may overfill
 # an engine a little.
-_SETTLED_PERCENT = 115
+_SETTLED_PERCENT = 110
 # Each daemon measures a few streams only, so one measurement is noisy.
 _PRESSURE_WEIGHT = 0.2
-# Latency above this part of its bound leaves no margin for an increase.
-_EASY_PERCENT = 90
+# The mean latency is kept between these parts of its bound. With the mean at the bound itself,
+# half of the streams would exceed it.
+_EASY_PERCENT = 86
+_TIGHT_PERCENT = 93
 # Evidence counts for an increase only if this part of the capacity was in use.
 _FULL_PERCENT = 85
 
@@ -126,7 +128,7 @@
             return False
         before = self._value
         self._pressure += _PRESSURE_WEIGHT * (pressure_percent - self._pressure)
-        if self._pressure > 100:
+        if self._pressure > _TIGHT_PERCENT:
             self._decrease(running, now_ms)
         elif self._pressure <= _EASY_PERCENT and running * 100 >= self._value * _FULL_PERCENT:
             self._increase(now_ms)
