Start lower-tier work only with twice its predicted time left

Cause: in overload lower-tier requests waited until just before their deadline, were started, preempted and lost, with their prefill. Change: a lower-tier request that has less than twice its predicted time left is refused in place of started.

--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -40,6 +40,9 @@
 
 # Requests of a tier that are passed over in one round because they cannot run now.
 _MAX_SKIPS = 8
+# A lower tier's request starts only with this multiple of its predicted time left, because it
+# may be preempted. Work started at the last moment was mostly lost.
+_START_MARGIN = 2
 # Rounds of dispatching and asking for credit in one step.
 _MAX_ROUNDS = 3
 # With more upstreams than this a daemon prefers those of its own failure domain.
@@ -774,10 +777,10 @@
         candidates = [self._candidate(each, entry, prompt) for each in fitting]
         cost = self._cost(entry, fitting[0])
         candidate, time_ms = choose(candidates, prompt, output, cost)
-        hopeless = now_ms + time_ms > request.deadline_ms
-        if hopeless and self._may_reject(request.tier, now_ms):
+        latest_ms = request.deadline_ms - _START_MARGIN * time_ms
+        if now_ms > latest_ms and self._may_reject(request.tier, now_ms):
             self._queue.remove(request.request)
-            message = f"{time_ms:.0f} ms are needed and the deadline is before that"
+            message = f"{time_ms:.0f} ms are needed and the deadline leaves no margin"
             return self._refuse(entry, ErrorCode.OVERLOADED, message, _RETRY_AFTER_MS)
         upstream = self._upstreams[candidate.upstream]
         self._queue.take(request.request)
