Test credit between daemons and streams under faults

Nothing showed that demands and grants reach the other daemon, or that an answer stays whole when streams break. The tests run daemons and stand-ins as objects in one process. The frozen engine showed that 5 s without a token and a second report were too long; a stream is now asked to resume after 2 s and given up when that is not answered within 1 s.

--- a/libs/daemon/src/skylarkmoor_daemon/streams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/streams.py
@@ -19,6 +19,7 @@
     UpstreamClient,
     UpstreamLeaving,
     UpstreamRejected,
+    UpstreamStalled,
     attempt_result,
 )
 from skylarkmoor_policy.actions import Dispatch
@@ -28,7 +29,7 @@
 __all__ = ["CallRun", "ChatRun", "Run", "Surroundings"]
 
 # An engine that sends nothing for this long between two tokens is asked to resume.
-_STALL_MS = 5_000
+_STALL_MS = 2_000
 # The caller's deadline is the service's to enforce; this keeps the two timers apart.
 _ANSWER_GRACE_MS = 500
 # How long after its deadline the result of a call that must not run twice is waited for, so
@@ -270,6 +271,8 @@
         """Tell a crash from an upstream that has only forgotten the attempt."""
         if isinstance(error, UpstreamLeaving):
             return AttemptResult.LEAVING
+        if isinstance(error, UpstreamStalled):
+            return AttemptResult.FAILED
         result = attempt_result(error)
         if result in (AttemptResult.CRASHED, AttemptResult.NOT_STARTED) and not _took(error):
             return AttemptResult.CRASHED
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -40,7 +40,7 @@
 ]
 
 _CONNECT_TIMEOUT_S = 1.0
-_CONTROL_TIMEOUT_S = 2.0
+_CONTROL_TIMEOUT_S = 1.0
 # An engine sends the head of a stream when it takes the request, not with the first token.
 _HEAD_TIMEOUT_S = 5.0
 # An order to load a version waits for the weight store, which is rate-limited.
@@ -315,7 +315,9 @@
         UpstreamError
             If no stream was started; `sent` tells whether a byte may have left.
         """
-        return await self._stream("/generate", msgspec.json.encode(call), on_line, may_send)
+        return await self._stream(
+            "/generate", msgspec.json.encode(call), on_line, may_send, _HEAD_TIMEOUT_S
+        )
 
     async def resume(
         self, attempt: AttemptId, position: int, on_line: Callable[[bytes], bool]
@@ -328,7 +330,7 @@
             If the upstream cannot resume the attempt.
         """
         body = msgspec.json.encode({"attempt": attempt, "position": position})
-        return await self._stream("/resume", body, on_line, None)
+        return await self._stream("/resume", body, on_line, None, _CONTROL_TIMEOUT_S)
 
     async def cancel(self, attempt: AttemptId) -> None:
         """Cancel an attempt.
@@ -445,9 +447,10 @@
         body: bytes,
         on_line: Callable[[bytes], bool],
         may_send: Callable[[], bool] | None,
+        timeout_s: float,
     ) -> LineStream:
         flight = _Flight()
-        response = await self._request("POST", path, body, flight, may_send, _HEAD_TIMEOUT_S)
+        response = await self._request("POST", path, body, flight, may_send, timeout_s)
         stream = LineStream(on_line)
         cast(Any, response).deliverBody(stream)
         return stream
--- a/libs/daemon/tests/conftest.py
+++ b/libs/daemon/tests/conftest.py
@@ -92,13 +92,14 @@
         self.engines = {}
         self.plains = {}
         self.daemons = {}
+        self._engine_services = {}
         self.urls = {}
         self._ports = []
         self._stopped = set()
         self.log_url = self._serve(LogService(self.log, self.clock).app)
         self.hosts_url = self._serve(HostListService(self.hosts, self.clock).app)
 
-    def engine(self, name, domain="a", service="assistant", versions=("v1",), **settings):
+    def engine(self, name, domain="a", listed="assistant", versions=("v1",), **settings):
         from skylarkmoor_standins.engine import EngineService
         from skylarkmoor_standins.engine_model import EngineModel, EngineSettings
 
@@ -107,8 +108,9 @@
         made = EngineSettings(**{**defaults, **settings})
         model = EngineModel(made, versions, "mixed", rng, self.clock.wall_ms())
         self.engines[name] = model
-        url = self._serve(EngineService(model, self.clock, rng, load_ms=50).app)
-        self._list_upstream(name, url, domain, service)
+        service = self._engine_services[name] = EngineService(model, self.clock, rng, load_ms=50)
+        url = self._serve(service.app)
+        self._list_upstream(name, url, domain, listed)
         return model
 
     def plain(self, name, domain="a", service="orders", service_ms=5):
@@ -184,6 +186,21 @@
             headers,
         )
 
+    async def kill_engine(self, name):
+        """Break all connections of an engine and refuse new ones, as the end of a process does."""
+        port = int(self.urls[name].rpartition(":")[2])
+        for listening in self._ports:
+            if listening.getHost().port == port:
+                await listening.stopListening()
+                self._ports.remove(listening)
+                break
+        for connection in self._engine_services[name]._connections.values():
+            connection.request.transport.abortConnection()
+
+    def set_faults(self, name, **faults):
+        model = self.engines.get(name) or self.plains[name]
+        model.faults = msgspec.structs.replace(model.faults, **faults)
+
     async def stop_daemon(self, name):
         self._stopped.add(name)
         await self.daemons[name].stop()
--- a/libs/daemon/tests/test_daemon.py
+++ b/libs/daemon/tests/test_daemon.py
@@ -25,3 +25,28 @@
     answer = await world.order("entry-1", "order-1")
     assert answer.status == 200
     assert len(world.plains["plain-1"].calls) == 1
+
+
+@pytest_twisted.ensureDeferred
+async def test_higher_tier_of_one_daemon_takes_room_from_lower_tier_of_another(world, assistant):
+    from twisted.internet.defer import ensureDeferred
+
+    world.engine("engine-1", decode_ms=10.0, max_batch=1, kv_capacity_tokens=2_000)
+    assistant["routes"][0]["max_output_tokens"] = 100
+    assistant["routes"][1]["max_output_tokens"] = 300
+    world.publish(assistant)
+    for name in ("entry-1", "entry-2"):
+        world.daemon(name)
+    await world.ready()
+    notes = [
+        ensureDeferred(world.chat("entry-1", f"note {i} answer_tokens=200", model="notes"))
+        for i in range(2)
+    ]
+    engine = world.engines["engine-1"]
+    await world.until(lambda: engine.running)
+    everyday = await world.chat("entry-2", "how warm? answer_tokens=10")
+    assert everyday.status == 200
+    # The everyday question did not wait for a note to end.
+    assert [entry.end.value for entry in engine.served if entry.end] == ["cancelled", "done"]
+    ended = [await note for note in notes]
+    assert [answer.status for answer in ended] == [200, 200]
