--- a/libs/standins/src/skylarkmoor_standins/hosts_model.py
+++ b/libs/standins/src/skylarkmoor_standins/hosts_model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from skylarkmoor_standins.faults import Count
+
 __all__ = ["HostChange", "HostEntry", "HostKind", "HostListFaults", "HostListModel", "HostState"]
 
 
@@ -21,14 +23,14 @@
     LEAVING = "leaving"
 
 
-class HostEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=False):
-    """An entry of the list; `peer_address` is set for entry hosts only."""
+class HostEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry of the list; `service` is set for upstreams, `peer_address` for entry hosts."""
 
     host: str
     kind: HostKind
     address: str
     failure_domain: str
-    service: str = ""
+    service: str | None = None
     state: HostState = HostState.LIVE
     checks_fencing: bool = False
     peer_address: str | None = None
@@ -46,8 +48,8 @@
     """Fault switches of the host list; `lag_ms` replaces the lag given at start."""
 
     outage: bool = False
-    delay_ms: int = 0
-    lag_ms: int | None = None
+    delay_ms: Count = 0
+    lag_ms: Count | None = None
 
 
 class HostListModel:
--- a/libs/standins/src/skylarkmoor_standins/plain_model.py
+++ b/libs/standins/src/skylarkmoor_standins/plain_model.py
@@ -9,21 +9,18 @@
 import msgspec
 
 from skylarkmoor_core.hashing import hash64
+from skylarkmoor_standins.faults import Count, Share
+from skylarkmoor_standins.refusals import Leaving
 
 __all__ = [
     "CallEnd",
     "CallRecord",
-    "Leaving",
     "PlainFaults",
     "PlainModel",
     "body_text",
 ]
 
 
-class Leaving(Exception):
-    """The upstream is leaving and takes no new work."""
-
-
 class PlainFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Fault switches of a plain service.
 
@@ -44,10 +41,10 @@
     """
 
     crash_on: str = ""
-    delay_ms: int = 0
-    error_rate: float = 0.0
-    lost_answers: int = 0
-    capacity: int | None = None
+    delay_ms: Count = 0
+    error_rate: Share = 0.0
+    lost_answers: Count = 0
+    capacity: Count | None = None
     leaving: bool = False
 
 
