--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -29,6 +29,7 @@
 )
 from skylarkmoor_core.outcome import ErrorCode, Outcome
 from skylarkmoor_core.settings import Address, parse_address
+from skylarkmoor_daemon.blame import Blame
 from skylarkmoor_daemon.claiming import ClaimedCall, Claiming
 from skylarkmoor_daemon.documents import Documents, InForce
 from skylarkmoor_daemon.http import CallAnswer, CallerApi, Incoming, make_site
@@ -40,6 +41,7 @@
 from skylarkmoor_daemon.upstreams import UpstreamReport
 from skylarkmoor_platform.hostlist import HostEntry, HostKind, HostListClient
 from skylarkmoor_platform.logservice import LogClient
+from skylarkmoor_policy.facts import GOSSIP_MS
 from skylarkmoor_policy.requests import AttemptEnd, LoadReport, Request
 
 __all__ = ["Daemon", "Settings"]
@@ -94,7 +96,11 @@
         self._log = LogClient(settings.log_url)
         self._hosts = HostListClient(settings.hosts_url)
         self._peers = Peers(self.host, self.incarnation, self._on_message)
-        self._shared = SharedState(self, settings.failure_domain, self._tasks, self._on_facts)
+        self._shared = SharedState(
+            self, settings.failure_domain, self._tasks, self._on_facts, self._on_heard
+        )
+        self._blame = Blame(self.host, self._shared, clock)
+        self._suspected = False
         self._documents = Documents(self, self._log, self._tasks, self._on_document)
         self._claiming = Claiming(self, self._log, self._tasks)
         self._api = CallerApi(self, self.metrics, clock)
@@ -127,6 +133,7 @@
         self._tasks.repeat(_HOSTS_MS, self._read_hosts)
         self._tasks.every(_TICK_MS, self._tick)
         self._tasks.every(_STALL_CHECK_MS, self._check_stalls)
+        self._tasks.every(GOSSIP_MS, self._blame.expire)
         return Address(http.host, self._port.getHost().port), peer
 
     def drain(self) -> None:
@@ -257,13 +264,19 @@
 
     def is_blocked(self, request: Request, upstream: UpstreamId) -> bool:
         """Return whether a suspect must not go to an upstream."""
-        return False
+        if not self._blame.is_suspect(request.fingerprint):
+            return False
+        name = self._service_of.get(upstream)
+        others = 0 if name is None else self.services[name].usable_upstreams()
+        return self._blame.is_blocked(request, upstream, other_upstreams=others > 1)
 
     def check_quarantine(self, request: Request) -> None:
         """Raise `RequestRefused` if equal requests have crashed two upstreams."""
+        self._blame.check(request)
 
     def attempt_started(self, request: Request, upstream: UpstreamId) -> None:
         """Note that a request runs on an upstream."""
+        self._blame.started(request, upstream)
 
     def attempt_ended(
         self,
@@ -273,6 +286,7 @@
         incarnation: Incarnation | None,
     ) -> None:
         """Take an attempt's end as evidence; a crash is told to the peers."""
+        self._blame.ended(request, end, incarnation)
 
     def upstream_reported(
         self, service: ServiceName, load: LoadReport, report: UpstreamReport
@@ -308,10 +322,21 @@
                     or self._documents.take(sender, message)
                 )
 
+    def _on_heard(self, sender: HostId, facts: Sequence[Fact]) -> None:
+        self._blame.heard(sender, facts)
+
     def _on_facts(self, facts: Sequence[Fact]) -> None:
+        self._blame.apply(facts)
         for fact in facts:
-            if fact.kind is FactKind.UPSTREAM_LEAVING:
-                self._upstream_left(UpstreamId(fact.subject))
+            match fact.kind:
+                case FactKind.UPSTREAM_LEAVING:
+                    self._upstream_left(UpstreamId(fact.subject))
+                case FactKind.SUSPECT:
+                    self._suspected = True
+        if self._suspected:
+            self._suspected = False
+            for service in self.services.values():
+                service.refuse_quarantined(self._blame.is_quarantined)
         self._update_members()
 
     def _upstream_left(self, upstream: UpstreamId) -> None:
--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -13,6 +13,7 @@
 from skylarkmoor_core.ids import (
     AttemptId,
     FailureDomain,
+    Fingerprint,
     HostId,
     Incarnation,
     RequestId,
@@ -216,6 +217,19 @@
         """Give an upstream no new work from now on."""
         self._scheduler.mark_leaving(upstream)
 
+    def usable_upstreams(self) -> int:
+        """Return how many upstreams there are that are not leaving."""
+        return sum(not self._daemon.is_leaving(upstream) for upstream in self.upstreams)
+
+    def refuse_quarantined(self, is_quarantined: Callable[[Fingerprint], bool]) -> None:
+        """End requests that have crashed two upstreams, here or elsewhere."""
+        for request_id, run in list(self._runs.items()):
+            if is_quarantined(run.request.fingerprint):
+                message = "equal requests have crashed two upstreams"
+                run.refuse(_refusal(run, ErrorCode.QUARANTINED, message))
+                self._execute(self._scheduler.cancel(request_id, self._now()))
+                self._forget(request_id)
+
     def receive(self, sender: HostId, message: Demand | Grant) -> None:
         """Take a message about one of the service's upstreams."""
         self._execute(self._scheduler.receive(sender, message, self._now()))
@@ -427,12 +441,29 @@
         run = self._runs.get(dispatch.request)
         if run is None or run.finished():
             # The caller went away between the decision and now.
-            self._execute(self._scheduler.attempt_ended(_not_started(dispatch), self._now()))
+            self._put_back(dispatch, AttemptResult.NOT_STARTED)
+            return
+        if self._daemon.is_blocked(run.request, dispatch.upstream):
+            # Another suspect was sent there by the same round of decisions.
+            idempotent = run.request.idempotent
+            result = AttemptResult.PREEMPTED if idempotent else AttemptResult.NOT_STARTED
+            self._put_back(dispatch, result)
             return
         self._attempts[dispatch.attempt] = run
         self._daemon.attempt_started(run.request, dispatch.upstream)
         run.start(dispatch)
 
+    def _put_back(self, dispatch: Dispatch, result: AttemptResult) -> None:
+        end = AttemptEnd(
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            upstream=dispatch.upstream,
+            version=dispatch.version,
+            result=result,
+            position_tokens=dispatch.start_position,
+        )
+        self._execute(self._scheduler.attempt_ended(end, self._now()))
+
     def _preempt(self, attempt: AttemptId) -> None:
         run = self._attempts.get(attempt)
         if run is not None:
@@ -548,15 +579,5 @@
     return RequestRefused(code, message, run.outcome, retry_after_ms)
 
 
-def _not_started(dispatch: Dispatch) -> AttemptEnd:
-    return AttemptEnd(
-        request=dispatch.request,
-        attempt=dispatch.attempt,
-        upstream=dispatch.upstream,
-        version=dispatch.version,
-        result=AttemptResult.NOT_STARTED,
-    )
-
-
 def _call_body(request: RequestId, result: bytes) -> bytes:
     return b'{"request_id":"' + request.encode() + b'","result":' + result + b"}"
--- a/libs/daemon/src/skylarkmoor_daemon/shared.py
+++ b/libs/daemon/src/skylarkmoor_daemon/shared.py
@@ -59,6 +59,8 @@
         Runs the rounds.
     on_facts : callable
         Gets the facts that changed the map, each with its merged value.
+    on_heard : callable
+        Gets a peer and the facts that it sent, new or not.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         failure_domain: FailureDomain,
         tasks: Tasks,
         on_facts: Callable[[Sequence[Fact]], None],
+        on_heard: Callable[[HostId, Sequence[Fact]], None],
     ) -> None:
         self.facts = FactStore()
         self.membership = Membership(daemon.host, daemon.incarnation, failure_domain)
@@ -74,6 +77,7 @@
         self._daemon = daemon
         self._tasks = tasks
         self._on_facts = on_facts
+        self._on_heard = on_heard
 
     def start(self) -> None:
         """Announce this daemon and begin the rounds."""
@@ -114,10 +118,11 @@
         """Put a fact of this daemon's own into the map."""
         self._learn(self.facts.merge((fact,)))
 
-    def put_at_once(self, fact: Fact) -> None:
-        """Put a fact into the map and send it to all peers without waiting for gossip."""
-        self.put(fact)
-        self._daemon.broadcast(Gossip((fact,)))
+    def put_all(self, facts: Sequence[Fact], *, at_once: bool = False) -> None:
+        """Put facts into the map; `at_once` sends them to all peers before the next round."""
+        if facts and at_once:
+            self._daemon.broadcast(Gossip(tuple(facts)))
+        self._learn(self.facts.merge(facts))
 
     def take(self, sender: HostId, incarnation: Incarnation, message: Message) -> bool:
         """Take a message about shared state and return whether it was one."""
@@ -130,6 +135,7 @@
                     )
                 )
             case Gossip(facts=facts):
+                self._on_heard(sender, facts)
                 self._learn(self.facts.merge(facts))
             case Digest(hashes=hashes):
                 differing = self.facts.diff(hashes)
--- a/libs/daemon/tests/conftest.py
+++ b/libs/daemon/tests/conftest.py
@@ -197,6 +197,22 @@
         for connection in self._engine_services[name]._connections.values():
             connection.request.transport.abortConnection()
 
+    def crash_engines(self, monkeypatch):
+        """Let an engine that would end its process lose its connections and its port."""
+        import skylarkmoor_standins.engine as module
+
+        self.crashes = []
+
+        def crash(code):
+            from twisted.internet.defer import ensureDeferred
+
+            for name, model in self.engines.items():
+                if model.crashed and name not in self.crashes:
+                    self.crashes.append(name)
+                    ensureDeferred(self.kill_engine(name))
+
+        monkeypatch.setattr(module.os, "_exit", crash)
+
     def set_faults(self, name, **faults):
         model = self.engines.get(name) or self.plains[name]
         model.faults = msgspec.structs.replace(model.faults, **faults)
