--- a/libs/daemon/src/skylarkmoor_daemon/claiming.py
+++ b/libs/daemon/src/skylarkmoor_daemon/claiming.py
@@ -165,8 +165,12 @@
         self._tasks.every(_POLL_MS, self.tick)
 
     def held(self) -> int:
-        """Return how many callers wait for the answer to a call with a key."""
-        return len(self._open)
+        """Return how many calls with a key wait for a claim or another copy's answer."""
+        return sum(not claim.started for claim in self._open.values())
+
+    def owed(self) -> int:
+        """Return how many owned partitions have claims or releases to answer or append."""
+        return sum(not owner.idle for owner in self._owners.values())
 
     async def call(
         self, service: ServiceName, incoming: Incoming, window_ms: int, call: ClaimedCall
--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -1,12 +1,14 @@
 """The daemon: wires the adapters to each other and to the decisions."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from skylarkmoor_core.clock import Clock
-from skylarkmoor_core.document import ServiceDocument
+from skylarkmoor_core.document import ServiceDocument, ServiceKind
 from skylarkmoor_core.errors import PlatformError, RequestRefused
 from skylarkmoor_core.hashing import rendezvous_owner
 from skylarkmoor_core.ids import (
@@ -27,7 +29,7 @@
     HostState,
     Message,
 )
-from skylarkmoor_core.outcome import ErrorCode, Outcome
+from skylarkmoor_core.outcome import ErrorCode
 from skylarkmoor_core.settings import Address, parse_address
 from skylarkmoor_daemon.blame import Blame
 from skylarkmoor_daemon.claiming import ClaimedCall, Claiming
@@ -35,13 +37,24 @@
 from skylarkmoor_daemon.http import CallAnswer, CallerApi, Incoming, make_site
 from skylarkmoor_daemon.metrics import Metrics
 from skylarkmoor_daemon.peers import Peers
-from skylarkmoor_daemon.service import Service
+from skylarkmoor_daemon.rollout import Rollout
+from skylarkmoor_daemon.service import Service, UpstreamState
 from skylarkmoor_daemon.shared import SharedState
 from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import UpstreamReport
 from skylarkmoor_platform.hostlist import HostEntry, HostKind, HostListClient
 from skylarkmoor_platform.logservice import LogClient
 from skylarkmoor_policy.facts import GOSSIP_MS
+from skylarkmoor_policy.lifecycle import (
+    Abort,
+    AnnounceState,
+    Exit,
+    Held,
+    Lifecycle,
+    LifecycleDecision,
+    LifecycleState,
+    ReportReady,
+)
 from skylarkmoor_policy.requests import AttemptEnd, LoadReport, Request
 
 __all__ = ["Daemon", "Settings"]
@@ -49,7 +62,7 @@
 _TICK_MS = 20
 _STALL_CHECK_MS = 1_000
 _HOSTS_MS = 1_000
-_FLUSH_CHECK_MS = 50
+_LIFE_MS = 50
 # Callers that read nothing for this long after a drain lose the rest of their answer.
 _FLUSH_LIMIT_MS = 30_000
 
@@ -91,6 +104,10 @@
         self.rng = rng
         self.metrics = Metrics()
         self.services: dict[ServiceName, Service] = {}
+        # Fires with whether the end was forced.
+        self.exited: Deferred[bool] = Deferred()
+        self._lifecycle = Lifecycle()
+        self._ready = False
         self._settings = settings
         self._tasks = Tasks(reactor)
         self._log = LogClient(settings.log_url)
@@ -101,6 +118,7 @@
         )
         self._blame = Blame(self.host, self._shared, clock)
         self._suspected = False
+        self._rollout = Rollout(self, self._log, self._shared, self._tasks)
         self._documents = Documents(self, self._log, self._tasks, self._on_document)
         self._claiming = Claiming(self, self._log, self._tasks)
         self._api = CallerApi(self, self.metrics, clock)
@@ -130,43 +148,33 @@
         self._shared.start()
         self._documents.start()
         self._claiming.start()
+        self._rollout.start()
         self._tasks.repeat(_HOSTS_MS, self._read_hosts)
         self._tasks.every(_TICK_MS, self._tick)
         self._tasks.every(_STALL_CHECK_MS, self._check_stalls)
         self._tasks.every(GOSSIP_MS, self._blame.expire)
+        self._tasks.every(_LIFE_MS, self._check_life)
         return Address(http.host, self._port.getHost().port), peer
 
     def drain(self) -> None:
-        """Take no new requests; those held are finished."""
-        if self.state() is not HostState.ALIVE:
-            return
-        _log.info("draining", extra={"held": self.held()})
-        self._shared.enter(HostState.DRAINING)
-        for service in self.services.values():
-            service.drain()
+        """Take no new requests and end once those held are finished."""
+        self._live(self._lifecycle.held(self._held()))
+        self._live(self._lifecycle.drain())
+
+    def signal(self) -> None:
+        """Take a signal to end: the first drains, the second ends at once."""
+        self._live(self._lifecycle.held(self._held()))
+        self._live(self._lifecycle.signal())
 
     def held(self) -> int:
         """Return how many requests wait or run."""
         return self._claiming.held() + sum(service.held() for service in self.services.values())
 
-    async def drained(self) -> None:
-        """Wait until nothing is held."""
-        while self.held():
-            await self._tasks.sleep(_FLUSH_CHECK_MS)
-
-    def abort_requests(self) -> None:
-        """Answer every request that is left with a truthful outcome."""
-        _log.warning("forced to stop", extra={"held": self.held()})
-        for service in self.services.values():
-            service.stop()
-        self._claiming.stop()
-
     async def stop(self) -> None:
         """Tell the peers, let the callers read their answers and close everything."""
         self._shared.enter(HostState.LEFT)
-        for service in self.services.values():
-            service.stop()
-        self._claiming.stop()
+        self._ready = False
+        self._abort()
         await self._port.stopListening()
         await self._site.flush(self.reactor, _FLUSH_LIMIT_MS)
         self._tasks.stop()
@@ -185,10 +193,13 @@
 
     def check_accepting(self) -> None:
         """Raise `RequestRefused` if no requests are taken."""
-        if self.state() is not HostState.ALIVE:
-            raise RequestRefused(ErrorCode.DRAINING, "the daemon is draining", Outcome.NOT_RUN)
-        if not self.is_ready():
-            raise RequestRefused(ErrorCode.NOT_READY, "the daemon has no document yet")
+        match self._lifecycle.state:
+            case LifecycleState.READY:
+                return
+            case LifecycleState.STARTING:
+                raise RequestRefused(ErrorCode.NOT_READY, "the daemon has no document yet")
+            case LifecycleState.DRAINING | LifecycleState.STOPPED:
+                raise RequestRefused(ErrorCode.DRAINING, "the daemon is draining")
 
     def service_for(self, route: str) -> Service | None:
         """Return the service that has a route called `route`."""
@@ -204,8 +215,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
-        alive = self.state() is HostState.ALIVE
-        return alive and bool(self.services) and self._listed is not None
+        return self._ready
 
     def status(self) -> Mapping[str, object]:
         """Return the state that operators see."""
@@ -214,7 +224,7 @@
             "incarnation": self.incarnation,
             "state": self.state().name.lower(),
             "ready": self.is_ready(),
-            "held": self.held(),
+            "held": self._held_status(),
             "log_answers": self._documents.log_answers,
             "documents": {
                 service: entry.offset for service, entry in self._documents.in_force.items()
@@ -226,9 +236,13 @@
             "services": {name: service.status() for name, service in self.services.items()},
         }
 
+    def _held_status(self) -> Mapping[str, int]:
+        held = self._held()
+        return {"waiting": held.waiting, "running": held.running, "claims": held.claims}
+
     def moves(self) -> list[Mapping[str, object]]:
-        """Return the moves in progress and the last ended ones."""
-        return []
+        """Return the moves that the documents in force ask for."""
+        return self._rollout.status()
 
     def send(self, to: HostId, message: Message) -> None:
         """Send a message to a peer or to this daemon."""
@@ -260,7 +274,36 @@
 
     def version_for(self, service: ServiceName, request: RequestId) -> VersionId:
         """Return the version that a request takes."""
-        return self.services[service].document.version
+        return self._rollout.version_for(service, request)
+
+    def is_stopped(self, service: ServiceName, version: VersionId) -> bool:
+        """Return whether `version` is a new version that was stopped."""
+        return self._rollout.is_stopped(service, version)
+
+    def live_hosts(self) -> Iterable[HostId]:
+        """Return the live daemons, this one among them."""
+        return self._shared.membership.live()
+
+    def engines_of(self, service: ServiceName) -> Mapping[UpstreamId, UpstreamState] | None:
+        """Return the engines of a service that take orders, None for a plain service."""
+        found = self.services.get(service)
+        if found is None or found.document.kind is not ServiceKind.ENGINE:
+            return None
+        return {
+            upstream: state
+            for upstream, state in found.upstreams.items()
+            if not self.is_leaving(upstream)
+        }
+
+    def upstreams_of(self, service: ServiceName) -> Sequence[UpstreamState]:
+        """Return the upstreams of a service that are not leaving and answer reports."""
+        found = self.services.get(service)
+        states = {} if found is None else found.upstreams
+        return [
+            state
+            for upstream, state in states.items()
+            if not self.is_leaving(upstream) and not state.silent
+        ]
 
     def is_blocked(self, request: Request, upstream: UpstreamId) -> bool:
         """Return whether a suspect must not go to an upstream."""
@@ -276,6 +319,9 @@
 
     def attempt_started(self, request: Request, upstream: UpstreamId) -> None:
         """Note that a request runs on an upstream."""
+        name = self._service_of.get(upstream)
+        if name is not None:
+            self._rollout.started(name, request.request)
         self._blame.started(request, upstream)
 
     def attempt_ended(
@@ -286,6 +332,7 @@
         incarnation: Incarnation | None,
     ) -> None:
         """Take an attempt's end as evidence; a crash is told to the peers."""
+        self._rollout.ended(service, request, end)
         self._blame.ended(request, end, incarnation)
 
     def upstream_reported(
@@ -327,6 +374,7 @@
 
     def _on_facts(self, facts: Sequence[Fact]) -> None:
         self._blame.apply(facts)
+        self._rollout.apply(facts)
         for fact in facts:
             match fact.kind:
                 case FactKind.UPSTREAM_LEAVING:
@@ -346,6 +394,7 @@
 
     def _on_document(self, entry: InForce) -> None:
         document = entry.document
+        self._rollout.follow(entry)
         service = self.services.get(document.service)
         if service is None:
             self._add_service(document)
@@ -391,6 +440,41 @@
             service.set_upstreams(_upstreams(listed, name))
         self._update_members()
 
+    def _held(self) -> Held:
+        counts = [service.waiting() for service in self.services.values()]
+        waiting = sum(counts)
+        # Without the log, claims of other daemons cannot be answered.
+        claims = self._claiming.owed() if self._documents.log_answers else 0
+        return Held(waiting, max(0, self.held() - waiting), claims)
+
+    def _check_life(self) -> None:
+        if self.services and self._listed is not None:
+            self._live(self._lifecycle.configured())
+        self._live(self._lifecycle.held(self._held()))
+
+    def _live(self, decisions: Iterable[LifecycleDecision]) -> None:
+        for decision in decisions:
+            match decision:
+                case ReportReady(ready=ready):
+                    self._ready = ready
+                case AnnounceState(state=HostState.DRAINING):
+                    _log.info("draining", extra={"held": self.held()})
+                    self._shared.enter(HostState.DRAINING)
+                    for service in self.services.values():
+                        service.drain()
+                case AnnounceState(state=state):
+                    self._shared.enter(state)
+                case Abort():
+                    _log.warning("forced to stop", extra={"held": self.held()})
+                    self._abort()
+                case Exit(forced=forced):
+                    self.exited.callback(forced)
+
+    def _abort(self) -> None:
+        for service in self.services.values():
+            service.stop()
+        self._claiming.stop()
+
     def _update_members(self) -> None:
         members = self._shared.membership.live()
         if members != self._members:
--- a/libs/daemon/src/skylarkmoor_daemon/documents.py
+++ b/libs/daemon/src/skylarkmoor_daemon/documents.py
@@ -103,6 +103,8 @@
         self._follower = DocumentFollower()
         self._caught_up = False
         self._recorded_ms: dict[ServiceName, int] = {}
+        # Offset of the last record that this daemon carried, by service.
+        self._carried: dict[ServiceName, Offset] = {}
 
     def start(self) -> None:
         """Begin to follow the log."""
@@ -189,7 +191,11 @@
             record = self._follower.carried(service)
             if not due or owner != self._daemon.host or record is None:
                 continue
+            if self._carried.get(service) == record.predecessor:
+                # The log has the copy; it was not read yet.
+                continue
             offset = await self._log.append(_STREAM, record)
+            self._carried[service] = record.predecessor
             audit = AuditEntry(
                 who=self._daemon.host,
                 what=f"carry document {service}",
--- a/libs/daemon/src/skylarkmoor_daemon/main.py
+++ b/libs/daemon/src/skylarkmoor_daemon/main.py
@@ -124,7 +124,7 @@
     runner = _Runner(daemon, reactor)
     reactor.callWhenRunning(runner.start)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, runner.signalled)
+        loop.add_signal_handler(number, daemon.signal)
     reactor.run(installSignalHandlers=False)
     return runner.exit_code
 
@@ -142,13 +142,12 @@
 
 
 class _Runner:
-    """Starts a daemon and stops it on signals."""
+    """Starts a daemon and ends the process when the daemon has ended."""
 
     def __init__(self, daemon: Any, reactor: Any) -> None:
         self.exit_code = 0
         self._daemon = daemon
         self._reactor = reactor
-        self._signals = 0
 
     def start(self) -> None:
         """Start and print the ready line."""
@@ -159,23 +158,17 @@
             self.exit_code = EXIT_SETTINGS
             self._reactor.stop()
             return
+        self._daemon.exited.addCallback(self._exited).addErrback(self._failed)
         ready = {"ready": {"http": str(http), "peer": str(peer)}}
         print(msgspec.json.encode(ready).decode(), flush=True)
 
-    def signalled(self) -> None:
-        """Drain on the first signal and stop at once on the second."""
+    def _exited(self, forced: bool) -> Any:
         from twisted.internet.defer import ensureDeferred
 
-        self._signals += 1
-        if self._signals == 1:
-            self._daemon.drain()
-            ensureDeferred(self._drain()).addErrback(self._failed)
-        elif self._signals == 2:
-            self.exit_code = EXIT_FORCED
-            self._daemon.abort_requests()
+        self.exit_code = EXIT_FORCED if forced else 0
+        return ensureDeferred(self._stop())
 
-    async def _drain(self) -> None:
-        await self._daemon.drained()
+    async def _stop(self) -> None:
         await self._daemon.stop()
         _log.info("stopped", extra={"exit_code": self.exit_code})
         self._reactor.stop()
--- /dev/null
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -0,0 +1,449 @@
+"""Moves to new versions: evidence, steps in the log and orders to engines."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.errors import MessageError, PlatformError, UpstreamError
+from skylarkmoor_core.hashing import rendezvous_order, rendezvous_owner
+from skylarkmoor_core.ids import (
+    HostId,
+    Incarnation,
+    MoveId,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+    VersionId,
+)
+from skylarkmoor_core.logs import part_logger
+from skylarkmoor_core.messages import Fact, FactKind
+from skylarkmoor_core.records import AuditEntry, MoveEnded, MoveResult, MoveStep
+from skylarkmoor_daemon.claiming import ClaimLog
+from skylarkmoor_daemon.documents import InForce
+from skylarkmoor_daemon.metrics import Metrics
+from skylarkmoor_daemon.service import UpstreamState
+from skylarkmoor_daemon.shared import SharedState
+from skylarkmoor_daemon.tasks import Tasks
+from skylarkmoor_daemon.upstreams import OrderAnswer, OrderKind, UpstreamClient
+from skylarkmoor_platform.logservice import LogEntry
+from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request
+from skylarkmoor_policy.rollout import (
+    Continue,
+    Ended,
+    Evidence,
+    EvidenceHistory,
+    Finish,
+    MoveFollower,
+    Order,
+    OrderAction,
+    Progress,
+    Raise,
+    ReportedVersions,
+    Stepped,
+    Stop,
+    TakeBack,
+    judge,
+    reconcile,
+    share_of_step,
+    stopped_fact,
+)
+
+__all__ = ["Rollout", "RolloutHost"]
+
+_STREAM = "moves"
+_PAGE = 100
+_WAIT_MS = 1_000
+_PAUSE_MS = 20
+_JUDGE_MS = 500
+_ORDERS_MS = 1_000
+# The next daemon in rendezvous order steps in if the ones before it do not act for this long.
+_RANK_DELAY_MS = 3_000
+# An append whose record has not been read yet is not repeated before this time.
+_APPEND_PAUSE_MS = 2_000
+# A move's end is repeated well before retention ends.
+_REPEAT_END_MS = 1_800_000
+# A load that is not reported as done by then is ordered again.
+_LOAD_LIMIT_MS = 120_000
+
+_log = part_logger("rollout")
+
+
+class RolloutHost(Protocol):
+    """What rollout needs of the daemon."""
+
+    @property
+    def host(self) -> HostId:
+        """Host of the daemon."""
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Incarnation of the daemon."""
+
+    @property
+    def clock(self) -> Clock:
+        """Source of times."""
+
+    @property
+    def metrics(self) -> Metrics:
+        """The daemon's metrics."""
+
+    def live_hosts(self) -> Iterable[HostId]:
+        """Return the live daemons, this one among them."""
+
+    def engines_of(self, service: ServiceName) -> Mapping[UpstreamId, UpstreamState] | None:
+        """Return the engines of a service that take orders, None for a plain service."""
+
+    def upstreams_of(self, service: ServiceName) -> Sequence[UpstreamState]:
+        """Return the upstreams of a service that are not leaving and answer reports."""
+
+
+@dataclass(slots=True)
+class _Move:
+    """Evidence and timing of one move at this daemon."""
+
+    evidence: Evidence
+    fleet: EvidenceHistory
+    own: EvidenceHistory
+    # The record that the last judgement asked for, and since when.
+    due: MoveStep | MoveEnded | None = None
+    due_ms: int = 0
+    appended: MoveStep | MoveEnded | None = None
+    appended_ms: int = 0
+    why: str = ""
+
+
+@dataclass(slots=True)
+class _Ended:
+    """The recorded end of a move; `at_ms` is the log's time of its last record."""
+
+    record: MoveEnded
+    at_ms: int
+
+
+@dataclass(slots=True)
+class _Orders:
+    """Loads ordered from an engine, by version, with the time of the order."""
+
+    loads_ms: dict[VersionId, int] = field(default_factory=dict)
+    busy: bool = False
+
+
+class Rollout:
+    """Carries out the decisions about moves on this daemon.
+
+    Parameters
+    ----------
+    daemon : RolloutHost
+        The daemon.
+    log : ClaimLog
+        Client of the log.
+    shared : SharedState
+        Spreads evidence and stops.
+    tasks : Tasks
+        Runs reads, appends and orders.
+    """
+
+    def __init__(
+        self, daemon: RolloutHost, log: ClaimLog, shared: SharedState, tasks: Tasks
+    ) -> None:
+        self._daemon = daemon
+        self._log = log
+        self._shared = shared
+        self._tasks = tasks
+        self._follower = MoveFollower()
+        self._caught_up = False
+        self._services: dict[ServiceName, VersionId] = {}
+        self._moves: dict[MoveId, _Move] = {}
+        self._ended: dict[ServiceName, _Ended] = {}
+        # Move and step of each request that runs.
+        self._dispatched: dict[RequestId, tuple[MoveId, int]] = {}
+        self._orders: dict[UpstreamId, _Orders] = {}
+
+    def start(self) -> None:
+        """Begin to follow the log and to judge."""
+        self._tasks.repeat(_PAUSE_MS, self._read)
+        self._tasks.every(_JUDGE_MS, self._judge_all)
+        self._tasks.every(_ORDERS_MS, self._order_all)
+
+    def follow(self, entry: InForce) -> None:
+        """Take a document that came into force."""
+        document = entry.document
+        self._services[document.service] = document.version
+        self._follower.follow(document.service, entry.published, document)
+
+    def version_for(self, service: ServiceName, request: RequestId) -> VersionId:
+        """Return the version that a request takes."""
+        return self._follower.version_for(service, request)
+
+    def is_stopped(self, service: ServiceName, version: VersionId) -> bool:
+        """Return whether `version` is a new version that was stopped."""
+        progress = self._follower.progress(service)
+        return progress is not None and progress.stopped and progress.plan.version == version
+
+    def started(self, service: ServiceName, request: RequestId) -> None:
+        """Note the step at which a request is dispatched."""
+        progress = self._follower.progress(service)
+        if progress is not None and progress.result is None:
+            self._dispatched[request] = (progress.move, progress.step or 0)
+
+    def ended(self, service: ServiceName, request: Request, end: AttemptEnd) -> None:
+        """Count an attempt's end as evidence."""
+        move, step = self._dispatched.pop(request.request, (None, 0))
+        progress = self._follower.progress(service)
+        if progress is None or progress.move != move or progress.result is not None:
+            return
+        if end.version not in (progress.old, progress.plan.version):
+            return
+        failed = self._has_failed(request, end)
+        latency_ms = end.between_tokens_ms
+        if latency_ms is None:
+            latency_ms = end.first_token_ms
+        completed = end.result is AttemptResult.COMPLETED and latency_ms is not None
+        if failed or completed:
+            self._move(progress).evidence.record(
+                step,
+                request.route,
+                new=end.version == progress.plan.version,
+                failed=failed,
+                latency_ms=latency_ms or 0,
+            )
+
+    def apply(self, facts: Sequence[Fact]) -> None:
+        """Take facts that are new on this daemon."""
+        self._follower.apply_facts(facts)
+        evidence = [fact for fact in facts if fact.kind is FactKind.EVIDENCE]
+        if evidence:
+            for service in self._services:
+                progress = self._follower.progress(service)
+                if progress is not None:
+                    self._move(progress).fleet.apply(evidence)
+
+    def status(self) -> list[Mapping[str, object]]:
+        """Return the moves that the documents in force ask for."""
+        found: list[Mapping[str, object]] = []
+        for service in sorted(self._services):
+            progress = self._follower.progress(service)
+            if progress is not None:
+                found.append(self._move_status(progress))
+        return found
+
+    def _has_failed(self, request: Request, end: AttemptEnd) -> bool:
+        if end.result in (AttemptResult.FAILED, AttemptResult.CRASHED):
+            return True
+        # A version that hangs ends no attempt by itself.
+        late = self._daemon.clock.now_ms() >= request.deadline_ms
+        return end.result is AttemptResult.ABANDONED and late
+
+    def _move(self, progress: Progress) -> _Move:
+        move = self._moves.get(progress.move)
+        if move is None:
+            daemon = self._daemon
+            move = self._moves[progress.move] = _Move(
+                Evidence(
+                    progress.move,
+                    daemon.host,
+                    daemon.incarnation,
+                    progress.plan.max_slowdown_percent,
+                ),
+                EvidenceHistory(progress.move),
+                EvidenceHistory(progress.move),
+            )
+            move.fleet.apply(self._shared.facts.of_kind(FactKind.EVIDENCE))
+        return move
+
+    def _move_status(self, progress: Progress) -> Mapping[str, object]:
+        ended = self._ended.get(progress.service)
+        why = self._move(progress).why
+        if ended is not None and ended.record.move == progress.move:
+            why = ended.record.why
+        return {
+            "service": progress.service,
+            "move": progress.move,
+            "old": progress.old,
+            "new": progress.plan.version,
+            "by_ms": progress.plan.by_ms,
+            "step": progress.step,
+            "share_percent": progress.share_percent,
+            "stopped": progress.stopped,
+            "result": None if progress.result is None else progress.result.value,
+            "why": why,
+        }
+
+    async def _read(self) -> None:
+        wait_ms = _WAIT_MS if self._caught_up else 0
+        page = await self._log.read(_STREAM, self._follower.next_offset, _PAGE, wait_ms)
+        self._follower.skip_to(page.first)
+        for entry in page.records:
+            self._apply(entry)
+        self._caught_up = self._caught_up or not page.records
+
+    def _apply(self, entry: LogEntry) -> None:
+        record = entry.record or MessageError(entry.error)
+        if isinstance(record, MoveEnded):
+            self._ended[record.service] = _Ended(record, entry.at_ms)
+        match self._follower.apply(entry.offset, entry.at_ms, record):
+            case Stepped(move=move, share_percent=share_percent):
+                extra = {"move": move, "share_percent": share_percent}
+                _log.info("a move took a step", extra=extra)
+            case Ended(move=move, result=result, why=why):
+                _log.info("a move ended", extra={"move": move, "result": result, "why": why})
+
+    def _judge_all(self) -> None:
+        for service in self._services:
+            progress = self._follower.progress(service)
+            if progress is not None:
+                self._judge(progress)
+                self._daemon.metrics.share(service, progress.share_percent)
+
+    def _judge(self, progress: Progress) -> None:
+        clock = self._daemon.clock
+        now_ms, wall_ms = clock.now_ms(), clock.wall_ms()
+        move = self._move(progress)
+        facts = move.evidence.facts(wall_ms)
+        move.own.apply(facts)
+        self._shared.put_all(facts)
+        move.fleet.snapshot(now_ms)
+        move.own.snapshot(now_ms)
+        self._repeat_end(progress, move, now_ms, wall_ms)
+        histories = (move.fleet, move.own)
+        match judge(progress, histories, now_ms, wall_ms, self._is_prepared(progress)):
+            case Continue():
+                move.due = None
+            case Stop(why=why):
+                _log.warning("stopped a version", extra={"move": progress.move, "why": why})
+                move.why = why
+                self._shared.put_all([stopped_fact(progress.move, wall_ms)], at_once=True)
+            case Raise():
+                step = self._follower.next_step(progress.service, self._daemon.host)
+                self._when_due(progress, move, step, now_ms)
+            case Finish():
+                self._when_due(progress, move, self._end(progress, MoveResult.DONE, ""), now_ms)
+            case TakeBack(why=why):
+                record = self._end(progress, MoveResult.UNDONE, move.why or why)
+                self._when_due(progress, move, record, now_ms)
+
+    def _end(self, progress: Progress, result: MoveResult, why: str) -> MoveEnded | None:
+        return self._follower.end(progress.service, result, why, self._daemon.host)
+
+    def _when_due(
+        self, progress: Progress, move: _Move, record: MoveStep | MoveEnded | None, now_ms: int
+    ) -> None:
+        """Append `record` if it is this daemon's turn."""
+        if record is None or not self._caught_up:
+            return
+        if record != move.due:
+            move.due, move.due_ms = record, now_ms
+        order = rendezvous_order(f"move/{progress.move}", self._daemon.live_hosts())
+        if now_ms - move.due_ms < order.index(self._daemon.host) * _RANK_DELAY_MS:
+            return
+        if record == move.appended and now_ms - move.appended_ms < _APPEND_PAUSE_MS:
+            return
+        move.appended, move.appended_ms = record, now_ms
+        self._tasks.spawn(self._append(progress, record))
+
+    async def _append(self, progress: Progress, record: MoveStep | MoveEnded) -> None:
+        # A repeated or racing record is discarded by every reader, so a lost answer needs no
+        # more than a later judgement.
+        try:
+            offset = await self._log.append(_STREAM, record)
+            audit = AuditEntry(
+                who=self._daemon.host,
+                what=f"move {progress.move} to {progress.plan.version}",
+                before=f"{progress.share_percent}%",
+                after=_after(record),
+                at_ms=self._daemon.clock.wall_ms(),
+                stream=_STREAM,
+                offset=offset,
+            )
+            await self._log.append("audit", audit)
+        except PlatformError as error:
+            _log.warning("an append failed", extra={"error": str(error)})
+
+    def _repeat_end(self, progress: Progress, move: _Move, now_ms: int, wall_ms: int) -> None:
+        ended = self._ended.get(progress.service)
+        if progress.result is None or ended is None or ended.record.move != progress.move:
+            return
+        if wall_ms - ended.at_ms >= _REPEAT_END_MS:
+            record = self._end(progress, progress.result, ended.record.why)
+            self._when_due(progress, move, record, now_ms)
+
+    def _is_prepared(self, progress: Progress) -> bool:
+        """Return whether enough upstreams have the new version for the next step's share."""
+        states = self._daemon.upstreams_of(progress.service)
+        loaded = sum(
+            state.load is not None and progress.plan.version in state.load.versions
+            for state in states
+        )
+        if not loaded or self._daemon.engines_of(progress.service) is None:
+            # Plain services run each version on upstreams of its own.
+            return bool(loaded)
+        step = 0 if progress.step is None else progress.step + 1
+        share_percent = share_of_step(progress.plan, step) or 0
+        return loaded * 100 >= len(states) * share_percent
+
+    def _order_all(self) -> None:
+        for service in self._services:
+            owner = rendezvous_owner(f"orders/{service}", self._daemon.live_hosts())
+            engines = self._daemon.engines_of(service)
+            if owner == self._daemon.host and engines and self._caught_up:
+                self._order(service, engines)
+
+    def _order(self, service: ServiceName, engines: Mapping[UpstreamId, UpstreamState]) -> None:
+        wanted = self._follower.wanted(service)
+        progress = self._follower.progress(service)
+        begun = progress is not None and progress.step is not None
+        if not wanted.fencing and not begun:
+            # No step in the log authorises an order yet.
+            return
+        reported = {
+            upstream: self._reported(upstream, state)
+            for upstream, state in engines.items()
+            if state.load is not None and not state.silent
+        }
+        for order in reconcile(reported, wanted):
+            self._tasks.spawn(self._send(engines[order.upstream].client, order))
+
+    def _reported(self, upstream: UpstreamId, state: UpstreamState) -> ReportedVersions:
+        now_ms = self._daemon.clock.now_ms()
+        loaded = frozenset(() if state.load is None else state.load.versions)
+        orders = self._orders.setdefault(upstream, _Orders())
+        orders.loads_ms = {
+            version: at_ms
+            for version, at_ms in orders.loads_ms.items()
+            if version not in loaded and now_ms - at_ms < _LOAD_LIMIT_MS
+        }
+        return ReportedVersions(loaded, frozenset(orders.loads_ms))
+
+    async def _send(self, client: UpstreamClient, order: Order) -> None:
+        """Give an order; its effect is read back with the next report."""
+        orders = self._orders.setdefault(order.upstream, _Orders())
+        if orders.busy:
+            return
+        orders.busy = True
+        extra: dict[str, object] = {
+            "upstream": order.upstream,
+            "version": order.version,
+            "fencing": order.fencing,
+        }
+        kind = OrderKind.LOAD if order.action is OrderAction.LOAD else OrderKind.UNLOAD
+        try:
+            answer = await client.order(kind, order.version, order.fencing)
+        except UpstreamError as error:
+            _log.warning("an order failed", extra={**extra, "error": str(error)})
+            return
+        finally:
+            orders.busy = False
+        if answer is OrderAnswer.OLD_TOKEN:
+            _log.warning("an order carried an old token", extra=extra)
+        elif order.action is OrderAction.LOAD:
+            orders.loads_ms[order.version] = self._daemon.clock.now_ms()
+        _log.info("gave an order", extra={**extra, "order": kind.value})
+
+
+def _after(record: MoveStep | MoveEnded) -> str:
+    match record:
+        case MoveStep(share_percent=share_percent):
+            return f"{share_percent}%"
+        case MoveEnded(result=result, why=why):
+            return f"{result.value}: {why}" if why else result.value
--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -80,6 +80,9 @@
     def version_for(self, service: ServiceName, request: RequestId) -> VersionId:
         """Return the version that a request takes."""
 
+    def is_stopped(self, service: ServiceName, version: VersionId) -> bool:
+        """Return whether `version` is a new version that was stopped."""
+
     def is_blocked(self, request: Request, upstream: UpstreamId) -> bool:
         """Return whether a suspect must not go to an upstream."""
 
@@ -161,6 +164,8 @@
         self._runs: dict[RequestId, Run] = {}
         # An attempt may outlive its request, whose caller has been answered.
         self._attempts: dict[AttemptId, Run] = {}
+        # Version of each request's last attempt.
+        self._versions: dict[RequestId, VersionId] = {}
         self._timers: dict[RequestId, Any] = {}
         self._actions: deque[Action] = deque()
         self._executing = False
@@ -196,7 +201,12 @@
         self.refresh_upstreams()
 
     def refresh_upstreams(self) -> None:
-        """Tell the scheduler which upstreams there are and which of them are leaving."""
+        """Tell the scheduler which upstreams there are and which of them are leaving.
+
+        Notes
+        -----
+        An upstream that answers no reports is left out, so that it gets no new work.
+        """
         infos = [
             UpstreamInfo(
                 upstream=upstream,
@@ -206,6 +216,7 @@
                 checks_fencing=state.entry.checks_fencing,
             )
             for upstream, state in self.upstreams.items()
+            if state.silent < _SILENT_REPORTS
         ]
         self._scheduler.set_upstreams(infos)
 
@@ -253,6 +264,10 @@
         requests = {run.request.request for run in self._attempts.values()}
         return len(requests.union(self._runs))
 
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return sum(self._scheduler.status().waiting)
+
     def stop(self) -> None:
         """Refuse what is left with a truthful outcome and stop polling."""
         for request_id, run in list(self._runs.items()):
@@ -450,6 +465,7 @@
             self._put_back(dispatch, result)
             return
         self._attempts[dispatch.attempt] = run
+        self._versions[dispatch.request] = dispatch.version
         self._daemon.attempt_started(run.request, dispatch.upstream)
         run.start(dispatch)
 
@@ -474,12 +490,18 @@
         run = self._runs.get(refuse.request)
         if run is None:
             return
-        run.refuse(_refusal(run, refuse.code, refuse.message, refuse.retry_after_ms))
-        self._daemon.metrics.answered(self.name, run.request.route, refuse.code.value)
+        code = refuse.code
+        version = self._versions.get(refuse.request)
+        if code is ErrorCode.UPSTREAM_FAILED and version is not None:
+            stopped = self._daemon.is_stopped(self.name, version)
+            code = ErrorCode.VERSION_FAILED if stopped else code
+        run.refuse(_refusal(run, code, refuse.message, refuse.retry_after_ms))
+        self._daemon.metrics.answered(self.name, run.request.route, code.value)
         self._forget(refuse.request)
 
     def _forget(self, request_id: RequestId) -> None:
         self._runs.pop(request_id, None)
+        self._versions.pop(request_id, None)
         timer = self._timers.pop(request_id, None)
         if timer is not None and timer.active():
             timer.cancel()
@@ -511,7 +533,9 @@
         except UpstreamError:
             self._missed_report(state)
             return
-        state.silent = 0
+        was_silent, state.silent = state.silent >= _SILENT_REPORTS, 0
+        if was_silent:
+            self.refresh_upstreams()
         if state.load is not None and load.incarnation != state.load.incarnation:
             state.next_event = 0
         state.load, state.report = load, report
@@ -536,6 +560,7 @@
         state.silent += 1
         if state.silent == _SILENT_REPORTS:
             _log.warning("an upstream is silent", extra={"upstream": state.client.upstream})
+            self.refresh_upstreams()
             for run in list(self._runs.values()):
                 run.upstream_silent(state.client.upstream)
 
--- a/libs/daemon/src/skylarkmoor_daemon/streams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/streams.py
@@ -94,6 +94,8 @@
     ended: bool = False
     first_ms: int | None = None
     last_ms: int | None = None
+    # When reading went on after a pause, or the upstream was asked to resume.
+    resumed_ms: int = 0
     tokens: int = 0
     paused: bool = False
     was_paused: bool = False
@@ -202,8 +204,8 @@
         attempt = self._attempt
         if attempt is None or attempt.ended or attempt.paused or attempt.last_ms is None:
             return
-        if now_ms - attempt.last_ms >= _STALL_MS:
-            attempt.last_ms = now_ms
+        if now_ms - max(attempt.last_ms, attempt.resumed_ms) >= _STALL_MS:
+            attempt.resumed_ms = now_ms
             self._abort(attempt)
 
     def upstream_silent(self, upstream: UpstreamId) -> None:
@@ -352,7 +354,7 @@
         if attempt is None or not attempt.paused:
             return
         attempt.paused = False
-        attempt.last_ms = self._env.clock.now_ms()
+        attempt.resumed_ms = self._env.clock.now_ms()
         if attempt.stream is not None:
             attempt.stream.resume()
 
@@ -480,6 +482,8 @@
             self._failed(attempt, error)
             return
         self._ran = True
+        # The duration of a call stands in for its first token.
+        attempt.first_ms = self._env.clock.now_ms()
         if not self.answer.called:
             self.answer.callback(result)
         self._end(attempt, AttemptResult.COMPLETED)
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from treq.client import HTTPClient
-from twisted.internet.defer import Deferred, TimeoutError
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IReactorTCP, IReactorTime, IStreamClientEndpoint
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -491,12 +491,12 @@
                 # A redirect would send the request a second time.
                 allow_redirects=False,
             )
-            asked.addTimeout(timeout_s, cast(IReactorTime, self._reactor))
+            asked.addTimeout(timeout_s, cast(IReactorTime, self._reactor), _time_out)
             response = await asked
         except Exception as error:
             text = f"{self.upstream}: {_reason(error)}"
             if flight.sent and isinstance(error, TimeoutError):
-                raise UpstreamStalled(f"{text}: no answer in {timeout_s} s", sent=True) from error
+                raise UpstreamStalled(text, sent=True) from error
             if flight.sent:
                 raise UpstreamBroken(text, sent=True) from error
             raise UpstreamError(text, sent=False) from error
@@ -517,9 +517,11 @@
     async def _read(self, response: Any, timeout_s: float) -> bytes:
         reader = _BodyReader()
         response.deliverBody(reader)
-        reader.finished.addTimeout(timeout_s, cast(IReactorTime, self._reactor))
+        reader.finished.addTimeout(timeout_s, cast(IReactorTime, self._reactor), _time_out)
         try:
             return await reader.finished
+        except TimeoutError as error:
+            raise UpstreamStalled(f"{self.upstream}: {_reason(error)}", sent=True) from error
         except Exception as error:
             raise UpstreamBroken(f"{self.upstream}: {_reason(error)}", sent=True) from error
 
@@ -547,6 +549,11 @@
             return AttemptResult.CRASHED
 
 
+def _time_out(result: object, timeout_s: float) -> None:
+    # The HTTP client wraps the cancellation, so the time-out is told by this alone.
+    raise TimeoutError(f"no answer within {timeout_s} s")
+
+
 def _reason(error: Exception) -> str:
     reasons = getattr(error, "reasons", None)
     if reasons:
--- a/libs/daemon/tests/test_streams.py
+++ b/libs/daemon/tests/test_streams.py
@@ -125,3 +125,15 @@
     assert answer.status == 504
     assert answer.error() == ("deadline_passed", "ran")
     await served.until(lambda: served.daemons["entry-1"].held() == 0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_retry_reaches_an_engine_that_was_idle(served):
+    # The daemon's lease on the other engine has run out by then.
+    await served.sleep(4.0)
+    failures = [True]
+    for engine in served.engines.values():
+        engine._fails = lambda *_: bool(failures and failures.pop())
+    answer = await served.chat("entry-1", "answer_tokens=4")
+    assert failures == []
+    assert answer.status == 200, answer.body
