Ask for credit where a request may go that avoids an upstream

A daemon asked for credit for its waiting cost without regard to the upstreams that a request avoids. A request whose first engine failed therefore waited until its deadline while the other engine was idle and its lease had run out. The request's cost is now asked of the best upstream that it may use when no such upstream is asked for its tier.

--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -248,6 +248,8 @@
         self._prefixes = PrefixIndex()
         self._entries: dict[RequestId, _Entry] = {}
         self._deadlines: list[tuple[int, RequestId]] = []
+        # Waiting requests that may not go to every upstream, as the last dispatch found them.
+        self._picky: set[RequestId] = set()
         self._upstreams: dict[UpstreamId, _Upstream] = {}
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
@@ -768,6 +770,8 @@
         if version != item.version:
             self._queue.replace(item, version)
         able = self._eligible(entry, version, now_ms)
+        if len(able) < sum(each.usable(now_ms) for each in self._upstreams.values()):
+            self._picky.add(request.request)
         fitting = [
             each
             for each in able
@@ -930,6 +934,24 @@
                 actions.append(Send(owner, demand))
         return actions if told else None
 
+    def _spread_picky(self, plans: Mapping[UpstreamId, _Plan], now_ms: int) -> None:
+        """Ask for credit where a request may go that must avoid some upstreams.
+
+        Without this the whole waiting cost could be asked of an upstream that failed the
+        request, and the request would wait for credit elsewhere until its deadline.
+        """
+        picky, self._picky = self._picky, set()
+        for name in picky:
+            entry = self._entries.get(name)
+            if entry is None or entry.running is not None:
+                continue
+            tier = entry.request.tier
+            able = self._eligible(entry, self._choose_version(entry.request), now_ms)
+            choices = [plans[each.info.upstream] for each in able if each.info.upstream in plans]
+            if choices and not any(plan.waiting[tier] for plan in choices):
+                best = max(choices, key=lambda plan: plan.prospect(tier))
+                best.add(tier, self._cost(entry, able[0]), 1)
+
     def _spread(self, now_ms: int) -> None:
         """Divide the waiting cost among the upstreams by how much they may yet take.
 
@@ -948,6 +970,7 @@
                 for _ in range(parts):
                     best = max(choices, key=lambda plan: plan.prospect(tier))
                     best.add(tier, cost // count, count / parts)
+        self._spread_picky(plans, now_ms)
         none = (0,) * self._tiers
         for name, each in self._upstreams.items():
             plan = plans.get(name)
