Pass deadlines on, wait before asking a failed platform again and cache owners

During an outage of the log each daemon asked it every 20 ms; it now waits 500 ms, which keeps polls within 1 s. Rendezvous owners of the 16 claim partitions were computed anew 20 times a second and are now kept until the membership changes. Upstreams get the caller's deadline as X-Deadline-Ms. Answers of leaving upstreams are read to their end, because an unread one keeps its connection open.

--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -128,6 +128,10 @@
         self._listed: tuple[HostEntry, ...] | None = None
         self._service_of: dict[UpstreamId, ServiceName] = {}
         self._members: Mapping[HostId, FailureDomain] = {}
+        # Owners by key. Weighing all daemons for each partition at each tick would be the
+        # largest part of an idle daemon's work at the size to design for.
+        self._owners: dict[str, HostId | None] = {}
+        self._owners_live: Mapping[HostId, FailureDomain] = {}
 
     def start(self) -> tuple[Address, Address]:
         """Listen and begin to work.
@@ -262,8 +266,14 @@
 
     def owner_of(self, key: str) -> HostId | None:
         """Return the rendezvous owner of `key` among the live daemons."""
-        owner = rendezvous_owner(key, self._shared.membership.live())
-        return None if owner is None else HostId(owner)
+        live = self._shared.membership.live()
+        if live is not self._owners_live:
+            self._owners_live = live
+            self._owners.clear()
+        if key not in self._owners:
+            owner = rendezvous_owner(key, live)
+            self._owners[key] = None if owner is None else HostId(owner)
+        return self._owners[key]
 
     def is_gone(self, host: HostId, incarnation: Incarnation) -> bool:
         """Return whether this incarnation of `host` has ended."""
@@ -477,7 +487,7 @@
 
     def _update_members(self) -> None:
         members = self._shared.membership.live()
-        if members != self._members:
+        if members is not self._members:
             self._members = members
             for service in self.services.values():
                 service.set_members(members)
--- a/libs/daemon/src/skylarkmoor_daemon/http.py
+++ b/libs/daemon/src/skylarkmoor_daemon/http.py
@@ -196,6 +196,7 @@
         try:
             return await run(request, request_id)
         except RequestRefused as error:
+            self._metrics.refused(error.code.value)
             return _refuse(request, request_id, error)
         except CancelledError:
             # The caller has gone; there is no one to answer.
--- a/libs/daemon/src/skylarkmoor_daemon/metrics.py
+++ b/libs/daemon/src/skylarkmoor_daemon/metrics.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self.registry = Registry()
         self._answers = self._counter("answers_total", "Answers by service, route and code.")
+        self._refusals = self._counter("refusals_total", "Error answers of the API by code.")
         self._attempts = self._counter("attempts_total", "Attempts by service and result.")
         self._tokens = self._counter("tokens_total", "Tokens by service and kind.")
         self._claims = self._counter("claims_total", "Claim requests by answer.")
@@ -37,6 +38,10 @@
         """Count an answer; `code` is ``ok`` or an error code."""
         self._answers.inc({"service": service, "route": route, "code": code})
 
+    def refused(self, code: str) -> None:
+        """Count an error answer of the API."""
+        self._refusals.inc({"code": code})
+
     def attempted(self, service: str, result: str) -> None:
         """Count the end of an attempt."""
         self._attempts.inc({"service": service, "result": result})
--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -6,7 +6,7 @@
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import MessageError, PlatformError, UpstreamError
-from skylarkmoor_core.hashing import rendezvous_order, rendezvous_owner
+from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import (
     HostId,
     Incarnation,
@@ -88,6 +88,9 @@
     def metrics(self) -> Metrics:
         """The daemon's metrics."""
 
+    def owner_of(self, key: str) -> HostId | None:
+        """Return the rendezvous owner of `key` among the live daemons."""
+
     def live_hosts(self) -> Iterable[HostId]:
         """Return the live daemons, this one among them."""
 
@@ -171,6 +174,9 @@
         document = entry.document
         self._services[document.service] = document.version
         self._follower.follow(document.service, entry.published, document)
+        current = [self._follower.progress(service) for service in self._services]
+        wanted = {progress.move for progress in current if progress is not None}
+        self._moves = {move: kept for move, kept in self._moves.items() if move in wanted}
 
     def version_for(self, service: ServiceName, request: RequestId) -> VersionId:
         """Return the version that a request takes."""
@@ -384,7 +390,7 @@
 
     def _order_all(self) -> None:
         for service in self._services:
-            owner = rendezvous_owner(f"orders/{service}", self._daemon.live_hosts())
+            owner = self._daemon.owner_of(f"orders/{service}")
             engines = self._daemon.engines_of(service)
             if owner == self._daemon.host and engines and self._caught_up:
                 self._order(service, engines)
--- a/libs/daemon/src/skylarkmoor_daemon/streams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/streams.py
@@ -231,6 +231,7 @@
             stream = await client.generate(
                 call,
                 lambda line: self._line(attempt, line),
+                deadline_wall_ms=_wall_deadline_ms(self.request, self._env.clock),
                 may_send=lambda: self._may_send(attempt),
             )
         except UpstreamError as error:
@@ -476,6 +477,7 @@
                 self.request.route,
                 self._body,
                 timeout_ms=max(1, left_ms) + grace_ms,
+                deadline_wall_ms=_wall_deadline_ms(self.request, self._env.clock),
                 may_send=lambda: self._may_send(attempt),
             )
         except UpstreamError as error:
@@ -541,6 +543,10 @@
     )
 
 
+def _wall_deadline_ms(request: Request, clock: Clock) -> int:
+    return request.deadline_ms - clock.now_ms() + clock.wall_ms()
+
+
 def _took(error: UpstreamError) -> bool:
     """Return whether the upstream may have run something of the request."""
     return error.sent and attempt_result(error) is not AttemptResult.NOT_STARTED
--- a/libs/daemon/src/skylarkmoor_daemon/tasks.py
+++ b/libs/daemon/src/skylarkmoor_daemon/tasks.py
@@ -1,5 +1,6 @@
 """Coroutines and repeated work that end together."""
 
+import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -12,6 +13,10 @@
 
 __all__ = ["Tasks"]
 
+# A service of the platform that is down is asked again after this time. Polls of the log must
+# come at most 1 s apart.
+_PLATFORM_RETRY_MS = 500
+
 _log = part_logger("daemon")
 
 
@@ -69,16 +74,23 @@
             running.cancel()
 
     async def _repeat(self, pause_ms: int, work: Callable[[], Awaitable[None]]) -> None:
+        failing = False
         while not self.stopped:
+            wait_ms = pause_ms
             try:
                 await work()
+                failing = False
             except PlatformError as error:
-                _log.warning("the platform failed", extra={"error": str(error)})
+                level = logging.DEBUG if failing else logging.WARNING
+                _log.log(level, "the platform failed", extra={"error": str(error)})
+                failing = True
+                wait_ms = max(pause_ms, _PLATFORM_RETRY_MS)
             except CancelledError:
                 raise
             except Exception:
                 _log.exception("repeated work failed")
-            await self.sleep(pause_ms)
+                wait_ms = max(pause_ms, _PLATFORM_RETRY_MS)
+            await self.sleep(wait_ms)
 
 
 def _report(failure: Failure) -> None:
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -136,8 +136,9 @@
 
 @dataclass(slots=True)
 class _Flight:
-    """Whether a connection was handed to a request, so that a byte may have left."""
+    """A request's deadline, and whether it has got a connection, so that a byte may have left."""
 
+    deadline_wall_ms: int | None = None
     sent: bool = False
 
 
@@ -306,18 +307,30 @@
         call: GenerateCall,
         on_line: Callable[[bytes], bool],
         *,
+        deadline_wall_ms: int | None = None,
         may_send: Callable[[], bool] | None = None,
     ) -> LineStream:
         """Start a generation and return its stream.
 
+        Parameters
+        ----------
+        call : GenerateCall
+            The request.
+        on_line : callable
+            As for `LineStream`.
+        deadline_wall_ms : int, optional
+            The caller's deadline in epoch milliseconds, passed on to the upstream.
+        may_send : callable, optional
+            Checked after connecting, immediately before the first byte.
+
         Raises
         ------
         UpstreamError
             If no stream was started; `sent` tells whether a byte may have left.
         """
-        return await self._stream(
-            "/generate", msgspec.json.encode(call), on_line, may_send, _HEAD_TIMEOUT_S
-        )
+        flight = _Flight(deadline_wall_ms)
+        body = msgspec.json.encode(call)
+        return await self._stream("/generate", body, on_line, flight, may_send, _HEAD_TIMEOUT_S)
 
     async def resume(
         self, attempt: AttemptId, position: int, on_line: Callable[[bytes], bool]
@@ -330,7 +343,7 @@
             If the upstream cannot resume the attempt.
         """
         body = msgspec.json.encode({"attempt": attempt, "position": position})
-        return await self._stream("/resume", body, on_line, None, _CONTROL_TIMEOUT_S)
+        return await self._stream("/resume", body, on_line, _Flight(), None, _CONTROL_TIMEOUT_S)
 
     async def cancel(self, attempt: AttemptId) -> None:
         """Cancel an attempt.
@@ -350,6 +363,7 @@
         body: bytes,
         *,
         timeout_ms: int,
+        deadline_wall_ms: int | None = None,
         may_send: Callable[[], bool] | None = None,
     ) -> bytes:
         """Run a call on a plain service and return its result as JSON text.
@@ -364,6 +378,8 @@
             JSON text.
         timeout_ms : int
             Longest wait in milliseconds.
+        deadline_wall_ms : int, optional
+            The caller's deadline in epoch milliseconds, passed on to the upstream.
         may_send : callable, optional
             Checked after connecting, immediately before the first byte.
 
@@ -373,7 +389,9 @@
             If the call failed; `sent` tells whether a byte may have left.
         """
         text = msgspec.json.encode({"attempt": attempt, "route": route, "body": msgspec.Raw(body)})
-        answer = await self._send("POST", "/call", text, timeout_ms / 1000, may_send)
+        answer = await self._send(
+            "POST", "/call", text, timeout_ms / 1000, may_send, deadline_wall_ms
+        )
         try:
             decoded = msgspec.json.decode(answer, type=_CallAnswer)
         except msgspec.DecodeError as error:
@@ -446,10 +464,10 @@
         path: str,
         body: bytes,
         on_line: Callable[[bytes], bool],
+        flight: _Flight,
         may_send: Callable[[], bool] | None,
         timeout_s: float,
     ) -> LineStream:
-        flight = _Flight()
         response = await self._request("POST", path, body, flight, may_send, timeout_s)
         stream = LineStream(on_line)
         cast(Any, response).deliverBody(stream)
@@ -462,8 +480,9 @@
         body: bytes | None,
         timeout_s: float,
         may_send: Callable[[], bool] | None = None,
+        deadline_wall_ms: int | None = None,
     ) -> bytes:
-        flight = _Flight()
+        flight = _Flight(deadline_wall_ms)
         response = await self._request(method, path, body, flight, may_send, timeout_s)
         return await self._read(response, timeout_s)
 
@@ -480,6 +499,8 @@
         make_agent: Any = Agent.usingEndpointFactory
         client: Any = HTTPClient(make_agent(self._reactor, factory))
         headers = {"content-type": "application/json"}
+        if flight.deadline_wall_ms is not None:
+            headers["x-deadline-ms"] = str(flight.deadline_wall_ms)
         url = f"http://{self.address}{path}"
         try:
             asked = client.request(
@@ -507,6 +528,10 @@
     async def _rejection(self, response: Any) -> UpstreamError:
         leaving = response.code == 503 and response.headers.hasHeader(b"x-leaving")
         if leaving:
+            # A connection whose answer is not read stays open.
+            unread = _BodyReader()
+            unread.finished.addErrback(lambda _: b"")
+            response.deliverBody(unread)
             return UpstreamLeaving(f"{self.upstream} is leaving", sent=False)
         try:
             body = await self._read(response, _CONTROL_TIMEOUT_S)
--- a/libs/daemon/tests/test_upstreams.py
+++ b/libs/daemon/tests/test_upstreams.py
@@ -74,7 +74,14 @@
 
 
 async def _call(client, may_send=None):
-    return await client.call(_ATTEMPT, "order", b'{"n":1}', timeout_ms=2_000, may_send=may_send)
+    return await client.call(
+        _ATTEMPT,
+        "order",
+        b'{"n":1}',
+        timeout_ms=2_000,
+        deadline_wall_ms=5_000,
+        may_send=may_send,
+    )
 
 
 async def _fails(client, may_send=None):
@@ -89,6 +96,7 @@
 async def test_call_returns_the_result_as_it_was_sent(fake):
     upstream = fake(_http(200, b'{"attempt":"r.1","result":{"a" : 1}}'))
     assert await _call(upstream.client()) == b'{"a" : 1}'
+    assert b"X-Deadline-Ms: 5000\r\n" in upstream.received[0]
     assert upstream.received[0].endswith(b'{"attempt":"r.1","route":"order","body":{"n":1}}')
 
 
@@ -125,6 +133,18 @@
     assert len(upstream.received) == 1
 
 
+@pytest_twisted.ensureDeferred
+async def test_late_answer_is_told_from_a_broken_connection():
+    from twisted.internet import reactor
+    from twisted.internet.protocol import Factory, Protocol
+
+    factory = Factory.forProtocol(Protocol)
+    factory.noisy = False
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    assert await _fails(_client(port.getHost().port)) == (True, AttemptResult.FAILED)
+    await port.stopListening()
+
+
 @pytest_twisted.ensureDeferred
 async def test_leaving_upstream_is_told_from_an_overloaded_one(fake):
     leaving = fake(_http(503, {}, "X-Leaving: 1\r\n"))
