--- a/libs/daemon/src/skylarkmoor_daemon/streams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/streams.py
@@ -19,6 +19,7 @@
     UpstreamClient,
     UpstreamLeaving,
     UpstreamRejected,
+    UpstreamStalled,
     attempt_result,
 )
 from skylarkmoor_policy.actions import Dispatch
@@ -28,7 +29,7 @@
 __all__ = ["CallRun", "ChatRun", "Run", "Surroundings"]
 
 # An engine that sends nothing for this long between two tokens is asked to resume.
-_STALL_MS = 5_000
+_STALL_MS = 2_000
 # The caller's deadline is the service's to enforce; this keeps the two timers apart.
 _ANSWER_GRACE_MS = 500
 # How long after its deadline the result of a call that must not run twice is waited for, so
@@ -93,6 +94,8 @@
     ended: bool = False
     first_ms: int | None = None
     last_ms: int | None = None
+    # When reading went on after a pause, or the upstream was asked to resume.
+    resumed_ms: int = 0
     tokens: int = 0
     paused: bool = False
     was_paused: bool = False
@@ -201,8 +204,8 @@
         attempt = self._attempt
         if attempt is None or attempt.ended or attempt.paused or attempt.last_ms is None:
             return
-        if now_ms - attempt.last_ms >= _STALL_MS:
-            attempt.last_ms = now_ms
+        if now_ms - max(attempt.last_ms, attempt.resumed_ms) >= _STALL_MS:
+            attempt.resumed_ms = now_ms
             self._abort(attempt)
 
     def upstream_silent(self, upstream: UpstreamId) -> None:
@@ -228,6 +231,7 @@
             stream = await client.generate(
                 call,
                 lambda line: self._line(attempt, line),
+                deadline_wall_ms=_wall_deadline_ms(self.request, self._env.clock),
                 may_send=lambda: self._may_send(attempt),
             )
         except UpstreamError as error:
@@ -270,6 +274,8 @@
         """Tell a crash from an upstream that has only forgotten the attempt."""
         if isinstance(error, UpstreamLeaving):
             return AttemptResult.LEAVING
+        if isinstance(error, UpstreamStalled):
+            return AttemptResult.FAILED
         result = attempt_result(error)
         if result in (AttemptResult.CRASHED, AttemptResult.NOT_STARTED) and not _took(error):
             return AttemptResult.CRASHED
@@ -349,7 +355,7 @@
         if attempt is None or not attempt.paused:
             return
         attempt.paused = False
-        attempt.last_ms = self._env.clock.now_ms()
+        attempt.resumed_ms = self._env.clock.now_ms()
         if attempt.stream is not None:
             attempt.stream.resume()
 
@@ -471,12 +477,15 @@
                 self.request.route,
                 self._body,
                 timeout_ms=max(1, left_ms) + grace_ms,
+                deadline_wall_ms=_wall_deadline_ms(self.request, self._env.clock),
                 may_send=lambda: self._may_send(attempt),
             )
         except UpstreamError as error:
             self._failed(attempt, error)
             return
         self._ran = True
+        # The duration of a call stands in for its first token.
+        attempt.first_ms = self._env.clock.now_ms()
         if not self.answer.called:
             self.answer.callback(result)
         self._end(attempt, AttemptResult.COMPLETED)
@@ -534,6 +543,10 @@
     )
 
 
+def _wall_deadline_ms(request: Request, clock: Clock) -> int:
+    return request.deadline_ms - clock.now_ms() + clock.wall_ms()
+
+
 def _took(error: UpstreamError) -> bool:
     """Return whether the upstream may have run something of the request."""
     return error.sent and attempt_result(error) is not AttemptResult.NOT_STARTED
