--- /dev/null
+++ b/libs/daemon/tests/system/conftest.py
@@ -0,0 +1,375 @@
+"""Starts whole systems of real processes on loopback, and breaks them."""
+
+import contextlib
+import copy
+import json
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from skylarkmoor_core.hashing import hash64, rendezvous_owner
+from skylarkmoor_standins.engine_text import answer_tokens, answer_word
+from skylarkmoor_standins.harness import (
+    Deadline,
+    HarnessError,
+    Processes,
+    get,
+    post,
+    run_module,
+    stream_events,
+    wait_until,
+)
+from skylarkmoor_standins.plain_model import body_text
+
+# Bound of one file's system; a hanging test fails long before the whole folder would.
+_LIMIT_S = 150.0
+_STANDIN = "skylarkmoor_standins.main"
+_OPERATOR = "from skylarkmoor_operator.main import main; main()"
+_CUSTOMER = "depot"
+# Claims are spread over this many streams by the hash of their key.
+_PARTITIONS = 16
+
+_CUSTOMERS = [
+    {"name": name, "requests_per_s": 10_000, "max_waiting": 1_000} for name in ("depot", "council")
+]
+
+ASSISTANT = {
+    "service": "assistant",
+    "kind": "engine",
+    "version": "v1",
+    "tiers": [{"name": "gold", "rank": 0}, {"name": "bulk", "rank": 1}],
+    "routes": [
+        {"name": "everyday", "tier": "gold", "deadline_ms": 30_000},
+        {"name": "notes", "tier": "bulk", "deadline_ms": 30_000},
+    ],
+    "customers": _CUSTOMERS,
+}
+ORDERS = {
+    "service": "orders",
+    "kind": "plain",
+    "version": "v1",
+    "tiers": [{"name": "gold", "rank": 0}],
+    "routes": [
+        {"name": "order", "tier": "gold", "idempotent": False, "deadline_ms": 10_000},
+        {"name": "stock", "tier": "gold", "deadline_ms": 10_000},
+    ],
+    "customers": _CUSTOMERS,
+}
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Answer to a call; `status` is None if the connection broke."""
+
+    status: int | None
+    body: Any = None
+    received_ms: int = 0
+
+    @property
+    def code(self) -> str | None:
+        return self.body["error"]["code"] if self._has_error() else None
+
+    @property
+    def outcome(self) -> str | None:
+        return self.body["error"]["outcome"] if self._has_error() else None
+
+    def _has_error(self) -> bool:
+        return isinstance(self.body, dict) and "error" in self.body
+
+
+@dataclass
+class Chat:
+    """What a caller got of a completion."""
+
+    prompt: str
+    text: str = ""
+    done: bool = False
+    error: dict[str, Any] | None = None
+    # Why there was no stream, or why it broke.
+    broken: str = ""
+    first_s: float | None = None
+
+    @property
+    def whole(self) -> bool:
+        return self.done and self.text.split() == expected_words(self.prompt)
+
+
+@dataclass
+class System:
+    """The platform, the upstreams and the daemons of one test file."""
+
+    processes: Processes
+    addresses: dict[str, str] = field(default_factory=dict)
+    domains: dict[str, str] = field(default_factory=dict)
+    daemons: list[str] = field(default_factory=list)
+    services: dict[str, str] = field(default_factory=dict)
+    offsets: dict[str, int] = field(default_factory=dict)
+    pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
+    keys: int = 0
+
+    def url(self, name, path=""):
+        return f"http://{self.addresses[name]}{path}"
+
+    def start_platform(self, *log_arguments):
+        self.processes.start("log", _STANDIN, "log", "--appends-per-s", "1000", *log_arguments)
+        self.processes.start("hosts", _STANDIN, "hosts", "--lag-ms", "200")
+        for name in ("log", "hosts"):
+            self.addresses[name] = self.processes.ready(name)
+
+    def start_engines(self, names, *arguments, service="assistant"):
+        for name in names:
+            self.processes.start(name, _STANDIN, "engine", "--report-lag-ms", "100", *arguments)
+        self._list_upstreams(names, service)
+
+    def start_plains(self, names, *arguments, service="orders"):
+        for name in names:
+            self.processes.start(name, _STANDIN, "plain", *arguments)
+        self._list_upstreams(names, service)
+
+    def start_daemons(self, names):
+        for name in names:
+            arguments = {
+                "--host": name,
+                "--failure-domain": self.domains.setdefault(name, f"domain-{name[-1]}"),
+                "--http-address": "127.0.0.1:0",
+                "--peer-address": "127.0.0.1:0",
+                "--log-url": self.url("log"),
+                "--hosts-url": self.url("hosts"),
+            }
+            flat = [part for pair in arguments.items() for part in pair]
+            self.processes.start(name, "skylarkmoor_daemon.main", *flat)
+        entries = []
+        for name in names:
+            ready = self.processes.ready(name)
+            self.addresses[name] = ready["http"]
+            entries.append({**self._entry(name, "entry"), "peer_address": ready["peer"]})
+            if name not in self.daemons:
+                self.daemons.append(name)
+        self.change_hosts(add=entries)
+
+    def change_hosts(self, **change):
+        status, body = post(self.url("hosts", "/hosts"), change)
+        assert status == 200, body
+
+    def publish(self, document, based_on="last", author="test"):
+        """Append a publication to the log and return its offset."""
+        service = document["service"]
+        base = self.offsets.get(service) if based_on == "last" else based_on
+        record = {
+            "type": "DocumentPublished",
+            "service": service,
+            "document": document,
+            "based_on": base,
+            "author": author,
+        }
+        status, body = post(self.url("log", "/streams/config/records"), record)
+        assert status == 200, body
+        self.offsets[service] = body["offset"]
+        return body["offset"]
+
+    def operator(self, *arguments, timeout_s=25.0):
+        """Run ``skylarkmoorctl`` to its end."""
+        return run_module(_OPERATOR, ["--log-url", self.url("log"), *arguments], timeout_s)
+
+    def records(self, stream):
+        status, body = get(self.url("log", f"/streams/{stream}/records?from=0"))
+        assert status == 200, body
+        return body["records"]
+
+    def status(self, daemon):
+        status, body = get(self.url(daemon, "/admin/status"), 3.0)
+        assert status == 200, body
+        return body
+
+    def wait_settled(self, daemons=None, longest_s=15.0):
+        """Wait until the daemons are ready and know each other and the upstreams."""
+        names = self.daemons if daemons is None else daemons
+        for name in names:
+            what = f"{name} is ready and knows its peers"
+            wait_until(lambda name=name: self._is_settled(name, names), longest_s, what)
+
+    def _is_settled(self, name, names):
+        if get(self.url(name, "/readyz"), 3.0)[0] != 200:
+            return False
+        status = self.status(name)
+        if set(status["peers"]) < set(names) - {name}:
+            return False
+        known = {
+            upstream
+            for service in status["services"].values()
+            for upstream, state in service["upstreams"].items()
+            if state["incarnation"] is not None
+        }
+        running = {name for name in self.services if self.processes.is_running(name)}
+        return known >= running
+
+    def set_faults(self, name, **faults):
+        status, body = post(self.url(name, "/faults"), faults)
+        assert status == 200, body
+
+    def calls(self, *names):
+        """Return the records of the calls that plain services ran."""
+        return [call for name in names for call in get(self.url(name, "/calls"))[1]["calls"]]
+
+    def calls_of(self, body, *names):
+        """Return the records of the calls with this body."""
+        wanted = hash64(body_text(body))
+        return [call for call in self.calls(*names) if call["body_hash"] == wanted]
+
+    def served(self, *names):
+        """Return the records of the attempts that engines took."""
+        return [entry for name in names for entry in get(self.url(name, "/served"))[1]["served"]]
+
+    def new_key(self):
+        self.keys += 1
+        return f"key-{self.keys}"
+
+    def key_hash(self, key):
+        return hash64("orders", _CUSTOMER, key)
+
+    def partition(self, key):
+        return self.key_hash(key) % _PARTITIONS
+
+    def key_owned_by(self, owner, daemons):
+        """Return a new key whose partition is owned by `owner` among `daemons`."""
+        while True:
+            key = self.new_key()
+            if rendezvous_owner(f"claims-{self.partition(key)}", daemons) == owner:
+                return key
+
+    def order(self, daemon, key, body, route="order", issued_ms=None, timeout_s=20.0):
+        issued_ms = wall_ms() if issued_ms is None else issued_ms
+        headers = {"X-Customer": _CUSTOMER, "Idempotency-Key": f'"{key}"; issued={issued_ms}'}
+        try:
+            status, answer = post(self.url(daemon, f"/v1/call/{route}"), body, timeout_s, headers)
+        except HarnessError as error:
+            return Answer(None, str(error), wall_ms())
+        return Answer(status, answer, wall_ms())
+
+    def stock(self, daemon, body, timeout_s=20.0):
+        headers = {"X-Customer": _CUSTOMER}
+        try:
+            status, answer = post(self.url(daemon, "/v1/call/stock"), body, timeout_s, headers)
+        except HarnessError as error:
+            return Answer(None, str(error), wall_ms())
+        return Answer(status, answer, wall_ms())
+
+    def chat(self, daemon, prompt, route="everyday", timeout_s=30.0, customer=_CUSTOMER):
+        """Stream a completion to its end and return what came."""
+        chat = Chat(prompt)
+        body = {
+            "model": route,
+            "messages": [{"role": "user", "content": prompt}],
+            "stream": True,
+        }
+        start_s = time.monotonic()
+        headers = {"X-Customer": customer}
+        url = self.url(daemon, "/v1/chat/completions")
+        try:
+            for data in stream_events(url, body, headers, timeout_s):
+                self._take_event(chat, data, start_s)
+        except HarnessError as error:
+            chat.broken = str(error)
+            with contextlib.suppress(ValueError, IndexError):
+                chat.error = json.loads(chat.broken[chat.broken.index("{") :])["error"]
+        return chat
+
+    def _take_event(self, chat, data, start_s):
+        if data == "[DONE]":
+            chat.done = True
+            return
+        event = json.loads(data)
+        if "error" in event:
+            chat.error = event["error"]
+            return
+        text = event["choices"][0]["delta"].get("content") or ""
+        if text and chat.first_s is None:
+            chat.first_s = time.monotonic() - start_s
+        chat.text += text
+
+    def spawn(self, work, *arguments, **named):
+        """Run `work` beside the test and return its future."""
+        return self.pool.submit(work, *arguments, **named)
+
+    def restart_daemon(self, name):
+        if self.processes.is_running(name):
+            self.processes.kill(name)
+        self.start_daemons([name])
+
+    def terminate(self, name):
+        self.processes.signal(name, signal.SIGTERM)
+
+    def _list_upstreams(self, names, service):
+        entries = []
+        for name in names:
+            self.addresses[name] = self.processes.ready(name)
+            self.services[name] = service
+            self.domains.setdefault(name, f"domain-{name[-1]}")
+            entries.append({**self._entry(name, "upstream"), "service": service})
+        self.change_hosts(add=entries)
+
+    def _entry(self, name, kind):
+        return {
+            "host": name,
+            "kind": kind,
+            "address": self.addresses[name],
+            "failure_domain": self.domains[name],
+        }
+
+
+def wall_ms():
+    return int(time.time() * 1_000)
+
+
+def expected_words(prompt, max_tokens=1_024):
+    """Return the words of an engine's whole answer to a caller's message."""
+    words = f"user: {prompt}".split()
+    text_hash = hash64(" ".join(words))
+    total = answer_tokens(words, text_hash, max_tokens)
+    return [answer_word(text_hash, position) for position in range(total)]
+
+
+@pytest.fixture(scope="module")
+def new_system(tmp_path_factory):
+    """Make a system without processes; all of its processes are killed after the file."""
+    made = []
+
+    def make():
+        folder = tmp_path_factory.mktemp("logs")
+        made.append(System(Processes(folder, Deadline(_LIMIT_S))))
+        return made[-1]
+
+    yield make
+    for system in made:
+        system.processes.kill_all()
+        system.pool.shutdown(wait=True, cancel_futures=True)
+
+
+@pytest.fixture(scope="session")
+def assistant():
+    return copy.deepcopy(ASSISTANT)
+
+
+@pytest.fixture(scope="session")
+def orders():
+    return copy.deepcopy(ORDERS)
+
+
+@pytest.fixture(autouse=True)
+def _show_logs_of_a_failure(request):
+    """Print the ends of the processes' logs if the test fails."""
+    yield
+    report = getattr(request.node, "call_report", None)
+    if report is not None and report.failed and "system" in request.fixturenames:
+        request.getfixturevalue("system").processes.print_log_tails()
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    outcome = yield
+    if call.when == "call":
+        item.call_report = outcome.get_result()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -4,20 +4,32 @@
 that the order ran once. It ends with exit code 0 only if everything was as expected.
 """
 
+import json
 import signal
-import subprocess
 import sys
 import time
 import uuid
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
-from callers import get, post, stream_chat, wait_ready
-from processes import ROOT, Deadline, DemoError, Processes, environment
+# Comes before the project's own modules, which it makes importable.
+from sources import ROOT
+
+from skylarkmoor_standins.harness import (
+    Deadline,
+    HarnessError,
+    Processes,
+    get,
+    post,
+    run_module,
+    stream_events,
+    wait_until,
+)
 
 # The whole run takes less than a minute; what is left is for stopping.
 LIMIT_S = 40.0
-READY_S = 15.0
+CALL_S = 15.0
 PUBLISH_S = 15.0
 CUSTOMER = {"X-Customer": "caerdydd"}
 DOMAINS = ("caerdydd", "abertawe", "bangor")
@@ -84,7 +96,7 @@
         entries.append(entry | {"service": "assistant", "checks_fencing": True})
     entry = _entry(demo, "ordering-1", "upstream", DOMAINS[0])
     entries.append(entry | {"service": "ordering"})
-    status, body = post(demo.url("hosts", "/hosts"), {"add": entries}, demo.deadline)
+    status, body = post(demo.url("hosts", "/hosts"), {"add": entries}, _time(demo))
     _expect(status == 200, f"the host list answered {status}: {body}")
 
 
@@ -95,7 +107,8 @@
         arguments = ["--log-url", demo.url("log"), "publish", document, "--author", "demo"]
         _run_operator(arguments, demo.deadline.left_s(PUBLISH_S))
     for name in DAEMONS:
-        wait_ready(demo.url(name, "/readyz"), demo.deadline, READY_S)
+        url = demo.url(name, "/readyz")
+        wait_until(lambda url=url: _is_ready(demo, url), _time(demo), f"{name} is ready")
     demo.report.append(f"3 daemons ready after {demo.deadline.passed_s():.1f} s")
 
 
@@ -112,7 +125,7 @@
     first_s: float | None = None
     pieces: list[str] = []
     url = demo.url("entry-1", "/v1/chat/completions")
-    for piece in stream_chat(url, body, demo.deadline, CUSTOMER):
+    for piece in _chat_pieces(demo, url, body):
         if piece and first_s is None:
             first_s = time.monotonic() - start_s
         pieces.append(piece)
@@ -123,7 +136,7 @@
     served = [
         (name, record)
         for name in ENGINES
-        for record in get(demo.url(name, "/served"), demo.deadline)[1]["served"]
+        for record in get(demo.url(name, "/served"), _time(demo))[1]["served"]
         if record["end"] == "done"
     ]
     _expect(len(served) == 1, f"{len(served)} engines served the question to its end")
@@ -140,12 +153,12 @@
     headers = CUSTOMER | {"Idempotency-Key": f'"{uuid.uuid4()}"; issued={issued_ms}'}
     answers = []
     for name in ("entry-2", "entry-3"):
-        status, body = post(demo.url(name, "/v1/call/order"), order, demo.deadline, headers)
+        status, body = post(demo.url(name, "/v1/call/order"), order, _time(demo), headers)
         print(f"order to {name}: {status} {body}")
         _expect(status == 200, f"{name} answered the order with {status}: {body}")
         answers.append(body)
     _expect(answers[0] == answers[1], "the resend of the order got a different answer")
-    calls = get(demo.url("ordering-1", "/calls"), demo.deadline)[1]["calls"]
+    calls = get(demo.url("ordering-1", "/calls"), _time(demo))[1]["calls"]
     print(f"calls that the plain service ran: {calls}")
     _expect(len(calls) == 1, f"the order ran {len(calls)} times")
     demo.report.append("the order was sent twice with one key and ran once")
@@ -169,7 +182,7 @@
             part(demo)
         show_chat(demo)
         show_order(demo)
-    except DemoError as error:
+    except HarnessError as error:
         faults.append(str(error))
     finally:
         faults += stop(demo)
@@ -192,25 +205,35 @@
     }
 
 
+def _time(demo: Demo) -> float:
+    return demo.deadline.left_s(CALL_S)
+
+
+def _is_ready(demo: Demo, url: str) -> bool:
+    return get(url, _time(demo))[0] == 200
+
+
+def _chat_pieces(demo: Demo, url: str, body: object) -> Iterator[str]:
+    for data in stream_events(url, body, CUSTOMER, _time(demo)):
+        if data == "[DONE]":
+            return
+        event = json.loads(data)
+        _expect("error" not in event, f"the stream ended with the error {event}")
+        choices = event.get("choices") or [{}]
+        yield str(choices[0].get("delta", {}).get("content") or "")
+        demo.deadline.left_s(CALL_S)
+    raise HarnessError(f"the stream of {url} ended without [DONE]")
+
+
 def _run_operator(arguments: list[str], timeout_s: float) -> None:
-    try:
-        done = subprocess.run(
-            [sys.executable, "-c", OPERATOR, *arguments],
-            env=environment(),
-            timeout=timeout_s,
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-    except subprocess.TimeoutExpired as error:
-        raise DemoError(f"skylarkmoorctl took more than {timeout_s:.0f} s") from error
+    done = run_module(OPERATOR, arguments, timeout_s)
     print(done.stdout, end="")
     _expect(done.returncode == 0, f"skylarkmoorctl failed: {done.stdout}{done.stderr}")
 
 
 def _expect(condition: bool, fault: str) -> None:
     if not condition:
-        raise DemoError(fault)
+        raise HarnessError(fault)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tools/sources.py
@@ -0,0 +1,10 @@
+"""Makes the sources of this working copy come before installed ones."""
+
+import sys
+from pathlib import Path
+
+__all__ = ["ROOT"]
+
+ROOT = Path(__file__).resolve().parent.parent
+
+sys.path[:0] = [str(path) for path in sorted(ROOT.glob("libs/*/src"))]
