--- a/libs/daemon/tests/system/conftest.py
+++ b/libs/daemon/tests/system/conftest.py
@@ -258,7 +258,7 @@
             return Answer(None, str(error), wall_ms())
         return Answer(status, answer, wall_ms())
 
-    def chat(self, daemon, prompt, route="everyday", timeout_s=30.0, customer=_CUSTOMER):
+    def chat(self, daemon, prompt, route="everyday", timeout_s=30.0, deadline_s=None):
         """Stream a completion to its end and return what came."""
         chat = Chat(prompt)
         body = {
@@ -267,7 +267,9 @@
             "stream": True,
         }
         start_s = time.monotonic()
-        headers = {"X-Customer": customer}
+        headers = {"X-Customer": _CUSTOMER}
+        if deadline_s is not None:
+            headers["X-Deadline-Ms"] = str(wall_ms() + int(deadline_s * 1_000))
         url = self.url(daemon, "/v1/chat/completions")
         try:
             for data in stream_events(url, body, headers, timeout_s):
@@ -278,6 +280,23 @@
                 chat.error = json.loads(chat.broken[chat.broken.index("{") :])["error"]
         return chat
 
+    def chat_whole(self, daemon, prompt, route="everyday", timeout_s=30.0):
+        """Ask for a completion without streaming and return what came."""
+        chat = Chat(prompt)
+        body = {"model": route, "messages": [{"role": "user", "content": prompt}]}
+        url = self.url(daemon, "/v1/chat/completions")
+        try:
+            status, answer = post(url, body, timeout_s, {"X-Customer": _CUSTOMER})
+        except HarnessError as error:
+            chat.broken = str(error)
+            return chat
+        if status == 200:
+            chat.done = True
+            chat.text = answer["choices"][0]["message"]["content"]
+        else:
+            chat.error = answer["error"]
+        return chat
+
     def _take_event(self, chat, data, start_s):
         if data == "[DONE]":
             chat.done = True
@@ -291,6 +310,9 @@
             chat.first_s = time.monotonic() - start_s
         chat.text += text
 
+    def expected_words(self, prompt):
+        return expected_words(prompt)
+
     def spawn(self, work, *arguments, **named):
         """Run `work` beside the test and return its future."""
         return self.pool.submit(work, *arguments, **named)
