--- a/libs/daemon/tests/system/conftest.py
+++ b/libs/daemon/tests/system/conftest.py
@@ -313,6 +313,10 @@
     def expected_words(self, prompt):
         return expected_words(prompt)
 
+    def prompt_hash(self, prompt):
+        """Return the hash by which the engines' records name a caller's message."""
+        return hash64(" ".join(f"user: {prompt}".split()))
+
     def spawn(self, work, *arguments, **named):
         """Run `work` beside the test and return its future."""
         return self.pool.submit(work, *arguments, **named)
--- /dev/null
+++ b/libs/daemon/tests/system/test_i7_shutdown.py
@@ -0,0 +1,146 @@
+"""Guards answers in progress against a shutdown, and outcomes against a forced one."""
+
+import time
+
+import pytest
+
+from skylarkmoor_standins.harness import get, wait_until
+
+# Every test stops one of these; the last one stays.
+DAEMONS = ["entry-1", "entry-2", "entry-3", "entry-4", "entry-9"]
+ENGINES = ["engine-1", "engine-2"]
+PLAINS = ["plain-1", "plain-2"]
+# Exit status of a daemon that was stopped by the second signal.
+FORCED = 3
+
+
+@pytest.fixture(scope="module")
+def system(new_system, orders, assistant):
+    system = new_system()
+    system.start_platform()
+    system.start_engines(ENGINES, "--decode-ms", "10", "--max-batch", "4")
+    system.start_plains(PLAINS, "--service-ms", "100")
+    system.start_daemons(DAEMONS)
+    system.publish(orders)
+    system.publish(assistant)
+    system.wait_settled()
+    return system
+
+
+@pytest.fixture(autouse=True)
+def _repaired(system):
+    yield
+    for name in PLAINS:
+        system.set_faults(name, delay_ms=0, capacity=None)
+
+
+def begin_streams(system, daemon, label, count, tokens=150):
+    """Start streams and return when all of them have got text from the engines."""
+    chats = [
+        system.spawn(system.chat, daemon, f"{label} number {i} answer_tokens={tokens}")
+        for i in range(count)
+    ]
+    wait_until(lambda: len(running(system)) >= count, 10.0, f"{count} streams run")
+    return chats
+
+
+def running(system):
+    return [entry for entry in system.served(*ENGINES) if entry["end"] is None]
+
+
+def begin_order(system, daemon):
+    key = system.new_key()
+    body = {"item": "refill", "order": key}
+    sent = system.spawn(system.order, daemon, key, body)
+    wait_until(lambda: system.calls_of(body, *PLAINS), 10.0, "the order runs")
+    return key, body, sent
+
+
+def ran_on_an_engine(system, chat):
+    wanted = system.prompt_hash(chat.prompt)
+    return any(entry["prompt_hash"] == wanted for entry in system.served(*ENGINES))
+
+
+def test_streams_and_orders_end_whole_after_the_first_signal(system):
+    """A restart of a host must not cost anyone an answer that had begun."""
+    for name in PLAINS:
+        system.set_faults(name, delay_ms=1_500)
+    chats = begin_streams(system, "entry-1", "drained", count=6)
+    _, body, order = begin_order(system, "entry-1")
+    system.terminate("entry-1")
+    wait_until(lambda: get(system.url("entry-1", "/readyz"))[0] == 503, 3.0, "it is not ready")
+    assert system.status("entry-1")["state"] == "draining"
+    assert system.status("entry-1")["held"] >= 1
+    refused = system.chat("entry-1", "too late")
+    assert (refused.error["code"], refused.error["outcome"]) == ("draining", "not_run")
+    for chat in chats:
+        assert chat.result().whole, chat.result()
+    assert order.result().status == 200
+    assert len(system.calls_of(body, *PLAINS)) == 1
+    assert system.processes.exit_code("entry-1", 15.0) == 0
+
+
+def test_waiting_requests_are_finished_or_refused_as_not_run(system):
+    """A waiting request that is dropped silently leaves its caller to guess."""
+    prompts = [f"crowd number {i} answer_tokens=60" for i in range(24)]
+    chats = [system.spawn(system.chat, "entry-2", prompt) for prompt in prompts]
+    wait_until(lambda: len(running(system)) >= 4, 10.0, "some of the streams run")
+    system.terminate("entry-2")
+    for future in chats:
+        chat = future.result()
+        if chat.whole:
+            continue
+        assert chat.error is not None, chat
+        assert chat.error["outcome"] == "not_run", chat
+        assert not ran_on_an_engine(system, chat), chat
+    assert system.processes.exit_code("entry-2", 20.0) == 0
+
+
+def test_the_second_signal_gives_every_caller_a_truthful_outcome(system):
+    """A forced stop that claims `not_run` for a call under way would make it run twice."""
+    for name in PLAINS:
+        system.set_faults(name, delay_ms=4_000)
+    chats = begin_streams(system, "entry-3", "forced", count=4, tokens=400)
+    key, body, order = begin_order(system, "entry-3")
+    system.terminate("entry-3")
+    wait_until(lambda: system.status("entry-3")["state"] == "draining", 3.0, "it drains")
+    system.terminate("entry-3")
+    for future in chats:
+        chat = future.result()
+        assert not chat.done, chat
+        assert chat.error is not None, chat
+        assert chat.error["outcome"] in ("ran", "unknown"), chat
+    assert order.result().outcome == "unknown", order.result()
+    assert system.processes.exit_code("entry-3", 10.0) == FORCED
+    again = system.order("entry-9", key, body)
+    assert again.outcome == "unknown", again
+    assert len(system.calls_of(body, *PLAINS)) == 1
+
+
+def test_a_forced_stop_tells_waiting_orders_apart_from_dispatched_ones(system):
+    """Outcomes are compared with the service's own records, by order."""
+    for name in PLAINS:
+        system.set_faults(name, capacity=1, delay_ms=3_000)
+    # The daemons learn the smaller capacity from the reports of each second.
+    time.sleep(1.5)
+    bodies = {key: {"order": key} for key in (system.new_key() for _ in range(30))}
+    sent = {key: system.spawn(system.order, "entry-4", key, body) for key, body in bodies.items()}
+    wait_until(lambda: ran(system, bodies) >= 2, 10.0, "the first orders run")
+    system.terminate("entry-4")
+    wait_until(lambda: system.status("entry-4")["state"] == "draining", 3.0, "it drains")
+    system.terminate("entry-4")
+    answers = {key: future.result() for key, future in sent.items()}
+    assert system.processes.exit_code("entry-4", 10.0) == FORCED
+    for key, answer in answers.items():
+        records = system.calls_of(bodies[key], *PLAINS)
+        assert len(records) <= 1, (key, records)
+        if answer.status != 200:
+            assert answer.outcome in ("not_run", "unknown"), answer
+            assert answer.outcome != "not_run" or not records, (answer, records)
+    outcomes = [answer.outcome for answer in answers.values()]
+    assert "unknown" in outcomes
+    assert "not_run" in outcomes
+
+
+def ran(system, bodies):
+    return sum(len(system.calls_of(body, *PLAINS)) for body in bodies.values())
