--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -28,7 +28,7 @@
     SpeedModel,
     bounds_of,
 )
-from skylarkmoor_policy.credit import CreditAccount, CreditTable
+from skylarkmoor_policy.credit import SETTLE_MS, CreditAccount, CreditTable
 from skylarkmoor_policy.limits import CustomerLimits
 from skylarkmoor_policy.prefixes import PrefixIndex
 from skylarkmoor_policy.queueing import Queue, Waiting
@@ -64,7 +64,12 @@
 _SPREAD_MS = 10
 # Least time between two looks at an owned upstream's grants that no demand asked for.
 _REGRANT_MS = 100
+# Higher-tier work may overfill an engine by this part while lower tiers give way as their
+# attempts end. Preempting at once would waste prefill for nearly every higher-tier request.
+_OVERFILL_PERCENT = 10
 _RETRY_AFTER_MS = 1_000
+# Ticks further apart than this mean that the process was paused.
+_PAUSE_MS = 1_000
 # Time for waiting requests after a drain begins.
 _DRAIN_MS = 10_000
 # A higher tier may exceed the queue's bound by this factor while lower-tier work still runs.
@@ -247,6 +252,7 @@
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
+        self._tick_ms = 0
         self._drained_ms: int | None = None
         self._refusals = [0] * self._tiers
         self._preemptions = [0] * self._tiers
@@ -333,7 +339,12 @@
             return
         self._tiers += more
         self._queue.set_tiers(self._tiers)
-        for counts in (self._refusals, self._preemptions, self._prefill, self._wasted):
+        for counts in (
+            self._refusals,
+            self._preemptions,
+            self._prefill,
+            self._wasted,
+        ):
             counts.extend([0] * more)
         for upstream in self._upstreams.values():
             upstream.account.set_tiers(self._tiers)
@@ -404,6 +415,9 @@
 
     def tick(self, now_ms: int) -> list[Action]:
         """Apply deadlines, leases and renewals; to be called about every 20 ms."""
+        if now_ms - self._tick_ms >= _PAUSE_MS:
+            self._forget_demands()
+        self._tick_ms = now_ms
         actions = self._expire(now_ms)
         actions += self._release_lost(now_ms)
         if self._drained_ms is not None and now_ms - self._drained_ms >= _DRAIN_MS:
@@ -463,7 +477,7 @@
     def _displaces(self, tier: int, now_ms: int) -> bool:
         """Return whether lower-tier work may run whose capacity a tier could take."""
         return any(
-            upstream.account.reach(now_ms)[tier] >= upstream.account.bounds.unit
+            upstream.account.displaces(tier, now_ms)
             for upstream in self._upstreams.values()
             if upstream.usable(now_ms)
         )
@@ -651,11 +665,18 @@
     def _table(self, upstream: _Upstream, now_ms: int) -> CreditTable | None:
         """Return the table of an upstream that this daemon owns."""
         if upstream.owned and upstream.table is None:
-            upstream.table = CreditTable(upstream.info.upstream, self._tiers, now_ms)
+            settle_ms = SETTLE_MS if len(self._domains) > 1 else 0
+            name = upstream.info.upstream
+            upstream.table = CreditTable(name, self._tiers, now_ms + settle_ms)
             if upstream.account.learnt:
                 upstream.capacity.adopt(upstream.account.capacity)
         return upstream.table
 
+    def _forget_demands(self) -> None:
+        """Start anew as owner after a pause, in which another daemon may have taken over."""
+        for upstream in self._upstreams.values():
+            upstream.table = None
+
     def _take_demand(
         self, sender: HostId, upstream: _Upstream, demand: Demand, now_ms: int
     ) -> list[Action]:
@@ -668,7 +689,9 @@
     def _review_capacity(self, upstream: _Upstream, now_ms: int) -> list[Action]:
         """Hand out capacity that was learnt, or that ended leases have given back."""
         table = self._table(upstream, now_ms)
-        if table is None or now_ms - upstream.granted_ms < _REGRANT_MS or not table.contended:
+        if table is None or not table.contended:
+            return []
+        if not table.returned(now_ms) and now_ms - upstream.granted_ms < _REGRANT_MS:
             return []
         return self._grant(upstream, table, now_ms)
 
@@ -678,7 +701,11 @@
         upstream.granted_ms = now_ms
         bounds = upstream.account.bounds
         actions: list[Action] = []
-        for host, grant in table.grants(upstream.capacity.value, bounds.unit, now_ms, answer):
+        capacity = upstream.capacity.value
+        hard = upstream.capacity.hard(now_ms)
+        if self._engine:
+            hard += max(bounds.unit, capacity * _OVERFILL_PERCENT // 100)
+        for host, grant in table.grants(capacity, hard, bounds.unit, now_ms, answer):
             if host == self._host:
                 upstream.account.accept(host, grant, now_ms)
             else:
@@ -763,7 +790,7 @@
         assert chosen is not None
         candidate, time_ms = chosen
         hopeless = now_ms + time_ms > request.deadline_ms
-        if hopeless and self._may_reject(request.tier):
+        if hopeless and self._may_reject(request.tier, now_ms):
             self._queue.remove(request.request)
             message = f"{time_ms:.0f} ms are needed and the deadline is before that"
             return self._refuse(entry, ErrorCode.OVERLOADED, message, _RETRY_AFTER_MS)
@@ -788,10 +815,15 @@
             request.request, attempt.attempt, candidate.upstream, version, entry.position
         )
 
-    def _may_reject(self, tier: TierRank) -> bool:
-        """Return whether a tier's requests may be refused for their deadline before it."""
-        lowest = tier > 0 and tier >= self._tiers // 2
-        return lowest and len(self._queue) > 1
+    def _may_reject(self, tier: TierRank, now_ms: int) -> bool:
+        """Return whether a tier's requests may be refused for a deadline yet to come.
+
+        A lower tier's may under load, but not while work in tiers below it runs.
+        """
+        if len(self._queue) <= 1:
+            return False
+        lowest = tier == self._tiers - 1
+        return lowest or (tier > 0 and not self._displaces(tier, now_ms))
 
     def _candidate(self, upstream: _Upstream, request: Request, prompt: int) -> Candidate:
         name = upstream.info.upstream
