--- a/libs/policy/src/skylarkmoor_policy/membership.py
+++ b/libs/policy/src/skylarkmoor_policy/membership.py
@@ -178,6 +178,7 @@
         if listed == self._listed:
             return
         self._listed = listed
+        self._forget_left()
         for host, entry in listed.items():
             if host != self._host:
                 self._domains[host] = entry.failure_domain
@@ -193,7 +194,7 @@
         """
         announces: list[Announce] = []
         for fact in facts:
-            if fact.kind is not FactKind.HOST:
+            if fact.kind is not FactKind.HOST or not _is_valid(fact):
                 continue
             host = HostId(fact.subject)
             if host == self._host:
@@ -254,6 +255,17 @@
         self._watchers = _watchers(self._host, live)
         return MappingProxyType(live)
 
+    def _forget_left(self) -> None:
+        """Drop the domains of hosts that have left, which replacements add to without end."""
+        gone = [
+            host
+            for host, fact in self._facts.items()
+            if host_state(fact) is HostState.LEFT and host not in self._listed
+        ]
+        for host in gone:
+            self._domains.pop(host, None)
+            self._heard_ms.pop(host, None)
+
     def _is_reachable(self, host: HostId) -> bool:
         if host == self._host or host not in self._domains:
             return False
@@ -325,6 +337,10 @@
         return [Send(host, heartbeat) for host in self.watchers()]
 
 
+def _is_valid(fact: Fact) -> bool:
+    return fact.value[0] & (1 << _STATE_BITS) - 1 <= HostState.LEFT.value
+
+
 def _watchers(host: HostId, live: Iterable[HostId]) -> tuple[HostId, ...]:
     others = (other for other in live if other != host)
     chosen = heapq.nsmallest(
--- a/libs/policy/tests/test_membership.py
+++ b/libs/policy/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from skylarkmoor_core.messages import Gossip, Heartbeat, HostState
+from skylarkmoor_core.messages import Fact, FactKind, Gossip, Heartbeat, HostState
 from skylarkmoor_policy.actions import Send
 from skylarkmoor_policy.facts import FactStore
 from skylarkmoor_policy.membership import (
@@ -75,6 +75,16 @@
     assert membership.reachable() == ["h1", "h2"]
 
 
+def test_host_that_left_is_live_again_when_a_later_process_is_listed():
+    membership = member()
+    membership.apply([host_fact("h1", 7 << 10, HostState.LEFT, 5)], 5)
+    membership.listed(entries(1))
+    membership.apply([host_fact("h1", 8 << 10, HostState.ALIVE, 6)], 6)
+    assert "h1" not in membership.live()
+    membership.listed(entries(3))
+    assert "h1" in membership.live()
+
+
 def test_draining_hosts_own_when_no_other_is_left():
     membership = member(1)
     membership.enter(HostState.DRAINING, 5)
@@ -109,8 +119,7 @@
 
 def test_host_is_watched_by_four_others_and_not_reported_by_the_rest():
     members = [member(12, f"h{i}") for i in range(12)]
-    watchers = {each.watchers() for each in members[:1]}.pop()
-    assert len(set(watchers)) == 4
+    assert len(set(members[0].watchers())) == 4
     reporters = []
     for each in members[1:]:
         for now_ms in range(0, FAILURE_MS + 2 * HEARTBEAT_MS, HEARTBEAT_MS):
@@ -144,6 +153,12 @@
     assert membership.heartbeat("h1", 7, ALIVE, 6, 6) == [Send("h1", Gossip((left,)))]
 
 
+def test_fact_with_an_unknown_state_is_passed_over():
+    membership = member()
+    assert membership.apply([Fact(FactKind.HOST, "h1", (7 << 12 | 3, 5))], 5) == []
+    assert "h1" in membership.live()
+
+
 def test_new_incarnation_is_live_again_and_old_messages_are_dropped():
     membership = member()
     membership.apply([host_fact("h1", 7 << 10, HostState.LEFT, 5)], 5)
