--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -1,6 +1,7 @@
 """Credit leases: the owner's table of demands and a daemon's account at one upstream."""
 
 import operator
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -27,7 +28,10 @@
 # How long a preemption waits for an answer when the owner did not know all that runs.
 _HOLD_MS = 100
 # Time in which a daemon hears of a cut and tells of work that it has started meanwhile.
-_RETURN_MS = 10
+_RETURN_MS = 15
+# Attempts that end by themselves usually make room within this time. Preempting at once
+# would waste prefill for nearly every higher-tier request.
+_PATIENCE_MS = 100
 # A new owner hears the running work of all daemons before it gives any of it away.
 SETTLE_MS = 100
 # An owner that has not answered for this long is taken to be gone.
@@ -57,6 +61,29 @@
     return sums
 
 
+def _rooms(allowed: Sequence[int], running: Sequence[int]) -> list[int]:
+    """Return by tier the cost that may be started.
+
+    For each tier, what runs in it and in the lower ones must fit what is allowed in them.
+    Work of lower tiers that is kept beyond their credit does not count: it would take away
+    the credit that a higher tier was granted in its place.
+    """
+    tiers = len(allowed)
+    rooms = []
+    for tier in range(tiers):
+        room = sum(
+            allow - min(run, allow)
+            for allow, run in zip(allowed[tier + 1 :], running[tier + 1 :], strict=True)
+        )
+        least = room + allowed[tier] - running[tier]
+        free = least
+        for higher in range(tier - 1, -1, -1):
+            free += allowed[higher] - running[higher]
+            least = min(least, free)
+        rooms.append(least)
+    return rooms
+
+
 def fallback_share(capacity: int, unit: int, live: int, rank: int) -> int:
     """Return the cost that a daemon may run without a lease.
 
@@ -98,6 +125,8 @@
     # Cost allowed and kept in the newest grant.
     granted: tuple[int, ...] | None = None
     kept: tuple[int, ...] = ()
+    # By tier, since when starts have been withheld.
+    unmet_ms: dict[int, int] = field(default_factory=dict)
     # Unused credit that was cut and may have been used before the daemon heard of it.
     returning: int = 0
     returned_ms: int = -1
@@ -127,6 +156,7 @@
         self._tiers = tiers
         self._granting_ms = granting_ms
         self._seq = granting_ms
+        self._ceiling = sys.maxsize
         self._holders: dict[HostId, _Holder] = {}
 
     def set_tiers(self, tiers: int) -> None:
@@ -161,6 +191,7 @@
         if holder is not None:
             self._holders[sender].granted = holder.granted
             self._holders[sender].kept = holder.kept
+            self._holders[sender].unmet_ms = holder.unmet_ms
         return True
 
     def grants(
@@ -191,11 +222,16 @@
         if not self.settled(now_ms) or not self._holders:
             return []
         demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
-        allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
-        if self._reclaim(allowed, now_ms):
-            allowed = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
-        keep = keep_running(hard, demands, allowed, unit)
-        room = self._room(capacity, demands, allowed)
+        ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        if self._reclaim(ideal, now_ms):
+            ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
+        allowed = self._withhold(ideal, demands, hard, unit, now_ms)
+        # What was admitted before the capacity was lowered is left to end by itself.
+        self._ceiling = max(hard, min(self._ceiling, self.running))
+        keep = keep_running(self._ceiling, demands, allowed, unit)
+        for host, holder in self._holders.items():
+            holder.running = self._assumed(holder, allowed[host])
+        room = self._room(capacity)
         result = []
         for host, holder in self._holders.items():
             if host != answer and not _differs(holder, allowed[host], keep[host], unit):
@@ -203,7 +239,6 @@
             self._seq = max(self._seq + 1, now_ms)
             holder.granted = allowed[host]
             holder.kept = keep[host]
-            holder.running = self._assumed(holder, allowed[host])
             grant = Grant(
                 self._upstream,
                 self._seq,
@@ -217,6 +252,40 @@
             result.append((host, grant))
         return result
 
+    def _withhold(
+        self,
+        ideal: dict[HostId, tuple[int, ...]],
+        demands: dict[HostId, HostDemand],
+        hard: int,
+        unit: int,
+        now_ms: int,
+    ) -> dict[HostId, tuple[int, ...]]:
+        """Return the division without the starts that would have to preempt other work yet.
+
+        Daemons that run more than their part start nothing meanwhile, so that the next
+        attempt that ends makes room. Only after a while are their attempts preempted.
+        """
+        budget = max(0, hard - self.running)
+        allowed = {host: list(costs) for host, costs in ideal.items()}
+        for tier in range(self._tiers):
+            for host, demand in demands.items():
+                unmet_ms = self._holders[host].unmet_ms
+                need = demand.running[tier] + demand.waiting[tier]
+                start = min(ideal[host][tier], need) - demand.running[tier]
+                if start <= 0:
+                    unmet_ms.pop(tier, None)
+                    continue
+                given = start
+                if now_ms - unmet_ms.get(tier, now_ms) < _PATIENCE_MS:
+                    given = min(start, budget) if budget >= min(start, unit) else 0
+                budget = max(0, budget - given)
+                allowed[host][tier] -= start - given
+                if given < start:
+                    unmet_ms.setdefault(tier, now_ms)
+                else:
+                    unmet_ms.pop(tier, None)
+        return {host: tuple(costs) for host, costs in allowed.items()}
+
     def _returning(self, now_ms: int) -> int:
         return sum(
             holder.returning for holder in self._holders.values() if now_ms < holder.returned_ms
@@ -268,18 +337,11 @@
             for run, allow, need in zip(running, allowed, needs, strict=True)
         )
 
-    def _room(
-        self,
-        capacity: int,
-        demands: dict[HostId, HostDemand],
-        allowed: dict[HostId, tuple[int, ...]],
-    ) -> tuple[int, ...]:
+    def _room(self, capacity: int) -> tuple[int, ...]:
         room = []
         left = capacity
         for tier in range(self._tiers):
-            for host, demand in demands.items():
-                wanted = demand.running[tier] + demand.waiting[tier]
-                left -= min(allowed[host][tier], wanted)
+            left -= sum(holder.running[tier] for holder in self._holders.values())
             room.append(max(0, left))
         return tuple(room)
 
@@ -304,8 +366,7 @@
     seq: int = -1
     owner: HostId | None = None
     allowed: tuple[int, ...] = ()
-    # Sums of the cost that may be started and kept, over each tier and the lower ones.
-    suffixes: list[int] = field(default_factory=list)
+    # Sums of the cost that may go on running, over each tier and the lower ones.
     keep: list[int] = field(default_factory=list)
     expires_ms: int = -1
     answers: int = -1
@@ -350,7 +411,8 @@
         self._upstream = upstream
         self._tiers = tiers
         self._running = [0] * tiers
-        self._running_suffixes = [0] * tiers
+        # Room by tier for the credit and the running work that it was computed for.
+        self._rooms: tuple[tuple[int, ...], list[int]] | None = None
         self._stopping = [0] * tiers
         self._waiting: tuple[int, ...] = (0,) * tiers
         self._units: tuple[int, ...] = (1,) * tiers
@@ -358,6 +420,8 @@
         self._newest: _Sent | None = None
         self._sent: dict[int, _Sent] = {}
         self._unanswered_ms: int | None = None
+        # Work that was kept beyond its credit has ended since the last demand.
+        self._gave_back = False
         self._hold_until_ms = -1
         self._hold_seq = -1
         self._active_ms = -_IDLE_MS
@@ -382,11 +446,11 @@
         more = tiers - self._tiers
         self._tiers = tiers
         self._running += [0] * more
-        self._running_suffixes += [0] * more
+        self._rooms = None
         self._stopping += [0] * more
         self._waiting += (0,) * more
         self._units += (1,) * more
-        self._lease.suffixes += [0] * more
+        self._lease.allowed += (0,) * more
         self._lease.keep += [0] * more
 
     @property
@@ -394,6 +458,13 @@
         """Cost that this daemon runs, by tier, with attempts that are being preempted."""
         return tuple(self._running)
 
+    @property
+    def must_correct(self) -> bool:
+        """Whether the owner waits to hear of what ended here or did not know what runs."""
+        if self._newest is None:
+            return False
+        return self._gave_back or self._hold_seq > self._newest.demand.seq
+
     def leased(self, now_ms: int) -> bool:
         """Return whether there is a lease in force."""
         return now_ms < self._lease.expires_ms
@@ -412,7 +483,7 @@
         """
         silent = self._silent(now_ms)
         if self.leased(now_ms) and self._lease.owner == self.owner:
-            allowed = _fit(self._lease.allowed, self._tiers)
+            allowed = self._lease.allowed
             return self._divide(sum(allowed)) if silent else allowed
         if silent or self.owner is None:
             return self._divide(self._fallback())
@@ -420,12 +491,10 @@
 
     def room(self, tier: int, now_ms: int) -> int:
         """Return the cost that may be started in a tier now."""
-        allowed = self._allowed_suffixes(now_ms)
-        running = self._running_suffixes
-        room = allowed[0] - running[0]
-        for each in range(1, tier + 1):
-            room = min(room, allowed[each] - running[each])
-        return room
+        allowed = self.allowed(now_ms)
+        if self._rooms is None or self._rooms[0] is not allowed:
+            self._rooms = allowed, _rooms(allowed, self._running)
+        return self._rooms[1][tier]
 
     def reach(self, now_ms: int) -> list[int]:
         """Return by tier the cost it may hope for, with that of lower tiers elsewhere."""
@@ -449,7 +518,7 @@
     def start(self, tier: int, cost: int, now_ms: int) -> None:
         """Note that an attempt was started."""
         self._running[tier] += cost
-        self._running_suffixes = _suffixes(self._running)
+        self._rooms = None
         self._active_ms = now_ms
 
     def stop(self, tier: int, cost: int) -> None:
@@ -458,15 +527,17 @@
 
     def end(self, tier: int, cost: int, stopping: bool) -> None:
         """Note that an attempt ended."""
+        allowed = self._lease.allowed[tier] if self._lease.allowed else 0
+        self._gave_back = self._gave_back or self._running[tier] > allowed
         self._running[tier] -= cost
-        self._running_suffixes = _suffixes(self._running)
+        self._rooms = None
         if stopping:
             self._stopping[tier] -= cost
 
     def excess(self, now_ms: int) -> list[tuple[int, int]]:
         """Return pairs of a tier and the cost to preempt in it and in lower tiers."""
         if self.leased(now_ms) and not self._silent(now_ms):
-            allowed = list(map(max, self._lease.suffixes, self._lease.keep))
+            allowed = list(map(max, _suffixes(self._lease.allowed), self._lease.keep))
         elif self.leased(now_ms):
             allowed = _suffixes(self.allowed(now_ms))
         else:
@@ -495,8 +566,7 @@
         self._lease = _Lease(
             grant.seq,
             sender,
-            grant.allowed,
-            _suffixes(_fit(grant.allowed, self._tiers)),
+            _fit(grant.allowed, self._tiers),
             _suffixes(_fit(grant.keep or grant.allowed, self._tiers)),
             answered.at_ms + grant.lease_ms,
             grant.answers,
@@ -525,11 +595,13 @@
         age_ms = now_ms - sent.at_ms
         if age_ms >= _RENEW_MS:
             return active
+        if self.must_correct:
+            return True
         if age_ms < _URGENT_MS:
             return False
         if age_ms >= _RESEND_MS and self._unanswered_ms is not None and any(self._waiting):
             return True
-        if self._hold_seq > sent.demand.seq or self._grew(sent.demand):
+        if self._grew(sent.demand):
             return True
         return age_ms >= _RELEASE_MS and self._shrank(sent.demand)
 
@@ -544,6 +616,7 @@
             self._upstream, seq, self.running, self._waiting, pressure_percent, self._units
         )
         self._newest = _Sent(demand, self.owner, now_ms)
+        self._gave_back = False
         if self._unanswered_ms is None:
             self._unanswered_ms = now_ms
         recent = {each: sent for each, sent in self._sent.items() if now_ms - sent.at_ms < LEASE_MS}
@@ -568,12 +641,6 @@
     def _silent(self, now_ms: int) -> bool:
         return self._unanswered_ms is not None and now_ms - self._unanswered_ms > _SILENT_MS
 
-    def _allowed_suffixes(self, now_ms: int) -> list[int]:
-        current = self.leased(now_ms) and self._lease.owner == self.owner
-        if current and not self._silent(now_ms):
-            return self._lease.suffixes
-        return _suffixes(self.allowed(now_ms))
-
     def _hold(self, now_ms: int) -> None:
         """Put off preemption if the owner did not know of all that runs here.
 
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -63,9 +63,9 @@
 # Least time between two divisions of the waiting cost among the upstreams.
 _SPREAD_MS = 10
 # Least time between two looks at an owned upstream's grants that no demand asked for.
-_REGRANT_MS = 100
-# Higher-tier work may overfill an engine by this part while lower tiers give way as their
-# attempts end. Preempting at once would waste prefill for nearly every higher-tier request.
+_REGRANT_MS = 40
+# Higher-tier work may go beyond an engine's learnt capacity, but not its limit, by this part
+# while lower tiers give way as their attempts end.
 _OVERFILL_PERCENT = 10
 _RETRY_AFTER_MS = 1_000
 # Ticks further apart than this mean that the process was paused.
@@ -248,11 +248,15 @@
         self._prefixes = PrefixIndex()
         self._entries: dict[RequestId, _Entry] = {}
         self._deadlines: list[tuple[int, RequestId]] = []
+        # Waiting requests that may not go to every upstream, as the last dispatch found them.
+        self._picky: set[RequestId] = set()
         self._upstreams: dict[UpstreamId, _Upstream] = {}
         self._domains: dict[HostId, FailureDomain] = {}
         self._outputs: dict[RouteName, float] = {}
         self._spread_ms = -_SPREAD_MS
         self._tick_ms = 0
+        # An owner has to hear at once of work that it did not know of.
+        self._correcting = False
         self._drained_ms: int | None = None
         self._refusals = [0] * self._tiers
         self._preemptions = [0] * self._tiers
@@ -324,7 +328,7 @@
             case Demand():
                 actions = self._take_demand(sender, upstream, message, now_ms)
             case Grant():
-                if not upstream.account.accept(sender, message, now_ms):
+                if not self._accept(sender, upstream, message, now_ms):
                     return []
                 actions = []
         return actions + self._pump(now_ms)
@@ -560,6 +564,7 @@
             return None
         upstream.account.end(ended.request.tier, ended.cost, ended.stopped_ms is not None)
         upstream.load.change(-ended.cost, now_ms)
+        self._correcting = self._correcting or upstream.account.must_correct
         return ended
 
     def _settle(self, entry: _Entry, end: AttemptEnd, now_ms: int) -> list[Action]:
@@ -702,16 +707,22 @@
         bounds = upstream.account.bounds
         actions: list[Action] = []
         capacity = upstream.capacity.value
-        hard = upstream.capacity.hard(now_ms)
+        hard = capacity
         if self._engine:
             hard += max(bounds.unit, capacity * _OVERFILL_PERCENT // 100)
+            hard = max(capacity, min(hard, bounds.limit))
         for host, grant in table.grants(capacity, hard, bounds.unit, now_ms, answer):
             if host == self._host:
-                upstream.account.accept(host, grant, now_ms)
+                self._accept(host, upstream, grant, now_ms)
             else:
                 actions.append(Send(host, grant))
         return actions
 
+    def _accept(self, sender: HostId, upstream: _Upstream, grant: Grant, now_ms: int) -> bool:
+        accepted = upstream.account.accept(sender, grant, now_ms)
+        self._correcting = self._correcting or upstream.account.must_correct
+        return accepted
+
     def _pump(self, now_ms: int, *, renew: bool = False) -> list[Action]:
         """Dispatch, preempt and tell owners until nothing changes any more."""
         actions: list[Action] = []
@@ -759,6 +770,8 @@
         if version != item.version:
             self._queue.replace(item, version)
         able = self._eligible(entry, version, now_ms)
+        if len(able) < sum(each.usable(now_ms) for each in self._upstreams.values()):
+            self._picky.add(request.request)
         fitting = [
             each
             for each in able
@@ -901,8 +914,9 @@
 
     def _tell_owners(self, now_ms: int, renew: bool) -> list[Action] | None:
         """Send the demands that are due; None if none was."""
-        if not renew and now_ms - self._spread_ms < _SPREAD_MS:
+        if not renew and now_ms - self._spread_ms < _SPREAD_MS and not self._correcting:
             return None
+        self._correcting = False
         self._spread_ms = now_ms
         self._spread(now_ms)
         actions: list[Action] = []
@@ -920,6 +934,24 @@
                 actions.append(Send(owner, demand))
         return actions if told else None
 
+    def _spread_picky(self, plans: Mapping[UpstreamId, _Plan], now_ms: int) -> None:
+        """Ask for credit where a request may go that must avoid some upstreams.
+
+        Without this the whole waiting cost could be asked of an upstream that failed the
+        request, and the request would wait for credit elsewhere until its deadline.
+        """
+        picky, self._picky = self._picky, set()
+        for name in picky:
+            entry = self._entries.get(name)
+            if entry is None or entry.running is not None:
+                continue
+            tier = entry.request.tier
+            able = self._eligible(entry, self._choose_version(entry.request), now_ms)
+            choices = [plans[each.info.upstream] for each in able if each.info.upstream in plans]
+            if choices and not any(plan.waiting[tier] for plan in choices):
+                best = max(choices, key=lambda plan: plan.prospect(tier))
+                best.add(tier, self._cost(entry, able[0]), 1)
+
     def _spread(self, now_ms: int) -> None:
         """Divide the waiting cost among the upstreams by how much they may yet take.
 
@@ -938,6 +970,7 @@
                 for _ in range(parts):
                     best = max(choices, key=lambda plan: plan.prospect(tier))
                     best.add(tier, cost // count, count / parts)
+        self._spread_picky(plans, now_ms)
         none = (0,) * self._tiers
         for name, each in self._upstreams.items():
             plan = plans.get(name)
