Handle signals before a stand-in says that it is ready

Cause: a signal sent right after the ready line ended the process by the default action; 4 of 5 cases of test_main failed on a busy machine. Change: the handlers are set before the line is printed.

--- a/libs/standins/src/skylarkmoor_standins/server.py
+++ b/libs/standins/src/skylarkmoor_standins/server.py
@@ -119,9 +119,10 @@
     port: Any = listen(app, address)
     host: Any = port.getHost()
     ready = {"ready": str(Address(host.host, host.port))}
-    print(msgspec.json.encode(ready).decode(), flush=True)
+    # A reader of the ready line may send a signal at once.
     signal.signal(signal.SIGTERM, _stop)
     signal.signal(signal.SIGINT, _stop)
+    print(msgspec.json.encode(ready).decode(), flush=True)
     reactor.run(installSignalHandlers=False)
 
 
