Refuse for lack of time only where answer lengths are known

Cause: without a learnt length half of the route's maximum was expected, and with the margin of two a preempted stream was refused after it had begun (test_a_burst_that_fits_is_served_beside_lower_work_of_another_daemon failed). Change: a request that has begun needs no margin, and a route whose answer length is not learnt is not refused early.

--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -781,8 +781,7 @@
         candidates = [self._candidate(each, entry, prompt) for each in fitting]
         cost = self._cost(entry, fitting[0])
         candidate, time_ms = choose(candidates, prompt, output, cost)
-        latest_ms = request.deadline_ms - _START_MARGIN * time_ms
-        if now_ms > latest_ms and self._may_reject(request.tier, now_ms):
+        if now_ms > self._latest_start_ms(entry, time_ms) and self._may_reject(entry, now_ms):
             self._queue.remove(request.request)
             message = f"{time_ms:.0f} ms are needed and the deadline leaves no margin"
             return self._refuse(entry, ErrorCode.OVERLOADED, message, _RETRY_AFTER_MS)
@@ -807,12 +806,19 @@
             request.request, attempt.attempt, candidate.upstream, version, entry.position
         )
 
-    def _may_reject(self, tier: TierRank, now_ms: int) -> bool:
-        """Return whether a tier's requests may be refused for a deadline yet to come.
+    def _latest_start_ms(self, entry: _Entry, time_ms: float) -> float:
+        """Return when a request has to start at the latest; one that has begun needs no margin."""
+        margin = 1 if entry.attempts else _START_MARGIN
+        return entry.request.deadline_ms - margin * time_ms
 
-        A lower tier's may under load, but not while work in tiers below it runs.
+    def _may_reject(self, entry: _Entry, now_ms: int) -> bool:
+        """Return whether a request may be refused for a deadline yet to come.
+
+        One of a lower tier may under load, but not while work in tiers below it runs, and not
+        before the length of its route's answers has been learnt.
         """
-        if len(self._queue) <= 1:
+        tier = entry.request.tier
+        if len(self._queue) <= 1 or (self._engine and entry.request.route not in self._outputs):
             return False
         lowest = tier == self._tiers - 1
         return lowest or (tier > 0 and not self._displaces(tier, now_ms))
