Add the command that measures slopes of each role's costs

CAPACITY.md is to be worked out from measured slopes, and there was no command that measures them. skylarkmoor-slopes measures processor time, memory, messages and bytes of 49 costs at three or more sizes of the quantity that drives each, fits a line and prints intercept, slope and the largest distance from the line. Fleets of real schedulers, owners of claims and fact stores are driven with a synthetic load, and their messages are encoded and counted.

--- /dev/null
+++ b/libs/measure/src/skylarkmoor_measure/slopes_sharing.py
@@ -0,0 +1,278 @@
+"""Slopes of membership, heartbeats, facts, gossip and digests."""
+
+import random
+from collections.abc import Callable
+from functools import cache, partial
+
+from skylarkmoor_core.hashing import rendezvous_owner
+from skylarkmoor_core.ids import FailureDomain, HostId
+from skylarkmoor_core.messages import (
+    Digest,
+    Envelope,
+    Fact,
+    FactKind,
+    Gossip,
+    HostState,
+    encode_envelope,
+)
+from skylarkmoor_measure.fleet import INCARNATION, host_name
+from skylarkmoor_measure.slope_cases import Case, Unit
+from skylarkmoor_measure.timing import cpu_us, kept_bytes
+from skylarkmoor_policy.actions import Send
+from skylarkmoor_policy.facts import GOSSIP_MS, FactStore
+from skylarkmoor_policy.membership import HostEntry, Membership, host_fact
+
+__all__ = ["SHARING_CASES", "spread_fact"]
+
+_WALL_MS = int(INCARNATION) + 3_600_000
+_TICK_MS = 250
+_DOMAINS = 11
+
+
+def _domain(number: int) -> FailureDomain:
+    return FailureDomain(f"domain-{number % _DOMAINS:02d}")
+
+
+def _entries(hosts: int) -> list[HostEntry]:
+    return [HostEntry(host_name(i), _domain(i)) for i in range(hosts)]
+
+
+def _alive(hosts: int) -> list[Fact]:
+    epoch = INCARNATION << 10
+    return [host_fact(host_name(i), epoch, HostState.ALIVE, _WALL_MS) for i in range(hosts)]
+
+
+def _membership(hosts: int) -> Membership:
+    """Return the membership of the first host when all hosts are known to be alive."""
+    membership = Membership(host_name(0), INCARNATION, _domain(0))
+    membership.listed(_entries(hosts))
+    membership.apply(_alive(hosts)[1:], _WALL_MS)
+    return membership
+
+
+def _size(host: HostId, send: Send) -> int:
+    return len(encode_envelope(Envelope(host, INCARNATION, send.message)))
+
+
+def _heartbeat_bytes(hosts: int, seed: int) -> float:
+    membership = _membership(hosts)
+    seconds = 5
+    sent = [
+        decision
+        for now_ms in range(0, seconds * 1_000, _TICK_MS)
+        for decision in membership.tick(now_ms, _WALL_MS + now_ms)
+        if isinstance(decision, Send)
+    ]
+    return sum(_size(host_name(0), send) for send in sent) / seconds
+
+
+def _membership_tick_us(hosts: int, seed: int) -> float:
+    """Time of a tick once all duties are known; no watched host is silent yet."""
+    ticks = 10
+
+    def prepare() -> Callable[[], object]:
+        membership = _membership(hosts)
+        for i in range(hosts):
+            membership.tick(i, _WALL_MS)
+        return lambda: [membership.tick(hosts + i * 25, _WALL_MS) for i in range(ticks)]
+
+    return cpu_us(prepare) / ticks
+
+
+def _change_us(hosts: int, seed: int) -> float:
+    """Time to learn that a host is gone, until all duties are known again."""
+
+    def prepare() -> Callable[[], object]:
+        membership = _membership(hosts)
+        for i in range(hosts):
+            membership.tick(i, _WALL_MS)
+        epoch = INCARNATION << 10
+        gone = host_fact(host_name(hosts - 1), epoch, HostState.LEFT, _WALL_MS)
+
+        def work() -> None:
+            membership.apply((gone,), _WALL_MS)
+            membership.live()
+            for i in range(hosts // 16 + 1):
+                membership.tick(hosts + i, _WALL_MS)
+
+        return work
+
+    return cpu_us(prepare)
+
+
+def _same_members_us(hosts: int, seed: int) -> float:
+    """Time to see that the live hosts are unchanged, which the daemon does in each tick."""
+    membership = _membership(hosts)
+    calls = 100
+
+    def work() -> None:
+        before = membership.live()
+        for _ in range(calls):
+            if membership.live() != before:
+                raise RuntimeError("the live hosts changed")
+
+    return cpu_us(lambda: work) / calls
+
+
+def _reachable_us(hosts: int, seed: int) -> float:
+    membership = _membership(hosts)
+    return cpu_us(lambda: membership.reachable)
+
+
+def _partition_owner_us(hosts: int, seed: int) -> float:
+    live = _membership(hosts).live()
+    calls = 16
+    keys = [f"claims-{i}" for i in range(calls)]
+    return cpu_us(lambda: lambda: [rendezvous_owner(key, live) for key in keys]) / calls
+
+
+def _membership_bytes(hosts: int, seed: int) -> float:
+    return kept_bytes(lambda: _membership(hosts))
+
+
+def _evidence(number: int, count: int) -> Fact:
+    """Return evidence of one daemon on one version and route: requests, errors, slow, time."""
+    subject = f"assistant@7/v2/route-{number % 100:04d}/{host_name(number // 100)}"
+    return Fact(FactKind.EVIDENCE, subject, (count, count // 50, count // 40, _WALL_MS + count))
+
+
+def _store(facts: int) -> FactStore:
+    store = FactStore()
+    store.merge(_evidence(i, 1_000) for i in range(facts))
+    return store
+
+
+def _fact_bytes(facts: int, seed: int) -> float:
+    return kept_bytes(lambda: _store(facts))
+
+
+def _merge_us(facts: int, seed: int) -> float:
+    def prepare() -> Callable[[], object]:
+        store = _store(facts)
+        newer = [_evidence(i, 1_001) for i in range(facts)]
+        return lambda: store.merge(newer)
+
+    return cpu_us(prepare)
+
+
+def _quiet_store(facts: int, seed: int) -> FactStore:
+    """Return a store that has sent all its facts often enough."""
+    store = FactStore(max_round=facts + 1)
+    store.merge(_evidence(i, 1_000) for i in range(facts))
+    rng = random.Random(seed)
+    while store.gossip(rng, _WALL_MS, [host_name(i) for i in range(1, 5)]):
+        pass
+    return store
+
+
+def _quiet_round_us(facts: int, seed: int) -> float:
+    def prepare() -> Callable[[], object]:
+        store = _quiet_store(facts, seed)
+        return lambda: store.gossip(random.Random(seed), _WALL_MS, [host_name(1)])
+
+    return cpu_us(prepare)
+
+
+def _busy_round_us(facts: int, seed: int) -> float:
+    def prepare() -> Callable[[], object]:
+        store = _store(facts)
+        peers = [host_name(i) for i in range(1, 330)]
+        return lambda: store.gossip(random.Random(seed), _WALL_MS, peers)
+
+    return cpu_us(prepare)
+
+
+def _round_bytes(facts: int, seed: int) -> float:
+    """Bytes of one round, to all its peers, with so many new facts."""
+    peers = [host_name(i) for i in range(1, 330)]
+    sends = _store(facts).gossip(random.Random(seed), _WALL_MS, peers)
+    return sum(_size(host_name(0), send) for send in sends)
+
+
+def _digest_bytes(facts: int, seed: int) -> float:
+    message = Digest(_store(facts).digest())
+    return len(encode_envelope(Envelope(host_name(0), INCARNATION, message)))
+
+
+def _diff_bytes(facts: int, seed: int) -> float:
+    """Bytes of the answer to a digest from a store that lacks one fact."""
+    store, other = _store(facts), _store(facts)
+    store.put(_evidence(facts, 1))
+    message = Gossip(tuple(store.diff(other.digest())))
+    return len(encode_envelope(Envelope(host_name(0), INCARNATION, message)))
+
+
+@cache
+def spread_fact(hosts: int, seed: int) -> tuple[int, int, int]:
+    """Spread one fact by gossip alone.
+
+    Returns
+    -------
+    tuple of int
+        Messages, their bytes without framing, and the rounds until every host knew the fact;
+        the rounds are -1 if some host never learnt it.
+    """
+    rng = random.Random(seed)
+    names = [host_name(i) for i in range(hosts)]
+    stores = {name: FactStore() for name in names}
+    fact = host_fact(host_name(hosts), INCARNATION << 10, HostState.LEFT, _WALL_MS)
+    stores[names[0]].put(fact)
+    messages = total = rounds = 0
+    complete = -1
+    while True:
+        sends = [
+            (name, send)
+            for name, store in stores.items()
+            for send in store.gossip(rng, _WALL_MS, [peer for peer in names if peer != name])
+        ]
+        if not sends:
+            return messages, total, complete
+        rounds += 1
+        for name, send in sends:
+            messages += 1
+            total += _size(name, send)
+            assert isinstance(send.message, Gossip)
+            stores[send.to].merge(send.message.facts)
+        known = sum(store.get(fact.kind, fact.subject) is not None for store in stores.values())
+        if known == hosts and complete < 0:
+            complete = rounds
+
+
+def _spread_messages(hosts: int, seed: int) -> float:
+    return spread_fact(hosts, seed)[0] / hosts
+
+
+def _spread_bytes(hosts: int, seed: int) -> float:
+    return spread_fact(hosts, seed)[1] / hosts
+
+
+def _spread_ms(hosts: int, seed: int) -> float:
+    return spread_fact(hosts, seed)[2] * GOSSIP_MS
+
+
+_HOSTS = (30, 110, 330)
+_FACTS = (500, 2_000, 5_000)
+
+_peer = partial(Case, "peer")
+
+SHARING_CASES = (
+    _peer("heartbeats sent/s", "daemons", Unit.WIRE, _HOSTS, _heartbeat_bytes),
+    _peer("membership tick", "daemons", Unit.CPU, _HOSTS, _membership_tick_us),
+    _peer("membership change", "daemons", Unit.CPU, _HOSTS, _change_us),
+    _peer("check for changed members", "daemons", Unit.CPU, _HOSTS, _same_members_us),
+    _peer("reachable peers in order", "daemons", Unit.CPU, _HOSTS, _reachable_us),
+    _peer("rendezvous owner of one key", "daemons", Unit.CPU, _HOSTS, _partition_owner_us),
+    _peer("membership", "daemons", Unit.MEMORY, _HOSTS, _membership_bytes),
+    _peer("facts", "facts", Unit.MEMORY, _FACTS, _fact_bytes),
+    _peer("merge of newer facts", "facts", Unit.CPU, _FACTS, _merge_us),
+    _peer("gossip round, nothing new", "facts", Unit.CPU, _FACTS, _quiet_round_us),
+    _peer("gossip round, all new", "facts", Unit.CPU, _FACTS, _busy_round_us),
+    _peer("gossip round to 3 peers", "new facts", Unit.WIRE, (4, 16, 32), _round_bytes),
+    _peer("digest", "facts", Unit.WIRE, _FACTS, _digest_bytes),
+    _peer("answer to a digest that lacks one fact", "facts", Unit.WIRE, _FACTS, _diff_bytes),
+    _peer(
+        "messages sent by a daemon for one fact", "daemons", Unit.COUNT, _HOSTS, _spread_messages
+    ),
+    _peer("messages sent by a daemon for one fact", "daemons", Unit.WIRE, _HOSTS, _spread_bytes),
+    _peer("time until every daemon has a fact", "daemons", Unit.TIME, _HOSTS, _spread_ms),
+)
--- /dev/null
+++ b/libs/measure/tests/test_slopes.py
@@ -0,0 +1,95 @@
+"""Guards the command of the slopes: every case is measurable and its line is printed whole."""
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from skylarkmoor_measure.message_sizes import message_sizes, zmtp_bytes
+from skylarkmoor_measure.slope_cases import Case, Unit, measure_case
+from skylarkmoor_measure.slopes import CASES, main, render_slopes
+from skylarkmoor_measure.slopes_records import make_host_list, run_owner
+from skylarkmoor_measure.slopes_sharing import spread_fact
+from skylarkmoor_measure.timing import Stopwatch, kept_bytes
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: f"{case.cost} over {case.driver}")
+def test_case_can_be_measured_at_its_smallest_size(case):
+    """A change to the interfaces measured must not go unnoticed until the next full run."""
+    assert len(case.sizes) >= 3
+    assert list(case.sizes) == sorted(set(case.sizes))
+    if case.unit is not Unit.CPU:
+        assert case.measure(case.sizes[0], 1) > 0
+    else:
+        assert case.measure(case.sizes[0], 1) >= 0
+
+
+def test_cases_have_distinct_names():
+    names = [(case.role, case.cost, case.driver, case.unit) for case in CASES]
+    assert len(names) == len(set(names))
+
+
+def test_measured_case_holds_values_and_line():
+    case = Case("peer", "cost", "size", Unit.COUNT, (1, 2, 3), lambda size, seed: 10 * size + seed)
+    slope = measure_case(case, seed=4)
+    assert slope.values == (14, 24, 34)
+    assert round(slope.slope, 6) == 10
+    assert round(slope.intercept, 6) == 4
+    assert "peer: cost [messages] over size: 14 at 1, 24 at 2, 34 at 3" in render_slopes([slope])
+
+
+def test_command_prints_slopes_and_writes_them(tmp_path):
+    result = CliRunner().invoke(main, ["--out", str(tmp_path), "--only", "over routes"])
+    assert result.exit_code == 0, result.output
+    assert "seed 1" in result.output
+    assert "Heartbeat" in result.output
+    written = msgspec.json.decode((tmp_path / "slopes.json").read_bytes())
+    assert {slope["driver"] for slope in written["slopes"]} == {"routes"}
+
+
+def test_owner_appends_at_most_20_batches_a_second():
+    """Every claim is answered, and more claims make larger batches instead of more appends."""
+    few, many = run_owner(5, 10), run_owner(200, 10)
+    assert few.answers in (49, 50)
+    assert few.appends in (49, 50)
+    assert many.answers >= 1_980
+    assert many.appends <= 200
+
+
+def test_a_fact_reaches_every_host():
+    messages, _, rounds = spread_fact(30, 1)
+    # 3 peers in each of 3 + bit_length(29) rounds.
+    assert messages == 30 * 3 * 8
+    assert 0 < rounds <= 16
+
+
+def test_frame_grows_for_messages_above_255_bytes():
+    assert zmtp_bytes(30) == 32
+    assert zmtp_bytes(603) == 612
+
+
+def test_message_sizes_name_each_kind_once():
+    kinds = [each.kind for each in message_sizes()]
+    assert len(kinds) == len(set(kinds))
+    assert len(kinds) == 14
+
+
+def test_host_list_has_as_many_hosts_as_asked_for():
+    hosts = msgspec.json.decode(make_host_list(9))["hosts"]
+    assert [host["kind"] for host in hosts].count("entry") == 3
+    assert len({host["host"] for host in hosts}) == 9
+
+
+def test_memory_of_what_is_dropped_does_not_count():
+    assert kept_bytes(lambda: bytes(1_000_000)) >= 1_000_000
+
+    def drop():
+        bytes(1_000_000)
+
+    assert kept_bytes(drop) < 100_000
+
+
+def test_stopwatch_counts_calls_and_returns_results():
+    watch = Stopwatch()
+    assert [watch.time(lambda: 7) for _ in range(3)] == [7, 7, 7]
+    assert watch.calls == 3
+    assert watch.mean_us >= 0
