Measure slopes of evidence, judgements and suspects

Fact stores of up to 110 daemons now spread counters that grow in each round, with digests, and the age of what they know of each other is measured. Judgement, histories and the table of suspects have slopes as well.

--- a/libs/measure/src/skylarkmoor_measure/slopes.py
+++ b/libs/measure/src/skylarkmoor_measure/slopes.py
@@ -12,12 +12,18 @@
 from skylarkmoor_measure.message_sizes import MessageSize, message_sizes
 from skylarkmoor_measure.slope_cases import Case, Slope, measure_case
 from skylarkmoor_measure.slopes_records import RECORD_CASES
+from skylarkmoor_measure.slopes_recovery import RECOVERY_CASES
 from skylarkmoor_measure.slopes_scheduling import SCHEDULING_CASES
 from skylarkmoor_measure.slopes_sharing import SHARING_CASES
 
 __all__ = ["CASES", "main", "render_sizes", "render_slopes"]
 
-CASES: tuple[Case, ...] = (*SCHEDULING_CASES, *SHARING_CASES, *RECORD_CASES)
+CASES: tuple[Case, ...] = (
+    *SCHEDULING_CASES,
+    *SHARING_CASES,
+    *RECOVERY_CASES,
+    *RECORD_CASES,
+)
 
 
 class _Results(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/libs/measure/src/skylarkmoor_measure/slopes_recovery.py
@@ -0,0 +1,119 @@
+"""Slopes of the judgement of moves and of the table of suspects."""
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from skylarkmoor_core.document import VersionMove
+from skylarkmoor_core.ids import Fingerprint, MoveId, ServiceName, VersionId
+from skylarkmoor_core.messages import Fact
+from skylarkmoor_measure.fleet import INCARNATION, START_MS, upstream_id
+from skylarkmoor_measure.slope_cases import Case, Unit
+from skylarkmoor_measure.slopes_sharing import evidence_fact
+from skylarkmoor_measure.timing import cpu_us, kept_bytes
+from skylarkmoor_policy.quarantine import SuspectTable
+from skylarkmoor_policy.rollout import Continue, EvidenceHistory, Progress, judge
+
+__all__ = ["RECOVERY_CASES"]
+
+_WALL_MS = int(INCARNATION) + 3_600_000
+_MOVE = MoveId("assistant@7")
+_HOSTS = 330
+_SNAPSHOT_MS = 500
+# More than the longest window, after which a history keeps no more snapshots.
+_SNAPSHOTS = 70
+
+
+def _evidence(routes: int, hosts: int, count: int) -> Iterable[Fact]:
+    for host in range(hosts):
+        for route in range(routes):
+            yield evidence_fact(100 * host + route, count)
+
+
+def _history(routes: int, hosts: int) -> EvidenceHistory:
+    """Return a history in which the counters of all daemons have grown for 35 s."""
+    history = EvidenceHistory(_MOVE)
+    for i in range(_SNAPSHOTS):
+        if i % 10 == 0:
+            history.apply(_evidence(routes, hosts, 1 + i))
+        history.snapshot(START_MS + _SNAPSHOT_MS * i)
+    return history
+
+
+def _progress() -> Progress:
+    return Progress(
+        move=_MOVE,
+        service=ServiceName("assistant"),
+        old=VersionId("v1"),
+        plan=VersionMove(version=VersionId("v2"), by_ms=_WALL_MS + 3_600_000, step_ms=600_000),
+        step=2,
+        stepped_wall_ms=_WALL_MS,
+    )
+
+
+def _judge_us(routes: int, seed: int) -> float:
+    """Time of a snapshot and a judgement by all evidence and by the daemon's own."""
+    now_ms = START_MS + _SNAPSHOT_MS * _SNAPSHOTS
+
+    def prepare() -> Callable[[], object]:
+        histories = (_history(routes, 10), _history(routes, 1))
+
+        def work() -> None:
+            for history in histories:
+                history.snapshot(now_ms)
+            decision = judge(_progress(), histories, now_ms, _WALL_MS + 1_000, ready=True)
+            if not isinstance(decision, Continue):
+                raise RuntimeError(f"the move did not go on: {decision}")
+
+        return work
+
+    return cpu_us(prepare)
+
+
+def _apply_us(hosts: int, seed: int) -> float:
+    def prepare() -> Callable[[], object]:
+        history = _history(4, hosts)
+        newer = list(_evidence(4, hosts, 1_000))
+        return lambda: history.apply(newer)
+
+    return cpu_us(prepare, repeats=3) / 4
+
+
+def _history_bytes(hosts: int, seed: int) -> float:
+    return kept_bytes(lambda: _history(4, hosts))
+
+
+def _suspect_bytes(suspicions: int, seed: int) -> float:
+    return kept_bytes(lambda: _suspects(suspicions))
+
+
+def _suspects(suspicions: int) -> SuspectTable:
+    """Return a table with 100 suspicions to a crash."""
+    table = SuspectTable()
+    for i in range(suspicions // 100):
+        requests = [Fingerprint(2**63 + 100 * i + j) for j in range(100)]
+        table.crash(upstream_id(i), INCARNATION, requests, _WALL_MS)
+    return table
+
+
+def _expire_us(suspicions: int, seed: int) -> float:
+    table = _suspects(suspicions)
+    return cpu_us(lambda: lambda: table.expire(_WALL_MS + 1))
+
+
+_peer = partial(Case, "peer")
+
+RECOVERY_CASES = (
+    _peer("snapshot and judgement of a move", "routes", Unit.CPU, (2, 8, 32), _judge_us),
+    _peer(
+        "evidence of a round taken by a history (each of 4 routes)",
+        "daemons",
+        Unit.CPU,
+        (30, 110, _HOSTS),
+        _apply_us,
+    ),
+    _peer(
+        "history of a move (4 routes)", "daemons", Unit.MEMORY, (30, 110, _HOSTS), _history_bytes
+    ),
+    _peer("suspects", "suspicions", Unit.MEMORY, (500, 2_000, 8_000), _suspect_bytes),
+    _peer("expiry of suspects", "suspicions", Unit.CPU, (500, 2_000, 8_000), _expire_us),
+)
--- a/libs/measure/src/skylarkmoor_measure/slopes_sharing.py
+++ b/libs/measure/src/skylarkmoor_measure/slopes_sharing.py
@@ -1,7 +1,9 @@
 """Slopes of membership, heartbeats, facts, gossip and digests."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import cache, partial
 
 from skylarkmoor_core.hashing import rendezvous_owner
@@ -19,10 +21,10 @@
 from skylarkmoor_measure.slope_cases import Case, Unit
 from skylarkmoor_measure.timing import cpu_us, kept_bytes
 from skylarkmoor_policy.actions import Send
-from skylarkmoor_policy.facts import GOSSIP_MS, FactStore
+from skylarkmoor_policy.facts import DIGEST_MS, GOSSIP_MS, FactStore
 from skylarkmoor_policy.membership import HostEntry, Membership, host_fact
 
-__all__ = ["SHARING_CASES", "spread_fact"]
+__all__ = ["SHARING_CASES", "EvidenceRun", "evidence_fact", "run_evidence", "spread_fact"]
 
 _WALL_MS = int(INCARNATION) + 3_600_000
 _TICK_MS = 250
@@ -130,15 +132,17 @@
     return kept_bytes(lambda: _membership(hosts))
 
 
-def _evidence(number: int, count: int) -> Fact:
-    """Return evidence of one daemon on one version and route: requests, errors, slow, time."""
-    subject = f"assistant@7/v2/route-{number % 100:04d}/{host_name(number // 100)}"
-    return Fact(FactKind.EVIDENCE, subject, (count, count // 50, count // 40, _WALL_MS + count))
+def evidence_fact(number: int, count: int) -> Fact:
+    """Return evidence of one daemon on one route, as `Evidence` makes it."""
+    source = f"{host_name(number // 100)}|{INCARNATION}"
+    subject = f"assistant@7|2|{source}|route-{number % 100:04d}"
+    old = (50 * count, count, 2 * count)
+    return Fact(FactKind.EVIDENCE, subject, (*old, count, 0, 0, _WALL_MS + count))
 
 
 def _store(facts: int) -> FactStore:
     store = FactStore()
-    store.merge(_evidence(i, 1_000) for i in range(facts))
+    store.merge(evidence_fact(i, 1_000) for i in range(facts))
     return store
 
 
@@ -149,7 +153,7 @@
 def _merge_us(facts: int, seed: int) -> float:
     def prepare() -> Callable[[], object]:
         store = _store(facts)
-        newer = [_evidence(i, 1_001) for i in range(facts)]
+        newer = [evidence_fact(i, 1_001) for i in range(facts)]
         return lambda: store.merge(newer)
 
     return cpu_us(prepare)
@@ -158,7 +162,7 @@
 def _quiet_store(facts: int, seed: int) -> FactStore:
     """Return a store that has sent all its facts often enough."""
     store = FactStore(max_round=facts + 1)
-    store.merge(_evidence(i, 1_000) for i in range(facts))
+    store.merge(evidence_fact(i, 1_000) for i in range(facts))
     rng = random.Random(seed)
     while store.gossip(rng, _WALL_MS, [host_name(i) for i in range(1, 5)]):
         pass
@@ -197,7 +201,7 @@
 def _diff_bytes(facts: int, seed: int) -> float:
     """Bytes of the answer to a digest from a store that lacks one fact."""
     store, other = _store(facts), _store(facts)
-    store.put(_evidence(facts, 1))
+    store.put(evidence_fact(facts, 1))
     message = Gossip(tuple(store.diff(other.digest())))
     return len(encode_envelope(Envelope(host_name(0), INCARNATION, message)))
 
@@ -250,7 +254,116 @@
     return spread_fact(hosts, seed)[2] * GOSSIP_MS
 
 
+@dataclass(frozen=True, slots=True)
+class EvidenceRun:
+    """What spreading evidence took.
+
+    Attributes
+    ----------
+    gossip_bytes, digest_bytes : int
+        Bytes without framing that all daemons sent in the measured time, in rounds and in
+        digests with their answers.
+    seconds : float
+        Measured time.
+    mean_age_ms : float
+        Mean age of a daemon's evidence on the others at the end.
+    """
+
+    hosts: int
+    gossip_bytes: int
+    digest_bytes: int
+    seconds: float
+    mean_age_ms: float
+
+
+@cache
+def run_evidence(hosts: int, counters: int, seed: int) -> EvidenceRun:
+    """Spread evidence of which every daemon's every counter grows in each round.
+
+    Parameters
+    ----------
+    counters : int
+        Routes that each daemon counts, both versions in one fact.
+    """
+    rng = random.Random(seed)
+    names = [host_name(i) for i in range(hosts)]
+    peers = {name: [peer for peer in names if peer != name] for name in names}
+    stores = {name: FactStore() for name in names}
+    sent: Counter[str] = Counter()
+    for number in range(_WARM_ROUNDS + _ROUNDS):
+        if number == _WARM_ROUNDS:
+            sent.clear()
+        for i, store in enumerate(stores.values()):
+            store.merge(evidence_fact(100 * i + each, number) for each in range(counters))
+        sends = [
+            (name, send)
+            for name, store in stores.items()
+            for send in store.gossip(rng, _WALL_MS, peers[name])
+        ]
+        for name, send in sends:
+            sent["gossip"] += _size(name, send)
+            _take(stores[send.to], send)
+        for i, name in enumerate(names):
+            if (number + i) % _DIGEST_ROUNDS == 0:
+                sent["digest"] += _exchange(stores, name, rng.choice(peers[name]))
+    return EvidenceRun(
+        hosts=hosts,
+        gossip_bytes=sent["gossip"],
+        digest_bytes=sent["digest"],
+        seconds=_ROUNDS * GOSSIP_MS / 1_000,
+        mean_age_ms=_mean_age_ms(stores, counters, _WARM_ROUNDS + _ROUNDS - 1),
+    )
+
+
+def _take(store: FactStore, send: Send) -> None:
+    assert isinstance(send.message, Gossip)
+    store.merge(send.message.facts)
+
+
+def _exchange(stores: dict[HostId, FactStore], name: HostId, peer: HostId) -> int:
+    """Send a digest and take the answer; return the bytes of both."""
+    digest = Send(peer, Digest(stores[name].digest()))
+    answer = Send(name, Gossip(tuple(stores[peer].diff(stores[name].digest()))))
+    _take(stores[name], answer)
+    return _size(name, digest) + _size(peer, answer)
+
+
+def _mean_age_ms(stores: dict[HostId, FactStore], counters: int, newest: int) -> float:
+    """Return the mean age of the evidence; what was never heard counts as of the first round."""
+    rounds = total = 0
+    subjects = [
+        evidence_fact(100 * i + each, 0).subject
+        for i in range(len(stores))
+        for each in range(counters)
+    ]
+    for store in stores.values():
+        for subject in subjects:
+            fact = store.get(FactKind.EVIDENCE, subject)
+            rounds += newest if fact is None else newest - fact.value[3]
+            total += 1
+    return GOSSIP_MS * rounds / total
+
+
+def _evidence_bytes(routes: int, seed: int) -> float:
+    run = run_evidence(_EVIDENCE_HOSTS, routes, seed)
+    return (run.gossip_bytes + run.digest_bytes) / run.seconds / run.hosts
+
+
+def _evidence_host_bytes(hosts: int, seed: int) -> float:
+    run = run_evidence(hosts, _EVIDENCE_COUNTERS, seed)
+    return (run.gossip_bytes + run.digest_bytes) / run.seconds / run.hosts
+
+
+def _evidence_age_ms(hosts: int, seed: int) -> float:
+    return run_evidence(hosts, _EVIDENCE_COUNTERS, seed).mean_age_ms
+
+
 _HOSTS = (30, 110, 330)
+_EVIDENCE_HOSTS = 30
+_EVIDENCE_COUNTERS = 4
+_WARM_ROUNDS = 20
+_ROUNDS = 20
+_DIGEST_ROUNDS = DIGEST_MS // GOSSIP_MS
 _FACTS = (500, 2_000, 5_000)
 
 _peer = partial(Case, "peer")
@@ -274,5 +387,26 @@
         "messages sent by a daemon for one fact", "daemons", Unit.COUNT, _HOSTS, _spread_messages
     ),
     _peer("messages sent by a daemon for one fact", "daemons", Unit.WIRE, _HOSTS, _spread_bytes),
+    _peer(
+        "evidence sent/s by a daemon (30 daemons, every counter grows)",
+        "routes",
+        Unit.WIRE,
+        (1, 4, 16),
+        _evidence_bytes,
+    ),
+    _peer(
+        "evidence sent/s by a daemon (4 routes, every counter grows)",
+        "daemons",
+        Unit.WIRE,
+        (10, 30, 110),
+        _evidence_host_bytes,
+    ),
+    _peer(
+        "mean age of the evidence (4 routes)",
+        "daemons",
+        Unit.TIME,
+        (10, 30, 110),
+        _evidence_age_ms,
+    ),
     _peer("time until every daemon has a fact", "daemons", Unit.TIME, _HOSTS, _spread_ms),
 )
--- a/libs/measure/tests/test_slopes.py
+++ b/libs/measure/tests/test_slopes.py
@@ -4,12 +4,15 @@
 import pytest
 from click.testing import CliRunner
 
+from skylarkmoor_core.ids import MoveId, RouteName
+from skylarkmoor_measure.fleet import INCARNATION, host_name
 from skylarkmoor_measure.message_sizes import message_sizes, zmtp_bytes
 from skylarkmoor_measure.slope_cases import Case, Unit, measure_case
 from skylarkmoor_measure.slopes import CASES, main, render_slopes
 from skylarkmoor_measure.slopes_records import make_host_list, run_owner
-from skylarkmoor_measure.slopes_sharing import spread_fact
+from skylarkmoor_measure.slopes_sharing import evidence_fact, run_evidence, spread_fact
 from skylarkmoor_measure.timing import Stopwatch, kept_bytes
+from skylarkmoor_policy.rollout import Evidence
 
 
 @pytest.mark.parametrize("case", CASES, ids=lambda case: f"{case.cost} over {case.driver}")
@@ -62,6 +65,25 @@
     assert 0 < rounds <= 16
 
 
+def test_evidence_of_two_hosts_is_counted_whole():
+    """Both send all their counters to the only peer in each round, so nothing is old."""
+    run = run_evidence(2, 1, 1)
+    assert run.gossip_bytes > 0
+    assert run.digest_bytes > 0
+    assert run.seconds == 10
+    assert run.mean_age_ms == 0
+
+
+def test_evidence_facts_have_the_form_in_use():
+    """Facts of another size would make the bytes of the evidence wrong."""
+    evidence = Evidence(MoveId("assistant@7"), host_name(1), INCARNATION, 50)
+    evidence.record(2, RouteName("route-0003"), new=True, failed=False, latency_ms=1.0)
+    (fact,) = evidence.facts(1)
+    made = evidence_fact(103, 1)
+    assert made.subject == fact.subject
+    assert len(made.value) == len(fact.value)
+
+
 def test_frame_grows_for_messages_above_255_bytes():
     assert zmtp_bytes(30) == 32
     assert zmtp_bytes(603) == 612
