--- a/tools/processes.py
+++ b/tools/processes.py
@@ -98,6 +98,10 @@
         except (queue.Empty, ValueError, KeyError, TypeError) as error:
             raise DemoError(f"{name} printed no ready line: {error!r}") from error
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process that was started."""
+        return self._started[name].pid
+
     def stop(self, names: list[str]) -> list[str]:
         """Stop processes with SIGTERM and return what was not as expected.
 
