Measure how long suspicions keep other news out of the gossip

A gossip round holds 32 facts, the most urgent kinds first, and suspicions come before the news of lost hosts. The new case counts the rounds until a host's loss is sent while suspicions are new. tools/overhead.py also prints the memory of the daemons over their number.

--- a/libs/measure/src/skylarkmoor_measure/slopes_recovery.py
+++ b/libs/measure/src/skylarkmoor_measure/slopes_recovery.py
@@ -1,15 +1,18 @@
 """Slopes of the judgement of moves and of the table of suspects."""
 
+import random
 from collections.abc import Callable, Iterable
 from functools import partial
 
 from skylarkmoor_core.document import VersionMove
 from skylarkmoor_core.ids import Fingerprint, MoveId, ServiceName, VersionId
-from skylarkmoor_core.messages import Fact
-from skylarkmoor_measure.fleet import INCARNATION, START_MS, upstream_id
+from skylarkmoor_core.messages import Fact, Gossip, HostState
+from skylarkmoor_measure.fleet import INCARNATION, START_MS, host_name, upstream_id
 from skylarkmoor_measure.slope_cases import Case, Unit
 from skylarkmoor_measure.slopes_sharing import evidence_fact
 from skylarkmoor_measure.timing import cpu_us, kept_bytes
+from skylarkmoor_policy.facts import GOSSIP_MS, FactStore
+from skylarkmoor_policy.membership import host_fact
 from skylarkmoor_policy.quarantine import SuspectTable
 from skylarkmoor_policy.rollout import Continue, EvidenceHistory, Progress, judge
 
@@ -100,6 +103,23 @@
     return cpu_us(lambda: lambda: table.expire(_WALL_MS + 1))
 
 
+def _host_fact_wait_ms(suspicions: int, seed: int) -> float:
+    """Time for which new suspicions keep the news of a lost host out of the gossip."""
+    store = FactStore()
+    table = SuspectTable()
+    store.merge(table.crash(upstream_id(0), INCARNATION, map(Fingerprint, range(suspicions)), 1))
+    lost = host_fact(host_name(1), INCARNATION << 10, HostState.LEFT, 1)
+    store.put(lost)
+    peers = [host_name(i) for i in range(2, _HOSTS)]
+    rng = random.Random(seed)
+    rounds = 0
+    while True:
+        rounds += 1
+        sends = store.gossip(rng, 2, peers)
+        if any(isinstance(s.message, Gossip) and lost in s.message.facts for s in sends):
+            return rounds * GOSSIP_MS
+
+
 _peer = partial(Case, "peer")
 
 RECOVERY_CASES = (
@@ -115,5 +135,12 @@
         "history of a move (4 routes)", "daemons", Unit.MEMORY, (30, 110, _HOSTS), _history_bytes
     ),
     _peer("suspects", "suspicions", Unit.MEMORY, (500, 2_000, 8_000), _suspect_bytes),
+    _peer(
+        "time until the news of a lost host is sent",
+        "new suspicions",
+        Unit.TIME,
+        (32, 268, 1_000),
+        _host_fact_wait_ms,
+    ),
     _peer("expiry of suspects", "suspicions", Unit.CPU, (500, 2_000, 8_000), _expire_us),
 )
--- a/tools/overhead.py
+++ b/tools/overhead.py
@@ -377,7 +377,11 @@
             start_daemon(setup, f"entry-{i}")
         present = daemons
         spent.append(idle_mean(setup, daemons))
-        print(f"idle with {daemons} daemons: {spent[-1]:.0f} us/s, the mean of all")
+        memory = sum(memory_kb(setup.processes.pid(f"entry-{i}")) for i in range(daemons))
+        print(
+            f"idle with {daemons} daemons: {spent[-1]:.0f} us/s and "
+            f"{memory / daemons:.0f} kB of memory, the means of all"
+        )
     owned = [PARTITIONS / daemons for daemons in DAEMONS]
     columns = np.column_stack([np.ones(len(DAEMONS)), owned, DAEMONS])
     (base, partition, peer), *_ = np.linalg.lstsq(columns, np.array(spent), rcond=None)
