--- a/libs/standins/src/skylarkmoor_standins/harness.py
+++ b/libs/standins/src/skylarkmoor_standins/harness.py
@@ -131,6 +131,10 @@
         except (queue.Empty, ValueError, KeyError, TypeError) as error:
             raise HarnessError(f"{name} printed no ready line: {error!r}") from error
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process that was started."""
+        return self._started[name].pid
+
     def is_running(self, name: str) -> bool:
         """Return whether the process was started and has not ended."""
         process = self._started.get(name)
