Renew credit without a new division while nobody waits

Most demands are renewals that change nothing, and each took time in proportion to the daemons.

The owner repeats its last grant if the daemon's work fits it, nobody waits and the capacity has not fallen.

--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -37,6 +37,14 @@
     returning: int = 0
     returned_ms: int = -1
 
+    def wants(self) -> bool:
+        """Return whether the daemon waits for more than was granted."""
+        demand = self.demand
+        if not any(demand.waiting):
+            return False
+        triples = zip(demand.running, demand.waiting, self.running, strict=False)
+        return any(run + wait > granted for run, wait, granted in triples)
+
 
 class CreditTable:
     """What the owner of an upstream knows of the demands for it.
@@ -63,6 +71,8 @@
         self._granting_ms = granting_ms
         self._seq = granting_ms
         self._ceiling = sys.maxsize
+        # Capacity at the newest division.
+        self._capacity = sys.maxsize
         self._holders: dict[HostId, _Holder] = {}
 
     def set_tiers(self, tiers: int) -> None:
@@ -77,10 +87,7 @@
     @property
     def contended(self) -> bool:
         """Whether anybody waits for more than was granted, or for the first grant."""
-        return any(
-            each.granted is None or any(self._host_demand(each).waiting)
-            for each in self._holders.values()
-        )
+        return any(each.granted is None or each.wants() for each in self._holders.values())
 
     def settled(self, now_ms: int) -> bool:
         """Return whether this daemon has been the owner for long enough to grant."""
@@ -127,6 +134,9 @@
         self._expire(now_ms)
         if not self.settled(now_ms) or not self._holders:
             return []
+        if answer is not None and self._may_renew(self._holders[answer], capacity, now_ms):
+            return [(answer, self._make_grant(answer, capacity, self._room(capacity), now_ms))]
+        self._capacity = capacity
         demands = {host: self._host_demand(holder) for host, holder in self._holders.items()}
         ideal = allocate(max(0, capacity - self._returning(now_ms)), demands, unit)
         if self._reclaim(ideal, now_ms):
@@ -142,22 +152,36 @@
         for host, holder in self._holders.items():
             if host != answer and not _differs(holder, allowed[host], keep[host], unit):
                 continue
-            self._seq = max(self._seq + 1, now_ms)
             holder.granted = allowed[host]
             holder.kept = keep[host]
-            grant = Grant(
-                self._upstream,
-                self._seq,
-                allowed[host],
-                LEASE_MS,
-                holder.demand.seq,
-                capacity,
-                room,
-                keep[host],
-            )
-            result.append((host, grant))
+            result.append((host, self._make_grant(host, capacity, room, now_ms)))
         return result
 
+    def _may_renew(self, holder: _Holder, capacity: int, now_ms: int) -> bool:
+        """Return whether a daemon may keep its credit without a new division.
+
+        Most demands are renewals while nobody waits, and dividing anew takes time in
+        proportion to the daemons.
+        """
+        if holder.granted is None or capacity < self._capacity or self._returning(now_ms) > 0:
+            return False
+        pairs = zip(suffix_sums(holder.running), suffix_sums(holder.granted), strict=False)
+        return all(run <= allow for run, allow in pairs) and not self.contended
+
+    def _make_grant(self, host: HostId, capacity: int, room: tuple[int, ...], now_ms: int) -> Grant:
+        holder = self._holders[host]
+        self._seq = max(self._seq + 1, now_ms)
+        return Grant(
+            self._upstream,
+            self._seq,
+            holder.granted or (),
+            LEASE_MS,
+            holder.demand.seq,
+            capacity,
+            room,
+            holder.kept,
+        )
+
     def _withhold(
         self,
         ideal: dict[HostId, tuple[int, ...]],
