Do not use the lowest tier's credit twice

Middle-tier work that ran on the lowest tier's credit did not count against higher tiers, so a daemon started more than it was allowed and preempted it again, even at low load. Waiting work was also directed at upstreams where it had to displace others while some had room.

What runs beyond its own tier's credit now uses up lower credit first, and spare credit counts four times as much as credit to be displaced.

--- a/libs/policy/src/skylarkmoor_policy/accounts.py
+++ b/libs/policy/src/skylarkmoor_policy/accounts.py
@@ -26,6 +26,9 @@
 _HOLD_MS = 100
 # An owner that has not answered for this long is taken to be gone.
 _SILENT_MS = 200
+# Spare credit is worth this many times the credit that lower tiers would have to give up, so
+# that work is preempted only where no upstream has anything to spare.
+_DISPLACED_WORTH = 4
 # An account that was not used for this long is not renewed.
 _IDLE_MS = 10_000
 
@@ -47,7 +50,8 @@
             free += allowed[higher] - running[higher]
             least = min(least, free)
         rooms[tier] = least
-        lower += max(0, own)
+        # Work beyond the credit of its own and lower tiers is only kept.
+        lower = max(0, lower + own)
     return rooms
 
 
@@ -218,11 +222,13 @@
             self._rooms = allowed, _rooms(allowed, self._running)
         return self._rooms[1][tier]
 
-    def reach(self, now_ms: int) -> list[int]:
-        """Return by tier the cost it may hope for, with that of lower tiers elsewhere."""
+    def reach(self, now_ms: int) -> list[float]:
+        """Return by tier the cost it may hope for, here or from the owner."""
         rooms = [self.room(tier, now_ms) for tier in range(self._tiers)]
         if self.leased(now_ms) and self._lease.room:
-            hints = fit_tiers(self._lease.room, self._tiers)
+            room = fit_tiers(self._lease.room, self._tiers)
+            spare = room[-1]
+            hints = tuple(spare + (each - spare) / _DISPLACED_WORTH for each in room)
         else:
             allowed = self.allowed(now_ms)
             hints = tuple(map(operator.sub, allowed, self._running))
--- a/libs/policy/tests/test_accounts.py
+++ b/libs/policy/tests/test_accounts.py
@@ -57,6 +57,15 @@
     assert account.room(1, 1) == 3
 
 
+def test_credit_of_the_lowest_tier_is_not_used_twice():
+    account = CreditAccount("u", 3, Bounds(20, 1))
+    account.set_members("b", "a", ("a", "b"))
+    account.accept("b", _grant(1, (0, 0, 10), account.demand(0, 0).seq), 1)
+    account.start(1, 6, 1)
+    account.start(2, 4, 1)
+    assert account.room(0, 1) == 0
+
+
 def test_kept_work_of_a_lower_tier_does_not_use_up_credit_of_a_higher_one():
     account = _account()
     account.accept("b", _grant(1, (0, 8), account.demand(0, 0).seq), 1)
