Log the evidence with the end of a stopped move

When the daemon that appended `MoveEnded` was not the one that had judged the version, the record said "the new version was stopped" and nothing else, so the operator did not see why. The judgement of a stopped move now names the measure with the highest certainty. The daemon keeps the first reason, because a record whose text changes restarts the delay by rank and the pause between appends.

--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -326,7 +326,9 @@
             case Finish():
                 self._when_due(progress, move, self._end(progress, MoveResult.DONE, ""), now_ms)
             case TakeBack(why=why):
-                record = self._end(progress, MoveResult.UNDONE, move.why or why)
+                # The first reason stays, because a record that changes is put off anew.
+                move.why = move.why or why
+                record = self._end(progress, MoveResult.UNDONE, move.why)
                 self._when_due(progress, move, record, now_ms)
 
     def _end(self, progress: Progress, result: MoveResult, why: str) -> MoveEnded | None:
--- a/libs/policy/src/skylarkmoor_policy/judgement.py
+++ b/libs/policy/src/skylarkmoor_policy/judgement.py
@@ -146,9 +146,9 @@
     plan = progress.plan
     if progress.result is not None:
         return Continue()
-    if progress.stopped:
-        return TakeBack("the new version was stopped")
     measures = [measure for history in histories for measure in _measures(plan, history, now_ms)]
+    if progress.stopped:
+        return TakeBack(_stop_reason(measures))
     for measure in measures:
         if measure.is_bad:
             return Stop(str(measure))
@@ -166,6 +166,13 @@
     return Raise() if ready or progress.step is None else Continue()
 
 
+def _stop_reason(measures: Sequence[_Measure]) -> str:
+    """Return why a version was stopped that another daemon may have judged."""
+    worst = max(measures, key=lambda measure: measure.certainty, default=None)
+    reason = "the new version was stopped"
+    return reason if worst is None or worst.certainty <= 0 else f"{reason}: {worst}"
+
+
 def _step_is_over(progress: Progress, history: EvidenceHistory, now_wall_ms: int) -> bool:
     # Step 0 has no traffic to wait for.
     if not progress.step:
--- a/libs/policy/tests/test_judgement.py
+++ b/libs/policy/tests/test_judgement.py
@@ -186,3 +186,11 @@
     assert isinstance(judge(at(4, stopped=True), [history()], 0, 0, ready=True), TakeBack)
     ended = at(4, result=MoveResult.DONE, stopped=True)
     assert judge(ended, [history()], 0, 0, ready=True) == Continue()
+
+
+def test_stop_by_another_daemon_is_taken_back_for_the_evidence():
+    """The operator would else see that the version was stopped, but not why."""
+    bad = history((900, 9, 90, 10, 9, 0))
+    judgement = judge(at(1, stopped=True), [bad], 0, 0, ready=True)
+    assert isinstance(judgement, TakeBack)
+    assert "9 of 10 requests failed" in judgement.why
