Spend less of a core on an idle daemon

An idle daemon of three, with four upstreams, used 3.6 to 4.2% of a core; the scheduler's tick and new connections for reports were the largest parts. Without work or messages about credit for 1 s the scheduler is called every 100 ms, and reports and events share one kept connection for each upstream.

--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -49,6 +49,10 @@
 __all__ = ["Service", "ServiceHost", "UpstreamState"]
 
 _REPORT_MS = 1_000
+# After this time without work or messages about credit the scheduler is called less often: every
+# 20 ms, it took 1.4% of a core in an idle daemon.
+_BUSY_MS = 1_000
+_IDLE_TICK_MS = 100
 # An upstream that misses this many reports in a row is taken to be stalled.
 _SILENT_REPORTS = 2
 
@@ -169,6 +173,9 @@
         self._timers: dict[RequestId, Any] = {}
         self._actions: deque[Action] = deque()
         self._executing = False
+        # When there last was work or credit to manage, and when the scheduler was last called.
+        self._busy_ms = 0
+        self._ticked_ms = 0
 
     @property
     def document(self) -> ServiceDocument:
@@ -191,8 +198,7 @@
         for upstream, state in list(self.upstreams.items()):
             entry = wanted.get(upstream)
             if entry is None or entry.address != state.entry.address:
-                state.tasks.stop()
-                del self.upstreams[upstream]
+                self._drop_upstream(upstream, state)
         for upstream, entry in wanted.items():
             if upstream in self.upstreams:
                 self.upstreams[upstream].entry = entry
@@ -243,11 +249,18 @@
 
     def receive(self, sender: HostId, message: Demand | Grant) -> None:
         """Take a message about one of the service's upstreams."""
+        self._busy_ms = self._now()
         self._execute(self._scheduler.receive(sender, message, self._now()))
 
     def tick(self) -> None:
-        """Let the scheduler act on time that has passed."""
-        self._execute(self._scheduler.tick(self._now()))
+        """Let the scheduler act on time that has passed; less often without work."""
+        now_ms = self._now()
+        if self._runs or self._attempts:
+            self._busy_ms = now_ms
+        if now_ms - self._busy_ms > _BUSY_MS and now_ms - self._ticked_ms < _IDLE_TICK_MS:
+            return
+        self._ticked_ms = now_ms
+        self._execute(self._scheduler.tick(now_ms))
 
     def check_stalls(self) -> None:
         """Let running requests act on missing progress."""
@@ -273,8 +286,8 @@
         for request_id, run in list(self._runs.items()):
             run.refuse(_refusal(run, ErrorCode.DRAINING, "the daemon was stopped"))
             self._execute(self._scheduler.cancel(request_id, self._now()))
-        for state in self.upstreams.values():
-            state.tasks.stop()
+        for upstream, state in list(self.upstreams.items()):
+            self._drop_upstream(upstream, state)
         self._tasks.stop()
 
     def status(self) -> dict[str, object]:
@@ -527,6 +540,11 @@
         self.upstreams[upstream] = state
         state.tasks.repeat(_REPORT_MS, lambda: self._poll(state))
 
+    def _drop_upstream(self, upstream: UpstreamId, state: UpstreamState) -> None:
+        state.tasks.stop()
+        state.client.close()
+        del self.upstreams[upstream]
+
     async def _poll(self, state: UpstreamState) -> None:
         try:
             load, report = await state.client.report()
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -9,10 +9,11 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectError
 from twisted.internet.interfaces import IReactorTCP, IReactorTime, IStreamClientEndpoint
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, ResponseDone
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer  # type: ignore[import-untyped]
 
@@ -292,8 +293,9 @@
 
     Notes
     -----
-    Every request uses a connection of its own. A pooled connection that the upstream has
-    just closed would make it impossible to tell whether a byte was read by the upstream.
+    Every request but those for reports and events uses a connection of its own. A pooled
+    connection that the upstream has just closed would make it impossible to tell whether a byte
+    was read by the upstream.
     """
 
     def __init__(self, upstream: UpstreamId, address: Address, reactor: Any, clock: Clock) -> None:
@@ -301,6 +303,16 @@
         self.address = address
         self._reactor = reactor
         self._clock = clock
+        make_pool: Any = HTTPConnectionPool
+        make_agent: Any = Agent
+        self._pool = make_pool(reactor)
+        self._pool.maxPersistentPerHost = 1
+        agent = make_agent(reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
+        self._control: Any = HTTPClient(agent)
+
+    def close(self) -> None:
+        """Close the connection that is kept for reports and events."""
+        self._pool.closeCachedConnections()
 
     async def generate(
         self,
@@ -408,7 +420,7 @@
         UpstreamError
             If there is no valid answer.
         """
-        answer = await self._send("GET", "/report", None, _CONTROL_TIMEOUT_S)
+        answer = await self._get("/report")
         try:
             report = msgspec.json.decode(answer, type=UpstreamReport)
         except msgspec.DecodeError as error:
@@ -436,7 +448,7 @@
         UpstreamError
             If there is no valid answer.
         """
-        answer = await self._send("GET", f"/events?from={first}", None, _CONTROL_TIMEOUT_S)
+        answer = await self._get(f"/events?from={first}")
         try:
             return msgspec.json.decode(answer, type=CacheEvents)
         except msgspec.DecodeError as error:
@@ -459,6 +471,19 @@
             raise
         return OrderAnswer.ACCEPTED
 
+    async def _get(self, path: str) -> bytes:
+        asked = self._control.get(f"http://{self.address}{path}", unbuffered=True)
+        asked.addTimeout(_CONTROL_TIMEOUT_S, cast(IReactorTime, self._reactor), _time_out)
+        try:
+            response = await asked
+        except ConnectError as error:
+            raise UpstreamError(f"{self.upstream}: {_reason(error)}", sent=False) from error
+        except Exception as error:
+            raise UpstreamBroken(f"{self.upstream}: {_reason(error)}", sent=True) from error
+        if response.code != 200:
+            raise await self._rejection(response)
+        return await self._read(response, _CONTROL_TIMEOUT_S)
+
     async def _stream(
         self,
         path: str,
