--- a/libs/daemon/tests/system/conftest.py
+++ b/libs/daemon/tests/system/conftest.py
@@ -217,9 +217,13 @@
 
     def calls_of(self, body, *names):
         """Return the records of the calls with this body."""
-        wanted = hash64(body_text(body))
+        wanted = self.body_hash(body)
         return [call for call in self.calls(*names) if call["body_hash"] == wanted]
 
+    def body_hash(self, body):
+        """Return the hash by which the plain services' records name a body."""
+        return hash64(body_text(body))
+
     def served(self, *names):
         """Return the records of the attempts that engines took."""
         return [entry for name in names for entry in get(self.url(name, "/served"))[1]["served"]]
