Keep a session of orders through failures as a golden file

Callers and operators of real processes: two publishers, resends, a reused key, an outage of the log, a killed holder and a drain. Times, ports and incarnations are left out.

--- a/libs/daemon/tests/system/conftest.py
+++ b/libs/daemon/tests/system/conftest.py
@@ -173,7 +173,8 @@
 
     def operator(self, *arguments, timeout_s=25.0):
         """Run ``skylarkmoorctl`` to its end."""
-        return run_module(_OPERATOR, ["--log-url", self.url("log"), *arguments], timeout_s)
+        platform = ["--log-url", self.url("log"), "--hosts-url", self.url("hosts")]
+        return run_module(_OPERATOR, [*platform, *arguments], timeout_s)
 
     def records(self, stream):
         status, body = get(self.url("log", f"/streams/{stream}/records?from=0"))
--- /dev/null
+++ b/libs/daemon/tests/system/test_sessions.py
@@ -0,0 +1,82 @@
+"""Guards whole sessions of callers and operators under failure, by golden files."""
+
+import json
+import re
+import time
+
+import pytest
+
+from skylarkmoor_standins.harness import wait_until
+
+DAEMONS = ["entry-1", "entry-2", "entry-3"]
+_NORMALISED = [
+    (re.compile(r"127\.0\.0\.1:\d+"), "<address>"),
+    (re.compile(r"\d{4}-\d\d-\d\d[T ]\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)?( UTC)?"), "<time>"),
+    (re.compile(r"\b1\d{12}\b"), "<time>"),
+    (re.compile(r"/\S*/(?=[a-z-]+\.json)"), ""),
+]
+
+
+@pytest.fixture(scope="module")
+def system(new_system):
+    system = new_system()
+    system.start_platform()
+    system.start_plains(["plain-1"], "--service-ms", "50")
+    system.start_daemons(DAEMONS)
+    return system
+
+
+class Session:
+    """Keeps what callers and operators saw, without times, ports and incarnations."""
+
+    def __init__(self, system):
+        self.lines = []
+        self._system = system
+
+    def operator(self, *arguments):
+        done = self._system.operator(*arguments)
+        self.note(
+            f"$ skylarkmoorctl {' '.join(arguments)}",
+            done.stdout,
+            done.stderr,
+            f"exit {done.returncode}",
+        )
+
+    def order(self, daemon, key, body, issued_ms):
+        answer = self._system.order(daemon, key, body, issued_ms=issued_ms)
+        shown = json.dumps(answer.body, sort_keys=True)
+        self.note(f"> order {key} {json.dumps(body)} to {daemon}", f"{answer.status} {shown}")
+
+    def note(self, *texts):
+        for text in texts:
+            for pattern, name in _NORMALISED:
+                text = pattern.sub(name, text)
+            self.lines += text.splitlines()
+
+
+def test_session_of_orders_through_failures(system, orders, tmp_path, snapshot):
+    """What callers and operators are told while daemons and the log fail."""
+    path = tmp_path / "orders.json"
+    path.write_text(json.dumps(orders))
+    session = Session(system)
+    session.operator("publish", str(path), "--author", "gwen")
+    session.operator("publish", str(path), "--author", "mere", "--based-on", "none")
+    system.wait_settled()
+    issued_ms = int(time.time() * 1_000)
+    key = system.key_owned_by("entry-3", DAEMONS)
+    body = {"item": "refill"}
+    session.order("entry-1", key, body, issued_ms)
+    session.order("entry-2", key, body, issued_ms)
+    session.order("entry-2", key, {"item": "warmer"}, issued_ms)
+    system.set_faults("log", outage=True)
+    session.order("entry-2", "during-outage", body, issued_ms)
+    system.set_faults("log", outage=False)
+    system.processes.kill("entry-1")
+    wait_until(lambda: "entry-1" not in system.status("entry-2")["peers"], 10.0, "entry-1 is gone")
+    session.order("entry-2", key, body, issued_ms)
+    session.operator("drain", "entry-3", "--author", "gwen")
+    assert system.processes.exit_code("entry-3", 15.0) == 0
+    session.order("entry-2", "after-the-drain", body, issued_ms)
+    session.operator("show", "orders")
+    assert len(system.calls("plain-1")) == 2
+    assert "\n".join(session.lines) == snapshot
