Measure whole moves of good and bad versions

Cause: the rollout was judged only by a short test without engines, gossip, log delay or loading, and never beside a plain baseline. A slow version now takes more steps for its own tokens; the unused factor that slowed the whole batch is gone.

--- a/libs/measure/src/skylarkmoor_measure/engines.py
+++ b/libs/measure/src/skylarkmoor_measure/engines.py
@@ -40,6 +40,9 @@
     cached_tokens: int = 0
     prefilled_tokens: int = 0
     generated_tokens: int = 0
+    # Steps that a token takes, more than one on a slow version.
+    slowdown: float = 1.0
+    steps_owed: float = 0.0
     first_token_ms: float | None = None
     last_token_ms: float = 0.0
     worst_gap_ms: float = 0.0
@@ -73,7 +76,7 @@
         self.running: list[Sequence] = []
         self.kv_used_tokens = 0
         self.prefill_tokens = 0
-        self.version_slowdown: dict[VersionId, float] = {}
+        self.versions = {VersionId("v1"), VersionId("v2")}
         self._blocks: OrderedDict[int, None] = OrderedDict()
         self.added_blocks: list[int] = []
         self.removed_blocks: list[int] = []
@@ -119,11 +122,8 @@
         if not self.running:
             return None
         chunk_tokens = self._prefill()
-        slow = self.slow_factor
-        if self.version_slowdown:
-            slow *= max(self.version_slowdown.get(s.version, 1.0) for s in self.running)
         step_ms = self.speed.base_ms + self.speed.per_sequence_ms * len(self.running)
-        return slow * (step_ms + 1_000 * chunk_tokens / self.speed.prefill_tokens_per_s)
+        return self.slow_factor * (step_ms + 1_000 * chunk_tokens / self.speed.prefill_tokens_per_s)
 
     def end_step(self, now_ms: float) -> StepResult:
         """Generate a token for each sequence whose prefill is complete."""
@@ -131,6 +131,10 @@
         for sequence in list(self.running):
             if sequence.cached_tokens + sequence.prefilled_tokens < sequence.prompt_tokens:
                 continue
+            if sequence.steps_owed >= 1:
+                sequence.steps_owed -= 1
+                continue
+            sequence.steps_owed += sequence.slowdown - 1
             if sequence.first_token_ms is None:
                 sequence.first_token_ms = now_ms
                 self._cache(sequence.prefix_hashes)
@@ -157,7 +161,7 @@
             kv_used_tokens=self.kv_used_tokens,
             kv_capacity_tokens=self.speed.kv_capacity_tokens,
             max_batch=self.speed.max_batch,
-            versions=(VersionId("v1"), VersionId("v2")),
+            versions=tuple(sorted(self.versions)),
         )
 
     def take_cache_events(self) -> tuple[list[int], list[int]]:
--- a/libs/measure/src/skylarkmoor_measure/report.py
+++ b/libs/measure/src/skylarkmoor_measure/report.py
@@ -127,7 +127,7 @@
     return "\n".join([title, *lines])
 
 
-def write_json(path: Path, results: Mapping[str, Sequence[RunFigures]]) -> None:
+def write_json(path: Path, results: object) -> None:
     """Write all figures as JSON."""
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_bytes(msgspec.json.format(msgspec.json.encode(results)) + b"\n")
--- a/libs/measure/src/skylarkmoor_measure/session.py
+++ b/libs/measure/src/skylarkmoor_measure/session.py
@@ -25,7 +25,16 @@
 from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
 from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request, UpstreamInfo
 
-__all__ = ["START_MS", "Fault", "FaultKind", "RequestLog", "Session", "upstream_name"]
+__all__ = [
+    "NETWORK_MS",
+    "START_MS",
+    "Fault",
+    "FaultKind",
+    "RequestLog",
+    "Running",
+    "Session",
+    "upstream_name",
+]
 
 NETWORK_MS = 1.0
 TICK_MS = 20
@@ -82,7 +91,7 @@
 
 
 @dataclass(slots=True)
-class _Running:
+class Running:
     """An attempt on its way."""
 
     host: HostId
@@ -140,7 +149,7 @@
         self._events = _Queue()
         self._now_ms = float(START_MS)
         self._end_ms = START_MS + duration_ms
-        self._attempts: dict[AttemptId, _Running] = {}
+        self._attempts: dict[AttemptId, Running] = {}
         self._homes: dict[RequestId, HostId] = {}
         self.logs: dict[RequestId, RequestLog] = {}
         self.messages = 0
@@ -240,11 +249,11 @@
         log.attempts += 1
         if log.dispatched_ms is None:
             log.dispatched_ms = self._now_ms
-        running = _Running(host, dispatch, self._engines[dispatch.upstream])
+        running = Running(host, dispatch, self._engines[dispatch.upstream])
         self._attempts[dispatch.attempt] = running
         self._later(partial(self._admit, running))
 
-    def _admit(self, running: _Running) -> None:
+    def _admit(self, running: Running) -> None:
         if running.dispatch.attempt not in self._attempts:
             return
         if running.engine.down:
@@ -308,7 +317,7 @@
         self.logs[running.dispatch.request].preemptions += 1
         self._finish(running, AttemptResult.PREEMPTED)
 
-    def _finish(self, running: _Running, result: AttemptResult) -> None:
+    def _finish(self, running: Running, result: AttemptResult) -> None:
         """Account for an attempt's end and tell its daemon."""
         dispatch, sequence = running.dispatch, running.sequence
         del self._attempts[dispatch.attempt]
@@ -325,7 +334,7 @@
         actions = self._deciders[running.host].attempt_ended(end, int(self._now_ms))
         self._perform(running.host, actions)
 
-    def _attempt_end(self, running: _Running, result: AttemptResult) -> AttemptEnd:
+    def _attempt_end(self, running: Running, result: AttemptResult) -> AttemptEnd:
         dispatch, sequence = running.dispatch, running.sequence
         first_ms = between_ms = None
         if sequence is not None and sequence.first_token_ms is not None:
--- a/libs/measure/src/skylarkmoor_measure/workload.py
+++ b/libs/measure/src/skylarkmoor_measure/workload.py
@@ -5,7 +5,14 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from skylarkmoor_core.document import Customer, Route, ServiceDocument, ServiceKind, Tier
+from skylarkmoor_core.document import (
+    Customer,
+    Route,
+    ServiceDocument,
+    ServiceKind,
+    Tier,
+    VersionMove,
+)
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import CustomerId, RouteName, ServiceName, TierRank, VersionId
 
@@ -83,7 +90,9 @@
 )
 
 
-def make_document() -> ServiceDocument:
+def make_document(
+    routes: tuple[RouteShape, ...] = ROUTES, move: VersionMove | None = None
+) -> ServiceDocument:
     """Return the service document that the workload belongs to."""
     return ServiceDocument(
         service=ServiceName("assistant"),
@@ -96,18 +105,23 @@
                 max_output_tokens=MAX_OUTPUT_TOKENS,
                 deadline_ms=shape.deadline_ms,
             )
-            for shape in ROUTES
+            for shape in routes
         ),
         customers=tuple(
             Customer(name=CustomerId(name), share=share, requests_per_s=10_000, max_waiting=10_000)
             for name, share, _ in CUSTOMERS
         ),
         version=VersionId("v1"),
+        move=move,
     )
 
 
 def generate_arrivals(
-    rng: random.Random, requests_per_s: float, duration_ms: int, bursts: tuple[Burst, ...] = ()
+    rng: random.Random,
+    requests_per_s: float,
+    duration_ms: int,
+    bursts: tuple[Burst, ...] = (),
+    routes: tuple[RouteShape, ...] = ROUTES,
 ) -> Iterator[Arrival]:
     """Yield arrivals of a Poisson process in order of time.
 
@@ -121,6 +135,8 @@
         Length of the run.
     bursts : tuple of Burst
         Times of higher rates.
+    routes : tuple of RouteShape
+        Kinds of requests.
     """
     peak = max([burst.factor for burst in bursts], default=1.0)
     now_ms = 0.0
@@ -129,7 +145,7 @@
         now_ms += rng.expovariate(requests_per_s * peak / 1_000)
         if now_ms >= duration_ms:
             return
-        shape = rng.choices(ROUTES, [route.weight for route in ROUTES])[0]
+        shape = rng.choices(routes, [route.weight for route in routes])[0]
         if rng.random() * peak >= _factor(bursts, int(now_ms), shape.tier):
             continue
         number += 1
