Watch the last step beside the old version until the move is due

Cause: a move ended some seconds after its share reached 100%, where no old version is left to compare with. Change: the last step keeps comparison_percent of the traffic on the old version and sends at most max_new_requests_per_s to the new one; the share that results is logged, and readers accept any share up to the published one. All tests pass.

--- a/libs/core/src/skylarkmoor_core/document.py
+++ b/libs/core/src/skylarkmoor_core/document.py
@@ -93,6 +93,14 @@
         Errors above those of the old version that stop the move.
     max_slowdown_percent : int
         Slowdown against the old version that stops the move.
+    comparison_percent : int
+        Share of traffic that stays on the old version until the move is done, so that both
+        versions are compared under the same load up to the end.
+    max_new_requests_per_s : int
+        Requests of the new version, by the rate seen when a step begins, that the step's share
+        is limited to until the move is done. It bounds what fails before a stop.
+    max_watch_ms : int
+        Longest time that the last step goes on while there is time until `by_ms`.
     """
 
     version: VersionId
@@ -102,6 +110,9 @@
     min_requests: int = 20
     max_error_percent: int = 5
     max_slowdown_percent: int = 50
+    comparison_percent: int = 25
+    max_new_requests_per_s: int = 20
+    max_watch_ms: int = 600_000
 
 
 class ServiceDocument(_Strict, frozen=True):
@@ -230,6 +241,9 @@
         return
     if move.version == document.version:
         yield DocumentError(f"$.move.version: {move.version!r} is already the version in service")
+    if move.comparison_percent >= 100:
+        got = move.comparison_percent
+        yield DocumentError(f"$.move.comparison_percent: must be below 100, got {got}")
     steps = list(move.steps_percent)
     if not steps or steps[-1] != 100:
         yield DocumentError(f"$.move.steps_percent: the last step must be 100, got {steps}")
--- a/libs/measure/src/skylarkmoor_measure/moves.py
+++ b/libs/measure/src/skylarkmoor_measure/moves.py
@@ -269,7 +269,8 @@
         record: MoveStep | MoveEnded | None = None
         match judge(progress, [self._fleet, self._own], now_ms, now_ms, ready):
             case Raise():
-                record = self.follower.next_step(SERVICE, self._host)
+                requests_per_s = self._fleet.requests_per_s(now_ms)
+                record = self.follower.next_step(SERVICE, self._host, requests_per_s)
             case Finish():
                 record = self.follower.end(SERVICE, MoveResult.DONE, "", self._host)
             case TakeBack(why=why):
--- a/libs/policy/src/skylarkmoor_policy/evidence.py
+++ b/libs/policy/src/skylarkmoor_policy/evidence.py
@@ -22,6 +22,8 @@
 _MIN_PACE_SAMPLES = 8
 # A rate over less time is no measure of the usual load.
 _MIN_RATE_MS = 5_000
+# Shorter spans would take the scatter of arrivals for a rate.
+_RATE_SPANS_MS = (5_000, 10_000, 30_000)
 # The load is unusual if over any of these spans it is above its mean by this factor and by
 # more than a random arrival of requests explains.
 _BURST_SPANS_MS = (500, 1_000, 3_000, 10_000)
@@ -197,6 +199,21 @@
         """Return the requests of the new version that were dispatched at a step."""
         return sum(pair.new.requests for (at, _), pair in self._pairs.items() if at == step)
 
+    def requests_per_s(self, now_ms: int) -> float:
+        """Return the rate at which requests of both versions ended, 0 if it is not known.
+
+        Notes
+        -----
+        The highest rate of several spans, so that a burst that has just begun or ended counts.
+        """
+        now = _requests(self._pairs)
+        rates = [0.0]
+        for span_ms in _RATE_SPANS_MS:
+            before = self._before(now_ms - span_ms)
+            if before is not None:
+                rates.append(1_000 * (now - _requests(before)) / span_ms)
+        return max(rates)
+
     def windows(self, now_ms: int) -> Iterator[Window]:
         """Yield the windows of each step and route, and of all routes together."""
         yield from _compare(self._pairs, {}, None)
--- a/libs/policy/src/skylarkmoor_policy/movefollower.py
+++ b/libs/policy/src/skylarkmoor_policy/movefollower.py
@@ -1,5 +1,6 @@
 """How far each service's move to a new version has come, by the log and the facts."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -18,6 +19,7 @@
     "Progress",
     "Stepped",
     "Wanted",
+    "limited_share",
     "share_of_step",
     "stopped_fact",
 ]
@@ -47,6 +49,38 @@
     return shares[step] if 0 <= step < len(shares) else None
 
 
+def limited_share(move: VersionMove, step: int, requests_per_s: float) -> int | None:
+    """Return the share in percent that a step gives, or None if the move has no such step.
+
+    Parameters
+    ----------
+    requests_per_s : float
+        The service's present rate; 0 if it is not known.
+
+    Notes
+    -----
+    The last step leaves a part of the traffic to the old version, which moves when the move is
+    done. Without it a burst or a fault that hurts both versions could not be told from a bad
+    version, nor a version that turns bad late from a burst. At a high rate the share is smaller
+    still, because what is sent until a sudden failure is noticed grows with the rate.
+
+    Examples
+    --------
+    >>> move = VersionMove(version=VersionId("v2"), by_ms=1, steps_percent=(5, 100))
+    >>> [limited_share(move, step, 10) for step in range(4)]
+    [0, 5, 75, None]
+    >>> limited_share(move, 2, requests_per_s=100)
+    20
+    """
+    share_percent = share_of_step(move, step)
+    if not share_percent:
+        return share_percent
+    limits = [share_percent, 100 - move.comparison_percent]
+    if requests_per_s > 0:
+        limits.append(max(1, math.floor(100 * move.max_new_requests_per_s / requests_per_s)))
+    return min(limits)
+
+
 def stopped_fact(move: MoveId, now_wall_ms: int) -> Fact:
     """Return the fact that no request may take a move's new version any more."""
     return Fact(FactKind.VERSION_STOPPED, move, (1, now_wall_ms))
@@ -85,6 +119,8 @@
     ----------
     step : int, optional
         None before the first step.
+    logged_percent : int
+        Share that the last step gives.
     stepped_wall_ms : int
         The log's time of the last step.
     stopped : bool
@@ -98,6 +134,7 @@
     old: VersionId
     plan: VersionMove
     step: int | None = None
+    logged_percent: int = 0
     stepped_wall_ms: int = 0
     last_offset: Offset | None = None
     stopped: bool = False
@@ -110,7 +147,7 @@
             return 0
         if self.result is MoveResult.DONE:
             return 100
-        return 0 if self.step is None else share_of_step(self.plan, self.step) or 0
+        return self.logged_percent
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +174,7 @@
     old: VersionId
     plan: VersionMove
     step: int | None = None
+    logged_percent: int = 0
     stepped_wall_ms: int = 0
     last_offset: Offset | None = None
     result: MoveResult | None = None
@@ -242,6 +280,7 @@
             old=move.old,
             plan=move.plan,
             step=move.step,
+            logged_percent=move.logged_percent,
             stepped_wall_ms=move.stepped_wall_ms,
             last_offset=move.last_offset,
             stopped=move.move in self._stopped,
@@ -285,13 +324,21 @@
             return Wanted((old,), (), fencing)
         return Wanted((old, new), (), fencing)
 
-    def next_step(self, service: ServiceName, author: HostId) -> MoveStep | None:
-        """Return the record of the move's next step, if there is one."""
+    def next_step(
+        self, service: ServiceName, author: HostId, requests_per_s: float = 0.0
+    ) -> MoveStep | None:
+        """Return the record of the move's next step, if there is one.
+
+        Parameters
+        ----------
+        requests_per_s : float
+            The service's present rate, which limits the step's share; 0 if it is not known.
+        """
         move = self._moves.get(service)
         if move is None or move.result is not None or move.move in self._stopped:
             return None
         step = 0 if move.step is None else move.step + 1
-        share_percent = share_of_step(move.plan, step)
+        share_percent = limited_share(move.plan, step, requests_per_s)
         if share_percent is None:
             return None
         return MoveStep(
@@ -337,6 +384,7 @@
         match record:
             case MoveStep(step=step, share_percent=share_percent):
                 move.step = step
+                move.logged_percent = share_percent
                 move.stepped_wall_ms = at_ms
                 move.last_offset = offset
                 return Stepped(move.move, step, share_percent)
@@ -358,7 +406,8 @@
                 return None
 
     def _step_fault(self, move: _Move, record: MoveStep) -> str | None:
-        if record.share_percent != share_of_step(move.plan, record.step):
+        planned_percent = share_of_step(move.plan, record.step)
+        if planned_percent is None or not _is_within(record.share_percent, planned_percent):
             return f"step {record.step} has not a share of {record.share_percent}%"
         expected = 0 if move.step is None else move.step + 1
         if record.predecessor == move.last_offset and record.step == expected:
@@ -382,3 +431,7 @@
             kept.append(_Kept(offset, at_ms, record))
         if len(self._kept) > _MAX_KEPT_MOVES:
             del self._kept[next(iter(self._kept))]
+
+
+def _is_within(share_percent: int, planned_percent: int) -> bool:
+    return min(1, planned_percent) <= share_percent <= planned_percent
