Bound the requests that run on a new version at once

Change: while the move goes on, version_for gives the old version when the daemon already runs its part of max_new_in_flight (default 16 for the fleet, at least one for each daemon). The caller passes its count and the number of live daemons; without them nothing changes.

--- a/libs/core/src/skylarkmoor_core/document.py
+++ b/libs/core/src/skylarkmoor_core/document.py
@@ -99,6 +99,10 @@
     max_new_requests_per_s : int
         Requests of the new version, by the rate seen when a step begins, that the step's share
         is limited to until the move is done. It bounds what fails before a stop.
+    max_new_in_flight : int
+        Requests of the new version that the whole fleet runs at once until the move is done,
+        divided between the daemons, with at least one for each. A version that becomes slow
+        hurts all requests that it is running.
     max_watch_ms : int
         Longest time that the last step goes on while there is time until `by_ms`.
     """
@@ -112,6 +116,7 @@
     max_slowdown_percent: int = 50
     comparison_percent: int = 25
     max_new_requests_per_s: int = 20
+    max_new_in_flight: int = 16
     max_watch_ms: int = 600_000
 
 
--- a/libs/measure/src/skylarkmoor_measure/moves.py
+++ b/libs/measure/src/skylarkmoor_measure/moves.py
@@ -205,10 +205,11 @@
         self._evidence = Evidence(MOVE, host, Incarnation(1), document.move.max_slowdown_percent)
         self._fleet, self._own = EvidenceHistory(MOVE), EvidenceHistory(MOVE)
         self._store = FactStore()
+        self.new_in_flight = 0
 
     def version_for(self, request: Request) -> VersionId:
         """Return the version that a request takes."""
-        return self.follower.version_for(SERVICE, request.request)
+        return self.follower.version_for(SERVICE, request.request, self.new_in_flight, DAEMONS)
 
     def stopped(self) -> bool:
         """Return whether this daemon gives the new version no more requests."""
@@ -517,8 +518,14 @@
         if new and self.log.stopped_ms:
             first_ms = min(self.log.stopped_ms.values())
             self.log.late += self._now_ms > first_ms + ROUND_MS + NETWORK_MS
+        self._count_in_flight(host, dispatch, 1)
         super()._dispatch(host, dispatch)
 
+    def _count_in_flight(self, host: HostId, dispatch: Dispatch, change: int) -> None:
+        mover = self._movers[host]
+        if isinstance(mover, RolloutMover) and dispatch.version == NEW:
+            mover.new_in_flight += change
+
     def _published_percent(self) -> int:
         mover = self._movers[HOSTS[0]]
         if isinstance(mover, PlainMover):
@@ -575,6 +582,7 @@
         if result is AttemptResult.COMPLETED and sequence is not None and sequence.slowdown > 1:
             self._note_hurt(running)
         end = self._attempt_end(running, result)
+        self._count_in_flight(running.host, dispatch, -1)
         super()._finish(running, result)
         failed = result in (AttemptResult.FAILED, AttemptResult.CRASHED)
         if failed or (result is AttemptResult.COMPLETED and end.between_tokens_ms is not None):
--- a/libs/policy/src/skylarkmoor_policy/movefollower.py
+++ b/libs/policy/src/skylarkmoor_policy/movefollower.py
@@ -287,9 +287,18 @@
             result=move.result,
         )
 
-    def version_for(self, service: ServiceName, request: RequestId) -> VersionId:
+    def version_for(
+        self, service: ServiceName, request: RequestId, new_in_flight: int = 0, daemons: int = 1
+    ) -> VersionId:
         """Return the version that a request takes.
 
+        Parameters
+        ----------
+        new_in_flight : int
+            Requests that run on the new version for this daemon.
+        daemons : int
+            Live daemons, this one included, which share the bound on such requests.
+
         Raises
         ------
         KeyError
@@ -298,6 +307,10 @@
         progress = self.progress(service)
         if progress is None:
             return self._documents[service].version
+        if progress.result is None and new_in_flight >= max(
+            1, progress.plan.max_new_in_flight // daemons
+        ):
+            return progress.old
         place = bucket(_SHARE_BUCKETS, request, progress.move)
         if place < progress.share_percent * _BUCKETS_PER_PERCENT:
             return progress.plan.version
--- a/libs/policy/tests/test_movefollower.py
+++ b/libs/policy/tests/test_movefollower.py
@@ -166,6 +166,14 @@
     assert isinstance(follower.apply(1, 1, step(1, 0, share=percent)), Discarded)
 
 
+def test_full_daemon_gives_the_new_version_no_more_requests():
+    follower = replay(*FULL)
+    assert follower.version_for("orders", "r1", new_in_flight=3, daemons=4) == "v2"
+    assert follower.version_for("orders", "r1", new_in_flight=4, daemons=4) == "v1"
+    follower.apply(3, 3, DONE)
+    assert follower.version_for("orders", "r1", new_in_flight=4, daemons=4) == "v2"
+
+
 def test_recorded_end_is_repeated_with_its_result():
     follower = replay(*FULL, DONE)
     again = follower.end("orders", MoveResult.UNDONE, "carried", "h2")
