--- a/libs/core/tests/test_document.py
+++ b/libs/core/tests/test_document.py
@@ -69,6 +69,11 @@
         (["limits"], {"max_waiting": 0}, "$.limits.max_waiting: must be positive, got 0"),
         (["move", "by_ms"], 0, "$.move.by_ms: must be positive, got 0"),
         (["move", "version"], "v1", "$.move.version: 'v1' is already the version in service"),
+        (
+            ["move", "comparison_percent"],
+            100,
+            "$.move.comparison_percent: must be below 100, got 100",
+        ),
         (
             ["move", "steps_percent"],
             [1, 50],
--- a/libs/measure/src/skylarkmoor_measure/moves.py
+++ b/libs/measure/src/skylarkmoor_measure/moves.py
@@ -176,15 +176,8 @@
         ...
 
     def record(
-        self,
-        step: int,
-        route: RouteName,
-        *,
-        new: bool,
-        failed: bool,
-        latency_ms: float,
-        now_ms: int,
-    ) -> list[MoveStep | MoveEnded]:
+        self, step: int, route: RouteName, *, new: bool, failed: bool, latency_ms: float
+    ) -> None:
         """Count a request that ended."""
         ...
 
@@ -228,18 +221,10 @@
         return progress.step or 0
 
     def record(
-        self,
-        step: int,
-        route: RouteName,
-        *,
-        new: bool,
-        failed: bool,
-        latency_ms: float,
-        now_ms: int,
-    ) -> list[MoveStep | MoveEnded]:
+        self, step: int, route: RouteName, *, new: bool, failed: bool, latency_ms: float
+    ) -> None:
         """Count a request that ended."""
         self._evidence.record(step, route, new=new, failed=failed, latency_ms=latency_ms)
-        return []
 
     def take(self, facts: Sequence[Fact]) -> None:
         """Merge facts from a peer."""
@@ -307,17 +292,9 @@
         return int(self._begun_ms is not None)
 
     def record(
-        self,
-        step: int,
-        route: RouteName,
-        *,
-        new: bool,
-        failed: bool,
-        latency_ms: float,
-        now_ms: int,
-    ) -> list[MoveStep | MoveEnded]:
+        self, step: int, route: RouteName, *, new: bool, failed: bool, latency_ms: float
+    ) -> None:
         """Look at nothing."""
-        return []
 
     def round(self, now_ms: int, ready: bool) -> list[MoveStep | MoveEnded]:
         """Begin when the version is loaded, and promote it when the time has come."""
@@ -586,16 +563,13 @@
         super()._finish(running, result)
         failed = result in (AttemptResult.FAILED, AttemptResult.CRASHED)
         if failed or (result is AttemptResult.COMPLETED and end.between_tokens_ms is not None):
-            records = self._movers[running.host].record(
+            self._movers[running.host].record(
                 step,
                 self.logs[dispatch.request].arrival.route.name,
                 new=dispatch.version == NEW,
                 failed=failed,
                 latency_ms=end.between_tokens_ms or 0,
-                now_ms=int(self._now_ms),
             )
-            self._append(running.host, records)
-            self._note_stop(running.host)
 
 
 def _movers(policy: str, document: ServiceDocument, seed: int) -> dict[HostId, Mover]:
--- a/libs/policy/tests/test_evidence.py
+++ b/libs/policy/tests/test_evidence.py
@@ -98,3 +98,11 @@
     }
     assert spans[1_000] is False
     assert spans[30_000 if 30_000 in spans else None] is True
+
+
+@pytest.mark.parametrize(
+    ("load", "requests_per_s"), [([20] * 5, 0), ([20] * 30, 40), ([20] * 20 + [60] * 10, 120)]
+)
+def test_rate_that_limits_a_step_is_the_highest_of_late(load, requests_per_s):
+    history, now_ms = loaded_history(*load)
+    assert history.requests_per_s(now_ms) == requests_per_s
