Join the two sides of a network cut again

Cause: heartbeats, gossip and digests go to reachable hosts only. After a cut each side takes the other for gone, so nobody tells a host that it is taken for gone and no host refutes it.

Change: every 5 s Membership.tick sends its own state and the suspicion to one listed host that counts as gone. The receiver refutes the suspicion, and its own probes carry the refutation back. The traffic is one small message a daemon and interval, however many hosts are gone. The suspicion carries the present time, because one that is older than its lifetime would be dropped by the receiver.

Three daemons on real sockets join again in test_shared.py, where they did not within 30 s before.

--- a/libs/daemon/tests/test_shared.py
+++ b/libs/daemon/tests/test_shared.py
@@ -50,3 +50,30 @@
     others = [served.daemons[name] for name in ("entry-1", "entry-2")]
     await served.until(lambda: all("entry-3" not in other.reachable() for other in others))
     assert (await served.chat("entry-1", "hello")).status == 200
+
+
+@pytest_twisted.ensureDeferred
+async def test_daemons_join_again_after_a_network_cut(served, monkeypatch):
+    # Each side sent to hosts that it took for live only, so neither heard of the other again.
+    daemons = served.daemons
+    with monkeypatch.context() as cut:
+        for name, daemon in daemons.items():
+            cut.setattr(daemon, "send", _within_side(daemon.send, name == "entry-3"))
+        await served.until(
+            lambda: (
+                daemons["entry-1"].reachable() == ["entry-2"]
+                and daemons["entry-2"].reachable() == ["entry-1"]
+                and daemons["entry-3"].reachable() == []
+            )
+        )
+    await served.until(
+        lambda: all(len(daemon.reachable()) == 2 for daemon in daemons.values()), limit_s=30.0
+    )
+
+
+def _within_side(send, is_cut_off):
+    def send_unless_cut(to, message):
+        if (to == "entry-3") == is_cut_off:
+            send(to, message)
+
+    return send_unless_cut
--- a/libs/policy/src/skylarkmoor_policy/membership.py
+++ b/libs/policy/src/skylarkmoor_policy/membership.py
@@ -28,6 +28,9 @@
 FAILURE_MS = 3_000
 
 _WATCHERS = 4
+# Each daemon tells one host in this interval that it counts as gone, however many do, so that
+# the traffic stays constant while a large part of the fleet is cut off.
+_PROBE_MS = 5_000
 # A watcher that did not run for this long cannot tell missed heartbeats from its own pause.
 _PAUSE_MS = 1_000
 # Hosts per tick whose watchers are computed anew after a change. Each takes one hash for each
@@ -116,6 +119,9 @@
         self._tick_ms: int | None = None
         self._sent_ms: int | None = None
         self._seq = 0
+        self._probed_ms: int | None = None
+        # Daemons begin at different hosts, so that they do not all probe the same one.
+        self._probe = hash64("probe", host)
 
     def live(self) -> Mapping[HostId, FailureDomain]:
         """Return the daemons that may own state, with their failure domains.
@@ -234,18 +240,28 @@
         return []
 
     def tick(self, now_ms: int, now_wall_ms: int) -> list[Announce | Send]:
-        """Return the heartbeats that are due and the failures noticed.
+        """Return the heartbeats and probes that are due and the failures noticed.
 
         Parameters
         ----------
         now_ms : int
             Monotonic clock; the calls should come at most `HEARTBEAT_MS` apart.
+
+        Notes
+        -----
+        A probe goes to a listed host that counts as gone. Without it, the two sides of a
+        network cut would never hear of each other again, because heartbeats, gossip and
+        digests go to reachable hosts only.
         """
         if self._tick_ms is None or now_ms - self._tick_ms > _PAUSE_MS:
             self._heard_ms = dict.fromkeys(self._heard_ms, now_ms)
         self._tick_ms = now_ms
         self._update_duties(now_ms)
-        return [*self._failures(now_ms, now_wall_ms), *self._heartbeats(now_ms)]
+        return [
+            *self._failures(now_ms, now_wall_ms),
+            *self._heartbeats(now_ms),
+            *self._probes(now_ms, now_wall_ms),
+        ]
 
     def _find_live(self) -> Mapping[HostId, FailureDomain]:
         reachable = [host for host in sorted(self._domains) if self._is_reachable(host)]
@@ -336,6 +352,27 @@
         heartbeat = Heartbeat(self._state, self._seq)
         return [Send(host, heartbeat) for host in self.watchers()]
 
+    def _probes(self, now_ms: int, now_wall_ms: int) -> list[Send]:
+        if self._state is HostState.LEFT:
+            return []
+        if self._probed_ms is not None and now_ms - self._probed_ms < _PROBE_MS:
+            return []
+        self._probed_ms = now_ms
+        gone = [host for host in sorted(self._listed) if self._is_gone(host)]
+        if not gone:
+            return []
+        self._probe += 1
+        host = gone[self._probe % len(gone)]
+        # The receiver refutes this, and its own probes carry the refutation back. A time of now
+        # keeps it from being dropped as expired after a cut of hours.
+        left = host_fact(host, host_epoch(self._facts[host]), HostState.LEFT, now_wall_ms)
+        # The time zero changes no newer one, so a receiver that knows the fact does not spread
+        # it again.
+        return [Send(host, Gossip((self.own_fact(0), left)))]
+
+    def _is_gone(self, host: HostId) -> bool:
+        return host != self._host and host in self._facts and not self._is_reachable(host)
+
 
 def _is_valid(fact: Fact) -> bool:
     return fact.value[0] & (1 << _STATE_BITS) - 1 <= HostState.LEFT.value
--- a/libs/policy/tests/test_membership.py
+++ b/libs/policy/tests/test_membership.py
@@ -191,6 +191,65 @@
         assert set(members[host].live()) == set(hosts) - dead, host
 
 
+@pytest.mark.parametrize(("count", "cut"), [(9, 3), (30, 10)])
+def test_sides_of_a_network_cut_join_again(count, cut):
+    # Neither side sent anything to hosts that it took for gone, so the cut outlasted its end.
+    rng = random.Random(1)
+    hosts = [f"h{i}" for i in range(count)]
+    members = {host: member(count, host) for host in hosts}
+    stores = {host: FactStore() for host in hosts}
+    for host in hosts:
+        stores[host].put(members[host].own_fact(0))
+    side = {host: i < cut for i, host in enumerate(hosts)}
+
+    def step(now_ms, is_cut):
+        for host in hosts:
+            decisions = members[host].tick(now_ms, now_ms)
+            decisions += stores[host].gossip(rng, now_ms, members[host].reachable())
+            for decision in decisions:
+                lost = is_cut and isinstance(decision, Send) and side[decision.to] != side[host]
+                if not lost:
+                    _deliver(decision, host, members, stores, now_ms)
+
+    for now_ms in range(0, 30_000, HEARTBEAT_MS):
+        step(now_ms, is_cut=True)
+    for host in hosts:
+        assert set(members[host].live()) == {h for h in hosts if side[h] == side[host]}
+    for now_ms in range(30_000, 60_000, HEARTBEAT_MS):
+        step(now_ms, is_cut=False)
+    assert [len(members[host].live()) for host in hosts] == [count] * count
+
+
+@pytest.mark.parametrize("gone", [1, 29])
+def test_probes_do_not_grow_with_the_number_of_hosts_that_are_gone(gone):
+    membership = member(30)
+    for i in range(1, 1 + gone):
+        membership.apply([host_fact(f"h{i}", 7 << 10, HostState.LEFT, 5)], 5)
+    decisions = []
+    for now_ms in range(0, 50_000, HEARTBEAT_MS):
+        for i in range(1 + gone, 30):
+            membership.heartbeat(f"h{i}", 7, ALIVE, now_ms, now_ms)
+        decisions += membership.tick(now_ms, now_ms)
+    probes = [
+        decision
+        for decision in decisions
+        if isinstance(decision, Send) and isinstance(decision.message, Gossip)
+    ]
+    assert len(probes) == 10
+    assert len({probe.to for probe in probes}) == min(gone, 10)
+
+
+def test_probe_after_a_long_cut_is_not_dropped_as_expired():
+    hour_ms = 3_600_000
+    membership = member(2)
+    membership.apply([host_fact("h1", 100 << 10, HostState.LEFT, 5)], 5)
+    (probe,) = membership.tick(0, 2 * hour_ms)
+    store, other = FactStore(), member(2, "h1")
+    store.expire(2 * hour_ms)
+    (announce,) = other.apply(store.merge(probe.message.facts), 2 * hour_ms)
+    assert host_state(announce.fact) is HostState.ALIVE
+
+
 def _key(host):
     fact = host_fact(host, 0, HostState.ALIVE, 0)
     return fact.kind, fact.subject
