Send the evidence together with the stop of a version

The first daemon in rendezvous order writes the end of a move as soon as it hears of the stop, and by then it often had not got the evidence, which came with the next round of gossip. So the log said "the new version was stopped" without the evidence.

--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -319,7 +319,9 @@
             case Stop(why=why):
                 _log.warning("stopped a version", extra={"move": progress.move, "why": why})
                 move.why = why
-                self._shared.put_all([stopped_fact(progress.move, wall_ms)], at_once=True)
+                # The daemon that writes the end has to know the evidence by then.
+                stop = stopped_fact(progress.move, wall_ms)
+                self._shared.put_all([*facts, stop], at_once=True)
             case Raise():
                 step = self._follower.next_step(progress.service, self._daemon.host)
                 self._when_due(progress, move, step, now_ms)
