--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -327,11 +327,11 @@
         """Raise `RequestRefused` if equal requests have crashed two upstreams."""
         self._blame.check(request)
 
-    def attempt_started(self, request: Request, upstream: UpstreamId) -> None:
-        """Note that a request runs on an upstream."""
+    def attempt_started(self, request: Request, upstream: UpstreamId, version: VersionId) -> None:
+        """Note that a request runs on a version of an upstream."""
         name = self._service_of.get(upstream)
         if name is not None:
-            self._rollout.started(name, request.request)
+            self._rollout.started(name, request.request, version)
         self._blame.started(request, upstream)
 
     def attempt_ended(
--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -1,5 +1,6 @@
 """Moves to new versions: evidence, steps in the log and orders to engines."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -132,6 +133,15 @@
     busy: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Dispatched:
+    """Move and step at which a running request was dispatched, and whether to the new version."""
+
+    move: MoveId
+    step: int
+    new: bool
+
+
 class Rollout:
     """Carries out the decisions about moves on this daemon.
 
@@ -159,8 +169,9 @@
         self._services: dict[ServiceName, VersionId] = {}
         self._moves: dict[MoveId, _Move] = {}
         self._ended: dict[ServiceName, _Ended] = {}
-        # Move and step of each request that runs.
-        self._dispatched: dict[RequestId, tuple[MoveId, int]] = {}
+        self._dispatched: dict[RequestId, _Dispatched] = {}
+        # Requests that run on the new version of a move by way of this daemon.
+        self._new_in_flight: Counter[MoveId] = Counter()
         self._orders: dict[UpstreamId, _Orders] = {}
 
     def start(self) -> None:
@@ -180,24 +191,33 @@
 
     def version_for(self, service: ServiceName, request: RequestId) -> VersionId:
         """Return the version that a request takes."""
-        return self._follower.version_for(service, request)
+        progress = self._follower.progress(service)
+        in_flight = 0 if progress is None else self._new_in_flight[progress.move]
+        daemons = len(list(self._daemon.live_hosts()))
+        return self._follower.version_for(service, request, in_flight, max(1, daemons))
 
     def is_stopped(self, service: ServiceName, version: VersionId) -> bool:
         """Return whether `version` is a new version that was stopped."""
         progress = self._follower.progress(service)
         return progress is not None and progress.stopped and progress.plan.version == version
 
-    def started(self, service: ServiceName, request: RequestId) -> None:
+    def started(self, service: ServiceName, request: RequestId, version: VersionId) -> None:
         """Note the step at which a request is dispatched."""
         progress = self._follower.progress(service)
-        if progress is not None and progress.result is None:
-            self._dispatched[request] = (progress.move, progress.step or 0)
+        if progress is None or progress.result is not None:
+            return
+        new = version == progress.plan.version
+        self._dispatched[request] = _Dispatched(progress.move, progress.step or 0, new)
+        self._new_in_flight[progress.move] += new
 
     def ended(self, service: ServiceName, request: Request, end: AttemptEnd) -> None:
         """Count an attempt's end as evidence."""
-        move, step = self._dispatched.pop(request.request, (None, 0))
+        dispatched = self._dispatched.pop(request.request, None)
+        if dispatched is None:
+            return
+        self._new_in_flight[dispatched.move] -= dispatched.new
         progress = self._follower.progress(service)
-        if progress is None or progress.move != move or progress.result is not None:
+        if progress is None or progress.move != dispatched.move or progress.result is not None:
             return
         if end.version not in (progress.old, progress.plan.version):
             return
@@ -208,7 +228,7 @@
         completed = end.result is AttemptResult.COMPLETED and latency_ms is not None
         if failed or completed:
             self._move(progress).evidence.record(
-                step,
+                dispatched.step,
                 request.route,
                 new=end.version == progress.plan.version,
                 failed=failed,
@@ -319,9 +339,12 @@
             case Stop(why=why):
                 _log.warning("stopped a version", extra={"move": progress.move, "why": why})
                 move.why = why
-                self._shared.put_all([stopped_fact(progress.move, wall_ms)], at_once=True)
+                # The daemon that writes the end has to know the evidence by then.
+                stop = stopped_fact(progress.move, wall_ms)
+                self._shared.put_all([*facts, stop], at_once=True)
             case Raise():
-                step = self._follower.next_step(progress.service, self._daemon.host)
+                rate = move.fleet.requests_per_s(now_ms)
+                step = self._follower.next_step(progress.service, self._daemon.host, rate)
                 self._when_due(progress, move, step, now_ms)
             case Finish():
                 self._when_due(progress, move, self._end(progress, MoveResult.DONE, ""), now_ms)
--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -93,8 +93,8 @@
     def check_quarantine(self, request: Request) -> None:
         """Raise `RequestRefused` if equal requests have crashed two upstreams."""
 
-    def attempt_started(self, request: Request, upstream: UpstreamId) -> None:
-        """Note that a request runs on an upstream."""
+    def attempt_started(self, request: Request, upstream: UpstreamId, version: VersionId) -> None:
+        """Note that a request runs on a version of an upstream."""
 
     def attempt_ended(
         self,
@@ -479,7 +479,7 @@
             return
         self._attempts[dispatch.attempt] = run
         self._versions[dispatch.request] = dispatch.version
-        self._daemon.attempt_started(run.request, dispatch.upstream)
+        self._daemon.attempt_started(run.request, dispatch.upstream, dispatch.version)
         run.start(dispatch)
 
     def _put_back(self, dispatch: Dispatch, result: AttemptResult) -> None:
