--- a/libs/daemon/tests/system/test_i1_i2_calls.py
+++ b/libs/daemon/tests/system/test_i1_i2_calls.py
@@ -20,6 +20,8 @@
     system.start_platform()
     system.start_plains(PLAINS, "--service-ms", "100")
     system.start_daemons(DAEMONS)
+    # A later deadline leaves nothing but the dispatch limit to stop a holder that was paused.
+    orders["routes"][0]["deadline_ms"] = 20_000
     system.publish(orders)
     system.wait_settled()
     return system
