Show moves in a service's audit trail and say what a late move lacks

Change: the service is taken from the move's name, the messages are plain, and the warning counts every step.

--- a/libs/daemon/src/skylarkmoor_daemon/main.py
+++ b/libs/daemon/src/skylarkmoor_daemon/main.py
@@ -56,8 +56,8 @@
     drains the daemon, the second one stops it at once.
 
     Example: skylarkmoord --host entry-1 --failure-domain caerdydd
-    --http-address 10.0.0.1:8080 --peer-address 10.0.0.1:8081
-    --log-url http://10.0.0.9:7001 --hosts-url http://10.0.0.9:7003
+    --http-address 127.0.0.1:8080 --peer-address 127.0.0.1:8081
+    --log-url http://127.0.0.1:7001 --hosts-url http://127.0.0.1:7003
     """
     try:
         collect_faults(
--- a/libs/operator/src/skylarkmoor_operator/audit.py
+++ b/libs/operator/src/skylarkmoor_operator/audit.py
@@ -46,8 +46,10 @@
     """
     if who is not None and entry.who != who:
         return False
-    # The subject stands before the colon; the reason after it may name other services.
-    return service is None or service in entry.what.partition(":")[0].split()
+    # The subject stands before the colon; the reason after it may name other services. A move is
+    # named by its service and the offset of the document that asks for it.
+    words = entry.what.partition(":")[0].split()
+    return service is None or service in {word.partition("@")[0] for word in words}
 
 
 async def print_trail(
@@ -106,7 +108,7 @@
 
 \b
 Examples:
-  skylarkmoor-audit --log-url http://10.0.0.5:7000 --service assistant
+  skylarkmoor-audit --log-url http://127.0.0.1:7000 --service assistant
   skylarkmoor-audit --who mair --json
 """
 )
--- a/libs/operator/src/skylarkmoor_operator/main.py
+++ b/libs/operator/src/skylarkmoor_operator/main.py
@@ -65,7 +65,7 @@
 \b
 Examples:
   skylarkmoorctl validate assistant.json
-  skylarkmoorctl --log-url http://10.0.0.5:7000 publish assistant.json --author mair
+  skylarkmoorctl --log-url http://127.0.0.1:7000 publish assistant.json --author mair
   skylarkmoorctl show assistant
 """
 )
@@ -181,7 +181,7 @@
     "drain",
     epilog="""\b
 Examples:
-  skylarkmoorctl --hosts-url http://10.0.0.6:7001 drain nadi-1
+  skylarkmoorctl --hosts-url http://127.0.0.1:7001 drain nadi-1
   skylarkmoorctl drain nadi-1 --author mair
 """,
 )
--- a/libs/operator/src/skylarkmoor_operator/publish.py
+++ b/libs/operator/src/skylarkmoor_operator/publish.py
@@ -88,7 +88,8 @@
     accepted = before.offset if before is not None else None
     # An accepted offset never returns, so a document based on another one cannot win any more.
     if based_on is not None and based_on.offset != accepted:
-        fail(f"not published: it is based on offset {based_on.offset}; {_winner(document, before)}")
+        base = "no document" if based_on.offset is None else f"offset {based_on.offset}"
+        fail(f"not published: it is based on {base}; {_winner(document, before)}")
         return ExitCode.REFUSED
     _warn_if_short_of_time(document, clock.wall_ms())
     record = history.publication(document, author, reason)
@@ -206,7 +207,7 @@
     move = document.move
     if move is None:
         return
-    needed_ms = move.step_ms * (len(move.steps_percent) - 1)
+    needed_ms = move.step_ms * len(move.steps_percent)
     if wall_ms + needed_ms > move.by_ms:
         warn(
             f"the move's steps take at least {needed_ms} ms, but only "
--- a/libs/operator/tests/test_audit.py
+++ b/libs/operator/tests/test_audit.py
@@ -6,7 +6,7 @@
 import pytest_twisted
 
 from skylarkmoor_core.records import AuditEntry
-from skylarkmoor_operator.audit import print_trail
+from skylarkmoor_operator.audit import matches, print_trail
 from skylarkmoor_platform.logservice import LogClient
 
 
@@ -22,6 +22,11 @@
     )
 
 
+def test_moves_of_a_service_belong_to_its_trail():
+    assert matches(entry(what="move assistant@7 to v2"), "assistant", None)
+    assert not matches(entry(what="move assistant@7 to v2"), "orders", None)
+
+
 @pytest_twisted.ensureDeferred
 async def test_json_line_has_every_field(fake_log, log_url, capsys):
     fake_log.add("audit", entry())
--- a/libs/policy/src/skylarkmoor_policy/judgement.py
+++ b/libs/policy/src/skylarkmoor_policy/judgement.py
@@ -157,7 +157,8 @@
         if measure.is_bad:
             return Stop(str(measure))
     if now_wall_ms + _needed_ms(progress, now_wall_ms) > plan.by_ms:
-        return TakeBack(f"step {progress.step} at {now_wall_ms} is too late for {plan.by_ms}")
+        step = "no step" if progress.step is None else f"step {progress.step}"
+        return TakeBack(f"{step} at {now_wall_ms} is too late for {plan.by_ms}")
     doubtful = any(
         measure.certainty >= _DOUBTFUL
         for measure in measures
