Move learning from attempts out of the scheduler

Change: learning.Learner holds answer lengths, speeds, latencies and the counts of prefill; the scheduler asks it.

--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -12,7 +12,6 @@
     FailureDomain,
     HostId,
     RequestId,
-    RouteName,
     TierRank,
     UpstreamId,
     VersionId,
@@ -22,6 +21,7 @@
 from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
 from skylarkmoor_policy.capacity import bounds_of
 from skylarkmoor_policy.credit import SETTLE_MS, CreditTable
+from skylarkmoor_policy.learning import Learner
 from skylarkmoor_policy.limits import CustomerLimits
 from skylarkmoor_policy.prefixes import PrefixIndex
 from skylarkmoor_policy.queueing import Queue, Waiting
@@ -51,9 +51,6 @@
 _PARTS = 4
 # A preempted attempt whose end is not reported for this long is taken to have ended.
 _STOP_TIMEOUT_MS = 5_000
-# Shorter spans measure the network's batching and not the engine.
-_MIN_SPAN_MS = 200
-_OUTPUT_WEIGHT = 0.1
 # Least time between two divisions of the waiting cost among the upstreams.
 _SPREAD_MS = 10
 # Least time between two looks at an owned upstream's grants that no demand asked for.
@@ -155,7 +152,7 @@
         self._restricted: set[RequestId] = set()
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._domains: dict[HostId, FailureDomain] = {}
-        self._outputs: dict[RouteName, float] = {}
+        self._learner = Learner(self._engine, self._tiers)
         self._spread_ms = -_SPREAD_MS
         # Nothing waits and no account has been told otherwise.
         self._spread_empty = False
@@ -165,8 +162,6 @@
         self._drained_ms: int | None = None
         self._refusals = [0] * self._tiers
         self._preemptions = [0] * self._tiers
-        self._prefill = [0] * self._tiers
-        self._wasted = [0] * self._tiers
 
     def submit(self, request: Request, now_ms: int) -> list[Action]:
         """Take a request.
@@ -239,7 +234,9 @@
         if position_tokens <= running.position:
             return
         upstream = self._upstreams[running.upstream]
-        self._measure(running, upstream, position_tokens, now_ms)
+        tier = self._tier(running.request.tier)
+        if self._learner.progress(running, upstream, position_tokens, tier, now_ms):
+            self._prefixes.add(running.upstream, running.request.prefix_hashes)
         upstream.recover()
         running.position = position_tokens
         entry.position = max(entry.position, position_tokens)
@@ -264,7 +261,8 @@
         attempt = self._release(end.upstream, end.attempt, now_ms)
         if attempt is None:
             return []
-        self._learn(end, attempt, now_ms)
+        tier = self._tier(attempt.request.tier)
+        self._learner.ended(end, attempt, self._upstreams[end.upstream], tier, now_ms)
         actions: list[Action] = []
         if entry is not None:
             entry.running = None
@@ -312,12 +310,8 @@
             return
         self._tiers += more
         self._queue.set_tiers(self._tiers)
-        for counts in (
-            self._refusals,
-            self._preemptions,
-            self._prefill,
-            self._wasted,
-        ):
+        self._learner.add_tiers(more)
+        for counts in (self._refusals, self._preemptions):
             counts.extend([0] * more)
         for upstream in self._upstreams.values():
             upstream.account.set_tiers(self._tiers)
@@ -422,8 +416,8 @@
             tuple(self._queue.count(tier) for tier in range(self._tiers)),
             tuple(self._refusals),
             tuple(self._preemptions),
-            tuple(self._prefill),
-            tuple(self._wasted),
+            tuple(self._learner.prefill_tokens),
+            tuple(self._learner.wasted_prefill_tokens),
         )
 
     def _admission_fault(self, entry: _Entry, now_ms: int) -> Refuse | None:
@@ -487,16 +481,10 @@
         request = entry.request
         cost = 1
         if self._engine:
-            cost = max(1, request.prompt_tokens + self._expected_output(request))
+            cost = max(1, request.prompt_tokens + self._learner.expected_output(request))
         version = self._choose_version(request)
         self._queue.add(Waiting(request, cost, version, started=entry.position > 0))
 
-    def _expected_output(self, request: Request) -> int:
-        if not self._engine:
-            return 1
-        expected = self._outputs.get(request.route, request.max_output_tokens / 2)
-        return max(1, min(request.max_output_tokens, round(expected)))
-
     def _expire(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
         while self._deadlines and self._deadlines[0][0] <= now_ms:
@@ -587,53 +575,6 @@
         self._enqueue(entry)
         return []
 
-    def _learn(self, end: AttemptEnd, attempt: Attempt, now_ms: int) -> None:
-        upstream = self._upstreams[end.upstream]
-        request = attempt.request
-        completed = end.result is AttemptResult.COMPLETED
-        prefill = end.prefill_tokens
-        if self._engine and not completed and prefill == 0:
-            computed = attempt.computed(upstream.speed.prefill_ms, now_ms)
-            ran = end.result not in (AttemptResult.NOT_STARTED, AttemptResult.LEAVING)
-            prefill = min(attempt.prefill_tokens, computed) if ran else 0
-        self._prefill[request.tier] += prefill
-        if not completed:
-            self._wasted[request.tier] += prefill
-            return
-        if not self._engine:
-            upstream.speed.observe_between(now_ms - attempt.started_ms)
-            return
-        position = max(end.position_tokens, attempt.position)
-        mean = self._outputs.get(request.route, position)
-        self._outputs[request.route] = mean + _OUTPUT_WEIGHT * (position - mean)
-        if end.first_token_ms is not None:
-            upstream.speed.observe_prefill(end.prefill_tokens, end.first_token_ms)
-        if attempt.measured_ms >= 0:
-            return
-        tier = self._tier(request.tier)
-        if end.first_token_ms is not None:
-            prefill_ms = end.prefill_tokens * upstream.speed.prefill_ms
-            upstream.pressure.observe_first(end.first_token_ms, prefill_ms, tier)
-        if end.between_tokens_ms is not None:
-            upstream.pressure.observe_between(end.between_tokens_ms, tier)
-            upstream.speed.observe_between(end.between_tokens_ms)
-
-    def _measure(self, attempt: Attempt, upstream: Upstream, position: int, now_ms: int) -> None:
-        tier = self._tier(attempt.request.tier)
-        if attempt.measured_ms < 0:
-            prefill_ms = attempt.prefill_tokens * upstream.speed.prefill_ms
-            upstream.pressure.observe_first(now_ms - attempt.started_ms, prefill_ms, tier)
-            self._prefixes.add(attempt.upstream, attempt.request.prefix_hashes)
-        else:
-            span_ms = now_ms - attempt.measured_ms
-            if span_ms < _MIN_SPAN_MS:
-                return
-            between_ms = span_ms / (position - attempt.measured_position)
-            upstream.pressure.observe_between(between_ms, tier)
-            upstream.speed.observe_between(between_ms)
-        attempt.measured_ms = now_ms
-        attempt.measured_position = position
-
     def _tier(self, rank: TierRank) -> Tier:
         tiers = sorted(self._document.tiers, key=lambda tier: tier.rank)
         return tiers[min(rank, len(tiers) - 1)]
@@ -779,7 +720,7 @@
         request = entry.request
         self._rng.shuffle(fitting)
         prompt = request.prompt_tokens + entry.position
-        output = self._expected_output(request)
+        output = self._learner.expected_output(request)
         candidates = [self._candidate(each, entry, prompt) for each in fitting]
         cost = self._cost(entry, fitting[0])
         candidate, time_ms = choose(candidates, prompt, output, cost)
@@ -820,7 +761,7 @@
         before the length of its route's answers has been learnt.
         """
         tier = entry.request.tier
-        if len(self._queue) <= 1 or (self._engine and entry.request.route not in self._outputs):
+        if len(self._queue) <= 1 or not self._learner.knows_output(entry.request.route):
             return False
         lowest = tier == self._tiers - 1
         return lowest or (tier > 0 and not self._displaces(tier, now_ms))
@@ -861,7 +802,7 @@
         if not self._engine:
             return 1
         request = entry.request
-        output = max(self._expected_output(request), entry.position)
+        output = max(self._learner.expected_output(request), entry.position)
         cost = max(upstream.account.bounds.unit, request.prompt_tokens + output)
         return min(cost, upstream.account.capacity)
 
