Use the field's terms in credit code and share the daemon's context

Cause: some names needed explaining (patience, worth, tell, spread), two modules declared the same four properties of the daemon, and each test run listed known failures that it had not executed. Change: names of the field, one DaemonContext protocol, and a report of only the known failures that ran.

--- a/conftest.py
+++ b/conftest.py
@@ -35,17 +35,17 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Print each listed test with its result in this run."""
-    entries = _entries()
-    if not entries:
-        return
-    terminalreporter.section("known red (KNOWN-RED.txt)")
+    """Print each listed test that this run executed, with its result."""
     results = {
         report.nodeid: name
         for name in ("xfailed", "xpassed")
         for report in terminalreporter.stats.get(name, [])
     }
-    for test, lines in entries.items():
-        terminalreporter.line(f"{results.get(test, 'not run')}: {test}")
+    executed = {test: lines for test, lines in _entries().items() if test in results}
+    if not executed:
+        return
+    terminalreporter.section("known red (KNOWN-RED.txt)")
+    for test, lines in executed.items():
+        terminalreporter.line(f"{results[test]}: {test}")
         for line in lines:
             terminalreporter.line(f"    {line}")
--- a/libs/daemon/src/skylarkmoor_daemon/claiming.py
+++ b/libs/daemon/src/skylarkmoor_daemon/claiming.py
@@ -7,7 +7,6 @@
 
 from twisted.internet.defer import Deferred
 
-from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import LogRateLimited, PlatformError, RequestRefused
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import ClaimId, HostId, Incarnation, Offset, ServiceName
@@ -22,8 +21,8 @@
 )
 from skylarkmoor_core.outcome import ErrorCode, Outcome
 from skylarkmoor_core.records import AuditEntry, Record
+from skylarkmoor_daemon.context import DaemonContext
 from skylarkmoor_daemon.http import CallAnswer, Incoming
-from skylarkmoor_daemon.metrics import Metrics
 from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_platform.logservice import LogEntry, LogPage
 from skylarkmoor_policy.actions import Send
@@ -77,25 +76,9 @@
         """Read a page."""
 
 
-class ClaimPeers(Protocol):
+class ClaimPeers(DaemonContext, Protocol):
     """What claiming needs of the daemon."""
 
-    @property
-    def host(self) -> HostId:
-        """Host of the daemon."""
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """Incarnation of the daemon."""
-
-    @property
-    def clock(self) -> Clock:
-        """Source of times."""
-
-    @property
-    def metrics(self) -> Metrics:
-        """The daemon's metrics."""
-
     def send(self, to: HostId, message: Message) -> None:
         """Send a message to a peer or to this daemon."""
 
--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -5,12 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import MessageError, PlatformError, UpstreamError
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import (
     HostId,
-    Incarnation,
     MoveId,
     RequestId,
     ServiceName,
@@ -21,8 +19,8 @@
 from skylarkmoor_core.messages import Fact, FactKind
 from skylarkmoor_core.records import AuditEntry, MoveEnded, MoveResult, MoveStep
 from skylarkmoor_daemon.claiming import ClaimLog
+from skylarkmoor_daemon.context import DaemonContext
 from skylarkmoor_daemon.documents import InForce
-from skylarkmoor_daemon.metrics import Metrics
 from skylarkmoor_daemon.service import UpstreamState
 from skylarkmoor_daemon.shared import SharedState
 from skylarkmoor_daemon.tasks import Tasks
@@ -70,25 +68,9 @@
 _log = part_logger("rollout")
 
 
-class RolloutHost(Protocol):
+class RolloutHost(DaemonContext, Protocol):
     """What rollout needs of the daemon."""
 
-    @property
-    def host(self) -> HostId:
-        """Host of the daemon."""
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """Incarnation of the daemon."""
-
-    @property
-    def clock(self) -> Clock:
-        """Source of times."""
-
-    @property
-    def metrics(self) -> Metrics:
-        """The daemon's metrics."""
-
     def owner_of(self, key: str) -> HostId | None:
         """Return the rendezvous owner of `key` among the live daemons."""
 
--- a/libs/operator/src/skylarkmoor_operator/publish.py
+++ b/libs/operator/src/skylarkmoor_operator/publish.py
@@ -17,7 +17,7 @@
 from skylarkmoor_platform.logservice import LogClient
 from skylarkmoor_policy.configuration import Accepted, Ignored, Rejected
 
-__all__ = ["Base", "Patience", "move_faults", "publish"]
+__all__ = ["Base", "RetryLimits", "move_faults", "publish"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class RetryLimits:
     """How long to go on trying.
 
     Attributes
@@ -67,7 +67,7 @@
     author: str,
     reason: str = "",
     based_on: Base | None = None,
-    patience: Patience = Patience(),
+    retries: RetryLimits = RetryLimits(),
 ) -> ExitCode:
     """Publish `document`, which is valid, and print whether it was accepted.
 
@@ -94,7 +94,7 @@
     _warn_if_short_of_time(document, clock.wall_ms())
     record = history.publication(document, author, reason)
     try:
-        decision = await _append_and_read_back(log, clock, history, record, patience)
+        decision = await _append_and_read_back(log, clock, history, record, retries)
     except LogRateLimited as error:
         fail(f"not published: {error}")
         return ExitCode.UNAVAILABLE
@@ -115,20 +115,20 @@
     clock: Clock,
     history: ConfigHistory,
     record: DocumentPublished,
-    patience: Patience,
+    retries: RetryLimits,
 ) -> Accepted | Rejected | None:
-    offset = await _append(log, record, patience)
-    deadline_ms = clock.now_ms() + patience.resolve_ms
+    offset = await _append(log, record, retries)
+    deadline_ms = clock.now_ms() + retries.resolve_ms
     while True:
         decision = await _next_decision(log, history, record, offset)
         if decision is not None or clock.now_ms() >= deadline_ms:
             return decision
-        await pause(patience.pause_ms)
+        await pause(retries.pause_ms)
 
 
-async def _append(log: LogClient, record: DocumentPublished, patience: Patience) -> Offset | None:
+async def _append(log: LogClient, record: DocumentPublished, retries: RetryLimits) -> Offset | None:
     """Return the offset of the append, or None if its answer was lost."""
-    for left in reversed(range(patience.tries)):
+    for left in reversed(range(retries.tries)):
         try:
             return await log.append(CONFIG_STREAM, record)
         except LogOutage as error:
@@ -137,8 +137,8 @@
         except LogRateLimited:
             if not left:
                 raise
-        await pause(patience.pause_ms)
-    raise ValueError(f"tries must be positive, got {patience.tries}")
+        await pause(retries.pause_ms)
+    raise ValueError(f"tries must be positive, got {retries.tries}")
 
 
 async def _next_decision(
--- a/libs/operator/tests/test_publish.py
+++ b/libs/operator/tests/test_publish.py
@@ -10,19 +10,19 @@
 from skylarkmoor_core.document import Limits
 from skylarkmoor_core.errors import LogOutage
 from skylarkmoor_core.records import AuditEntry, DocumentCarried, decode_record, encode_record
-from skylarkmoor_operator.publish import Base, Patience, move_faults, publish
+from skylarkmoor_operator.publish import Base, RetryLimits, move_faults, publish
 from skylarkmoor_operator.runner import ExitCode
 from skylarkmoor_platform.logservice import LogClient
 
-SHORT = Patience(resolve_ms=50, pause_ms=5, tries=3)
+SHORT = RetryLimits(resolve_ms=50, pause_ms=5, tries=3)
 
 
 class Publisher:
     """Publishes as `author` through a log client of its own."""
 
-    def __init__(self, url, patience=SHORT):
+    def __init__(self, url, retries=SHORT):
         self._log = LogClient(url)
-        self._patience = patience
+        self._patience = retries
 
     async def publish(self, document, based_on=None, reason=""):
         return await publish(
@@ -32,7 +32,7 @@
             author="mair",
             reason=reason,
             based_on=based_on,
-            patience=self._patience,
+            retries=self._patience,
         )
 
 
@@ -169,9 +169,7 @@
                 fake_log.hidden.clear()
             return 0
 
-    code = await publish(
-        LogClient(log_url), Clock(), make_document(), author="mair", patience=SHORT
-    )
+    code = await publish(LogClient(log_url), Clock(), make_document(), author="mair", retries=SHORT)
     assert code is ExitCode.DONE
 
 
--- a/libs/policy/src/skylarkmoor_policy/accounts.py
+++ b/libs/policy/src/skylarkmoor_policy/accounts.py
@@ -19,16 +19,16 @@
 _RELEASE_MS = 50
 # A demand without answer is repeated after this time if something waits.
 _RESEND_MS = 100
-# A need that grew by less than this is told at the next renewal.
+# A need that grew by less than this is sent with the next renewal.
 _GROWTH_PERCENT = 125
 _SHRINK_PERCENT = 75
 # How long a preemption waits for an answer when the owner did not know all that runs.
 _HOLD_MS = 100
 # An owner that has not answered for this long is taken to be gone.
 _SILENT_MS = 200
-# Spare credit is worth this many times the credit that lower tiers would have to give up, so
+# Spare credit counts this many times as much as credit that lower tiers would have to give up, so
 # that work is preempted only where no upstream has anything to spare.
-_DISPLACED_WORTH = 4
+_DISPLACED_WEIGHT = 4
 # An account that was not used for this long is not renewed.
 _IDLE_MS = 10_000
 
@@ -147,7 +147,7 @@
         self._sent: dict[int, _Sent] = {}
         self._unanswered_ms: int | None = None
         # Work that was kept beyond its credit has ended since the last demand.
-        self._gave_back = False
+        self._freed_credit = False
         self._hold_until_ms = -1
         self._hold_seq = -1
         self._active_ms = -_IDLE_MS
@@ -189,7 +189,7 @@
         """Whether the owner waits to hear of what ended here or did not know what runs."""
         if self._newest is None:
             return False
-        return self._gave_back or self._hold_seq > self._newest.demand.seq
+        return self._freed_credit or self._hold_seq > self._newest.demand.seq
 
     def leased(self, now_ms: int) -> bool:
         """Return whether there is a lease in force."""
@@ -228,7 +228,7 @@
         if self.leased(now_ms) and self._lease.room:
             room = fit_tiers(self._lease.room, self._tiers)
             spare = room[-1]
-            hints = tuple(spare + (each - spare) / _DISPLACED_WORTH for each in room)
+            hints = tuple(spare + (each - spare) / _DISPLACED_WEIGHT for each in room)
         else:
             allowed = self.allowed(now_ms)
             hints = tuple(map(operator.sub, allowed, self._running))
@@ -256,7 +256,7 @@
     def end(self, tier: int, cost: int, stopping: bool) -> None:
         """Note that an attempt ended."""
         allowed = self._lease.allowed[tier] if self._lease.allowed else 0
-        self._gave_back = self._gave_back or self._running[tier] > allowed
+        self._freed_credit = self._freed_credit or self._running[tier] > allowed
         self._running[tier] -= cost
         self._rooms = None
         if stopping:
@@ -344,7 +344,7 @@
             self._upstream, seq, self.running, self._waiting, pressure_percent, self._units
         )
         self._newest = _Sent(demand, self.owner, now_ms)
-        self._gave_back = False
+        self._freed_credit = False
         if self._unanswered_ms is None:
             self._unanswered_ms = now_ms
         recent = {each: sent for each, sent in self._sent.items() if now_ms - sent.at_ms < LEASE_MS}
@@ -386,19 +386,19 @@
         newest = suffix_sums(fit_tiers(self._newest.demand.running, self._tiers))
         cut = [tier for tier, _ in self.excess(now_ms) if running[tier] > known[tier]]
         if cut:
-            told = all(newest[tier] >= running[tier] for tier in cut)
-            self._hold_seq = self._newest.demand.seq + (0 if told else 1)
+            reported = all(newest[tier] >= running[tier] for tier in cut)
+            self._hold_seq = self._newest.demand.seq + (0 if reported else 1)
             self._hold_until_ms = now_ms + _HOLD_MS
 
     def _grew(self, sent: Demand) -> bool:
-        """Return whether a tier needs notably more than told, or than the owner has granted."""
-        told = needs(sent, self._tiers)
+        """Return whether a tier needs notably more than demanded, or than the owner has granted."""
+        demanded = needs(sent, self._tiers)
         granted = fit_tiers(self._lease.allowed, self._tiers)
         for tier, waiting in enumerate(self._waiting):
             need = self._running[tier] + waiting
-            satisfied = told[tier] <= granted[tier]
-            much = need * 100 > told[tier] * _GROWTH_PERCENT
-            if waiting and need > told[tier] and (satisfied or much):
+            satisfied = demanded[tier] <= granted[tier]
+            much = need * 100 > demanded[tier] * _GROWTH_PERCENT
+            if waiting and need > demanded[tier] and (satisfied or much):
                 return True
         return False
 
--- a/libs/policy/src/skylarkmoor_policy/credit.py
+++ b/libs/policy/src/skylarkmoor_policy/credit.py
@@ -13,13 +13,13 @@
 # A lease outlives two lost renewals. A longer one would keep the credit of a dead daemon
 # from the others for longer.
 LEASE_MS = 3_000
-# A new owner hears the running work of all daemons before it gives any of it away.
+# A new owner waits for the demands of all daemons before its first grant.
 SETTLE_MS = 100
-# Time in which a daemon hears of a cut and tells of work that it has started meanwhile.
+# Time in which a daemon receives a cut and reports work that it has started meanwhile.
 _RETURN_MS = 15
 # Attempts that end by themselves usually make room within this time. Preempting at once
 # would waste prefill for nearly every higher-tier request.
-_PATIENCE_MS = 150
+_PREEMPTION_DELAY_MS = 150
 
 
 @dataclass(slots=True)
@@ -206,7 +206,7 @@
                     unmet_ms.pop(tier, None)
                     continue
                 given = start
-                if now_ms - unmet_ms.get(tier, now_ms) < _PATIENCE_MS:
+                if now_ms - unmet_ms.get(tier, now_ms) < _PREEMPTION_DELAY_MS:
                     given = min(start, budget) if budget >= min(start, unit) else 0
                 budget = max(0, budget - given)
                 allowed[host][tier] -= start - given
--- a/libs/policy/src/skylarkmoor_policy/scheduler.py
+++ b/libs/policy/src/skylarkmoor_policy/scheduler.py
@@ -52,7 +52,7 @@
 # A preempted attempt whose end is not reported for this long is taken to have ended.
 _STOP_TIMEOUT_MS = 5_000
 # Least time between two divisions of the waiting cost among the upstreams.
-_SPREAD_MS = 10
+_DIVIDE_EVERY_MS = 10
 # Least time between two looks at an owned upstream's grants that no demand asked for.
 _REGRANT_MS = 40
 # Higher-tier work may go beyond an engine's learnt capacity, but not its limit, by this part
@@ -153,9 +153,9 @@
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._domains: dict[HostId, FailureDomain] = {}
         self._learner = Learner(self._engine, self._tiers)
-        self._spread_ms = -_SPREAD_MS
-        # Nothing waits and no account has been told otherwise.
-        self._spread_empty = False
+        self._divided_ms = -_DIVIDE_EVERY_MS
+        # The last division found nothing waiting.
+        self._divided_empty = False
         self._tick_ms = 0
         # An owner has to hear at once of work that it did not know of.
         self._correcting = False
@@ -648,15 +648,15 @@
         return accepted
 
     def _pump(self, now_ms: int, *, renew: bool = False) -> list[Action]:
-        """Dispatch, preempt and tell owners until nothing changes any more."""
+        """Dispatch, preempt and demand credit until nothing changes any more."""
         actions: list[Action] = []
         for _ in range(_MAX_ROUNDS):
             actions += self._dispatch(now_ms)
             actions += self._preempt(now_ms)
-            told = self._tell_owners(now_ms, renew)
-            if told is None:
+            sent = self._send_demands(now_ms, renew)
+            if sent is None:
                 break
-            actions += told
+            actions += sent
             renew = False
         return actions
 
@@ -843,13 +843,13 @@
         account.stop(attempt.request.tier, attempt.cost)
         return [Preempt(attempt.attempt, attempt.upstream)]
 
-    def _tell_owners(self, now_ms: int, renew: bool) -> list[Action] | None:
+    def _send_demands(self, now_ms: int, renew: bool) -> list[Action] | None:
         """Send the demands that are due; None if none was."""
-        if not renew and now_ms - self._spread_ms < _SPREAD_MS and not self._correcting:
+        if not renew and now_ms - self._divided_ms < _DIVIDE_EVERY_MS and not self._correcting:
             return None
         self._correcting = False
-        self._spread_ms = now_ms
-        self._spread(now_ms)
+        self._divided_ms = now_ms
+        self._divide_waiting(now_ms)
         actions: list[Action] = []
         told = False
         for upstream in self._upstreams.values():
@@ -865,7 +865,7 @@
                 actions.append(Send(owner, demand))
         return actions if told else None
 
-    def _spread_restricted(self, plans: Mapping[UpstreamId, WaitingPlan], now_ms: int) -> None:
+    def _divide_restricted(self, plans: Mapping[UpstreamId, WaitingPlan], now_ms: int) -> None:
         """Ask for credit where a request may go that must avoid some upstreams.
 
         Without this the whole waiting cost could be asked of an upstream that failed the
@@ -883,16 +883,16 @@
                 best = max(choices, key=lambda plan: plan.prospect(tier))
                 best.add(tier, self._cost(entry, able[0]), 1)
 
-    def _spread(self, now_ms: int) -> None:
+    def _divide_waiting(self, now_ms: int) -> None:
         """Divide the waiting cost among the upstreams by how much they may yet take.
 
         The parts add up to what waits. Demanding everything everywhere would preempt several
         times as much lower-tier work as is needed.
         """
         empty = len(self._queue) == 0
-        if empty and self._spread_empty:
+        if empty and self._divided_empty:
             return
-        self._spread_empty = empty
+        self._divided_empty = empty
         usable = [each for each in self._upstreams.values() if each.usable(now_ms)]
         plans = {each.info.upstream: WaitingPlan(each, now_ms) for each in usable}
         for tier in range(self._tiers):
@@ -905,7 +905,7 @@
                 for _ in range(parts):
                     best = max(choices, key=lambda plan: plan.prospect(tier))
                     best.add(tier, cost // count, count / parts)
-        self._spread_restricted(plans, now_ms)
+        self._divide_restricted(plans, now_ms)
         none = (0,) * self._tiers
         for name, each in self._upstreams.items():
             plan = plans.get(name)
