--- a/libs/daemon/tests/system/test_i8_configuration.py
+++ b/libs/daemon/tests/system/test_i8_configuration.py
@@ -167,6 +167,8 @@
     with OffsetWatch(system, ["entry-1"]) as watch:
         system.restart_daemon("entry-1")
         wait_in_force(system, offset)
+        # It is ready a moment after its first document is in force.
+        wait_until(lambda: watch.seen["entry-1"], 5.0, "it is ready")
     assert watch.seen["entry-1"] == [offset]
     assert answers_route(system, "entry-1", "before-outage")
 
