--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-LIBS := core policy platform daemon operator standins measure
+LIBS := core policy clients daemon operator standins measure
 SYSTEM := libs/daemon/tests/system
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 
--- a/libs/platform/src/skylarkmoor_platform/hostlist.py
+++ b/libs/clients/src/skylarkmoor_clients/hostlist.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
+from skylarkmoor_clients.httpclient import PlatformHttp
 from skylarkmoor_core.errors import PlatformError, SettingsError
 from skylarkmoor_core.ids import FailureDomain, ServiceName
 from skylarkmoor_core.settings import parse_address
-from skylarkmoor_platform.httpclient import PlatformHttp
 
 __all__ = ["HostEntry", "HostKind", "HostListClient", "ListedState"]
 
--- a/libs/platform/src/skylarkmoor_platform/logservice.py
+++ b/libs/clients/src/skylarkmoor_clients/logservice.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
+from skylarkmoor_clients.httpclient import Answer, AnswerTooLarge, PlatformHttp
 from skylarkmoor_core.errors import LogOutage, LogRateLimited, MessageError, PlatformError
 from skylarkmoor_core.ids import Offset
 from skylarkmoor_core.records import Record, decode_record, encode_record
-from skylarkmoor_platform.httpclient import Answer, AnswerTooLarge, PlatformHttp
 
 __all__ = ["LogClient", "LogEntry", "LogPage"]
 
--- a/libs/platform/src/skylarkmoor_platform/weightstore.py
+++ b/libs/clients/src/skylarkmoor_clients/weightstore.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
+from skylarkmoor_clients.httpclient import PlatformHttp
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.ids import VersionId
-from skylarkmoor_platform.httpclient import PlatformHttp
 
 __all__ = ["WeightStoreClient"]
 
--- a/libs/platform/tests/test_hostlist.py
+++ b/libs/clients/tests/test_hostlist.py
@@ -7,8 +7,8 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
+from skylarkmoor_clients.hostlist import HostEntry, HostKind, HostListClient, ListedState
 from skylarkmoor_core.errors import PlatformError
-from skylarkmoor_platform.hostlist import HostEntry, HostKind, HostListClient, ListedState
 
 ENTRY = {
     "host": "nadi-1",
--- a/libs/platform/tests/test_logservice.py
+++ b/libs/clients/tests/test_logservice.py
@@ -7,9 +7,9 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
+from skylarkmoor_clients.logservice import LogClient, LogEntry, LogPage
 from skylarkmoor_core.errors import LogOutage, LogRateLimited, PlatformError
 from skylarkmoor_core.records import AuditEntry, encode_record
-from skylarkmoor_platform.logservice import LogClient, LogEntry, LogPage
 
 ENTRY = AuditEntry(who="mair", what="publish", before="1", after="2", at_ms=7)
 
--- a/libs/platform/tests/test_weightstore.py
+++ b/libs/clients/tests/test_weightstore.py
@@ -5,8 +5,8 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
+from skylarkmoor_clients.weightstore import WeightStoreClient
 from skylarkmoor_core.errors import PlatformError
-from skylarkmoor_platform.weightstore import WeightStoreClient
 
 
 def app_serving(answer):
--- a/libs/core/src/skylarkmoor_core/clock.py
+++ b/libs/core/src/skylarkmoor_core/clock.py
@@ -28,10 +28,10 @@
 
         Notes
         -----
-        The reading goes on while the process is stopped by a signal, so a holder that was
-        paused sees that its lease has run out.
+        The reading goes on while the process is stopped by a signal and while the host is
+        suspended, so a holder that was paused sees that its lease has run out.
         """
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 class ManualClock:
--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -20,6 +20,7 @@
     "Envelope",
     "Fact",
     "FactKind",
+    "GatewayState",
     "Gossip",
     "Grant",
     "Heartbeat",
@@ -199,6 +200,37 @@
     offsets: dict[ServiceName, Offset]
 
 
+class GatewayState(_Message, frozen=True, tag="s"):
+    """What a gateway's peers need to know of it, as absolute values.
+
+    Attributes
+    ----------
+    address : str
+        Where the sender takes messages, so that a receiver that does not know it can answer.
+    leaving : bool
+        Whether the sender takes no more requests.
+    configuration : int
+        Offset of the newest configuration record that the sender has read.
+    loads : dict
+        Requests running and prompt tokens still to be read, by upstream.
+    admitted : dict
+        Units admitted since the start, by customer.
+    requests, repeats : dict
+        First and repeated sends since the start, by service.
+    strikes : dict
+        Upstreams' connections that broke under a request, by its fingerprint.
+    """
+
+    address: str
+    leaving: bool
+    configuration: int
+    loads: dict[UpstreamId, tuple[int, int]]
+    admitted: dict[str, int]
+    requests: dict[str, int]
+    repeats: dict[str, int]
+    strikes: dict[int, int] = {}
+
+
 Message = (
     Heartbeat
     | Gossip
@@ -212,6 +244,7 @@
     | OutcomeAnswer
     | DocumentOffer
     | DocumentQuery
+    | GatewayState
 )
 
 
--- a/libs/daemon/src/skylarkmoor_daemon/claiming.py
+++ b/libs/daemon/src/skylarkmoor_daemon/claiming.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
+from skylarkmoor_clients.logservice import LogEntry, LogPage
 from skylarkmoor_core.errors import LogRateLimited, PlatformError, RequestRefused
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import ClaimId, HostId, Incarnation, Offset, ServiceName
@@ -24,7 +25,6 @@
 from skylarkmoor_daemon.context import DaemonContext
 from skylarkmoor_daemon.http import CallAnswer, Incoming
 from skylarkmoor_daemon.tasks import Tasks
-from skylarkmoor_platform.logservice import LogEntry, LogPage
 from skylarkmoor_policy.actions import Send
 from skylarkmoor_policy.claims import (
     Answer,
--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -7,6 +7,8 @@
 
 from twisted.internet.defer import Deferred
 
+from skylarkmoor_clients.hostlist import HostEntry, HostKind, HostListClient
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.document import ServiceDocument, ServiceKind
 from skylarkmoor_core.errors import PlatformError, RequestRefused
@@ -42,8 +44,6 @@
 from skylarkmoor_daemon.shared import SharedState
 from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import UpstreamReport
-from skylarkmoor_platform.hostlist import HostEntry, HostKind, HostListClient
-from skylarkmoor_platform.logservice import LogClient
 from skylarkmoor_policy.facts import GOSSIP_MS
 from skylarkmoor_policy.lifecycle import (
     Abort,
--- a/libs/daemon/src/skylarkmoor_daemon/documents.py
+++ b/libs/daemon/src/skylarkmoor_daemon/documents.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from skylarkmoor_clients.logservice import LogEntry
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.document import ServiceDocument
 from skylarkmoor_core.errors import MessageError, PlatformError
@@ -14,7 +15,6 @@
 from skylarkmoor_core.records import AuditEntry
 from skylarkmoor_daemon.claiming import ClaimLog
 from skylarkmoor_daemon.tasks import Tasks
-from skylarkmoor_platform.logservice import LogEntry
 from skylarkmoor_policy.configuration import Accepted, DocumentFollower, Rejected
 
 __all__ = ["InForce", "DocumentPeers", "Documents"]
--- a/libs/daemon/src/skylarkmoor_daemon/main.py
+++ b/libs/daemon/src/skylarkmoor_daemon/main.py
@@ -10,12 +10,12 @@
 import click
 import msgspec
 
+from skylarkmoor_clients.httpclient import parse_base_url
 from skylarkmoor_core.clock import SystemClock
 from skylarkmoor_core.errors import SettingsError
 from skylarkmoor_core.ids import FailureDomain, HostId
 from skylarkmoor_core.logs import configure_logs, part_logger
 from skylarkmoor_core.settings import ENV_PREFIX, Address, collect_faults, parse_address
-from skylarkmoor_platform.httpclient import parse_base_url
 
 __all__ = ["EXIT_FORCED", "EXIT_SETTINGS", "main"]
 
--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from skylarkmoor_clients.logservice import LogEntry
 from skylarkmoor_core.errors import MessageError, PlatformError, UpstreamError
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import (
@@ -25,7 +26,6 @@
 from skylarkmoor_daemon.shared import SharedState
 from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import OrderAnswer, OrderKind, UpstreamClient
-from skylarkmoor_platform.logservice import LogEntry
 from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request
 from skylarkmoor_policy.rollout import (
     Continue,
--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from skylarkmoor_clients.hostlist import HostEntry
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.document import ServiceDocument, ServiceKind
 from skylarkmoor_core.errors import RequestRefused, UpstreamError
@@ -35,7 +36,6 @@
 from skylarkmoor_daemon.streams import CallRun, ChatRun, Run
 from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import CacheEventKind, UpstreamClient, UpstreamReport
-from skylarkmoor_platform.hostlist import HostEntry
 from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
 from skylarkmoor_policy.requests import (
     AttemptEnd,
--- /dev/null
+++ b/libs/gateway/src/skylarkmoor_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP gateway between callers and upstreams."""
--- /dev/null
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -0,0 +1,564 @@
+"""One request of a caller, from its arrival to its only answer."""
+
+import logging
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.ids import ServiceName, UpstreamId
+from skylarkmoor_core.logs import part_logger
+from skylarkmoor_gateway.callers import CallerConnection
+from skylarkmoor_gateway.messages import AnswerHead, Attempt, Codec, Headers, IncomingRequest
+from skylarkmoor_gateway.metrics import GatewayMetrics
+from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
+from skylarkmoor_policy.eventstream import EventSplitter
+from skylarkmoor_policy.fleetcounts import FleetRetries
+from skylarkmoor_policy.placement import Choice, Placement
+from skylarkmoor_policy.routetable import ApiCustomer, Repeat, Route
+
+__all__ = ["Exchange", "ExchangeHost", "Settlement"]
+
+# A caller stops waiting for its first event after the longest of these.
+_PATIENCE_MS = 2_000
+_PATIENCE_GOALS = 4
+_PATIENCE_GAPS = 8
+# Part of the patience that a predicted wait may use; predictions are short by about as much.
+_PATIENCE_PART = 0.8
+# The upstream's own timeout answer gets this long to arrive before the gateway's is sent.
+_TIMEOUT_MARGIN_MS = 60
+# Upstreams that are asked for one request in all, counting those that did not run it.
+_MAX_SENDS = 4
+# Requests that must not run twice use a kept connection only if it was used this recently.
+_FRESH_MS = 1_000
+# Answers up to this size are held until they are whole, so that a broken one can be repeated.
+_MAX_HELD_BYTES = 262_144
+_MIN_RETRY_AFTER_MS = 100
+# Callers honour a pause of up to a third of the time they have left.
+_RETRY_AFTER_PART = 0.3
+# Time that one more attempt needs at the least.
+_MIN_REMAINING_MS = 30
+
+_log = part_logger("request")
+
+
+class Settlement(Enum):
+    """How a request ended, as metrics and logs name it."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN_OFF = "broken_off"
+    ABANDONED = "abandoned"
+
+
+class ExchangeHost(Protocol):
+    """What an exchange needs of the gateway."""
+
+    reactor: Any
+    clock: Clock
+    codec: Codec
+    metrics: GatewayMetrics
+    placement: Placement
+    retries: FleetRetries
+
+    def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
+        """Return the connections to an upstream."""
+
+    def settled(self, exchange: "Exchange", settlement: Settlement) -> None:
+        """Note the end of an exchange."""
+
+    def crashed(self, exchange: "Exchange", upstream: UpstreamId) -> None:
+        """Note that an upstream's connection broke while it ran a request."""
+
+    def views(self) -> dict[str, object]:
+        """Return the versions and ages of what decisions rest on, for the log."""
+
+
+@dataclass(slots=True)
+class _Send:
+    """One send of the request to an upstream."""
+
+    upstream: UpstreamId
+    sent_ms: int
+    read_ahead: int
+    connection: UpstreamConnection | None = None
+    answered: bool = False
+    head: AnswerHead | None = None
+
+
+class Exchange:
+    """A request with the upstreams that it was sent to.
+
+    Parameters
+    ----------
+    host : ExchangeHost
+        The gateway.
+    caller : CallerConnection
+        Where the answer goes.
+    request : IncomingRequest
+        The decoded request.
+    route : Route
+        Its route.
+    customer : ApiCustomer or None
+        Its customer.
+    arrived_ms : int
+        When it was whole.
+
+    Notes
+    -----
+    A request that must not run twice is sent again only if it was not sent at all or if the
+    upstream says that it did not run it.
+    """
+
+    def __init__(
+        self,
+        host: ExchangeHost,
+        caller: CallerConnection,
+        request: IncomingRequest,
+        route: Route,
+        customer: ApiCustomer | None,
+        arrived_ms: int,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.customer = customer
+        self.service: ServiceName = route.service_for(request.request)
+        self.arrived_ms = arrived_ms
+        self.caller = caller
+        self.ran = False
+        self._host = host
+        wait_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            wait_ms = min(wait_ms, request.deadline_ms)
+        self._deadline_ms = arrived_ms + wait_ms
+        self._sends = 0
+        self._runs = 0
+        self._failed_at: set[UpstreamId] = set()
+        self._current: _Send | None = None
+        self._done = False
+        self._head_sent = False
+        self._length: int | None = None
+        self._first_ms: int | None = None
+        self._held = bytearray()
+        self._events = EventSplitter() if route.resumable else None
+        self._timer: Any = None
+
+    @property
+    def tier(self) -> int:
+        """The customer's tier if it has one, else the route's."""
+        if self.customer is not None and self.customer.tier is not None:
+            return self.customer.tier
+        return self.route.tier
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Prompt tokens, 0 for a plain call."""
+        return self.request.prompt_tokens or 0
+
+    def start(self) -> None:
+        """Send the request to an upstream or refuse it."""
+        wait_ms = max(0, self._deadline_ms - self._host.clock.now_ms())
+        delay_s = (wait_ms + _TIMEOUT_MARGIN_MS) / 1000
+        self._timer = self._host.reactor.callLater(delay_s, self._timed_out)
+        self._send_somewhere()
+
+    def caller_gone(self) -> None:
+        """Stop the work of a request whose caller has closed its connection."""
+        if not self._done:
+            self._end(Settlement.ABANDONED, "the caller closed the connection")
+
+    def refuse_unsent(self, why: str) -> None:
+        """Refuse the request if nothing of it was sent."""
+        if not self._done and self._runs == 0 and self._current is None:
+            self.refuse(503, why, _MIN_RETRY_AFTER_MS)
+
+    def refuse(self, status: int, why: str, retry_after_ms: int) -> None:
+        """Answer that the request has not run and will not run."""
+        remaining_ms = max(0, self._deadline_ms - self._host.clock.now_ms())
+        pause_ms = max(_MIN_RETRY_AFTER_MS, retry_after_ms)
+        pause_ms = min(pause_ms, int(remaining_ms * _RETRY_AFTER_PART))
+        self._answer(status, why, [(b"Retry-After", f"{pause_ms / 1000:.3f}".encode())])
+        self._end(Settlement.REFUSED, why, status=status, retry_after_ms=pause_ms)
+
+    def _patience_ms(self) -> float:
+        goals_ms = _PATIENCE_GOALS * self.route.goal_ms
+        return max(_PATIENCE_MS, goals_ms, _PATIENCE_GAPS * self.route.max_gap_ms)
+
+    def _send_somewhere(self) -> None:
+        now_ms = self._host.clock.now_ms()
+        choice = self._host.placement.choose(
+            self.service, self.prompt_tokens, now_ms, self._failed_at
+        )
+        if choice is None:
+            self._give_up("no upstream of the service may take the request")
+            return
+        waited_ms = now_ms - self.arrived_ms
+        if (
+            self._sends == 0
+            and self.route.repeat is Repeat.STREAM
+            and waited_ms + choice.start_ms > self._patience_ms() * _PATIENCE_PART
+        ):
+            pause_ms = int(choice.start_ms - self.route.goal_ms)
+            self.refuse(503, f"the first event would take {choice.start_ms:.0f} ms", pause_ms)
+            return
+        self._sends += 1
+        if self._sends == 1:
+            self._host.retries.count_request(self.service, now_ms)
+        self._log_choice(choice, now_ms)
+        known = self._host.placement.upstreams[choice.upstream]
+        self._current = _Send(choice.upstream, now_ms, known.prefill_tokens())
+        self._host.placement.started(choice.upstream, self.prompt_tokens)
+        self._connect(self._current)
+
+    def _log_choice(self, choice: Choice, now_ms: int) -> None:
+        _log.info(
+            "sent to an upstream",
+            extra={
+                "request": self.request.request,
+                "route": self.route.name,
+                "service": self.service,
+                "upstream": choice.upstream,
+                "send": self._sends,
+                "predicted_ms": round(choice.start_ms),
+                "running": choice.running,
+                "slots": choice.slots,
+                "remaining_ms": self._deadline_ms - now_ms,
+                "tier": self.tier,
+                **self._host.views(),
+            },
+        )
+
+    def _connect(self, send: _Send) -> None:
+        pool = self._host.pool(send.upstream)
+        if pool is None:
+            self._unsent(send, "the upstream is gone")
+            return
+        kept = pool.take(None if self.route.idempotent else _FRESH_MS)
+        if kept is not None:
+            self._transmit(send, kept)
+            return
+        pool.connect().addCallbacks(
+            lambda connection: self._connected(send, pool, connection),
+            lambda failure: self._connect_failed(send, failure),
+        )
+
+    def _connected(self, send: _Send, pool: UpstreamPool, connection: UpstreamConnection) -> None:
+        if self._done or self._current is not send:
+            pool.keep(connection)
+            return
+        self._transmit(send, connection)
+
+    def _connect_failed(self, send: _Send, failure: Failure) -> None:
+        if self._done or self._current is not send:
+            return
+        if not failure.check(ConnectError):
+            _log.warning("connecting failed", extra={"error": failure.getErrorMessage()})
+        self._host.placement.rest(send.upstream, self._host.clock.now_ms())
+        self._unsent(send, f"connecting failed: {failure.getErrorMessage()}")
+
+    def _unsent(self, send: _Send, why: str) -> None:
+        """Go on after a send of which no byte has left."""
+        self._release(send, fault=None)
+        self._failed_at.add(send.upstream)
+        self._try_again(send, why, charged=False)
+
+    def _transmit(self, send: _Send, connection: UpstreamConnection) -> None:
+        remaining_ms = self._deadline_ms - self._host.clock.now_ms()
+        if remaining_ms <= 0:
+            self._unsent(send, "the deadline has passed")
+            return
+        last_id = self.request.last_event_id
+        if self._events is not None and self._events.last_id is not None:
+            last_id = self._events.last_id
+        customer = None if self.customer is None else self.customer.name
+        attempt = Attempt(send.upstream, remaining_ms, customer, last_id)
+        headers = self._host.codec.encode_request(self.request, attempt)
+        headers.append((b"Content-Length", str(len(self.request.body)).encode()))
+        send.connection = connection
+        self._runs += 1
+        connection.send(
+            self.request.method,
+            self.request.target,
+            headers,
+            self.request.body,
+            _Reader(self, send),
+        )
+
+    def head(self, send: _Send, status: int, headers: Headers) -> None:
+        """Take the head of an upstream's answer."""
+        head = self._host.codec.decode_answer(status, headers)
+        send.head = head
+        connection = send.connection
+        if head.request is not None and head.request != self.request.request:
+            self._broken(send, f"the answer names the request {head.request!r}")
+            return
+        if head.keep_alive_ms is not None and connection is not None:
+            pool = self._host.pool(send.upstream)
+            if pool is not None:
+                pool.note_keep_alive(connection, head.keep_alive_ms)
+        if 200 <= status < 300 and not head.sealed:
+            self._broken(send, "the answer bears no receipt")
+
+    def data(self, send: _Send, data: bytes) -> None:
+        """Take a part of the body of an upstream's answer."""
+        head = send.head
+        if head is None or head.not_run:
+            return
+        if not send.answered:
+            send.answered = True
+            self._first_answer(send)
+        if self.route.repeat is not Repeat.STREAM or head.status != 200:
+            self._held += data
+            if len(self._held) > _MAX_HELD_BYTES:
+                self._start_answer(head)
+                self._forward(self._take_held())
+            return
+        if self._events is not None:
+            data = self._events.feed(data)
+        if data:
+            self._start_answer(head)
+            self._forward(data)
+
+    def end(self, send: _Send) -> None:
+        """Take the whole end of an upstream's answer."""
+        head = send.head
+        if head is None:
+            self.broken(send, "the answer has no head")
+            return
+        if head.not_run:
+            self._runs -= 1
+            self._release(send, fault=None)
+            self._failed_at.add(send.upstream)
+            self._try_again(send, f"the upstream refused with {head.status}", charged=True)
+            return
+        self.ran = True
+        failed = head.status >= 500
+        elapsed_ms = self._host.clock.now_ms() - send.sent_ms
+        if failed:
+            self._failed_at.add(send.upstream)
+        if failed and not self._head_sent and self.route.idempotent and self._may_repeat():
+            self._release(send, fault=True)
+            self._held.clear()
+            self._try_again(send, f"the upstream answered {head.status}", charged=True)
+            return
+        self._release(send, fault=failed, held_ms=None if failed else elapsed_ms)
+        if self._head_sent and head.status != 200:
+            self._abort(f"a resumed stream was answered with {head.status}")
+            return
+        if self._events is not None and head.status == 200:
+            rest = self._events.flush()
+            if rest:
+                self._start_answer(head)
+                self._forward(rest)
+        body = self._take_held()
+        if self._head_sent:
+            if body:
+                self._forward(body)
+            self.caller.unpause()
+            self.caller.end_answer()
+        else:
+            self.caller.answer(head.status, head.headers, body)
+        self._end(Settlement.ANSWERED, "", status=head.status)
+
+    def broken(self, send: _Send, why: str) -> None:
+        """Take the end of a connection before the answer was whole."""
+        if not self._done and self._current is send:
+            self._broken(send, why)
+
+    def _broken(self, send: _Send, why: str) -> None:
+        if send.connection is not None:
+            send.connection.drop()
+        self.ran = True
+        self._release(send, fault=True)
+        self._failed_at.add(send.upstream)
+        self._host.crashed(self, send.upstream)
+        self._held.clear()
+        if self._events is not None:
+            self._events.discard()
+        if self.route.idempotent and self._may_repeat():
+            self._try_again(send, why, charged=True)
+        elif self._head_sent:
+            self._abort(why)
+        else:
+            self._fail(502, why)
+
+    def _may_repeat(self) -> bool:
+        if self._done or self._runs >= self.route.max_upstreams or self._sends >= _MAX_SENDS:
+            return False
+        if self._deadline_ms - self._host.clock.now_ms() < _MIN_REMAINING_MS:
+            return False
+        if self._head_sent and (self._events is None or self._length is not None):
+            return False
+        now_ms = self._host.clock.now_ms()
+        choice = self._host.placement.choose(
+            self.service, self.prompt_tokens, now_ms, self._failed_at
+        )
+        return choice is not None and self._host.retries.take(self.service, now_ms)
+
+    def _try_again(self, send: _Send, why: str, *, charged: bool) -> None:
+        """Send the request to another upstream if it may still be sent.
+
+        The caller of this has charged the retry budget already for a run that failed; a send
+        that was refused or never left is charged here.
+        """
+        _log.info(
+            "attempt did not answer",
+            extra={
+                "request": self.request.request,
+                "upstream": send.upstream,
+                "why": why,
+                "send": self._sends,
+                "runs": self._runs,
+            },
+        )
+        repeat_allowed = self._sends < _MAX_SENDS
+        if charged and send.head is not None and send.head.not_run:
+            repeat_allowed = repeat_allowed and self._host.retries.take(
+                self.service, self._host.clock.now_ms()
+            )
+        if not repeat_allowed or self._deadline_ms <= self._host.clock.now_ms():
+            self._give_up(why)
+            return
+        self._send_somewhere()
+
+    def _give_up(self, why: str) -> None:
+        if self._head_sent:
+            self._abort(why)
+        elif self._runs > 0:
+            self._fail(502, why)
+        else:
+            self.refuse(503, why, self.route.goal_ms)
+
+    def _fail(self, status: int, why: str) -> None:
+        """Answer with an error that promises nothing."""
+        self._answer(status, why, [])
+        self._end(Settlement.FAILED, why, status=status)
+
+    def _abort(self, why: str) -> None:
+        self.caller.unpause()
+        self.caller.break_off()
+        self._end(Settlement.BROKEN_OFF, why)
+
+    def _answer(self, status: int, why: str, headers: Headers) -> None:
+        named = self._host.codec.request_id_headers(self.request.request)
+        kind = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        self.caller.answer(status, [*named, *kind, *headers], f"{why}\n".encode())
+
+    def _timed_out(self) -> None:
+        self._timer = None
+        if self._done:
+            return
+        send = self._current
+        if send is None or send.connection is None:
+            self.refuse(503, "the route's timeout passed before the request was sent", 0)
+        elif self._head_sent:
+            self._drop_current()
+            self._abort("the deadline passed in the middle of the answer")
+        else:
+            self._drop_current()
+            self._fail(504, "the deadline passed without an answer")
+
+    def _first_answer(self, send: _Send) -> None:
+        now_ms = self._host.clock.now_ms()
+        self._host.placement.first_answer(
+            send.upstream, self.prompt_tokens, now_ms - send.sent_ms, send.read_ahead
+        )
+        if self._first_ms is None:
+            self._first_ms = now_ms - self.arrived_ms
+            self._host.metrics.first_byte(self.service, self.route.name, self._first_ms)
+
+    def _start_answer(self, head: AnswerHead) -> None:
+        if self._head_sent:
+            return
+        self._head_sent = True
+        self._length = head.content_length
+        self.caller.start_answer(
+            head.status, _with_length(head), streamed=head.content_length is None
+        )
+        send = self._current
+        if send is not None and send.connection is not None:
+            self.caller.pause_for(send.connection)
+
+    def _forward(self, data: bytes) -> None:
+        self.caller.send_body(data)
+
+    def _take_held(self) -> bytes:
+        held = bytes(self._held)
+        self._held.clear()
+        return held
+
+    def _drop_current(self) -> None:
+        send = self._current
+        if send is None:
+            return
+        if send.connection is not None:
+            send.connection.drop()
+        self._release(send, fault=None)
+
+    def _release(self, send: _Send, *, fault: bool | None, held_ms: int | None = None) -> None:
+        if self._current is not send:
+            return
+        self._current = None
+        if self._head_sent:
+            self.caller.unpause()
+        unread = 0 if send.answered else self.prompt_tokens
+        self._host.placement.ended(send.upstream, unread, held_ms=held_ms, fault=fault)
+
+    def _end(self, settlement: Settlement, why: str, **details: object) -> None:
+        if self._done:
+            return
+        self._drop_current()
+        self._done = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        now_ms = self._host.clock.now_ms()
+        quiet = settlement in (Settlement.ANSWERED, Settlement.ABANDONED)
+        _log.log(
+            logging.INFO if quiet else logging.WARNING,
+            settlement.value.replace("_", " "),
+            extra={
+                "request": self.request.request,
+                "route": self.route.name,
+                "customer": None if self.customer is None else self.customer.name,
+                "why": why,
+                "first_ms": self._first_ms,
+                "total_ms": now_ms - self.arrived_ms,
+                "sends": self._sends,
+                "runs": self._runs,
+                **details,
+            },
+        )
+        self._host.metrics.ended(
+            self.service, self.route.name, settlement.value, now_ms - self.arrived_ms
+        )
+        self._host.settled(self, settlement)
+
+
+class _Reader:
+    """Passes an upstream's answer on while its send is the current one."""
+
+    def __init__(self, exchange: Exchange, send: _Send) -> None:
+        self._exchange = exchange
+        self._send = send
+
+    def answer_head(self, status: int, headers: Headers) -> None:
+        self._exchange.head(self._send, status, headers)
+
+    def answer_data(self, data: bytes) -> None:
+        self._exchange.data(self._send, data)
+
+    def answer_end(self) -> None:
+        self._exchange.end(self._send)
+
+    def answer_broken(self, why: str) -> None:
+        self._exchange.broken(self._send, why)
+
+
+def _with_length(head: AnswerHead) -> Headers:
+    if head.content_length is None:
+        return head.headers
+    return [*head.headers, (b"Content-Length", str(head.content_length).encode())]
--- /dev/null
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -0,0 +1,218 @@
+"""What the gateways tell each other, and what each knows of the others."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.errors import SettingsError
+from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
+from skylarkmoor_core.logs import part_logger
+from skylarkmoor_core.messages import GatewayState, Message
+from skylarkmoor_core.settings import Address, parse_address
+from skylarkmoor_daemon.peers import Peers
+from skylarkmoor_policy.fleetcounts import (
+    GONE_MS,
+    SILENT_MS,
+    FleetAllotments,
+    FleetRetries,
+    PeerCounts,
+)
+from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.strikes import CrashStrikes
+
+__all__ = ["Fleet"]
+
+# Loads older than this send several requests into the same free slot.
+_MIN_INTERVAL_MS = 100
+# Each daemon sends to each other one, so the interval grows with their number.
+_INTERVAL_PER_PEER_MS = 12
+# An unchanged state is repeated this often to show that its sender lives.
+_HEARTBEAT_MS = 400
+
+_log = part_logger("fleet")
+
+
+@dataclass(slots=True)
+class _Peer:
+    address: Address
+    incarnation: Incarnation | None = None
+    heard_ms: int = 0
+    silent: bool = True
+    configuration: int = -1
+
+
+class Fleet:
+    """The other gateways.
+
+    Parameters
+    ----------
+    host : HostId
+        This daemon.
+    incarnation : Incarnation
+        Start time of this process.
+    clock : Clock
+        Source of times.
+    placement, allotments, retries, strikes
+        What the peers' states go into and this daemon's state is made of.
+    on_newer : callable
+        Called when a peer has read a newer configuration than this daemon.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        incarnation: Incarnation,
+        clock: Clock,
+        placement: Placement,
+        allotments: FleetAllotments,
+        retries: FleetRetries,
+        strikes: CrashStrikes,
+        on_newer: Callable[[], None],
+    ) -> None:
+        self.configuration = -1
+        self.leaving = False
+        self._host = host
+        self._clock = clock
+        self._placement = placement
+        self._allotments = allotments
+        self._retries = retries
+        self._strikes = strikes
+        self._on_newer = on_newer
+        self._counts = {kind: PeerCounts() for kind in ("admitted", "requests", "repeats")}
+        self._peers = Peers(host, incarnation, self._on_message)
+        self._known: dict[HostId, _Peer] = {}
+        self._address = ""
+        self._sent: GatewayState | None = None
+        self._sent_ms = 0
+        self._checked_ms = 0
+
+    def listen(self, address: Address) -> Address:
+        """Bind the socket for messages and return its address."""
+        bound = self._peers.listen(address)
+        self._address = str(bound)
+        return bound
+
+    def add(self, host: HostId, address: Address) -> None:
+        """Add a peer or take its new address."""
+        known = self._known.get(host)
+        if host == self._host or (known is not None and str(known.address) == str(address)):
+            return
+        self._known[host] = _Peer(address, heard_ms=self._clock.now_ms())
+        self._connect()
+
+    def heard(self) -> int:
+        """Return how many peers were heard lately."""
+        return sum(not peer.silent for peer in self._known.values())
+
+    def oldest_ms(self) -> int:
+        """Return the age of the oldest state of a peer that is heard."""
+        now_ms = self._clock.now_ms()
+        ages = [now_ms - peer.heard_ms for peer in self._known.values() if not peer.silent]
+        return max(ages, default=0)
+
+    def tick(self) -> None:
+        """Send this daemon's state if it is due, and look for peers that are gone."""
+        now_ms = self._clock.now_ms()
+        interval_ms = max(_MIN_INTERVAL_MS, _INTERVAL_PER_PEER_MS * len(self._known))
+        if now_ms - self._sent_ms >= interval_ms:
+            self._tell(now_ms)
+        if now_ms - self._checked_ms >= SILENT_MS // 4:
+            self._checked_ms = now_ms
+            self._check(now_ms)
+
+    def announce_leaving(self) -> None:
+        """Tell the peers that this daemon takes no more requests."""
+        self.leaving = True
+        self._tell(self._clock.now_ms())
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._peers.close()
+
+    def _tell(self, now_ms: int) -> None:
+        state = GatewayState(
+            self._address,
+            self.leaving,
+            self.configuration,
+            self._placement.own_loads(),
+            dict(self._allotments.admitted),
+            dict(self._retries.requests),
+            dict(self._retries.repeats),
+            self._strikes.own(),
+        )
+        if state == self._sent and now_ms - self._sent_ms < _HEARTBEAT_MS:
+            return
+        self._sent, self._sent_ms = state, now_ms
+        self._peers.broadcast(state)
+
+    def _check(self, now_ms: int) -> None:
+        self._strikes.expire(now_ms)
+        for host, peer in list(self._known.items()):
+            age_ms = now_ms - peer.heard_ms
+            if not peer.silent and age_ms > SILENT_MS:
+                peer.silent = True
+                self._placement.forget_peer(host)
+                _log.warning("lost a peer", extra={"peer": host, "age_ms": age_ms})
+            if age_ms > GONE_MS:
+                self._drop(host)
+        self._share()
+
+    def _share(self) -> None:
+        heard = self.heard()
+        self._allotments.set_heard_part((1 + heard) / (1 + len(self._known)))
+        self._retries.set_fleet(1 + len(self._known), heard == len(self._known))
+
+    def _drop(self, host: HostId) -> None:
+        del self._known[host]
+        self._placement.forget_peer(host)
+        self._strikes.set_peer(host, {})
+        self._connect()
+
+    def _connect(self) -> None:
+        self._peers.set_peers({host: peer.address for host, peer in self._known.items()})
+        self._share()
+
+    def _on_message(self, sender: HostId, incarnation: Incarnation, message: Message) -> None:
+        match message:
+            case GatewayState():
+                self._take(sender, incarnation, message)
+            case _:
+                _log.warning("unexpected message", extra={"peer": sender})
+
+    def _take(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
+        if sender == self._host:
+            return
+        if state.leaving:
+            if sender in self._known:
+                _log.info("a peer is leaving", extra={"peer": sender})
+                self._count(sender, incarnation, state)
+                self._drop(sender)
+            return
+        try:
+            self.add(sender, parse_address(state.address))
+        except SettingsError as error:
+            _log.warning("a peer names no address", extra={"peer": sender, "error": str(error)})
+            return
+        peer = self._known[sender]
+        if peer.silent:
+            _log.info("heard a peer", extra={"peer": sender})
+        peer.silent = False
+        peer.incarnation = incarnation
+        peer.heard_ms = self._clock.now_ms()
+        self._placement.peer_load(sender, state.loads)
+        self._strikes.set_peer(sender, state.strikes)
+        self._count(sender, incarnation, state)
+        if state.configuration > self.configuration:
+            self._on_newer()
+
+    def _count(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
+        now_ms = self._clock.now_ms()
+        admitted = self._counts["admitted"].growth(sender, incarnation, state.admitted)
+        for customer, units in admitted.items():
+            self._allotments.peer_admitted(customer, units)
+        requests = self._counts["requests"].growth(sender, incarnation, state.requests)
+        repeats = self._counts["repeats"].growth(sender, incarnation, state.repeats)
+        for service in requests.keys() | repeats.keys():
+            self._retries.peer_counted(
+                ServiceName(service), requests.get(service, 0), repeats.get(service, 0), now_ms
+            )
--- /dev/null
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -0,0 +1,433 @@
+"""The gateway: takes requests, decides on them and carries them to upstreams."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+from twisted.internet.defer import Deferred
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.hashing import fingerprint
+from skylarkmoor_core.ids import (
+    Fingerprint,
+    HostId,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
+from skylarkmoor_core.logs import BoundedStream, part_logger
+from skylarkmoor_core.settings import Address
+from skylarkmoor_daemon.tasks import Tasks
+from skylarkmoor_gateway.callers import CallerConnection, CallerFactory
+from skylarkmoor_gateway.errors import MalformedRequest
+from skylarkmoor_gateway.exchange import Exchange, Settlement
+from skylarkmoor_gateway.fleet import Fleet
+from skylarkmoor_gateway.messages import Codec, Headers, IncomingRequest
+from skylarkmoor_gateway.metrics import GatewayMetrics
+from skylarkmoor_gateway.pages import make_site
+from skylarkmoor_gateway.upstreams import UpstreamPool
+from skylarkmoor_policy.fleetcounts import FleetAllotments, FleetRetries
+from skylarkmoor_policy.lifecycle import (
+    Abort,
+    AnnounceState,
+    Exit,
+    Held,
+    Lifecycle,
+    LifecycleDecision,
+    LifecycleState,
+    ReportReady,
+)
+from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
+from skylarkmoor_policy.strikes import CrashStrikes
+
+__all__ = ["Gateway", "GatewaySettings"]
+
+_TICK_MS = 50
+_SWEEP_MS = 500
+# The load balancer asks once a second and takes two misses, so new connections may come for
+# this long after the daemon has reported itself not ready.
+_REROUTE_MS = 2_600
+# A caller of a request that no configuration is known for may come back after this time.
+_NO_TABLE_RETRY_MS = 500
+_BLOCKED_RETRY_MS = 2_000
+
+_log = part_logger("gateway")
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of a gateway, checked.
+
+    Attributes
+    ----------
+    caller_address, ready_address, peer_address : Address
+        Where it listens to callers, to the load balancer's checks, and to other daemons.
+    metrics_address : Address or None
+        Where metrics are served.
+    retry_ratio, retry_window_ms, retry_slack
+        The budget of repeated sends of all daemons together.
+    grace_ms : int
+        Time between the signal to end and the kill.
+    """
+
+    host: HostId
+    caller_address: Address
+    ready_address: Address
+    peer_address: Address
+    metrics_address: Address | None = None
+    retry_ratio: float = 0.2
+    retry_window_ms: int = 10_000
+    retry_slack: int = 10
+    grace_ms: int = 8_000
+
+
+class Gateway:
+    """A gateway with its connections, its view of the fleet and its decisions.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    reactor : reactor
+        Twisted's reactor on asyncio.
+    clock : Clock
+        Source of times.
+    rng : random.Random
+        Source of random choices.
+    codec : Codec
+        Reads and writes the headers of the platform at hand.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        reactor: Any,
+        clock: Clock,
+        rng: random.Random,
+        codec: Codec,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.codec = codec
+        self.metrics = GatewayMetrics()
+        self.placement = Placement(rng)
+        self.retries = FleetRetries(
+            settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
+        )
+        self.allotments = FleetAllotments()
+        self.strikes = CrashStrikes()
+        # Fires with whether the end was forced.
+        self.exited: Deferred[bool] = Deferred()
+        # Called when a peer has a newer configuration than this daemon.
+        self.on_newer_configuration: Any = lambda: None
+        self.upstreams_read_ms = 0
+        # Where the log lines go, if it drops lines that cannot be written.
+        self.log_stream: BoundedStream | None = None
+        self.tasks = Tasks(reactor)
+        self._settings = settings
+        self.fleet = Fleet(
+            settings.host,
+            Incarnation(clock.wall_ms()),
+            clock,
+            self.placement,
+            self.allotments,
+            self.retries,
+            self.strikes,
+            lambda: self.on_newer_configuration(),
+        )
+        self._lifecycle = Lifecycle()
+        self._ready = False
+        self._drained_ms: int | None = None
+        self._table: RouteTable | None = None
+        self._pools: dict[UpstreamId, UpstreamPool] = {}
+        self._callers: set[CallerConnection] = set()
+        self._exchanges: dict[CallerConnection, Exchange] = {}
+        self._ports: list[Any] = []
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The configuration in force."""
+        return self._table
+
+    def start(self) -> None:
+        """Listen and begin to work.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be bound.
+        """
+        settings = self._settings
+        self.fleet.listen(settings.peer_address)
+        site = make_site(self)
+        self._listen(settings.ready_address, site)
+        if settings.metrics_address is not None:
+            self._listen(settings.metrics_address, site)
+        self._listen(settings.caller_address, CallerFactory(self, self.reactor))
+        self.tasks.every(_TICK_MS, self._tick)
+        self.tasks.every(_SWEEP_MS, self._sweep)
+        _log.info("started", extra={"host": settings.host, "callers": str(settings.caller_address)})
+
+    def set_table(self, table: RouteTable, offset: int) -> None:
+        """Put a configuration in force."""
+        before = None if self._table is None else self._table.version
+        self._table = table
+        self.fleet.configuration = max(self.fleet.configuration, offset)
+        _log.info(
+            "configuration in force",
+            extra={"version": table.version, "before": before, "offset": offset},
+        )
+        self._act(self._lifecycle.configured())
+
+    def set_upstream(
+        self,
+        upstream: UpstreamId,
+        service: ServiceName,
+        address: tuple[str, int],
+        *,
+        slots: int,
+        version: str,
+        started_wall_ms: int,
+        leaving: bool,
+    ) -> None:
+        """Add an upstream or take a change of it."""
+        known = self.placement.upstreams.get(upstream)
+        started_again = known is not None and known.started_wall_ms != started_wall_ms
+        if known is None or started_again or known.leaving != leaving:
+            _log.info(
+                "upstream changed",
+                extra={
+                    "upstream": upstream,
+                    "service": service,
+                    "leaving": leaving,
+                    "version": version,
+                    "started_again": started_again,
+                },
+            )
+        self.placement.set_upstream(
+            upstream,
+            service,
+            address,
+            slots=slots,
+            version=version,
+            started_wall_ms=started_wall_ms,
+            leaving=leaving,
+        )
+        pool = self._pools.get(upstream)
+        if pool is None or pool.address != address or started_again:
+            if pool is not None:
+                pool.close()
+            self._pools[upstream] = UpstreamPool(self.reactor, self.clock, address)
+
+    def remove_upstream(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that has left; what runs there goes on."""
+        _log.info("upstream left", extra={"upstream": upstream})
+        self.placement.remove(upstream)
+        pool = self._pools.pop(upstream, None)
+        if pool is not None:
+            pool.close()
+
+    def drain(self) -> None:
+        """Report not ready, finish what is held and end."""
+        _log.info("draining", extra={"held": len(self._exchanges)})
+        # Holds the daemon at least until the balancer sends new connections elsewhere.
+        self._lifecycle.held(Held(waiting=1))
+        self._act(self._lifecycle.signal())
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for port in self._ports:
+            await port.stopListening()
+        for caller in list(self._callers):
+            caller.close_when_idle()
+        self.tasks.stop()
+        self.fleet.close()
+        for pool in self._pools.values():
+            pool.close()
+        _log.info("stopped")
+
+    def is_ready(self) -> bool:
+        """Return whether the load balancer should send connections here."""
+        return self._ready
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers in force."""
+        return CallerLimits() if self._table is None else self._table.limits
+
+    def draining(self) -> bool:
+        """Return whether connections are to be closed after their answer."""
+        return self._lifecycle.state in (LifecycleState.DRAINING, LifecycleState.STOPPED)
+
+    def opened(self, caller: CallerConnection) -> None:
+        """Note a new connection of a caller."""
+        self._callers.add(caller)
+
+    def closed(self, caller: CallerConnection, whole_request: bool) -> None:
+        """Note the end of a caller's connection and stop its work."""
+        self._callers.discard(caller)
+        exchange = self._exchanges.get(caller)
+        if exchange is not None:
+            exchange.caller_gone()
+
+    def rejected(self, status: int, why: str) -> None:
+        """Note a request that was refused before it was whole."""
+        self.metrics.rejected(status)
+        _log.warning("rejected a request", extra={"status": status, "why": why})
+
+    def handle(self, caller: CallerConnection, head: h11.Request, body: bytes) -> None:
+        """Take a whole request."""
+        headers = list(head.headers.raw_items())
+        try:
+            request = self.codec.decode_request(head.method, head.target, headers, body)
+        except MalformedRequest as error:
+            self.rejected(400, str(error))
+            self._refuse(caller, None, 400, str(error))
+            return
+        table = self._table
+        if table is None:
+            self._refuse(caller, request, 503, "no configuration yet", _NO_TABLE_RETRY_MS)
+            return
+        route = table.route(request.host, request.target.decode("latin-1"))
+        if route is None:
+            self._refuse(caller, request, 404, "no route matches")
+            return
+        customer = None if request.api_key is None else table.customer(request.api_key)
+        if customer is None and table.needs_keys and not route.public:
+            self._refuse(caller, request, 401, "the API key is not known")
+            return
+        if self.strikes.is_blocked(self._fingerprint(request)):
+            why = "this request broke several upstreams"
+            self._refuse(caller, request, 503, why, _BLOCKED_RETRY_MS)
+            return
+        self._admit(caller, request, route, customer)
+
+    def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
+        """Return the connections to an upstream."""
+        return self._pools.get(upstream)
+
+    def settled(self, exchange: Exchange, settlement: Settlement) -> None:
+        """Note the end of an exchange."""
+        if self._exchanges.get(exchange.caller) is exchange:
+            del self._exchanges[exchange.caller]
+        if settlement is Settlement.ANSWERED:
+            self.strikes.clear(self._fingerprint(exchange.request))
+
+    def crashed(self, exchange: Exchange, upstream: UpstreamId) -> None:
+        """Count a broken run against its request."""
+        self.strikes.strike(self._fingerprint(exchange.request), self.clock.now_ms())
+
+    def views(self) -> dict[str, object]:
+        """Return the versions and ages of what decisions rest on."""
+        return {
+            "configuration": -1 if self._table is None else self._table.version,
+            "upstreams_age_ms": self.clock.now_ms() - self.upstreams_read_ms,
+            "peers": self.fleet.heard(),
+            "peers_age_ms": self.fleet.oldest_ms(),
+        }
+
+    def render_metrics(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text with the headers to send."""
+        return self.metrics.render(accepts)
+
+    def _admit(
+        self,
+        caller: CallerConnection,
+        request: IncomingRequest,
+        route: Route,
+        customer: ApiCustomer | None,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        if customer is not None:
+            wait_ms = self.allotments.admit(customer, customer.units(request.tokens), now_ms)
+            if wait_ms is not None:
+                why = f"the limit of customer {customer.name!r} is used up"
+                self._refuse(caller, request, 429, why, wait_ms)
+                return
+        exchange = Exchange(self, caller, request, route, customer, now_ms)
+        self._exchanges[caller] = exchange
+        exchange.start()
+
+    def _refuse(
+        self,
+        caller: CallerConnection,
+        request: IncomingRequest | None,
+        status: int,
+        why: str,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Answer a request that is not placed."""
+        headers: Headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        name: RequestId | None = None
+        if request is not None:
+            name = request.request
+            headers += self.codec.request_id_headers(name)
+        if retry_after_ms is not None:
+            headers.append((b"Retry-After", f"{retry_after_ms / 1000:.3f}".encode()))
+        self.metrics.refused(status)
+        _log.info(
+            "refused",
+            extra={
+                "request": name,
+                "status": status,
+                "why": why,
+                "retry_after_ms": retry_after_ms,
+                **self.views(),
+            },
+        )
+        caller.answer(status, headers, f"{why}\n".encode())
+
+    def _fingerprint(self, request: IncomingRequest) -> Fingerprint:
+        target = request.target.decode("latin-1")
+        return fingerprint(request.api_key or "", target, request.body)
+
+    def _listen(self, address: Address, factory: Any) -> None:
+        self._ports.append(
+            self.reactor.listenTCP(address.port, factory, interface=address.host, backlog=512)
+        )
+
+    def _tick(self) -> None:
+        self.fleet.tick()
+        if self._drained_ms is not None:
+            self._finish_draining(self.clock.now_ms() - self._drained_ms)
+
+    def _finish_draining(self, elapsed_ms: int) -> None:
+        for caller in list(self._callers):
+            caller.close_when_idle()
+        held = len(self._exchanges) + sum(caller.busy for caller in self._callers)
+        # The balancer needs time to send new connections elsewhere.
+        waiting = held or int(elapsed_ms < _REROUTE_MS)
+        self._act(self._lifecycle.held(Held(waiting=waiting)))
+
+    def _sweep(self) -> None:
+        if self.log_stream is not None:
+            self.log_stream.flush()
+        for pool in self._pools.values():
+            pool.sweep()
+        usable = sum(not each.leaving for each in self.placement.upstreams.values())
+        self.metrics.state(
+            held=len(self._exchanges),
+            version=-1 if self._table is None else self._table.version,
+            upstreams=usable,
+            peers=self.fleet.heard(),
+            dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
+        )
+
+    def _act(self, decisions: Sequence[LifecycleDecision]) -> None:
+        for decision in decisions:
+            match decision:
+                case ReportReady(ready=ready):
+                    self._ready = ready
+                    _log.info("ready" if ready else "not ready")
+                    if not ready:
+                        self._drained_ms = self.clock.now_ms()
+                case AnnounceState():
+                    if self.draining():
+                        self.fleet.announce_leaving()
+                case Abort():
+                    _log.warning("ending at once", extra={"held": len(self._exchanges)})
+                case Exit(forced=forced):
+                    self.exited.callback(forced)
--- a/libs/measure/src/skylarkmoor_measure/slopes_records.py
+++ b/libs/measure/src/skylarkmoor_measure/slopes_records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from skylarkmoor_clients.hostlist import HostEntry, HostKind, ListedState
 from skylarkmoor_core.document import decode_document, encode_document
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, Offset, ServiceName
@@ -26,7 +27,6 @@
 )
 from skylarkmoor_measure.slope_cases import Case, Unit
 from skylarkmoor_measure.timing import cpu_us, kept_bytes
-from skylarkmoor_platform.hostlist import HostEntry, HostKind, ListedState
 from skylarkmoor_policy.claimindex import ClaimIndex, claim_id
 from skylarkmoor_policy.claimowner import Append, ClaimOwner, LogRecord, OwnerDecision, Read
 from skylarkmoor_policy.configuration import Accepted, DocumentFollower
--- a/libs/operator/src/skylarkmoor_operator/audit.py
+++ b/libs/operator/src/skylarkmoor_operator/audit.py
@@ -5,14 +5,14 @@
 import click
 import msgspec
 
+from skylarkmoor_clients.httpclient import parse_base_url
+from skylarkmoor_clients.logservice import LogClient, LogEntry
 from skylarkmoor_core.ids import Offset
 from skylarkmoor_core.records import AuditEntry
 from skylarkmoor_operator.history import read_to_end
 from skylarkmoor_operator.runner import ExitCode, check_settings, run, warn
 from skylarkmoor_operator.text import printable, time_text
 from skylarkmoor_operator.trail import AUDIT_STREAM
-from skylarkmoor_platform.httpclient import parse_base_url
-from skylarkmoor_platform.logservice import LogClient, LogEntry
 
 __all__ = ["main", "matches", "print_trail"]
 
--- a/libs/operator/src/skylarkmoor_operator/drain.py
+++ b/libs/operator/src/skylarkmoor_operator/drain.py
@@ -2,14 +2,14 @@
 
 import click
 
+from skylarkmoor_clients.hostlist import HostListClient
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.ids import HostId
 from skylarkmoor_operator.entryhosts import entry_hosts, request_drain
 from skylarkmoor_operator.runner import ExitCode, fail
 from skylarkmoor_operator.trail import write_audit
-from skylarkmoor_platform.hostlist import HostListClient
-from skylarkmoor_platform.logservice import LogClient
 
 __all__ = ["drain"]
 
--- a/libs/operator/src/skylarkmoor_operator/entryhosts.py
+++ b/libs/operator/src/skylarkmoor_operator/entryhosts.py
@@ -3,10 +3,10 @@
 import msgspec
 from twisted.internet.defer import DeferredSemaphore, gatherResults
 
+from skylarkmoor_clients.hostlist import HostEntry, HostKind
+from skylarkmoor_clients.httpclient import Answer, PlatformHttp
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.ids import Offset, ServiceName
-from skylarkmoor_platform.hostlist import HostEntry, HostKind
-from skylarkmoor_platform.httpclient import Answer, PlatformHttp
 
 __all__ = ["HostStatus", "entry_hosts", "fetch_status", "fetch_statuses", "request_drain"]
 
--- a/libs/operator/src/skylarkmoor_operator/history.py
+++ b/libs/operator/src/skylarkmoor_operator/history.py
@@ -3,11 +3,11 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from skylarkmoor_clients.logservice import LogClient, LogEntry
 from skylarkmoor_core.document import ServiceDocument
 from skylarkmoor_core.errors import MessageError
 from skylarkmoor_core.ids import Offset, ServiceName
 from skylarkmoor_core.records import DocumentCarried, DocumentPublished
-from skylarkmoor_platform.logservice import LogClient, LogEntry
 from skylarkmoor_policy.configuration import Accepted, DocumentFollower, Ignored, Rejected
 
 __all__ = ["CONFIG_STREAM", "AcceptedDocument", "ConfigHistory", "read_to_end"]
--- a/libs/operator/src/skylarkmoor_operator/main.py
+++ b/libs/operator/src/skylarkmoor_operator/main.py
@@ -8,6 +8,9 @@
 
 import click
 
+from skylarkmoor_clients.hostlist import HostListClient
+from skylarkmoor_clients.httpclient import parse_base_url
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import SystemClock
 from skylarkmoor_core.document import ServiceDocument
 from skylarkmoor_core.errors import DocumentError, SettingsError
@@ -18,9 +21,6 @@
 from skylarkmoor_operator.runner import ExitCode, check_settings, fail, run
 from skylarkmoor_operator.status import show
 from skylarkmoor_operator.validate import MAX_DOCUMENT_BYTES, load_document
-from skylarkmoor_platform.hostlist import HostListClient
-from skylarkmoor_platform.httpclient import parse_base_url
-from skylarkmoor_platform.logservice import LogClient
 
 __all__ = ["main"]
 
--- a/libs/operator/src/skylarkmoor_operator/moves.py
+++ b/libs/operator/src/skylarkmoor_operator/moves.py
@@ -5,12 +5,12 @@
 
 import click
 
+from skylarkmoor_clients.logservice import LogClient, LogEntry
 from skylarkmoor_core.ids import MoveId, Offset, ServiceName
 from skylarkmoor_core.records import MoveEnded, MoveStep
 from skylarkmoor_operator.history import read_to_end
 from skylarkmoor_operator.runner import ExitCode
 from skylarkmoor_operator.text import printable, time_text
-from skylarkmoor_platform.logservice import LogClient, LogEntry
 
 __all__ = ["MOVES_STREAM", "MoveState", "replay_moves", "show_moves"]
 
--- a/libs/operator/src/skylarkmoor_operator/publish.py
+++ b/libs/operator/src/skylarkmoor_operator/publish.py
@@ -5,6 +5,7 @@
 
 import click
 
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.document import ServiceDocument
 from skylarkmoor_core.errors import LogOutage, LogRateLimited, PlatformError
@@ -14,7 +15,6 @@
 from skylarkmoor_operator.runner import ExitCode, fail, pause, warn
 from skylarkmoor_operator.text import printable, time_text
 from skylarkmoor_operator.trail import write_audit
-from skylarkmoor_platform.logservice import LogClient
 from skylarkmoor_policy.configuration import Accepted, Ignored, Rejected
 
 __all__ = ["Base", "RetryLimits", "move_faults", "publish"]
--- a/libs/operator/src/skylarkmoor_operator/status.py
+++ b/libs/operator/src/skylarkmoor_operator/status.py
@@ -3,6 +3,8 @@
 import click
 import msgspec
 
+from skylarkmoor_clients.hostlist import HostEntry, HostListClient
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.document import encode_document
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.ids import ServiceName
@@ -10,8 +12,6 @@
 from skylarkmoor_operator.history import AcceptedDocument, ConfigHistory
 from skylarkmoor_operator.runner import ExitCode, fail
 from skylarkmoor_operator.text import printable, time_text
-from skylarkmoor_platform.hostlist import HostEntry, HostListClient
-from skylarkmoor_platform.logservice import LogClient
 
 __all__ = ["show"]
 
--- a/libs/operator/src/skylarkmoor_operator/trail.py
+++ b/libs/operator/src/skylarkmoor_operator/trail.py
@@ -1,11 +1,11 @@
 """Writes the audit records of changes."""
 
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import LogRateLimited, PlatformError
 from skylarkmoor_core.ids import Offset
 from skylarkmoor_core.records import AuditEntry
 from skylarkmoor_operator.runner import pause, warn
-from skylarkmoor_platform.logservice import LogClient
 
 __all__ = ["AUDIT_STREAM", "write_audit"]
 
--- a/libs/operator/tests/test_audit.py
+++ b/libs/operator/tests/test_audit.py
@@ -5,9 +5,9 @@
 import pytest
 import pytest_twisted
 
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.records import AuditEntry
 from skylarkmoor_operator.audit import matches, print_trail
-from skylarkmoor_platform.logservice import LogClient
 
 
 def entry(who="mair", what="publish assistant", after="offset 4, version v2"):
--- a/libs/operator/tests/test_drain.py
+++ b/libs/operator/tests/test_drain.py
@@ -6,12 +6,12 @@
 import pytest_twisted
 from klein import Klein
 
+from skylarkmoor_clients.hostlist import HostListClient
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_operator.drain import drain
 from skylarkmoor_operator.runner import ExitCode
-from skylarkmoor_platform.hostlist import HostListClient
-from skylarkmoor_platform.logservice import LogClient
 
 
 def admin_app(calls, status):
--- a/libs/operator/tests/test_history.py
+++ b/libs/operator/tests/test_history.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from skylarkmoor_clients.logservice import LogEntry
 from skylarkmoor_core.records import DocumentCarried
 from skylarkmoor_operator.history import ConfigHistory
-from skylarkmoor_platform.logservice import LogEntry
 from skylarkmoor_policy.configuration import Accepted, Ignored, Rejected
 
 
--- a/libs/operator/tests/test_moves.py
+++ b/libs/operator/tests/test_moves.py
@@ -2,9 +2,9 @@
 
 import pytest_twisted
 
+from skylarkmoor_clients.logservice import LogClient, LogEntry
 from skylarkmoor_core.records import MoveEnded, MoveResult, MoveStep
 from skylarkmoor_operator.moves import replay_moves, show_moves
-from skylarkmoor_platform.logservice import LogClient, LogEntry
 
 
 def step(number, share, predecessor, move="assistant@7", author="nadi-1"):
--- a/libs/operator/tests/test_publish.py
+++ b/libs/operator/tests/test_publish.py
@@ -6,13 +6,13 @@
 import pytest
 import pytest_twisted
 
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.clock import ManualClock, SystemClock
 from skylarkmoor_core.document import Limits
 from skylarkmoor_core.errors import LogOutage
 from skylarkmoor_core.records import AuditEntry, DocumentCarried, decode_record, encode_record
 from skylarkmoor_operator.publish import Base, RetryLimits, move_faults, publish
 from skylarkmoor_operator.runner import ExitCode
-from skylarkmoor_platform.logservice import LogClient
 
 SHORT = RetryLimits(resolve_ms=50, pause_ms=5, tries=3)
 
--- a/libs/operator/tests/test_status.py
+++ b/libs/operator/tests/test_status.py
@@ -6,11 +6,11 @@
 import pytest_twisted
 from klein import Klein
 
+from skylarkmoor_clients.hostlist import HostListClient
+from skylarkmoor_clients.logservice import LogClient
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_operator.runner import ExitCode
 from skylarkmoor_operator.status import show
-from skylarkmoor_platform.hostlist import HostListClient
-from skylarkmoor_platform.logservice import LogClient
 
 
 def entry_host(host, url):
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/fleetcounts.py
@@ -0,0 +1,202 @@
+"""Limits that all daemons keep together by telling each other cumulative counts."""
+
+from collections import deque
+from collections.abc import Mapping
+
+from skylarkmoor_core.ids import CustomerId, HostId, Incarnation, ServiceName
+from skylarkmoor_policy.routetable import ApiCustomer
+
+__all__ = ["FleetAllotments", "FleetRetries", "PeerCounts"]
+
+# A peer that was not heard for this long may be cut off and still admit requests.
+SILENT_MS = 1_000
+# A peer that was not heard for this long is taken to be gone. Cuts last up to about 10 s.
+GONE_MS = 12_000
+# Part of the retry budget used before this daemon keeps to its own share, because what the
+# peers sent within the last gossip round is not known yet.
+_SHARED_BUDGET_PART = 0.5
+
+
+class PeerCounts:
+    """The growth of counts that other daemons report as cumulative values."""
+
+    def __init__(self) -> None:
+        self._seen: dict[tuple[HostId, str], tuple[Incarnation, int]] = {}
+
+    def growth(
+        self, peer: HostId, incarnation: Incarnation, counts: Mapping[str, int]
+    ) -> dict[str, int]:
+        """Return by how much each count has grown since the last report of the peer.
+
+        Notes
+        -----
+        The first report of an incarnation counts from zero if an earlier incarnation is known.
+        Otherwise this daemon has just started and cannot tell how old the count is, so that
+        only later growth counts.
+        """
+        grown = {}
+        for name, value in counts.items():
+            known = self._seen.get((peer, name))
+            if known is not None:
+                before = known[1] if known[0] == incarnation else 0
+                if value > before:
+                    grown[name] = value - before
+            self._seen[(peer, name)] = (incarnation, value)
+        return grown
+
+
+class _Bucket:
+    """A bucket that mirrors what the whole fleet has admitted."""
+
+    def __init__(self, level: float, now_ms: int) -> None:
+        self.level = level
+        self.at_ms = now_ms
+
+    def refill(self, per_s: float, size: float, now_ms: int) -> None:
+        elapsed_ms = max(0, now_ms - self.at_ms)
+        self.at_ms = max(self.at_ms, now_ms)
+        self.level = min(size, self.level + per_s * elapsed_ms / 1_000)
+
+
+class FleetAllotments:
+    """Customers' limits over all daemons.
+
+    Notes
+    -----
+    Each daemon mirrors one bucket a customer: its own admissions are taken off at once, those
+    of its peers when they report them. While some peers are silent, the refill is cut to the
+    part of the fleet that is heard, because a peer that is cut off goes on admitting.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[CustomerId, _Bucket] = {}
+        self._part = 1.0
+        self.admitted: dict[str, int] = {}
+
+    def set_heard_part(self, part: float) -> None:
+        """Set the part of the fleet, from 0 to 1, whose reports are fresh."""
+        self._part = part
+
+    def admit(self, customer: ApiCustomer, units: int, now_ms: int) -> int | None:
+        """Take a request's units.
+
+        Returns
+        -------
+        int or None
+            None if the request is within the limit, else milliseconds until it would be.
+        """
+        if customer.units_per_s <= 0:
+            return None
+        per_s = customer.units_per_s * self._part
+        bucket = self._refilled(customer, per_s, now_ms)
+        # A request larger than the burst passes when the bucket is full.
+        needed = min(float(units), customer.burst_units)
+        if bucket.level < needed:
+            return max(1, round(1_000 * (needed - bucket.level) / per_s)) if per_s > 0 else 1_000
+        bucket.level -= units
+        self.admitted[customer.name] = self.admitted.get(customer.name, 0) + units
+        return None
+
+    def give_back(self, customer: ApiCustomer, units: int) -> None:
+        """Return the units of a request that no upstream ran."""
+        bucket = self._buckets.get(customer.name)
+        if bucket is not None:
+            bucket.level += units
+        # The published count only grows; the peers see less refund than this daemon.
+
+    def peer_admitted(self, customer: str, units: int) -> None:
+        """Take off what a peer has admitted."""
+        bucket = self._buckets.get(CustomerId(customer))
+        if bucket is not None:
+            bucket.level -= units
+
+    def _refilled(self, customer: ApiCustomer, per_s: float, now_ms: int) -> _Bucket:
+        bucket = self._buckets.get(customer.name)
+        if bucket is None:
+            bucket = self._buckets[customer.name] = _Bucket(customer.burst_units, now_ms)
+        bucket.refill(per_s, customer.burst_units, now_ms)
+        return bucket
+
+
+class _Window:
+    """Counts of requests and of repeats within a sliding window."""
+
+    def __init__(self, window_ms: int) -> None:
+        self._window_ms = window_ms
+        self._entries: deque[tuple[int, int, int]] = deque()
+        self.requests = 0
+        self.repeats = 0
+
+    def add(self, requests: int, repeats: int, now_ms: int) -> None:
+        self._entries.append((now_ms, requests, repeats))
+        self.requests += requests
+        self.repeats += repeats
+        self.trim(now_ms)
+
+    def trim(self, now_ms: int) -> None:
+        while self._entries and self._entries[0][0] <= now_ms - self._window_ms:
+            _, requests, repeats = self._entries.popleft()
+            self.requests -= requests
+            self.repeats -= repeats
+
+
+class FleetRetries:
+    """The budget of repeated sends to a service, shared by all daemons.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request within the window.
+    window_ms : int
+        Length of the sliding window.
+    slack : int
+        Repeats allowed in each window besides.
+    """
+
+    def __init__(self, ratio: float, window_ms: int, slack: int) -> None:
+        self._ratio = ratio
+        self._window_ms = window_ms
+        self._slack = slack
+        self._own: dict[ServiceName, _Window] = {}
+        self._fleet: dict[ServiceName, _Window] = {}
+        self._daemons = 1
+        self._all_heard = True
+        self.requests: dict[str, int] = {}
+        self.repeats: dict[str, int] = {}
+
+    def set_fleet(self, daemons: int, all_heard: bool) -> None:
+        """Set the number of daemons, and whether all of them are heard."""
+        self._daemons = max(1, daemons)
+        self._all_heard = all_heard
+
+    def count_request(self, service: ServiceName, now_ms: int) -> None:
+        """Count the first send of a request."""
+        self.requests[service] = self.requests.get(service, 0) + 1
+        self._window(self._own, service).add(1, 0, now_ms)
+        self._window(self._fleet, service).add(1, 0, now_ms)
+
+    def take(self, service: ServiceName, now_ms: int) -> bool:
+        """Count a repeated send if the budget allows it and return whether it does."""
+        own = self._window(self._own, service)
+        fleet = self._window(self._fleet, service)
+        own.trim(now_ms)
+        fleet.trim(now_ms)
+        share = self._ratio * own.requests + self._slack / self._daemons
+        within_share = own.repeats + 1 <= share
+        budget = self._ratio * fleet.requests + self._slack
+        within_budget = fleet.repeats + 1 <= budget * _SHARED_BUDGET_PART
+        if not (within_share or (within_budget and self._all_heard)):
+            return False
+        self.repeats[service] = self.repeats.get(service, 0) + 1
+        own.add(0, 1, now_ms)
+        fleet.add(0, 1, now_ms)
+        return True
+
+    def peer_counted(self, service: str, requests: int, repeats: int, now_ms: int) -> None:
+        """Count what a peer has sent."""
+        self._window(self._fleet, ServiceName(service)).add(requests, repeats, now_ms)
+
+    def _window(self, windows: dict[ServiceName, _Window], service: ServiceName) -> _Window:
+        if service not in windows:
+            windows[service] = _Window(self._window_ms)
+        return windows[service]
