--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -19,15 +19,24 @@
 from skylarkmoor_policy.fleetcounts import FleetRetries
 from skylarkmoor_policy.placement import Choice, Placement
 from skylarkmoor_policy.routetable import ApiCustomer, Repeat, Route
+from skylarkmoor_policy.waitingline import Waiting
 
-__all__ = ["Exchange", "ExchangeHost", "Settlement"]
+__all__ = ["OUTPUT_WEIGHT", "Exchange", "ExchangeHost", "Settlement"]
+
+# An output token holds a slot for about as long as this many prompt tokens.
+OUTPUT_WEIGHT = 10
+# Prompt tokens that an engine of middling speed reads in a millisecond.
+READ_TOKENS_PER_MS = 40
 
 # A caller stops waiting for its first event after the longest of these.
 _PATIENCE_MS = 2_000
 _PATIENCE_GOALS = 4
 _PATIENCE_GAPS = 8
-# Part of the patience that a predicted wait may use; predictions are short by about as much.
-_PATIENCE_PART = 0.8
+# Part of the patience that a request may wait for a slot. The rest is for its prompt, and a
+# caller that is refused early has time to come back.
+_WAIT_PART = 0.6
+# A request that holds a slot for less than this part of the usual time counts as small.
+_SMALL_PART = 0.25
 # The upstream's own timeout answer gets this long to arrive before the gateway's is sent.
 _TIMEOUT_MARGIN_MS = 60
 # Upstreams that are asked for one request in all, counting those that did not run it.
@@ -68,6 +77,9 @@
     def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
         """Return the connections to an upstream."""
 
+    def wait_for_slot(self, exchange: "Exchange") -> None:
+        """Put a request in line and start those for which there are slots."""
+
     def settled(self, exchange: "Exchange", settlement: Settlement) -> None:
         """Note the end of an exchange."""
 
@@ -188,23 +200,70 @@
         goals_ms = _PATIENCE_GOALS * self.route.goal_ms
         return max(_PATIENCE_MS, goals_ms, _PATIENCE_GAPS * self.route.max_gap_ms)
 
+    def waiting(self, usual_tokens: float) -> Waiting["Exchange"]:
+        """Return how urgent the request is while it waits for a slot.
+
+        Parameters
+        ----------
+        usual_tokens : float
+            Mean work of the service's requests, as `work_tokens` counts it.
+        """
+        patience_ms = self._patience_ms()
+        read_ms = self.prompt_tokens / READ_TOKENS_PER_MS
+        give_up_ms = self.arrived_ms + int(patience_ms * _WAIT_PART)
+        return Waiting(
+            item=self,
+            tier=self.tier,
+            route_tier=self.route.tier,
+            arrived_ms=self.arrived_ms,
+            on_time_until_ms=int(self.arrived_ms + self.route.goal_ms - read_ms),
+            give_up_ms=min(give_up_ms, self._deadline_ms),
+            small=self.work_tokens() < _SMALL_PART * usual_tokens,
+        )
+
+    def work_tokens(self) -> float:
+        """Return the request's work, counted in prompt tokens."""
+        output = self.request.expected_output_tokens or self.request.max_output_tokens or 0
+        return self.prompt_tokens + output * OUTPUT_WEIGHT
+
+    def try_start(self, now_ms: int) -> bool:
+        """Send the waiting request to an upstream with a free slot, if there is one."""
+        choice = self._host.placement.choose(
+            self.service,
+            self.prompt_tokens,
+            now_ms,
+            self._failed_at,
+            only_with_room=True,
+            max_gap_ms=self.route.max_gap_ms,
+        )
+        if choice is None:
+            return False
+        self._dispatch(choice, now_ms)
+        return True
+
+    def gave_up_waiting(self) -> None:
+        """Refuse the request, because no slot became free in time."""
+        if self._runs:
+            self._give_up("no other upstream had a free slot in time")
+            return
+        remaining_ms = self._deadline_ms - self._host.clock.now_ms()
+        pause_ms = int(remaining_ms * _RETRY_AFTER_PART)
+        self.refuse(503, "all slots of the service are taken", pause_ms)
+
     def _send_somewhere(self) -> None:
         now_ms = self._host.clock.now_ms()
+        if self.route.repeat is Repeat.STREAM:
+            self._host.wait_for_slot(self)
+            return
         choice = self._host.placement.choose(
             self.service, self.prompt_tokens, now_ms, self._failed_at
         )
         if choice is None:
             self._give_up("no upstream of the service may take the request")
             return
-        waited_ms = now_ms - self.arrived_ms
-        if (
-            self._sends == 0
-            and self.route.repeat is Repeat.STREAM
-            and waited_ms + choice.start_ms > self._patience_ms() * _PATIENCE_PART
-        ):
-            pause_ms = int(choice.start_ms - self.route.goal_ms)
-            self.refuse(503, f"the first event would take {choice.start_ms:.0f} ms", pause_ms)
-            return
+        self._dispatch(choice, now_ms)
+
+    def _dispatch(self, choice: Choice, now_ms: int) -> None:
         self._sends += 1
         if self._sends == 1:
             self._host.retries.count_request(self.service, now_ms)
@@ -228,6 +287,9 @@
                 "slots": choice.slots,
                 "remaining_ms": self._deadline_ms - now_ms,
                 "tier": self.tier,
+                "prompt_tokens": self.request.prompt_tokens,
+                "output_tokens": self.request.expected_output_tokens,
+                "waited_ms": now_ms - self.arrived_ms,
                 **self._host.views(),
             },
         )
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -43,14 +43,22 @@
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
 from skylarkmoor_policy.strikes import CrashStrikes
+from skylarkmoor_policy.waitingline import WaitingLine
 
 __all__ = ["Gateway", "GatewaySettings"]
 
-_TICK_MS = 50
+_TICK_MS = 25
+# Waiting requests passed over in one round because their upstreams have no slot.
+_MAX_SKIPS = 3
+_USUAL_WEIGHT = 0.05
 _SWEEP_MS = 500
 # The load balancer asks once a second and takes two misses, so new connections may come for
 # this long after the daemon has reported itself not ready.
 _REROUTE_MS = 2_600
+# The last answers have to leave the host before the kill.
+_KILL_MARGIN_MS = 500
+# Another daemon takes the caller's next connection.
+_DRAIN_RETRY_MS = 100
 # A caller of a request that no configuration is known for may come back after this time.
 _NO_TABLE_RETRY_MS = 500
 _BLOCKED_RETRY_MS = 2_000
@@ -147,6 +155,9 @@
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, Exchange] = {}
         self._ports: list[Any] = []
+        self._lines: dict[ServiceName, WaitingLine[Exchange]] = {}
+        # Mean work of a service's requests in prompt tokens.
+        self._usual_tokens: dict[ServiceName, float] = {}
 
     @property
     def table(self) -> RouteTable | None:
@@ -309,8 +320,21 @@
         """Return the connections to an upstream."""
         return self._pools.get(upstream)
 
+    def wait_for_slot(self, exchange: Exchange) -> None:
+        """Put a request in line and start those for which there are slots."""
+        service = exchange.service
+        usual = self._usual_tokens.get(service, exchange.work_tokens())
+        self._usual_tokens[service] = usual + _USUAL_WEIGHT * (exchange.work_tokens() - usual)
+        line = self._lines.setdefault(service, WaitingLine())
+        line.add(exchange.waiting(usual))
+        self._start_waiting(service)
+
     def settled(self, exchange: Exchange, settlement: Settlement) -> None:
         """Note the end of an exchange."""
+        line = self._lines.get(exchange.service)
+        if line is not None:
+            line.remove(exchange)
+            self.reactor.callLater(0, self._start_waiting, exchange.service)
         if self._exchanges.get(exchange.caller) is exchange:
             del self._exchanges[exchange.caller]
         if settlement is Settlement.ANSWERED:
@@ -348,9 +372,23 @@
                 self._refuse(caller, request, 429, why, wait_ms)
                 return
         exchange = Exchange(self, caller, request, route, customer, now_ms)
+        if self._too_late_for(route, now_ms):
+            self._refuse(caller, request, 503, "the daemon is about to end", _DRAIN_RETRY_MS)
+            return
         self._exchanges[caller] = exchange
         exchange.start()
 
+    def _too_late_for(self, route: Route, now_ms: int) -> bool:
+        """Return whether a draining daemon may be killed before a request ends.
+
+        Callers may come until the end: when all daemons of a failure domain drain, the
+        balancer goes on sending to them.
+        """
+        if self._drained_ms is None or now_ms - self._drained_ms < _REROUTE_MS:
+            return False
+        left_ms = self._drained_ms + self._settings.grace_ms - _KILL_MARGIN_MS - now_ms
+        return route.timeout_ms > left_ms
+
     def _refuse(
         self,
         caller: CallerConnection,
@@ -380,6 +418,22 @@
         )
         caller.answer(status, headers, f"{why}\n".encode())
 
+    def _start_waiting(self, service: ServiceName) -> None:
+        """Start waiting requests while there are free slots, the most urgent first."""
+        line = self._lines[service]
+        now_ms = self.clock.now_ms()
+        for exchange in line.expired(now_ms):
+            exchange.gave_up_waiting()
+        skipped = 0
+        for waiting in line.ordered(now_ms):
+            # Out of the line first: a send that fails at once puts the request back.
+            line.remove(waiting.item)
+            if not waiting.item.try_start(now_ms):
+                line.add(waiting)
+                skipped += 1
+                if skipped >= _MAX_SKIPS:
+                    return
+
     def _fingerprint(self, request: IncomingRequest) -> Fingerprint:
         target = request.target.decode("latin-1")
         return fingerprint(request.api_key or "", target, request.body)
@@ -391,6 +445,9 @@
 
     def _tick(self) -> None:
         self.fleet.tick()
+        for service, line in self._lines.items():
+            if len(line):
+                self._start_waiting(service)
         if self._drained_ms is not None:
             self._finish_draining(self.clock.now_ms() - self._drained_ms)
 
--- a/libs/gateway/src/skylarkmoor_gateway/messages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/messages.py
@@ -26,6 +26,8 @@
         The caller's key.
     prompt_tokens, max_output_tokens : int or None
         Size of a model request, None if the caller gave none.
+    expected_output_tokens : int or None
+        The caller's own estimate.
     last_event_id : bytes or None
         Event after which a resumed stream goes on.
     """
@@ -40,6 +42,7 @@
     api_key: str | None = None
     prompt_tokens: int | None = None
     max_output_tokens: int | None = None
+    expected_output_tokens: int | None = None
     last_event_id: bytes | None = None
 
     @property
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -6,7 +6,7 @@
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 
-__all__ = ["Choice", "Load", "Placement", "PlacedUpstream"]
+__all__ = ["QUEUE_MARGIN", "Choice", "Load", "PlacedUpstream", "Placement"]
 
 # Before anything is measured: prompt tokens read in a millisecond, time to a first token
 # besides the prompt, and the time that a request holds a slot.
@@ -24,8 +24,16 @@
 _FAULT_PENALTY_MS = 3_000
 # Work of other daemons is told about this often, so a close second may be as good.
 _TIE_MS = 5.0
-# A prompt this long delays the streams beside it; it prefers an engine that reads fast.
-_LONG_PROMPT_TOKENS = 8_000
+# Engines read prompts in chunks between the steps of running streams. This many tokens fit
+# between two events of a stream, so reading more delays each event by as much.
+_STALL_TOKENS = 12_288
+# A pause in each stream beside a long prompt weighs as much as this delay of the prompt.
+_STALL_PENALTY_MS = 400.0
+# Part of the longest pause that reading may use; the steps in between take the rest.
+_STALL_PART = 0.8
+# Requests beyond an engine's slots that may wait there, so that a slot that becomes free is
+# taken before the daemons have heard of it.
+QUEUE_MARGIN = 1
 
 
 @dataclass(slots=True)
@@ -72,6 +80,10 @@
         """Return the prompt tokens of all daemons that still have to be read here."""
         return self.own.prefill_tokens + sum(load.prefill_tokens for load in self.peers.values())
 
+    def has_room(self) -> bool:
+        """Return whether a new request would soon get a slot."""
+        return self.running() < self.slots + QUEUE_MARGIN
+
     def start_ms(self, prompt_tokens: int) -> float:
         """Return the predicted time to the first token of a new request."""
         excess = self.running() + 1 - self.slots
@@ -167,6 +179,9 @@
         prompt_tokens: int,
         now_ms: int,
         avoid: Collection[UpstreamId] = (),
+        *,
+        only_with_room: bool = False,
+        max_gap_ms: int = 0,
     ) -> Choice | None:
         """Return the upstream with the least predicted time to the first token.
 
@@ -174,11 +189,17 @@
         ----------
         avoid : collection of UpstreamId
             Upstreams that failed the request; they are not chosen.
+        only_with_room : bool
+            Whether only upstreams with a free slot are considered.
+        max_gap_ms : int
+            Longest pause that the streams beside it should see; 0 if there are none.
         """
         able = [u for u in self.usable(service, now_ms) if u.upstream not in avoid]
+        if only_with_room:
+            able = [u for u in able if u.has_room()]
         if not able:
             return None
-        costs = [self._cost_ms(each, prompt_tokens) for each in able]
+        costs = [self._cost_ms(each, prompt_tokens, max_gap_ms) for each in able]
         least = min(costs)
         near = [u for u, cost in zip(able, costs, strict=True) if cost <= least + _TIE_MS]
         best = self._rng.choice(near)
@@ -251,10 +272,11 @@
             known.rest_until_ms = now_ms + min(_MAX_REST_MS, _REST_MS << min(10, known.failures))
             known.failures += 1
 
-    def _cost_ms(self, upstream: PlacedUpstream, prompt_tokens: int) -> float:
+    def _cost_ms(self, upstream: PlacedUpstream, prompt_tokens: int, max_gap_ms: int) -> float:
         cost_ms = upstream.start_ms(prompt_tokens) + upstream.fault_part * _FAULT_PENALTY_MS
-        if prompt_tokens > _LONG_PROMPT_TOKENS:
-            # The streams beside it wait while the prompt is read.
-            cost_ms += upstream.own.running * prompt_tokens / upstream.tokens_per_ms / 10
+        if max_gap_ms and upstream.running():
+            pending = min(_STALL_TOKENS, upstream.prefill_tokens() + prompt_tokens)
+            if pending / upstream.tokens_per_ms > max_gap_ms * _STALL_PART:
+                cost_ms += _STALL_PENALTY_MS
         # A request waits longer for its tokens beside others, on a slow engine most of all.
         return cost_ms + upstream.hold_ms * 0.2 * upstream.running() / max(1, upstream.slots)
