Let one dispatcher a service hand out slots over all daemons

Cause: with load reports up to 100 ms old, nine daemons filled the same free engine together, so its own queue decided the order. Conclusion: kept; a daemon that hears no other dispatches for itself.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -29,6 +29,9 @@
     "OutcomeAnswer",
     "OutcomeQuery",
     "ReleaseRequest",
+    "SlotGrant",
+    "SlotRequest",
+    "SlotWithdrawal",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -229,6 +232,38 @@
     requests: dict[str, int]
     repeats: dict[str, int]
     strikes: dict[int, int] = {}
+    # Number of the last grant taken from each dispatcher; the loads include it.
+    taken: dict[HostId, int] = {}
+
+
+class SlotRequest(_Message, frozen=True, tag="t"):
+    """Ask a service's dispatcher for a slot; times count from the sending."""
+
+    ticket: int
+    service: ServiceName
+    tier: int
+    route_tier: int
+    small: bool
+    prompt_tokens: int
+    max_gap_ms: int
+    waited_ms: int
+    on_time_in_ms: int
+    give_up_in_ms: int
+    avoid: tuple[UpstreamId, ...] = ()
+
+
+class SlotWithdrawal(_Message, frozen=True, tag="x"):
+    """Take back a request for a slot."""
+
+    ticket: int
+
+
+class SlotGrant(_Message, frozen=True, tag="y"):
+    """A slot for a waiting request; grants of a dispatcher are numbered."""
+
+    ticket: int
+    upstream: UpstreamId
+    grant: int
 
 
 Message = (
@@ -245,6 +280,9 @@
     | DocumentOffer
     | DocumentQuery
     | GatewayState
+    | SlotRequest
+    | SlotWithdrawal
+    | SlotGrant
 )
 
 
--- /dev/null
+++ b/libs/gateway/src/skylarkmoor_gateway/dispatching.py
@@ -0,0 +1,240 @@
+"""Asks the service's dispatcher for slots, and dispatches for the services that this daemon has.
+
+One daemon, chosen by rendezvous hashing, hands out the slots of a service's engines. It counts
+what it has granted, so that daemons with old reports do not fill the same free slot together.
+A daemon that hears no other one dispatches for itself.
+"""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.hashing import rendezvous_owner
+from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
+from skylarkmoor_policy.dispatcher import Dispatcher, SlotNeed, SlotOffer, Ticket
+from skylarkmoor_policy.placement import Choice, Placement
+from skylarkmoor_policy.waitingline import Waiting
+
+__all__ = ["Dispatching", "SlotSeeker"]
+
+# A request or its grant may be lost with a connection; asking again is harmless.
+_ASK_AGAIN_MS = 500
+
+
+class SlotSeeker:
+    """A request that waits for a slot; the exchange."""
+
+    service: ServiceName
+
+    def granted(self, choice: Choice, now_ms: int) -> None:
+        """Send the request to the upstream of its slot."""
+        raise NotImplementedError
+
+    def gave_up_waiting(self) -> None:
+        """End the wait without a slot."""
+        raise NotImplementedError
+
+
+@dataclass(slots=True)
+class _Wait:
+    seeker: SlotSeeker
+    waiting: Waiting[SlotNeed]
+    asked: HostId | None = None
+    asked_ms: int = 0
+
+
+class Dispatching:
+    """This daemon's waiting requests, and its part as a dispatcher.
+
+    Parameters
+    ----------
+    host : HostId
+        This daemon.
+    clock : Clock
+        Source of times.
+    placement : Placement
+        The upstreams and their loads.
+    send : callable
+        Sends a message to a peer.
+    fresh_hosts : callable
+        Gives the daemons that were heard just now, this one among them.
+    later : callable
+        Calls a function after the present event.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        clock: Clock,
+        placement: Placement,
+        send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant], None],
+        fresh_hosts: Callable[[], list[HostId]],
+        later: Callable[[Callable[[], None]], None],
+    ) -> None:
+        # Number of the last grant that was taken from each dispatcher.
+        self.taken: dict[HostId, int] = {}
+        self._host = host
+        self._clock = clock
+        self._placement = placement
+        self._send = send
+        self._fresh_hosts = fresh_hosts
+        self._later = later
+        self._dispatcher = Dispatcher(placement)
+        self._waits: dict[int, _Wait] = {}
+        self._numbers = itertools.count(1)
+        self._grants = itertools.count(1)
+        self._offering = False
+        self._owners: dict[ServiceName, HostId] = {}
+        self._hosts: list[HostId] = []
+
+    def owner(self, service: ServiceName) -> HostId:
+        """Return the daemon that hands out the slots of a service."""
+        hosts = self._fresh_hosts()
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._owners.clear()
+        if service not in self._owners:
+            self._owners[service] = HostId(rendezvous_owner(service, hosts) or self._host)
+        return self._owners[service]
+
+    def wait(self, seeker: SlotSeeker, waiting: Waiting[SlotNeed]) -> int:
+        """Ask for a slot and return the number under which the request waits."""
+        number = next(self._numbers)
+        need = replace(waiting.item, ticket=Ticket(self._host, number))
+        wait = _Wait(seeker, replace(waiting, item=need))
+        self._waits[number] = wait
+        self._ask(number, wait)
+        return number
+
+    def withdraw(self, number: int) -> None:
+        """End a wait."""
+        wait = self._waits.pop(number, None)
+        if wait is None:
+            return
+        if wait.asked == self._host:
+            self._dispatcher.withdraw(Ticket(self._host, number))
+        elif wait.asked is not None:
+            self._send(wait.asked, SlotWithdrawal(number))
+
+    def tick(self) -> None:
+        """End waits that took too long, and ask again where the dispatcher has changed."""
+        now_ms = self._clock.now_ms()
+        for number, wait in list(self._waits.items()):
+            if now_ms >= wait.waiting.give_up_ms:
+                self.withdraw(number)
+                wait.seeker.gave_up_waiting()
+            elif wait.asked != self.owner(wait.seeker.service):
+                self._ask(number, wait)
+            elif wait.asked != self._host and now_ms - wait.asked_ms >= _ASK_AGAIN_MS:
+                self._ask(number, wait)
+        self.offer()
+
+    def offer(self) -> None:
+        """Hand out free slots to the requests in line."""
+        if self._offering or not len(self._dispatcher):
+            return
+        self._offering = True
+        try:
+            for offer in self._dispatcher.offers(self._clock.now_ms()):
+                self._carry_out(offer)
+        finally:
+            self._offering = False
+
+    def requested(self, sender: HostId, request: SlotRequest) -> None:
+        """Take a peer's request for a slot."""
+        now_ms = self._clock.now_ms()
+        need = SlotNeed(
+            Ticket(sender, request.ticket),
+            request.service,
+            request.prompt_tokens,
+            request.max_gap_ms,
+            frozenset(request.avoid),
+        )
+        self._dispatcher.request(
+            Waiting(
+                need,
+                request.tier,
+                request.route_tier,
+                now_ms - request.waited_ms,
+                now_ms + request.on_time_in_ms,
+                now_ms + request.give_up_in_ms,
+                request.small,
+            )
+        )
+        self.offer()
+
+    def withdrawn(self, sender: HostId, withdrawal: SlotWithdrawal) -> None:
+        """Take a peer's request out of line."""
+        self._dispatcher.withdraw(Ticket(sender, withdrawal.ticket))
+
+    def granted(self, sender: HostId, grant: SlotGrant) -> bool:
+        """Take a slot from the dispatcher and return whether it is used."""
+        self.taken[sender] = grant.grant
+        wait = self._waits.pop(grant.ticket, None)
+        if wait is None:
+            return False
+        self._start(wait, grant.upstream)
+        return True
+
+    def forget(self, host: HostId) -> None:
+        """Drop what a daemon that is gone has asked for."""
+        self._dispatcher.forget(host)
+        self.taken.pop(host, None)
+
+    def waiting(self) -> int:
+        """Return how many requests of this daemon wait."""
+        return len(self._waits)
+
+    def _ask(self, number: int, wait: _Wait) -> None:
+        owner = self.owner(wait.seeker.service)
+        if wait.asked is not None and wait.asked not in (owner, self._host):
+            self._send(wait.asked, SlotWithdrawal(number))
+        elif wait.asked == self._host and owner != self._host:
+            self._dispatcher.withdraw(Ticket(self._host, number))
+        now_ms = self._clock.now_ms()
+        wait.asked, wait.asked_ms = owner, now_ms
+        if owner == self._host:
+            self._dispatcher.request(wait.waiting)
+            if self._offering:
+                self._later(self.offer)
+            else:
+                self.offer()
+            return
+        waiting = wait.waiting
+        self._send(
+            owner,
+            SlotRequest(
+                number,
+                waiting.item.service,
+                waiting.tier,
+                waiting.route_tier,
+                waiting.small,
+                waiting.item.prompt_tokens,
+                waiting.item.max_gap_ms,
+                now_ms - waiting.arrived_ms,
+                waiting.on_time_until_ms - now_ms,
+                waiting.give_up_ms - now_ms,
+                tuple(waiting.item.avoid),
+            ),
+        )
+
+    def _carry_out(self, offer: SlotOffer) -> None:
+        if offer.ticket.host == self._host:
+            wait = self._waits.pop(offer.ticket.number, None)
+            if wait is not None:
+                self._start(wait, offer.upstream)
+            return
+        number = next(self._grants)
+        host = offer.ticket.host
+        self._placement.grant_to_peer(host, offer.upstream, offer.prompt_tokens, number)
+        self._send(host, SlotGrant(offer.ticket.number, offer.upstream, number))
+
+    def _start(self, wait: _Wait, upstream: UpstreamId) -> None:
+        known = self._placement.upstreams.get(upstream)
+        start_ms = 0.0 if known is None else known.start_ms(wait.waiting.item.prompt_tokens)
+        running = 0 if known is None else known.running()
+        slots = 0 if known is None else known.slots
+        choice = Choice(upstream, start_ms, running, slots)
+        wait.seeker.granted(choice, self._clock.now_ms())
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -9,12 +9,14 @@
 from twisted.python.failure import Failure
 
 from skylarkmoor_core.clock import Clock
-from skylarkmoor_core.ids import ServiceName, UpstreamId
+from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_gateway.callers import CallerConnection
+from skylarkmoor_gateway.dispatching import SlotSeeker
 from skylarkmoor_gateway.messages import AnswerHead, Attempt, Codec, Headers, IncomingRequest
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
+from skylarkmoor_policy.dispatcher import SlotNeed, Ticket
 from skylarkmoor_policy.eventstream import EventSplitter
 from skylarkmoor_policy.fleetcounts import FleetRetries
 from skylarkmoor_policy.placement import Choice, Placement
@@ -50,6 +52,8 @@
 _RETRY_AFTER_PART = 0.3
 # Time that one more attempt needs at the least.
 _MIN_REMAINING_MS = 30
+# Replaced when the request is put in line.
+_NO_TICKET = Ticket(HostId(""), 0)
 
 _log = part_logger("request")
 
@@ -78,7 +82,13 @@
         """Return the connections to an upstream."""
 
     def wait_for_slot(self, exchange: "Exchange") -> None:
-        """Put a request in line and start those for which there are slots."""
+        """Put a request in line for a slot."""
+
+    def stop_waiting(self, number: int) -> None:
+        """Take a request out of line."""
+
+    def load_changed(self, service: ServiceName) -> None:
+        """Note that a slot was taken or became free."""
 
     def settled(self, exchange: "Exchange", settlement: Settlement) -> None:
         """Note the end of an exchange."""
@@ -102,7 +112,7 @@
     head: AnswerHead | None = None
 
 
-class Exchange:
+class Exchange(SlotSeeker):
     """A request with the upstreams that it was sent to.
 
     Parameters
@@ -142,6 +152,8 @@
         self.arrived_ms = arrived_ms
         self.caller = caller
         self.ran = False
+        # Number under which the request waits for a slot.
+        self.wait_number: int | None = None
         self._host = host
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
@@ -200,7 +212,7 @@
         goals_ms = _PATIENCE_GOALS * self.route.goal_ms
         return max(_PATIENCE_MS, goals_ms, _PATIENCE_GAPS * self.route.max_gap_ms)
 
-    def waiting(self, usual_tokens: float) -> Waiting["Exchange"]:
+    def waiting(self, usual_tokens: float) -> Waiting[SlotNeed]:
         """Return how urgent the request is while it waits for a slot.
 
         Parameters
@@ -212,7 +224,13 @@
         read_ms = self.prompt_tokens / READ_TOKENS_PER_MS
         give_up_ms = self.arrived_ms + int(patience_ms * _WAIT_PART)
         return Waiting(
-            item=self,
+            item=SlotNeed(
+                _NO_TICKET,
+                self.service,
+                self.prompt_tokens,
+                self.route.max_gap_ms,
+                frozenset(self._failed_at),
+            ),
             tier=self.tier,
             route_tier=self.route.tier,
             arrived_ms=self.arrived_ms,
@@ -226,23 +244,17 @@
         output = self.request.expected_output_tokens or self.request.max_output_tokens or 0
         return self.prompt_tokens + output * OUTPUT_WEIGHT
 
-    def try_start(self, now_ms: int) -> bool:
-        """Send the waiting request to an upstream with a free slot, if there is one."""
-        choice = self._host.placement.choose(
-            self.service,
-            self.prompt_tokens,
-            now_ms,
-            self._failed_at,
-            only_with_room=True,
-            max_gap_ms=self.route.max_gap_ms,
-        )
-        if choice is None:
-            return False
-        self._dispatch(choice, now_ms)
-        return True
+    def granted(self, choice: Choice, now_ms: int) -> None:
+        """Send the request to the upstream of its slot."""
+        self.wait_number = None
+        if not self._done:
+            self._dispatch(choice, now_ms)
 
     def gave_up_waiting(self) -> None:
         """Refuse the request, because no slot became free in time."""
+        self.wait_number = None
+        if self._done:
+            return
         if self._runs:
             self._give_up("no other upstream had a free slot in time")
             return
@@ -529,6 +541,8 @@
         self._host.placement.first_answer(
             send.upstream, self.prompt_tokens, now_ms - send.sent_ms, send.read_ahead
         )
+        if self.route.repeat is Repeat.STREAM:
+            self._host.load_changed(self.service)
         if self._first_ms is None:
             self._first_ms = now_ms - self.arrived_ms
             self._host.metrics.first_byte(self.service, self.route.name, self._first_ms)
@@ -569,12 +583,17 @@
             self.caller.unpause()
         unread = 0 if send.answered else self.prompt_tokens
         self._host.placement.ended(send.upstream, unread, held_ms=held_ms, fault=fault)
+        if self.route.repeat is Repeat.STREAM:
+            self._host.load_changed(self.service)
 
     def _end(self, settlement: Settlement, why: str, **details: object) -> None:
         if self._done:
             return
         self._drop_current()
         self._done = True
+        if self.wait_number is not None:
+            self._host.stop_waiting(self.wait_number)
+            self.wait_number = None
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         now_ms = self._host.clock.now_ms()
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -7,9 +7,16 @@
 from skylarkmoor_core.errors import SettingsError
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
 from skylarkmoor_core.logs import part_logger
-from skylarkmoor_core.messages import GatewayState, Message
+from skylarkmoor_core.messages import (
+    GatewayState,
+    Message,
+    SlotGrant,
+    SlotRequest,
+    SlotWithdrawal,
+)
 from skylarkmoor_core.settings import Address, parse_address
 from skylarkmoor_daemon.peers import Peers
+from skylarkmoor_gateway.dispatching import Dispatching
 from skylarkmoor_policy.fleetcounts import (
     GONE_MS,
     SILENT_MS,
@@ -27,7 +34,11 @@
 # Each daemon sends to each other one, so the interval grows with their number.
 _INTERVAL_PER_PEER_MS = 12
 # An unchanged state is repeated this often to show that its sender lives.
-_HEARTBEAT_MS = 400
+_HEARTBEAT_MS = 200
+# A dispatcher that is silent for this long is replaced; its own reports come more often.
+_FRESH_MS = 500
+# Several changes of the load within this time go to the dispatcher together.
+_TELL_DISPATCHER_MS = 8
 
 _log = part_logger("fleet")
 
@@ -68,6 +79,7 @@
         retries: FleetRetries,
         strikes: CrashStrikes,
         on_newer: Callable[[], None],
+        later: Callable[[int, Callable[[], None]], None],
     ) -> None:
         self.configuration = -1
         self.leaving = False
@@ -78,6 +90,11 @@
         self._retries = retries
         self._strikes = strikes
         self._on_newer = on_newer
+        self._later = later
+        self.dispatching = Dispatching(
+            host, clock, placement, self._send_slots, self.fresh_hosts, lambda call: later(0, call)
+        )
+        self._telling: set[HostId] = set()
         self._counts = {kind: PeerCounts() for kind in ("admitted", "requests", "repeats")}
         self._peers = Peers(host, incarnation, self._on_message)
         self._known: dict[HostId, _Peer] = {}
@@ -110,6 +127,27 @@
         ages = [now_ms - peer.heard_ms for peer in self._known.values() if not peer.silent]
         return max(ages, default=0)
 
+    def fresh_hosts(self) -> list[HostId]:
+        """Return the daemons heard just now, this one among them unless it is leaving."""
+        now_ms = self._clock.now_ms()
+        hosts = [
+            host
+            for host, peer in self._known.items()
+            if not peer.silent and now_ms - peer.heard_ms <= _FRESH_MS
+        ]
+        if not self.leaving or not hosts:
+            hosts.append(self._host)
+        return sorted(hosts)
+
+    def load_changed(self, service: ServiceName) -> None:
+        """Tell the service's dispatcher soon that this daemon's load has changed."""
+        owner = self.dispatching.owner(service)
+        if owner == self._host:
+            self.dispatching.offer()
+        elif owner not in self._telling:
+            self._telling.add(owner)
+            self._later(_TELL_DISPATCHER_MS, lambda: self._tell_dispatcher(owner))
+
     def tick(self) -> None:
         """Send this daemon's state if it is due, and look for peers that are gone."""
         now_ms = self._clock.now_ms()
@@ -129,8 +167,15 @@
         """Close all sockets."""
         self._peers.close()
 
-    def _tell(self, now_ms: int) -> None:
-        state = GatewayState(
+    def _tell_dispatcher(self, owner: HostId) -> None:
+        self._telling.discard(owner)
+        self._peers.send(owner, self._state())
+
+    def _send_slots(self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant) -> None:
+        self._peers.send(to, message)
+
+    def _state(self) -> GatewayState:
+        return GatewayState(
             self._address,
             self.leaving,
             self.configuration,
@@ -139,7 +184,11 @@
             dict(self._retries.requests),
             dict(self._retries.repeats),
             self._strikes.own(),
+            dict(self.dispatching.taken),
         )
+
+    def _tell(self, now_ms: int) -> None:
+        state = self._state()
         if state == self._sent and now_ms - self._sent_ms < _HEARTBEAT_MS:
             return
         self._sent, self._sent_ms = state, now_ms
@@ -152,6 +201,7 @@
             if not peer.silent and age_ms > SILENT_MS:
                 peer.silent = True
                 self._placement.forget_peer(host)
+                self.dispatching.forget(host)
                 _log.warning("lost a peer", extra={"peer": host, "age_ms": age_ms})
             if age_ms > GONE_MS:
                 self._drop(host)
@@ -166,6 +216,7 @@
         del self._known[host]
         self._placement.forget_peer(host)
         self._strikes.set_peer(host, {})
+        self.dispatching.forget(host)
         self._connect()
 
     def _connect(self) -> None:
@@ -176,6 +227,12 @@
         match message:
             case GatewayState():
                 self._take(sender, incarnation, message)
+            case SlotRequest():
+                self.dispatching.requested(sender, message)
+            case SlotWithdrawal():
+                self.dispatching.withdrawn(sender, message)
+            case SlotGrant():
+                self.dispatching.granted(sender, message)
             case _:
                 _log.warning("unexpected message", extra={"peer": sender})
 
@@ -199,11 +256,12 @@
         peer.silent = False
         peer.incarnation = incarnation
         peer.heard_ms = self._clock.now_ms()
-        self._placement.peer_load(sender, state.loads)
+        self._placement.peer_load(sender, state.loads, state.taken.get(self._host, 0))
         self._strikes.set_peer(sender, state.strikes)
         self._count(sender, incarnation, state)
         if state.configuration > self.configuration:
             self._on_newer()
+        self.dispatching.offer()
 
     def _count(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
         now_ms = self._clock.now_ms()
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -43,13 +43,10 @@
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
 from skylarkmoor_policy.strikes import CrashStrikes
-from skylarkmoor_policy.waitingline import WaitingLine
 
 __all__ = ["Gateway", "GatewaySettings"]
 
 _TICK_MS = 25
-# Waiting requests passed over in one round because their upstreams have no slot.
-_MAX_SKIPS = 3
 _USUAL_WEIGHT = 0.05
 _SWEEP_MS = 500
 # The load balancer asks once a second and takes two misses, so new connections may come for
@@ -146,6 +143,7 @@
             self.retries,
             self.strikes,
             lambda: self.on_newer_configuration(),
+            lambda delay_ms, call: reactor.callLater(delay_ms / 1000, call),
         )
         self._lifecycle = Lifecycle()
         self._ready = False
@@ -155,7 +153,6 @@
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, Exchange] = {}
         self._ports: list[Any] = []
-        self._lines: dict[ServiceName, WaitingLine[Exchange]] = {}
         # Mean work of a service's requests in prompt tokens.
         self._usual_tokens: dict[ServiceName, float] = {}
 
@@ -325,16 +322,18 @@
         service = exchange.service
         usual = self._usual_tokens.get(service, exchange.work_tokens())
         self._usual_tokens[service] = usual + _USUAL_WEIGHT * (exchange.work_tokens() - usual)
-        line = self._lines.setdefault(service, WaitingLine())
-        line.add(exchange.waiting(usual))
-        self._start_waiting(service)
+        exchange.wait_number = self.fleet.dispatching.wait(exchange, exchange.waiting(usual))
+
+    def stop_waiting(self, number: int) -> None:
+        """Take a request out of line."""
+        self.fleet.dispatching.withdraw(number)
+
+    def load_changed(self, service: ServiceName) -> None:
+        """Note that a slot was taken or became free."""
+        self.fleet.load_changed(service)
 
     def settled(self, exchange: Exchange, settlement: Settlement) -> None:
         """Note the end of an exchange."""
-        line = self._lines.get(exchange.service)
-        if line is not None:
-            line.remove(exchange)
-            self.reactor.callLater(0, self._start_waiting, exchange.service)
         if self._exchanges.get(exchange.caller) is exchange:
             del self._exchanges[exchange.caller]
         if settlement is Settlement.ANSWERED:
@@ -418,22 +417,6 @@
         )
         caller.answer(status, headers, f"{why}\n".encode())
 
-    def _start_waiting(self, service: ServiceName) -> None:
-        """Start waiting requests while there are free slots, the most urgent first."""
-        line = self._lines[service]
-        now_ms = self.clock.now_ms()
-        for exchange in line.expired(now_ms):
-            exchange.gave_up_waiting()
-        skipped = 0
-        for waiting in line.ordered(now_ms):
-            # Out of the line first: a send that fails at once puts the request back.
-            line.remove(waiting.item)
-            if not waiting.item.try_start(now_ms):
-                line.add(waiting)
-                skipped += 1
-                if skipped >= _MAX_SKIPS:
-                    return
-
     def _fingerprint(self, request: IncomingRequest) -> Fingerprint:
         target = request.target.decode("latin-1")
         return fingerprint(request.api_key or "", target, request.body)
@@ -445,9 +428,7 @@
 
     def _tick(self) -> None:
         self.fleet.tick()
-        for service, line in self._lines.items():
-            if len(line):
-                self._start_waiting(service)
+        self.fleet.dispatching.tick()
         if self._drained_ms is not None:
             self._finish_draining(self.clock.now_ms() - self._drained_ms)
 
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -0,0 +1,112 @@
+"""Hands the free slots of engines to the waiting requests of all daemons, the most urgent first."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.waitingline import Waiting, WaitingLine
+
+__all__ = ["Dispatcher", "SlotNeed", "SlotOffer", "Ticket"]
+
+# Waiting requests passed over in one round because the upstreams they may use have no slot.
+_MAX_SKIPS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Names a waiting request by its daemon and a number of that daemon's."""
+
+    host: HostId
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotNeed:
+    """What a waiting request needs of an upstream.
+
+    Attributes
+    ----------
+    max_gap_ms : int
+        Longest pause that streams of the route should see.
+    avoid : frozenset of UpstreamId
+        Upstreams that failed the request.
+    """
+
+    ticket: Ticket
+    service: ServiceName
+    prompt_tokens: int
+    max_gap_ms: int
+    avoid: frozenset[UpstreamId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class SlotOffer:
+    """A slot for a waiting request."""
+
+    ticket: Ticket
+    upstream: UpstreamId
+    prompt_tokens: int
+
+
+class Dispatcher:
+    """The waiting requests of one or more services.
+
+    Parameters
+    ----------
+    placement : Placement
+        The upstreams with the loads of all daemons. The caller adds each offer to them before
+        it takes the next one.
+    """
+
+    def __init__(self, placement: Placement) -> None:
+        self._placement = placement
+        self._lines: dict[ServiceName, WaitingLine[SlotNeed]] = {}
+        self._needs: dict[Ticket, SlotNeed] = {}
+
+    def __len__(self) -> int:
+        return len(self._needs)
+
+    def request(self, waiting: Waiting[SlotNeed]) -> None:
+        """Put a request in line; one that is in line already is replaced."""
+        need = waiting.item
+        self.withdraw(need.ticket)
+        self._needs[need.ticket] = need
+        self._lines.setdefault(need.service, WaitingLine()).add(waiting)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a request out of the line."""
+        need = self._needs.pop(ticket, None)
+        if need is not None:
+            self._lines[need.service].remove(need)
+
+    def forget(self, host: HostId) -> None:
+        """Take out all requests of a daemon that is gone."""
+        for ticket in [each for each in self._needs if each.host == host]:
+            self.withdraw(ticket)
+
+    def offers(self, now_ms: int) -> Iterator[SlotOffer]:
+        """Yield offers until no waiting request fits a free slot."""
+        for line in self._lines.values():
+            for need in line.expired(now_ms):
+                self._needs.pop(need.ticket, None)
+            skipped = 0
+            for waiting in line.ordered(now_ms):
+                need = waiting.item
+                if need.ticket not in self._needs:
+                    continue
+                choice = self._placement.choose(
+                    need.service,
+                    need.prompt_tokens,
+                    now_ms,
+                    need.avoid,
+                    only_with_room=True,
+                    max_gap_ms=need.max_gap_ms,
+                )
+                if choice is None:
+                    skipped += 1
+                    if skipped >= _MAX_SKIPS:
+                        break
+                    continue
+                self.withdraw(need.ticket)
+                yield SlotOffer(need.ticket, choice.upstream, need.prompt_tokens)
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -92,6 +92,13 @@
         return self.base_ms + queued_ms + read_ms
 
 
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    number: int
+    upstream: UpstreamId
+    prompt_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """The chosen upstream with the predicted time to its first token."""
@@ -114,6 +121,8 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.upstreams: dict[UpstreamId, PlacedUpstream] = {}
+        # Grants that the peers' reports do not include yet.
+        self._grants: dict[HostId, list[_Grant]] = {}
 
     def set_upstream(
         self,
@@ -147,17 +156,45 @@
         """Forget an upstream that is gone."""
         self.upstreams.pop(upstream, None)
 
-    def peer_load(self, peer: HostId, loads: Mapping[UpstreamId, tuple[int, int]]) -> None:
-        """Take a peer's work by upstream: requests running and prompt tokens to read."""
+    def peer_load(
+        self, peer: HostId, loads: Mapping[UpstreamId, tuple[int, int]], taken: int = 0
+    ) -> None:
+        """Take a peer's work by upstream: requests running and prompt tokens to read.
+
+        Parameters
+        ----------
+        taken : int
+            Number of the last grant that the loads include; later ones are added to them.
+        """
+        grants = [each for each in self._grants.get(peer, ()) if each.number > taken]
+        self._grants[peer] = grants
         for name, upstream in self.upstreams.items():
             load = loads.get(name)
             if load is None:
                 upstream.peers.pop(peer, None)
             else:
                 upstream.peers[peer] = Load(*load)
+        for grant in grants:
+            self._add_grant(peer, grant)
+
+    def grant_to_peer(
+        self, peer: HostId, upstream: UpstreamId, prompt_tokens: int, number: int
+    ) -> None:
+        """Count a request that a peer is told to send, until its own report includes it."""
+        grant = _Grant(number, upstream, prompt_tokens)
+        self._grants.setdefault(peer, []).append(grant)
+        self._add_grant(peer, grant)
+
+    def _add_grant(self, peer: HostId, grant: "_Grant") -> None:
+        known = self.upstreams.get(grant.upstream)
+        if known is not None:
+            load = known.peers.setdefault(peer, Load())
+            load.running += 1
+            load.prefill_tokens += grant.prompt_tokens
 
     def forget_peer(self, peer: HostId) -> None:
         """Drop the work of a peer that is gone."""
+        self._grants.pop(peer, None)
         self.peer_load(peer, {})
 
     def own_loads(self) -> dict[UpstreamId, tuple[int, int]]:
