--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -234,6 +234,9 @@
     strikes: dict[int, int] = {}
     # Number of the last grant taken from each dispatcher; the loads include it.
     taken: dict[HostId, int] = {}
+    # Sums of what the sender has seen of each upstream, and for how long it leaves some alone.
+    records: dict[UpstreamId, tuple[int, int, int, int, int, int]] = {}
+    resting_ms: dict[UpstreamId, int] = {}
 
 
 class SlotRequest(_Message, frozen=True, tag="t"):
@@ -249,6 +252,8 @@
     waited_ms: int
     on_time_in_ms: int
     give_up_in_ms: int
+    output_tokens: int
+    deadline_in_ms: int
     avoid: tuple[UpstreamId, ...] = ()
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/dispatching.py
+++ b/libs/gateway/src/skylarkmoor_gateway/dispatching.py
@@ -1,4 +1,4 @@
-"""Asks the service's dispatcher for slots, and dispatches for the services that this daemon has.
+"""Requests for slots: asks the service's dispatcher for slots, and dispatches for the services that this daemon has.
 
 One daemon, chosen by rendezvous hashing, hands out the slots of a service's engines. It counts
 what it has granted, so that daemons with old reports do not fill the same free slot together.
@@ -46,7 +46,7 @@
 
 
 class Dispatching:
-    """This daemon's waiting requests, and its part as a dispatcher.
+    """The waiting requests of this daemon, and its part as a dispatcher.
 
     Parameters
     ----------
@@ -150,6 +150,8 @@
             request.service,
             request.prompt_tokens,
             request.max_gap_ms,
+            request.output_tokens,
+            now_ms + request.deadline_in_ms,
             frozenset(request.avoid),
         )
         self._dispatcher.request(
@@ -216,6 +218,8 @@
                 now_ms - waiting.arrived_ms,
                 waiting.on_time_until_ms - now_ms,
                 waiting.give_up_ms - now_ms,
+                waiting.item.output_tokens,
+                waiting.item.deadline_ms - now_ms,
                 tuple(waiting.item.avoid),
             ),
         )
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -25,8 +25,9 @@
 
 __all__ = ["OUTPUT_WEIGHT", "Exchange", "ExchangeHost", "Settlement"]
 
-# An output token holds a slot for about as long as this many prompt tokens.
-OUTPUT_WEIGHT = 10
+# An output token takes about as much of an engine's time as this many prompt tokens: a step
+# gives one token to each of some ten requests and takes as long as reading 200.
+OUTPUT_WEIGHT = 20
 # Prompt tokens that an engine of middling speed reads in a millisecond.
 READ_TOKENS_PER_MS = 40
 
@@ -38,7 +39,9 @@
 # caller that is refused early has time to come back.
 _WAIT_PART = 0.6
 # A request that holds a slot for less than this part of the usual time counts as small.
-_SMALL_PART = 0.25
+_SMALL_PART = 0.5
+# Part of the time left that a request may wait for a slot; what has little left is told at once.
+_DEADLINE_PART = 0.4
 # The upstream's own timeout answer gets this long to arrive before the gateway's is sent.
 _TIMEOUT_MARGIN_MS = 60
 # Upstreams that are asked for one request in all, counting those that did not run it.
@@ -109,6 +112,8 @@
     read_ahead: int
     connection: UpstreamConnection | None = None
     answered: bool = False
+    first_ms: int = 0
+    events: int = 0
     head: AnswerHead | None = None
 
 
@@ -222,27 +227,35 @@
         """
         patience_ms = self._patience_ms()
         read_ms = self.prompt_tokens / READ_TOKENS_PER_MS
-        give_up_ms = self.arrived_ms + int(patience_ms * _WAIT_PART)
+        now_ms = self._host.clock.now_ms()
+        give_up_ms = min(
+            self.arrived_ms + int(patience_ms * _WAIT_PART),
+            now_ms + int((self._deadline_ms - now_ms) * _DEADLINE_PART),
+        )
         return Waiting(
             item=SlotNeed(
                 _NO_TICKET,
                 self.service,
                 self.prompt_tokens,
                 self.route.max_gap_ms,
+                self._output_tokens(),
+                self._deadline_ms,
                 frozenset(self._failed_at),
             ),
             tier=self.tier,
             route_tier=self.route.tier,
             arrived_ms=self.arrived_ms,
             on_time_until_ms=int(self.arrived_ms + self.route.goal_ms - read_ms),
-            give_up_ms=min(give_up_ms, self._deadline_ms),
+            give_up_ms=give_up_ms,
             small=self.work_tokens() < _SMALL_PART * usual_tokens,
         )
 
     def work_tokens(self) -> float:
         """Return the request's work, counted in prompt tokens."""
-        output = self.request.expected_output_tokens or self.request.max_output_tokens or 0
-        return self.prompt_tokens + output * OUTPUT_WEIGHT
+        return self.prompt_tokens + self._output_tokens() * OUTPUT_WEIGHT
+
+    def _output_tokens(self) -> int:
+        return self.request.expected_output_tokens or self.request.max_output_tokens or 0
 
     def granted(self, choice: Choice, now_ms: int) -> None:
         """Send the request to the upstream of its slot."""
@@ -394,6 +407,7 @@
         if self._events is not None:
             data = self._events.feed(data)
         if data:
+            send.events += data.count(b"\n\n")
             self._start_answer(head)
             self._forward(data)
 
@@ -405,6 +419,8 @@
             return
         if head.not_run:
             self._runs -= 1
+            if head.replaced:
+                self._host.placement.mark_replaced(send.upstream, self._host.clock.now_ms())
             self._release(send, fault=None)
             self._failed_at.add(send.upstream)
             self._try_again(send, f"the upstream refused with {head.status}", charged=True)
@@ -419,6 +435,10 @@
             self._held.clear()
             self._try_again(send, f"the upstream answered {head.status}", charged=True)
             return
+        if send.events:
+            stream_ms = self._host.clock.now_ms() - send.first_ms
+            expected = self.request.expected_output_tokens
+            self._host.placement.streamed(send.upstream, send.events, stream_ms, expected)
         self._release(send, fault=failed, held_ms=None if failed else elapsed_ms)
         if self._head_sent and head.status != 200:
             self._abort(f"a resumed stream was answered with {head.status}")
@@ -538,6 +558,7 @@
 
     def _first_answer(self, send: _Send) -> None:
         now_ms = self._host.clock.now_ms()
+        send.first_ms = now_ms
         self._host.placement.first_answer(
             send.upstream, self.prompt_tokens, now_ms - send.sent_ms, send.read_ahead
         )
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -185,6 +185,8 @@
             dict(self._retries.repeats),
             self._strikes.own(),
             dict(self.dispatching.taken),
+            self._placement.own_records(),
+            self._placement.own_rests_ms(self._clock.now_ms()),
         )
 
     def _tell(self, now_ms: int) -> None:
@@ -257,6 +259,7 @@
         peer.incarnation = incarnation
         peer.heard_ms = self._clock.now_ms()
         self._placement.peer_load(sender, state.loads, state.taken.get(self._host, 0))
+        self._placement.peer_health(sender, state.records, state.resting_ms, peer.heard_ms)
         self._strikes.set_peer(sender, state.strikes)
         self._count(sender, incarnation, state)
         if state.configuration > self.configuration:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -443,6 +443,7 @@
     def _sweep(self) -> None:
         if self.log_stream is not None:
             self.log_stream.flush()
+        self.placement.refresh(self.clock.now_ms())
         for pool in self._pools.values():
             pool.sweep()
         usable = sum(not each.leaving for each in self.placement.upstreams.values())
--- a/libs/gateway/src/skylarkmoor_gateway/messages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/messages.py
@@ -73,6 +73,8 @@
         The request that the upstream says it answers.
     not_run : bool
         Whether the upstream says that it did not run the request.
+    replaced : bool
+        Whether another instance has the address that the request was sent to.
     sealed : bool
         Whether the answer bears the upstream's receipt.
     headers : list of (bytes, bytes)
@@ -89,6 +91,7 @@
     sealed: bool
     headers: Headers
     content_length: int | None
+    replaced: bool = False
     keep_alive_ms: int | None = None
     running: int | None = None
     waiting: int | None = None
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -29,6 +29,10 @@
     ----------
     max_gap_ms : int
         Longest pause that streams of the route should see.
+    output_tokens : int
+        Expected length of the answer.
+    deadline_ms : int
+        When the answer has to be complete.
     avoid : frozenset of UpstreamId
         Upstreams that failed the request.
     """
@@ -37,6 +41,8 @@
     service: ServiceName
     prompt_tokens: int
     max_gap_ms: int
+    output_tokens: int
+    deadline_ms: int
     avoid: frozenset[UpstreamId] = frozenset()
 
 
@@ -102,6 +108,8 @@
                     need.avoid,
                     only_with_room=True,
                     max_gap_ms=need.max_gap_ms,
+                    output_tokens=need.output_tokens,
+                    remaining_ms=need.deadline_ms - now_ms,
                 )
                 if choice is None:
                     skipped += 1
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -1,4 +1,4 @@
-"""Which upstream answers a request first, from counts that all daemons share."""
+"""Which upstream answers a request first, from what all daemons tell each other."""
 
 import random
 from collections.abc import Collection, Mapping
@@ -6,23 +6,44 @@
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 
-__all__ = ["QUEUE_MARGIN", "Choice", "Load", "PlacedUpstream", "Placement"]
+__all__ = [
+    "QUEUE_MARGIN",
+    "Choice",
+    "Load",
+    "PlacedUpstream",
+    "Placement",
+    "UpstreamRecord",
+]
 
-# Before anything is measured: prompt tokens read in a millisecond, time to a first token
-# besides the prompt, and the time that a request holds a slot.
-_START_TOKENS_PER_MS = 40.0
-_START_BASE_MS = 20.0
+# Requests beyond an engine's slots that may wait there, so that a slot that becomes free is
+# taken before the dispatcher has heard of it.
+QUEUE_MARGIN = 1
+
+# What is assumed before anything is measured, as if it had been seen on this many tokens,
+# events or answers.
+_PRIOR_READ_TOKENS = 2_000.0
+_PRIOR_TOKENS_PER_MS = 40.0
+_PRIOR_EVENTS = 20.0
+_PRIOR_EVENT_MS = 25.0
+_PRIOR_ANSWERS = 8.0
+# Time to a first token besides reading the prompt.
+_BASE_MS = 20.0
+# Time that a request usually holds a slot, until some have ended.
 _START_HOLD_MS = 400.0
-_LEARN_WEIGHT = 0.15
+_HOLD_WEIGHT = 0.1
+# Records lose this part of their weight each second, so that an engine that has turned slow is
+# known for it after some seconds.
+_FORGET_PART_PER_S = 0.08
 # Shorter prompts measure the step time of an engine and not its prefill.
 _MIN_PREFILL_TOKENS = 400
+# Output tokens in an event until it has been learnt from estimates and streams.
+_START_TOKENS_PER_EVENT = 6.0
 # Rest after a failure, doubled at each further one in a row up to the bound.
 _REST_MS = 250
 _MAX_REST_MS = 4_000
-# An upstream that fails part of its requests is avoided in proportion to that part.
-_FAULT_WEIGHT = 0.1
+# Cost of an upstream that fails every request; one that fails a part costs that part of it.
 _FAULT_PENALTY_MS = 3_000
-# Work of other daemons is told about this often, so a close second may be as good.
+# Upstreams whose costs differ by less are taken as equal, because the loads are estimates.
 _TIE_MS = 5.0
 # Engines read prompts in chunks between the steps of running streams. This many tokens fit
 # between two events of a stream, so reading more delays each event by as much.
@@ -31,9 +52,8 @@
 _STALL_PENALTY_MS = 400.0
 # Part of the longest pause that reading may use; the steps in between take the rest.
 _STALL_PART = 0.8
-# Requests beyond an engine's slots that may wait there, so that a slot that becomes free is
-# taken before the daemons have heard of it.
-QUEUE_MARGIN = 1
+# An answer that would not be complete by its deadline costs more than any wait.
+_OVERRUN_PENALTY_MS = 5_000.0
 
 
 @dataclass(slots=True)
@@ -52,6 +72,62 @@
     prefill_tokens: int = 0
 
 
+@dataclass(slots=True)
+class UpstreamRecord:
+    """What one daemon has seen of an upstream; the sums fade, and those of daemons add up.
+
+    Attributes
+    ----------
+    read_tokens, read_ms : float
+        Prompt tokens read and the time for them.
+    events, events_ms : float
+        Events of streams and the time between the first and the last.
+    answers, faults : float
+        Ended requests, and those of them that the upstream failed.
+    """
+
+    read_tokens: float = 0.0
+    read_ms: float = 0.0
+    events: float = 0.0
+    events_ms: float = 0.0
+    answers: float = 0.0
+    faults: float = 0.0
+
+    def fade(self, keep: float) -> None:
+        """Multiply all sums by `keep`."""
+        self.read_tokens *= keep
+        self.read_ms *= keep
+        self.events *= keep
+        self.events_ms *= keep
+        self.answers *= keep
+        self.faults *= keep
+
+    def values(self) -> tuple[int, ...]:
+        """Return the sums in order, times in tenths of a millisecond and counts in tenths."""
+        return (
+            round(self.read_tokens),
+            round(self.read_ms * 10),
+            round(self.events * 10),
+            round(self.events_ms * 10),
+            round(self.answers * 10),
+            round(self.faults * 10),
+        )
+
+    @classmethod
+    def of(cls, values: Collection[int]) -> "UpstreamRecord":
+        """Return the record that has these `values`.
+
+        Raises
+        ------
+        ValueError
+            If there are not six of them.
+        """
+        if len(values) != 6:
+            raise ValueError(f"a record has 6 values, got {len(values)}")
+        tokens, read, events, events_ms, answers, faults = values
+        return cls(tokens, read / 10, events / 10, events_ms / 10, answers / 10, faults / 10)
+
+
 @dataclass(slots=True)
 class PlacedUpstream:
     """An upstream as placement sees it."""
@@ -63,10 +139,16 @@
     version: str = ""
     started_wall_ms: int = 0
     leaving: bool = False
+    # Another instance has answered at the address.
+    replaced: bool = False
     own: Load = field(default_factory=Load)
     peers: dict[HostId, Load] = field(default_factory=dict)
-    tokens_per_ms: float = _START_TOKENS_PER_MS
-    base_ms: float = _START_BASE_MS
+    peers_running: int = 0
+    peers_prefill_tokens: int = 0
+    record: UpstreamRecord = field(default_factory=UpstreamRecord)
+    peer_records: dict[HostId, UpstreamRecord] = field(default_factory=dict)
+    tokens_per_ms: float = _PRIOR_TOKENS_PER_MS
+    event_ms: float = _PRIOR_EVENT_MS
     hold_ms: float = _START_HOLD_MS
     fault_part: float = 0.0
     failures: int = 0
@@ -74,11 +156,11 @@
 
     def running(self) -> int:
         """Return the requests of all daemons that run or wait here."""
-        return self.own.running + sum(load.running for load in self.peers.values())
+        return self.own.running + self.peers_running
 
     def prefill_tokens(self) -> int:
         """Return the prompt tokens of all daemons that still have to be read here."""
-        return self.own.prefill_tokens + sum(load.prefill_tokens for load in self.peers.values())
+        return self.own.prefill_tokens + self.peers_prefill_tokens
 
     def has_room(self) -> bool:
         """Return whether a new request would soon get a slot."""
@@ -89,7 +171,18 @@
         excess = self.running() + 1 - self.slots
         queued_ms = max(0, excess) * self.hold_ms / max(1, self.slots)
         read_ms = (self.prefill_tokens() + prompt_tokens) / self.tokens_per_ms
-        return self.base_ms + queued_ms + read_ms
+        return _BASE_MS + queued_ms + read_ms
+
+    def refresh(self) -> None:
+        """Combine the records of all daemons."""
+        records = [self.record, *self.peer_records.values()]
+        tokens = _PRIOR_READ_TOKENS + sum(each.read_tokens for each in records)
+        prior_ms = _PRIOR_READ_TOKENS / _PRIOR_TOKENS_PER_MS
+        self.tokens_per_ms = tokens / (prior_ms + sum(each.read_ms for each in records))
+        events_ms = _PRIOR_EVENTS * _PRIOR_EVENT_MS + sum(each.events_ms for each in records)
+        self.event_ms = events_ms / (_PRIOR_EVENTS + sum(each.events for each in records))
+        answers = _PRIOR_ANSWERS + sum(each.answers for each in records)
+        self.fault_part = sum(each.faults for each in records) / answers
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +216,8 @@
         self.upstreams: dict[UpstreamId, PlacedUpstream] = {}
         # Grants that the peers' reports do not include yet.
         self._grants: dict[HostId, list[_Grant]] = {}
+        self._tokens_per_event = _START_TOKENS_PER_EVENT
+        self._faded_ms: int | None = None
 
     def set_upstream(
         self,
@@ -151,6 +246,8 @@
         known.slots = slots
         known.version = version
         known.leaving = leaving
+        # A new entry shows that this instance lives.
+        known.replaced = False
 
     def remove(self, upstream: UpstreamId) -> None:
         """Forget an upstream that is gone."""
@@ -169,14 +266,34 @@
         grants = [each for each in self._grants.get(peer, ()) if each.number > taken]
         self._grants[peer] = grants
         for name, upstream in self.upstreams.items():
+            before = upstream.peers.pop(peer, None)
+            if before is not None:
+                upstream.peers_running -= before.running
+                upstream.peers_prefill_tokens -= before.prefill_tokens
             load = loads.get(name)
-            if load is None:
-                upstream.peers.pop(peer, None)
-            else:
-                upstream.peers[peer] = Load(*load)
+            if load is not None:
+                self._add_load(peer, upstream, *load)
         for grant in grants:
             self._add_grant(peer, grant)
 
+    def peer_health(
+        self,
+        peer: HostId,
+        records: Mapping[UpstreamId, tuple[int, ...]],
+        resting_ms: Mapping[UpstreamId, int],
+        now_ms: int,
+    ) -> None:
+        """Take a peer's records of upstreams, and those that it leaves alone for some time."""
+        for name, upstream in self.upstreams.items():
+            values = records.get(name)
+            if values is None:
+                upstream.peer_records.pop(peer, None)
+            else:
+                upstream.peer_records[peer] = UpstreamRecord.of(values)
+            if name in resting_ms:
+                until_ms = now_ms + min(_MAX_REST_MS, resting_ms[name])
+                upstream.rest_until_ms = max(upstream.rest_until_ms, until_ms)
+
     def grant_to_peer(
         self, peer: HostId, upstream: UpstreamId, prompt_tokens: int, number: int
     ) -> None:
@@ -185,17 +302,12 @@
         self._grants.setdefault(peer, []).append(grant)
         self._add_grant(peer, grant)
 
-    def _add_grant(self, peer: HostId, grant: "_Grant") -> None:
-        known = self.upstreams.get(grant.upstream)
-        if known is not None:
-            load = known.peers.setdefault(peer, Load())
-            load.running += 1
-            load.prefill_tokens += grant.prompt_tokens
-
     def forget_peer(self, peer: HostId) -> None:
         """Drop the work of a peer that is gone."""
         self._grants.pop(peer, None)
         self.peer_load(peer, {})
+        for upstream in self.upstreams.values():
+            upstream.peer_records.pop(peer, None)
 
     def own_loads(self) -> dict[UpstreamId, tuple[int, int]]:
         """Return this daemon's work by upstream, to be told to its peers."""
@@ -205,10 +317,30 @@
             if each.own.running
         }
 
+    def own_records(self) -> dict[UpstreamId, tuple[int, ...]]:
+        """Return this daemon's records, to be told to its peers."""
+        return {
+            name: each.record.values()
+            for name, each in self.upstreams.items()
+            if each.record.answers >= 0.1
+        }
+
+    def own_rests_ms(self, now_ms: int) -> dict[UpstreamId, int]:
+        """Return for how long upstreams rest because they could not be reached."""
+        return {
+            name: _MAX_REST_MS if each.replaced else each.rest_until_ms - now_ms
+            for name, each in self.upstreams.items()
+            if each.failures and (each.replaced or each.rest_until_ms > now_ms)
+        }
+
     def usable(self, service: ServiceName, now_ms: int) -> list[PlacedUpstream]:
         """Return the upstreams of a service that may get work; resting ones if no other may."""
-        able = [u for u in self.upstreams.values() if u.service == service and not u.leaving]
-        return [u for u in able if u.rest_until_ms <= now_ms] or able
+        able = [
+            each
+            for each in self.upstreams.values()
+            if each.service == service and not each.leaving and not each.replaced
+        ]
+        return [each for each in able if each.rest_until_ms <= now_ms] or able
 
     def choose(
         self,
@@ -219,6 +351,8 @@
         *,
         only_with_room: bool = False,
         max_gap_ms: int = 0,
+        output_tokens: int = 0,
+        remaining_ms: int | None = None,
     ) -> Choice | None:
         """Return the upstream with the least predicted time to the first token.
 
@@ -230,13 +364,20 @@
             Whether only upstreams with a free slot are considered.
         max_gap_ms : int
             Longest pause that the streams beside it should see; 0 if there are none.
+        output_tokens : int
+            Expected length of the answer.
+        remaining_ms : int or None
+            Time until the answer's deadline.
         """
-        able = [u for u in self.usable(service, now_ms) if u.upstream not in avoid]
+        able = [each for each in self.usable(service, now_ms) if each.upstream not in avoid]
         if only_with_room:
-            able = [u for u in able if u.has_room()]
+            able = [each for each in able if each.has_room()]
         if not able:
             return None
-        costs = [self._cost_ms(each, prompt_tokens, max_gap_ms) for each in able]
+        costs = [
+            self._cost_ms(each, prompt_tokens, max_gap_ms, output_tokens, remaining_ms)
+            for each in able
+        ]
         least = min(costs)
         near = [u for u, cost in zip(able, costs, strict=True) if cost <= least + _TIE_MS]
         best = self._rng.choice(near)
@@ -274,9 +415,22 @@
         known.own.prefill_tokens = max(0, known.own.prefill_tokens - prompt_tokens)
         known.failures = 0
         tokens = prompt_tokens + read_ahead
-        if tokens >= _MIN_PREFILL_TOKENS and elapsed_ms > known.base_ms:
-            speed = tokens / (elapsed_ms - known.base_ms)
-            known.tokens_per_ms += _LEARN_WEIGHT * (speed - known.tokens_per_ms)
+        if tokens >= _MIN_PREFILL_TOKENS:
+            known.record.read_tokens += tokens
+            known.record.read_ms += max(1.0, elapsed_ms - _BASE_MS)
+
+    def streamed(
+        self, upstream: UpstreamId, events: int, elapsed_ms: int, expected_tokens: int | None
+    ) -> None:
+        """Learn from a whole stream: its events, the time between first and last, its length."""
+        known = self.upstreams.get(upstream)
+        if known is not None and events > 1:
+            known.record.events += events - 1
+            known.record.events_ms += elapsed_ms
+        if expected_tokens and events:
+            # Estimates are right at the median, so each one moves the figure a little.
+            step = 0.02 if expected_tokens > events * self._tokens_per_event else -0.02
+            self._tokens_per_event *= 1 + step
 
     def ended(
         self, upstream: UpstreamId, unread_tokens: int, *, held_ms: int | None, fault: bool | None
@@ -298,9 +452,10 @@
         known.own.running = max(0, known.own.running - 1)
         known.own.prefill_tokens = max(0, known.own.prefill_tokens - unread_tokens)
         if held_ms is not None:
-            known.hold_ms += _LEARN_WEIGHT * (held_ms - known.hold_ms)
+            known.hold_ms += _HOLD_WEIGHT * (held_ms - known.hold_ms)
         if fault is not None:
-            known.fault_part += _FAULT_WEIGHT * (float(fault) - known.fault_part)
+            known.record.answers += 1
+            known.record.faults += float(fault)
 
     def rest(self, upstream: UpstreamId, now_ms: int) -> None:
         """Give an upstream that cannot be reached no new work for a while."""
@@ -309,11 +464,53 @@
             known.rest_until_ms = now_ms + min(_MAX_REST_MS, _REST_MS << min(10, known.failures))
             known.failures += 1
 
-    def _cost_ms(self, upstream: PlacedUpstream, prompt_tokens: int, max_gap_ms: int) -> float:
-        cost_ms = upstream.start_ms(prompt_tokens) + upstream.fault_part * _FAULT_PENALTY_MS
+    def mark_replaced(self, upstream: UpstreamId, now_ms: int) -> None:
+        """Give an upstream no work until its entry changes; another one has its address."""
+        self.rest(upstream, now_ms)
+        known = self.upstreams.get(upstream)
+        if known is not None:
+            known.replaced = True
+
+    def refresh(self, now_ms: int) -> None:
+        """Fade the own records and combine those of all daemons; call it a few times a second."""
+        elapsed_ms = 0 if self._faded_ms is None else now_ms - self._faded_ms
+        self._faded_ms = now_ms
+        keep = (1 - _FORGET_PART_PER_S) ** (elapsed_ms / 1_000)
+        for upstream in self.upstreams.values():
+            upstream.record.fade(keep)
+            upstream.refresh()
+
+    def _add_grant(self, peer: HostId, grant: _Grant) -> None:
+        known = self.upstreams.get(grant.upstream)
+        if known is not None:
+            self._add_load(peer, known, 1, grant.prompt_tokens)
+
+    def _add_load(
+        self, peer: HostId, upstream: PlacedUpstream, running: int, prefill_tokens: int
+    ) -> None:
+        load = upstream.peers.setdefault(peer, Load())
+        load.running += running
+        load.prefill_tokens += prefill_tokens
+        upstream.peers_running += running
+        upstream.peers_prefill_tokens += prefill_tokens
+
+    def _cost_ms(
+        self,
+        upstream: PlacedUpstream,
+        prompt_tokens: int,
+        max_gap_ms: int,
+        output_tokens: int,
+        remaining_ms: int | None,
+    ) -> float:
+        start_ms = upstream.start_ms(prompt_tokens)
+        cost_ms = start_ms + upstream.fault_part * _FAULT_PENALTY_MS
         if max_gap_ms and upstream.running():
             pending = min(_STALL_TOKENS, upstream.prefill_tokens() + prompt_tokens)
             if pending / upstream.tokens_per_ms > max_gap_ms * _STALL_PART:
                 cost_ms += _STALL_PENALTY_MS
+        if remaining_ms is not None and output_tokens:
+            stream_ms = output_tokens / self._tokens_per_event * upstream.event_ms
+            if start_ms + stream_ms > remaining_ms:
+                cost_ms += _OVERRUN_PENALTY_MS
         # A request waits longer for its tokens beside others, on a slow engine most of all.
         return cost_ms + upstream.hold_ms * 0.2 * upstream.running() / max(1, upstream.slots)
