--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -172,6 +172,8 @@
         self._head_sent = False
         self._length: int | None = None
         self._first_ms: int | None = None
+        self._forwarded_ms: int | None = None
+        self._longest_gap_ms = 0
         self._held = bytearray()
         self._events = EventSplitter() if route.resumable else None
         self._timer: Any = None
@@ -581,6 +583,10 @@
             self.caller.pause_for(send.connection)
 
     def _forward(self, data: bytes) -> None:
+        now_ms = self._host.clock.now_ms()
+        if self._forwarded_ms is not None:
+            self._longest_gap_ms = max(self._longest_gap_ms, now_ms - self._forwarded_ms)
+        self._forwarded_ms = now_ms
         self.caller.send_body(data)
 
     def _take_held(self) -> bytes:
@@ -628,6 +634,7 @@
                 "customer": None if self.customer is None else self.customer.name,
                 "why": why,
                 "first_ms": self._first_ms,
+                "longest_gap_ms": self._longest_gap_ms,
                 "total_ms": now_ms - self.arrived_ms,
                 "sends": self._sends,
                 "runs": self._runs,
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -75,6 +75,8 @@
         Where metrics are served.
     retry_ratio, retry_window_ms, retry_slack
         The budget of repeated sends of all daemons together.
+    limit_window_ms, limit_overshoot_part, limit_slack_units
+        How far the customers' limits may be exceeded.
     grace_ms : int
         Time between the signal to end and the kill.
     """
@@ -87,6 +89,9 @@
     retry_ratio: float = 0.2
     retry_window_ms: int = 10_000
     retry_slack: int = 10
+    limit_window_ms: int = 8_000
+    limit_overshoot_part: float = 0.0
+    limit_slack_units: int = 0
     grace_ms: int = 8_000
 
 
@@ -123,7 +128,9 @@
         self.retries = FleetRetries(
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
         )
-        self.allotments = FleetAllotments()
+        self.allotments = FleetAllotments(
+            settings.limit_window_ms, settings.limit_overshoot_part, settings.limit_slack_units
+        )
         self.strikes = CrashStrikes()
         # Fires with whether the end was forced.
         self.exited: Deferred[bool] = Deferred()
--- a/libs/policy/src/skylarkmoor_policy/fleetcounts.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetcounts.py
@@ -15,6 +15,8 @@
 # Part of the retry budget used before this daemon keeps to its own share, because what the
 # peers sent within the last gossip round is not known yet.
 _SHARED_BUDGET_PART = 0.5
+# Part of the tolerance on a customer's limit that goes into the bucket.
+_BUCKET_PART = 0.5
 
 
 class PeerCounts:
@@ -61,14 +63,32 @@
 class FleetAllotments:
     """Customers' limits over all daemons.
 
+    Parameters
+    ----------
+    window_ms : int
+        Length of the sliding window in which the platform checks the limit.
+    overshoot_part : float
+        Part by which the fleet may exceed the limit in a window.
+    slack_units : int
+        Units by which it may exceed the limit besides.
+
     Notes
     -----
+    The daemons and the platform see requests in slightly different orders, so an exact bucket
+    refuses requests that were within the limit. Half of the tolerance goes into the bucket's
+    size; the other half covers what peers admit before they hear of each other.
+
     Each daemon mirrors one bucket a customer: its own admissions are taken off at once, those
     of its peers when they report them. While some peers are silent, the refill is cut to the
     part of the fleet that is heard, because a peer that is cut off goes on admitting.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, window_ms: int = 8_000, overshoot_part: float = 0.0, slack_units: int = 0
+    ) -> None:
+        self._window_ms = window_ms
+        self._overshoot_part = overshoot_part
+        self._slack_units = slack_units
         self._buckets: dict[CustomerId, _Bucket] = {}
         self._part = 1.0
         self.admitted: dict[str, int] = {}
@@ -90,7 +110,7 @@
         per_s = customer.units_per_s * self._part
         bucket = self._refilled(customer, per_s, now_ms)
         # A request larger than the burst passes when the bucket is full.
-        needed = min(float(units), customer.burst_units)
+        needed = min(float(units), self._size(customer))
         if bucket.level < needed:
             return max(1, round(1_000 * (needed - bucket.level) / per_s)) if per_s > 0 else 1_000
         bucket.level -= units
@@ -113,10 +133,15 @@
     def _refilled(self, customer: ApiCustomer, per_s: float, now_ms: int) -> _Bucket:
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = self._buckets[customer.name] = _Bucket(customer.burst_units, now_ms)
-        bucket.refill(per_s, customer.burst_units, now_ms)
+            bucket = self._buckets[customer.name] = _Bucket(self._size(customer), now_ms)
+        bucket.refill(per_s, self._size(customer), now_ms)
         return bucket
 
+    def _size(self, customer: ApiCustomer) -> float:
+        in_window = customer.units_per_s * self._window_ms / 1_000 + customer.burst_units
+        tolerance = self._overshoot_part * in_window + self._slack_units
+        return customer.burst_units + tolerance * _BUCKET_PART
+
 
 class _Window:
     """Counts of requests and of repeats within a sliding window."""
