Requeue requests that were granted an upstream unknown here; whole routes are small

Cause: a dispatcher that read of a new engine first granted it to daemons that did not know it, and the request was lost (KeyError in the peer handler).

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -237,6 +237,8 @@
     # Sums of what the sender has seen of each upstream, and for how long it leaves some alone.
     records: dict[UpstreamId, tuple[int, int, int, int, int, int]] = {}
     resting_ms: dict[UpstreamId, int] = {}
+    # Offset of the newest record read that changed the upstreams.
+    upstreams: int = -1
 
 
 class SlotRequest(_Message, frozen=True, tag="t"):
@@ -247,6 +249,7 @@
     tier: int
     route_tier: int
     small: bool
+    returned: bool
     prompt_tokens: int
     max_gap_ms: int
     waited_ms: int
--- a/libs/gateway/src/skylarkmoor_gateway/dispatching.py
+++ b/libs/gateway/src/skylarkmoor_gateway/dispatching.py
@@ -163,6 +163,7 @@
                 now_ms + request.on_time_in_ms,
                 now_ms + request.give_up_in_ms,
                 request.small,
+                request.returned,
             )
         )
         self.offer()
@@ -213,6 +214,7 @@
                 waiting.tier,
                 waiting.route_tier,
                 waiting.small,
+                waiting.returned,
                 waiting.item.prompt_tokens,
                 waiting.item.max_gap_ms,
                 now_ms - waiting.arrived_ms,
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -38,10 +38,14 @@
 # Part of the patience that a request may wait for a slot. The rest is for its prompt, and a
 # caller that is refused early has time to come back.
 _WAIT_PART = 0.6
-# A request that holds a slot for less than this part of the usual time counts as small.
-_SMALL_PART = 0.5
 # Part of the time left that a request may wait for a slot; what has little left is told at once.
 _DEADLINE_PART = 0.4
+# A repeatable request goes to another upstream after this part of the patience without a sign
+# of the first one, and not before a multiple of the predicted time.
+_STALL_PART = 0.5
+_STALL_FACTOR = 3
+# A first attempt comes with its whole deadline, but for the time on the way.
+_RETURNED_PART = 0.95
 # The upstream's own timeout answer gets this long to arrive before the gateway's is sent.
 _TIMEOUT_MARGIN_MS = 60
 # Upstreams that are asked for one request in all, counting those that did not run it.
@@ -53,6 +57,8 @@
 _MIN_RETRY_AFTER_MS = 100
 # Callers honour a pause of up to a third of the time they have left.
 _RETRY_AFTER_PART = 0.3
+# A read of the list of upstreams takes some milliseconds.
+_READ_AGAIN_S = 0.02
 # Time that one more attempt needs at the least.
 _MIN_REMAINING_MS = 30
 # Replaced when the request is put in line.
@@ -99,6 +105,9 @@
     def crashed(self, exchange: "Exchange", upstream: UpstreamId) -> None:
         """Note that an upstream's connection broke while it ran a request."""
 
+    def read_upstreams(self) -> None:
+        """Read the list of upstreams at once."""
+
     def views(self) -> dict[str, object]:
         """Return the versions and ages of what decisions rest on, for the log."""
 
@@ -112,6 +121,8 @@
     read_ahead: int
     connection: UpstreamConnection | None = None
     answered: bool = False
+    predicted_ms: float = 0.0
+    heard_ms: int = 0
     first_ms: int = 0
     events: int = 0
     head: AnswerHead | None = None
@@ -216,22 +227,26 @@
         self._end(Settlement.REFUSED, why, status=status, retry_after_ms=pause_ms)
 
     def _patience_ms(self) -> float:
+        if self.route.repeat is not Repeat.STREAM:
+            return self.route.timeout_ms
         goals_ms = _PATIENCE_GOALS * self.route.goal_ms
         return max(_PATIENCE_MS, goals_ms, _PATIENCE_GAPS * self.route.max_gap_ms)
 
-    def waiting(self, usual_tokens: float) -> Waiting[SlotNeed]:
+    def waiting(self, small: bool) -> Waiting[SlotNeed]:
         """Return how urgent the request is while it waits for a slot.
 
         Parameters
         ----------
-        usual_tokens : float
-            Mean work of the service's requests, as `work_tokens` counts it.
+        small : bool
+            Whether the requests of its route hold a slot for a small part of the usual time.
         """
         patience_ms = self._patience_ms()
         read_ms = self.prompt_tokens / READ_TOKENS_PER_MS
         now_ms = self._host.clock.now_ms()
+        # A request that has run before waits anew; its caller has seen progress.
+        from_ms = now_ms if self._runs else self.arrived_ms
         give_up_ms = min(
-            self.arrived_ms + int(patience_ms * _WAIT_PART),
+            from_ms + int(patience_ms * _WAIT_PART),
             now_ms + int((self._deadline_ms - now_ms) * _DEADLINE_PART),
         )
         return Waiting(
@@ -249,9 +264,31 @@
             arrived_ms=self.arrived_ms,
             on_time_until_ms=int(self.arrived_ms + self.route.goal_ms - read_ms),
             give_up_ms=give_up_ms,
-            small=self.work_tokens() < _SMALL_PART * usual_tokens,
+            small=small or self._runs > 0,
+            returned=self._has_returned(),
         )
 
+    def _has_returned(self) -> bool:
+        """Return whether the caller has been refused before, as its shorter deadline shows."""
+        deadline_ms = self.request.deadline_ms
+        return deadline_ms is not None and deadline_ms < _RETURNED_PART * self.route.timeout_ms
+
+    def check_stall(self, now_ms: int) -> None:
+        """Give up an upstream that has been silent for long, if the request may run again.
+
+        Notes
+        -----
+        The connection is closed first, so that the upstream stops working on the request.
+        """
+        send = self._current
+        if self._done or send is None or send.connection is None or not self.route.idempotent:
+            return
+        silent_ms = now_ms - max(send.sent_ms, send.heard_ms)
+        if silent_ms < max(self._patience_ms() * _STALL_PART, _STALL_FACTOR * send.predicted_ms):
+            return
+        if self._runs < self.route.max_upstreams and self._sends < _MAX_SENDS:
+            self._broken(send, f"the upstream was silent for {silent_ms} ms")
+
     def work_tokens(self) -> float:
         """Return the request's work, counted in prompt tokens."""
         return self.prompt_tokens + self._output_tokens() * OUTPUT_WEIGHT
@@ -291,15 +328,26 @@
         self._dispatch(choice, now_ms)
 
     def _dispatch(self, choice: Choice, now_ms: int) -> None:
+        known = self._host.placement.upstreams.get(choice.upstream)
+        if known is None:
+            # The dispatcher has read of an upstream that this daemon has not read of yet.
+            _log.info("granted an unknown upstream", extra={"upstream": choice.upstream})
+            self._host.read_upstreams()
+            self._host.reactor.callLater(_READ_AGAIN_S, self._wait_again)
+            return
         self._sends += 1
         if self._sends == 1:
             self._host.retries.count_request(self.service, now_ms)
         self._log_choice(choice, now_ms)
-        known = self._host.placement.upstreams[choice.upstream]
         self._current = _Send(choice.upstream, now_ms, known.prefill_tokens())
+        self._current.predicted_ms = choice.start_ms
         self._host.placement.started(choice.upstream, self.prompt_tokens)
         self._connect(self._current)
 
+    def _wait_again(self) -> None:
+        if not self._done:
+            self._send_somewhere()
+
     def _log_choice(self, choice: Choice, now_ms: int) -> None:
         _log.info(
             "sent to an upstream",
@@ -397,6 +445,7 @@
         head = send.head
         if head is None or head.not_run:
             return
+        send.heard_ms = self._host.clock.now_ms()
         if not send.answered:
             send.answered = True
             self._first_answer(send)
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -65,8 +65,11 @@
         Source of times.
     placement, allotments, retries, strikes
         What the peers' states go into and this daemon's state is made of.
-    on_newer : callable
-        Called when a peer has read a newer configuration than this daemon.
+    on_newer, on_newer_upstreams : callable
+        Called when a peer has read a newer configuration, or a newer change of the upstreams,
+        than this daemon.
+    later : callable
+        Calls a function after some milliseconds.
     """
 
     def __init__(
@@ -79,9 +82,13 @@
         retries: FleetRetries,
         strikes: CrashStrikes,
         on_newer: Callable[[], None],
+        on_newer_upstreams: Callable[[], None],
         later: Callable[[int, Callable[[], None]], None],
     ) -> None:
         self.configuration = -1
+        # Offset of the last record that changed the upstreams, and of the last that was read.
+        self.upstreams_changed = -1
+        self.upstreams_read = -1
         self.leaving = False
         self._host = host
         self._clock = clock
@@ -90,6 +97,7 @@
         self._retries = retries
         self._strikes = strikes
         self._on_newer = on_newer
+        self._on_newer_upstreams = on_newer_upstreams
         self._later = later
         self.dispatching = Dispatching(
             host, clock, placement, self._send_slots, self.fresh_hosts, lambda call: later(0, call)
@@ -187,6 +195,7 @@
             dict(self.dispatching.taken),
             self._placement.own_records(),
             self._placement.own_rests_ms(self._clock.now_ms()),
+            self.upstreams_changed,
         )
 
     def _tell(self, now_ms: int) -> None:
@@ -264,6 +273,8 @@
         self._count(sender, incarnation, state)
         if state.configuration > self.configuration:
             self._on_newer()
+        if state.upstreams > self.upstreams_read:
+            self._on_newer_upstreams()
         self.dispatching.offer()
 
     def _count(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -43,12 +43,13 @@
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
 from skylarkmoor_policy.strikes import CrashStrikes
+from skylarkmoor_policy.usualwork import UsualWork
 
 __all__ = ["Gateway", "GatewaySettings"]
 
 _TICK_MS = 25
-_USUAL_WEIGHT = 0.05
 _SWEEP_MS = 500
+_STALL_CHECK_MS = 100
 # The load balancer asks once a second and takes two misses, so new connections may come for
 # this long after the daemon has reported itself not ready.
 _REROUTE_MS = 2_600
@@ -136,6 +137,8 @@
         self.exited: Deferred[bool] = Deferred()
         # Called when a peer has a newer configuration than this daemon.
         self.on_newer_configuration: Any = lambda: None
+        # Called when a peer has read of a change of the upstreams that this daemon has not.
+        self.on_newer_upstreams: Any = lambda: None
         self.upstreams_read_ms = 0
         # Where the log lines go, if it drops lines that cannot be written.
         self.log_stream: BoundedStream | None = None
@@ -150,18 +153,19 @@
             self.retries,
             self.strikes,
             lambda: self.on_newer_configuration(),
+            lambda: self.on_newer_upstreams(),
             lambda delay_ms, call: reactor.callLater(delay_ms / 1000, call),
         )
         self._lifecycle = Lifecycle()
         self._ready = False
         self._drained_ms: int | None = None
+        self._stalls_checked_ms = 0
         self._table: RouteTable | None = None
         self._pools: dict[UpstreamId, UpstreamPool] = {}
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, Exchange] = {}
         self._ports: list[Any] = []
-        # Mean work of a service's requests in prompt tokens.
-        self._usual_tokens: dict[ServiceName, float] = {}
+        self._work = UsualWork()
 
     @property
     def table(self) -> RouteTable | None:
@@ -326,10 +330,12 @@
 
     def wait_for_slot(self, exchange: Exchange) -> None:
         """Put a request in line and start those for which there are slots."""
-        service = exchange.service
-        usual = self._usual_tokens.get(service, exchange.work_tokens())
-        self._usual_tokens[service] = usual + _USUAL_WEIGHT * (exchange.work_tokens() - usual)
-        exchange.wait_number = self.fleet.dispatching.wait(exchange, exchange.waiting(usual))
+        small = self._work.is_small(exchange.service, exchange.route.name, exchange.work_tokens())
+        exchange.wait_number = self.fleet.dispatching.wait(exchange, exchange.waiting(small))
+
+    def read_upstreams(self) -> None:
+        """Read the list of upstreams at once."""
+        self.on_newer_upstreams()
 
     def stop_waiting(self, number: int) -> None:
         """Take a request out of line."""
@@ -436,6 +442,11 @@
     def _tick(self) -> None:
         self.fleet.tick()
         self.fleet.dispatching.tick()
+        now_ms = self.clock.now_ms()
+        if now_ms - self._stalls_checked_ms >= _STALL_CHECK_MS:
+            self._stalls_checked_ms = now_ms
+            for exchange in list(self._exchanges.values()):
+                exchange.check_stall(now_ms)
         if self._drained_ms is not None:
             self._finish_draining(self.clock.now_ms() - self._drained_ms)
 
