--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -249,7 +249,6 @@
     tier: int
     route_tier: int
     small: bool
-    returned: bool
     prompt_tokens: int
     max_gap_ms: int
     waited_ms: int
--- a/libs/core/tests/test_clock.py
+++ b/libs/core/tests/test_clock.py
@@ -1,5 +1,7 @@
 """Guards clocks against going back and against mixing wall and monotonic time."""
 
+import time
+
 import pytest
 
 from skylarkmoor_core.clock import ManualClock, SystemClock
@@ -24,6 +26,7 @@
 
 def test_system_clock_reads_milliseconds_of_both_sources(monkeypatch):
     monkeypatch.setattr("time.time_ns", lambda: 1_700_000_000_123_999_999)
-    monkeypatch.setattr("time.monotonic_ns", lambda: 5_999_999)
+    readings = {time.CLOCK_BOOTTIME: 5_999_999}
+    monkeypatch.setattr("time.clock_gettime_ns", readings.__getitem__)
     clock = SystemClock()
     assert (clock.wall_ms(), clock.now_ms()) == (1_700_000_000_123, 5)
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -53,7 +53,7 @@
     Demand("gpu-1", 3, (1, 2), (0, 4), 120),
     Grant("gpu-1", 3, (5, 0), 500),
     GatewayState("10.0.0.1:7600", False, 4, {"gpu-1": (2, 900)}, {"depots": 7}, {}, {"orders": 1}),
-    SlotRequest(3, "assistant", 0, 1, False, True, 900, 400, 5, 300, 1500, 80, 9000, ("gpu-1",)),
+    SlotRequest(3, "assistant", 0, 1, False, 900, 400, 5, 300, 1500, 80, 9000, ("gpu-1",)),
     SlotWithdrawal(3),
     SlotGrant(3, "gpu-1", 17),
     ClaimRequest("nadi-1/5/1", 2**64 - 1, 2, 7),
--- a/libs/gateway/src/skylarkmoor_gateway/callers.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callers.py
@@ -70,6 +70,7 @@
         self._busy = False
         self._answering = False
         self._closing = False
+        self._producing = False
         self._timer: Any = None
         self._reading_head = False
 
@@ -151,12 +152,15 @@
 
     def pause_for(self, producer: Any) -> None:
         """Let this connection's congestion pause and resume a producer."""
+        self.unpause()
         if self.transport is not None and not self._closing:
+            self._producing = True
             self._transport.registerProducer(producer, True)
 
     def unpause(self) -> None:
         """Drop the producer."""
-        if self.transport is not None:
+        if self._producing:
+            self._producing = False
             self._transport.unregisterProducer()
 
     @property
@@ -283,7 +287,7 @@
             return
         self._closing = True
         self._disarm()
-        self._transport.unregisterProducer()
+        self.unpause()
         if abort:
             self._transport.abortConnection()
             return
@@ -310,7 +314,11 @@
 
 
 def _framing_fault(head: h11.Request, limits: CallerLimits) -> tuple[int, str] | None:
-    """Return status and reason if a request's framing is ambiguous or its body too large."""
+    """Return status and reason if a request's framing is ambiguous or it is too large."""
+    size = sum(len(name) + len(value) + len(b": \r\n") for name, value in head.headers)
+    if size + len(head.target) > limits.max_header_bytes:
+        # The parser bounds only a header that arrives in pieces.
+        return 431, f"the header exceeds {limits.max_header_bytes} bytes"
     names = [name for name, _ in head.headers]
     if b"transfer-encoding" in names and b"content-length" in names:
         # Two readers of such a request may disagree on where it ends.
--- a/libs/gateway/src/skylarkmoor_gateway/dispatching.py
+++ b/libs/gateway/src/skylarkmoor_gateway/dispatching.py
@@ -125,9 +125,11 @@
             if now_ms >= wait.waiting.give_up_ms:
                 self.withdraw(number)
                 wait.seeker.gave_up_waiting()
-            elif wait.asked != self.owner(wait.seeker.service):
-                self._ask(number, wait)
-            elif wait.asked != self._host and now_ms - wait.asked_ms >= _ASK_AGAIN_MS:
+            elif (
+                wait.asked != self.owner(wait.seeker.service)
+                or wait.asked != self._host
+                and now_ms - wait.asked_ms >= _ASK_AGAIN_MS
+            ):
                 self._ask(number, wait)
         self.offer()
 
@@ -163,7 +165,6 @@
                 now_ms + request.on_time_in_ms,
                 now_ms + request.give_up_in_ms,
                 request.small,
-                request.returned,
             )
         )
         self.offer()
@@ -214,7 +215,6 @@
                 waiting.tier,
                 waiting.route_tier,
                 waiting.small,
-                waiting.returned,
                 waiting.item.prompt_tokens,
                 waiting.item.max_gap_ms,
                 now_ms - waiting.arrived_ms,
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -38,14 +38,15 @@
 # Part of the patience that a request may wait for a slot. The rest is for its prompt, and a
 # caller that is refused early has time to come back.
 _WAIT_PART = 0.6
+# Part of the goal by which a request has to start to be on time; the rest is for the prompts
+# that the engine reads first.
+_START_PART = 0.6
 # Part of the time left that a request may wait for a slot; what has little left is told at once.
 _DEADLINE_PART = 0.4
 # A repeatable request goes to another upstream after this part of the patience without a sign
 # of the first one, and not before a multiple of the predicted time.
 _STALL_PART = 0.5
 _STALL_FACTOR = 3
-# A first attempt comes with its whole deadline, but for the time on the way.
-_RETURNED_PART = 0.95
 # The upstream's own timeout answer gets this long to arrive before the gateway's is sent.
 _TIMEOUT_MARGIN_MS = 60
 # Upstreams that are asked for one request in all, counting those that did not run it.
@@ -262,17 +263,11 @@
             tier=self.tier,
             route_tier=self.route.tier,
             arrived_ms=self.arrived_ms,
-            on_time_until_ms=int(self.arrived_ms + self.route.goal_ms - read_ms),
+            on_time_until_ms=int(self.arrived_ms + self.route.goal_ms * _START_PART - read_ms),
             give_up_ms=give_up_ms,
             small=small or self._runs > 0,
-            returned=self._has_returned(),
         )
 
-    def _has_returned(self) -> bool:
-        """Return whether the caller has been refused before, as its shorter deadline shows."""
-        deadline_ms = self.request.deadline_ms
-        return deadline_ms is not None and deadline_ms < _RETURNED_PART * self.route.timeout_ms
-
     def check_stall(self, now_ms: int) -> None:
         """Give up an upstream that has been silent for long, if the request may run again.
 
@@ -416,6 +411,8 @@
         headers = self._host.codec.encode_request(self.request, attempt)
         headers.append((b"Content-Length", str(len(self.request.body)).encode()))
         send.connection = connection
+        if self._head_sent:
+            self.caller.pause_for(connection)
         self._runs += 1
         connection.send(
             self.request.method,
--- a/libs/policy/src/skylarkmoor_policy/waitingline.py
+++ b/libs/policy/src/skylarkmoor_policy/waitingline.py
@@ -27,8 +27,6 @@
         When it is refused if it has not started.
     small : bool
         Whether it holds a slot for a small part of the usual time, or has begun to run before.
-    returned : bool
-        Whether it was refused before and has come back.
     """
 
     item: T
@@ -38,7 +36,6 @@
     on_time_until_ms: int
     give_up_ms: int
     small: bool = False
-    returned: bool = False
 
 
 class WaitingLine(Generic[T]):
@@ -49,8 +46,7 @@
     Small requests come first, because they delay the others least. Then the higher tier goes
     first, and within a tier what can still be on time goes before what is late: under overload
     first-come order would make every answer late, while this order makes some late and the
-    others not. A request that has come back counts as on time, so that no caller is refused
-    twice where another one could be refused once.
+    others not.
     """
 
     def __init__(self) -> None:
@@ -75,7 +71,7 @@
         """Yield the requests in the order in which they should start now."""
 
         def urgency(waiting: Waiting[T]) -> tuple[bool, int, int, bool, int]:
-            late = now_ms > waiting.on_time_until_ms and not waiting.returned
+            late = now_ms > waiting.on_time_until_ms
             return (
                 not waiting.small,
                 waiting.tier,
--- /dev/null
+++ b/libs/policy/tests/test_fleetcounts.py
@@ -0,0 +1,84 @@
+"""Guards limits that all daemons keep together, also while some of them are cut off."""
+
+from skylarkmoor_policy.fleetcounts import FleetAllotments, FleetRetries, PeerCounts
+from skylarkmoor_policy.routetable import ApiCustomer
+
+CUSTOMER = ApiCustomer("depots", ("k",), units_per_s=1_000, burst_units=1_000, counts_tokens=True)
+
+
+def test_growth_counts_only_what_is_new():
+    counts = PeerCounts()
+    assert counts.growth("peer", 1, {"a": 5}) == {}
+    assert counts.growth("peer", 1, {"a": 7}) == {"a": 2}
+    # A late older report does not count back.
+    assert counts.growth("peer", 1, {"a": 6}) == {}
+
+
+def test_growth_of_a_restarted_peer_counts_from_zero():
+    counts = PeerCounts()
+    counts.growth("peer", 1, {"a": 100})
+    assert counts.growth("peer", 2, {"a": 3}) == {"a": 3}
+
+
+def test_an_allotment_is_shared_with_the_peers():
+    allotments = FleetAllotments()
+    assert allotments.admit(CUSTOMER, 400, 0) is None
+    allotments.peer_admitted("depots", 600)
+    assert allotments.admit(CUSTOMER, 100, 0) == 100
+    assert allotments.admit(CUSTOMER, 100, 100) is None
+
+
+def test_half_of_the_tolerance_is_admitted():
+    allotments = FleetAllotments(window_ms=8_000, overshoot_part=0.1, slack_units=100)
+    # 0.1 * (8 * 1000 + 1000) + 100 = 1000, of which half goes into the bucket.
+    assert allotments.admit(CUSTOMER, 1_500, 0) is None
+    assert allotments.admit(CUSTOMER, 1, 0) is not None
+
+
+def test_a_request_above_the_burst_passes_a_full_bucket_once():
+    allotments = FleetAllotments()
+    assert allotments.admit(CUSTOMER, 5_000, 0) is None
+    assert allotments.admit(CUSTOMER, 1, 1_000) is not None
+
+
+def test_daemons_that_hear_nobody_admit_their_part_only():
+    """Both sides of a cut would otherwise admit the whole limit."""
+    allotments = FleetAllotments()
+    allotments.admit(CUSTOMER, 1_000, 0)
+    allotments.set_heard_part(0.25)
+    assert allotments.admit(CUSTOMER, 300, 1_000) is not None
+    assert allotments.admit(CUSTOMER, 250, 1_000) is None
+
+
+def test_customers_without_a_rate_have_no_limit():
+    assert FleetAllotments().admit(ApiCustomer("a", ()), 10**9, 0) is None
+
+
+def test_retries_stay_within_the_budget_of_the_fleet():
+    retries = FleetRetries(ratio=0.2, window_ms=10_000, slack=10)
+    for _ in range(100):
+        retries.count_request("orders", 0)
+    taken = sum(retries.take("orders", 0) for _ in range(100))
+    assert taken == 30
+    assert not retries.take("orders", 9_000)
+
+
+def test_repeats_of_peers_use_up_the_budget():
+    retries = FleetRetries(ratio=0.2, window_ms=10_000, slack=10)
+    retries.set_fleet(10, True)
+    retries.peer_counted("orders", 0, 5, 0)
+    # Half of the shared budget is gone, so only this daemon's own share is left.
+    assert sum(retries.take("orders", 0) for _ in range(10)) == 1
+
+
+def test_a_daemon_that_is_cut_off_keeps_to_its_share():
+    retries = FleetRetries(ratio=0.0, window_ms=10_000, slack=100)
+    retries.set_fleet(10, False)
+    assert sum(retries.take("orders", 0) for _ in range(100)) == 10
+
+
+def test_the_budget_comes_back_when_the_window_has_passed():
+    retries = FleetRetries(ratio=0.0, window_ms=10_000, slack=1)
+    assert retries.take("orders", 0)
+    assert not retries.take("orders", 9_999)
+    assert retries.take("orders", 10_000)
--- /dev/null
+++ b/libs/policy/tests/test_waitingline.py
@@ -0,0 +1,50 @@
+"""Guards the order of waiting requests under overload against first-come order."""
+
+from skylarkmoor_policy.waitingline import Waiting, WaitingLine
+
+
+def waiting(item, **changes):
+    values = {
+        "tier": 1,
+        "route_tier": 1,
+        "arrived_ms": 0,
+        "on_time_until_ms": 400,
+        "give_up_ms": 2_000,
+    }
+    return Waiting(item, **(values | changes))
+
+
+def order(*entries, now_ms):
+    line = WaitingLine()
+    for entry in entries:
+        line.add(entry)
+    return [each.item for each in line.ordered(now_ms)]
+
+
+def test_the_higher_tier_starts_first():
+    assert order(waiting("low", tier=2), waiting("high", tier=0), now_ms=0) == ["high", "low"]
+
+
+def test_what_can_be_on_time_goes_before_what_is_late():
+    late = waiting("late", arrived_ms=0, on_time_until_ms=400)
+    fresh = waiting("fresh", arrived_ms=500, on_time_until_ms=900)
+    assert order(late, fresh, now_ms=600) == ["fresh", "late"]
+
+
+def test_late_requests_keep_their_order_of_arrival():
+    first = waiting("first", arrived_ms=1, on_time_until_ms=500)
+    second = waiting("second", arrived_ms=2, on_time_until_ms=300)
+    assert order(second, first, now_ms=1_000) == ["first", "second"]
+
+
+def test_small_requests_do_not_wait_behind_a_higher_tier():
+    small = waiting("small", tier=2, small=True)
+    assert order(waiting("long", tier=0), small, now_ms=0) == ["small", "long"]
+
+
+def test_expired_requests_leave_the_line():
+    line = WaitingLine()
+    line.add(waiting("old", give_up_ms=100))
+    line.add(waiting("young", give_up_ms=200))
+    assert line.expired(150) == ["old"]
+    assert [each.item for each in line.ordered(150)] == ["young"]
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,30 @@
+"""Fixtures of the adapter's tests."""
+
+import random
+
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+
+from adapter_harness import CONFIG, Harness
+from skylarkmoor_adapter.headers import HeaderCodec
+from skylarkmoor_adapter.records import decode_table
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_core.settings import Address
+from skylarkmoor_gateway.gateway import Gateway, GatewaySettings
+
+
+@pytest.fixture
+def harness() -> Harness:
+    """Return a gateway with a configuration and no upstreams."""
+    reactor = MemoryReactorClock()
+    clock = ManualClock(now_ms=1_000)
+    address = Address("127.0.0.1", 0)
+    gateway = Gateway(
+        GatewaySettings("host-1", address, address, address, retry_slack=50),
+        reactor,
+        clock,
+        random.Random(1),
+        HeaderCodec(),
+    )
+    gateway.set_table(decode_table(CONFIG), 0)
+    return Harness(gateway, reactor, clock)
--- /dev/null
+++ b/tests/adapter/test_headers.py
@@ -0,0 +1,80 @@
+"""Guards the decoding of the platform's headers."""
+
+import pytest
+
+from skylarkmoor_adapter.headers import HeaderCodec
+from skylarkmoor_gateway.errors import MalformedRequest
+from skylarkmoor_gateway.messages import Attempt
+
+CODEC = HeaderCodec()
+
+
+def decode(*headers):
+    base = [(b"Host", b"a.example"), (b"Skylarkmoor-Request-Id", b"r1")]
+    return CODEC.decode_request(b"GET", b"/x", [*base, *headers], b"")
+
+
+def test_sizes_and_estimates():
+    got = decode((b"Skylarkmoor-Token-Counts", b"1460,80"), (b"Skylarkmoor-Length-Hint", b"33"))
+    assert (got.prompt_tokens, got.max_output_tokens, got.expected_output_tokens) == (1460, 80, 33)
+    assert got.tokens == 1540
+
+
+def test_headers_named_by_connection_are_not_forwarded():
+    got = decode((b"Connection", b"close, X-Hop"), (b"X-Hop", b"1"), (b"X-End", b"2"))
+    assert (b"X-End", b"2") in got.headers
+    assert not any(name.lower() in (b"x-hop", b"connection") for name, _ in got.headers)
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"Skylarkmoor-Token-Counts", b"many,80"),
+        (b"Skylarkmoor-Deadline-Ms", b"-1"),
+        (b"Skylarkmoor-Deadline-Ms", b"nan"),
+        (b"Skylarkmoor-Deadline-Ms", b"inf"),
+    ],
+)
+def test_faulty_numbers_are_refused_with_their_value(header):
+    with pytest.raises(MalformedRequest, match=header[1].split(b",")[0].decode()):
+        decode(header)
+
+
+@pytest.mark.parametrize(
+    ("value", "key"), [(b"Token k1", "k1"), (b"token  k1 ", "k1"), (b"Bearer k1", None)]
+)
+def test_api_keys(value, key):
+    assert decode((b"Authorization", value)).api_key == key
+
+
+def test_an_attempt_names_its_upstream_and_customer():
+    request = decode((b"Last-Event-Id", b"4"), (b"Authorization", b"Token k1"))
+    headers = dict(CODEC.encode_request(request, Attempt("e1", 900, "depots", b"7")))
+    assert headers[b"Skylarkmoor-Expect-Instance"] == b"e1"
+    assert headers[b"Skylarkmoor-Tenant"] == b"depots"
+    assert headers[b"Last-Event-Id"] == b"7"
+    assert b"Authorization" not in headers
+
+
+def answer(status, *headers):
+    return CODEC.decode_answer(status, list(headers))
+
+
+def test_what_an_answer_says_of_its_run():
+    assert answer(503, (b"Skylarkmoor-Not-Executed", b"1")).not_run
+    assert answer(421).not_run
+    assert answer(421).replaced
+    assert not answer(503).not_run
+    assert answer(200, (b"skylarkmoor-response-seal", b"s")).sealed
+
+
+def test_length_load_and_keep_alive():
+    got = answer(
+        200,
+        (b"Content-Length", b"12"),
+        (b"Keep-Alive", b"max=5, timeout=7"),
+        (b"Skylarkmoor-Server-Load", b"3,1,8"),
+    )
+    assert (got.content_length, got.keep_alive_ms, got.running, got.waiting) == (12, 7_000, 3, 1)
+    assert answer(200, (b"Keep-Alive", b"timeout=x")).keep_alive_ms is None
+    assert answer(200, (b"Skylarkmoor-Server-Load", b"?")).running is None
--- /dev/null
+++ b/tests/adapter/test_path.py
@@ -0,0 +1,421 @@
+"""Guards the way of a request through the gateway: what is sent, repeated, refused, cut off."""
+
+import pytest
+
+from adapter_harness import answer, chunk, request, stream_head
+
+EVENT_1, EVENT_2, EVENT_3 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"
+
+
+def two_order_upstreams(harness):
+    harness.add_upstream("o1", "orders", 1)
+    harness.add_upstream("o2", "orders", 2)
+
+
+def two_engines(harness):
+    harness.add_upstream("e1", "assistant", 1)
+    harness.add_upstream("e2", "assistant", 2)
+
+
+def test_a_request_is_forwarded_and_its_answer_returned_unchanged(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/7?x=1", "POST", b"body", X_Own="kept"))
+    upstream = harness.accept()
+    sent = upstream.received()
+    assert sent.startswith(b"POST /order/7?x=1 HTTP/1.1\r\n")
+    assert sent.endswith(b"\r\n\r\nbody")
+    assert b"Skylarkmoor-Tenant: depots" in sent
+    assert b"X-Own: kept" in sent
+    assert b"secret" not in sent
+    upstream.send(answer(b"done"))
+    got = caller.received()
+    assert got.startswith(b"HTTP/1.1 200")
+    assert b"Skylarkmoor-Response-Seal: seal" in got
+    assert got.endswith(b"\r\n\r\ndone")
+
+
+def test_forged_headers_do_not_reach_the_upstream(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    forged = ["Tenant", "Expect-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Expect-Version"]
+    extra = {f"Skylarkmoor-{name}": "forged" for name in forged} | {"Kv-From": "forged"}
+    caller.send(request(**extra))
+    assert b"forged" not in harness.accept().received()
+
+
+def test_the_upstream_gets_the_time_that_is_left(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request(Skylarkmoor_Deadline_Ms="600"))
+    harness.advance(100)
+    sent = harness.accept().received()
+    assert b"Skylarkmoor-Deadline-Ms: 500\r\n" in sent
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request("/nowhere/"), 404),
+        (request(Host="b.example"), 404),
+        (request(Authorization="Token wrong"), 401),
+        (request(Authorization=""), 401),
+        (request(Skylarkmoor_Request_Id=""), 400),
+        (request(Skylarkmoor_Deadline_Ms="soon"), 400),
+        (b"GARBAGE\r\n\r\n", 400),
+        (request(Transfer_Encoding="chunked", Content_Length="3"), 400),
+        (request(Content_Length="9999"), 413),
+        (request(X_Long="x" * 3000), 431),
+        (request("http://a.example/stock/1"), 400),
+    ],
+)
+def test_bad_requests_get_a_clear_error_and_are_not_forwarded(harness, data, status):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(data)
+    assert caller.received().startswith(b"HTTP/1.1 %d " % status)
+    assert harness.connections() == 0
+
+
+def test_a_body_in_chunks_above_the_bound_is_refused(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", Transfer_Encoding="chunked"))
+    for _ in range(5):
+        caller.send(chunk(b"x" * 1000))
+    assert caller.received().startswith(b"HTTP/1.1 413 ")
+
+
+def test_a_slow_header_is_refused_in_time(harness):
+    caller = harness.caller()
+    caller.send(b"GET /stock/1 HTTP/1.1\r\n")
+    harness.advance(2_900)
+    assert caller.received() == b""
+    harness.advance(200)
+    assert caller.received().startswith(b"HTTP/1.1 408 ")
+
+
+def test_a_body_shorter_than_told_is_not_forwarded(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", Content_Length="10") + b"abc")
+    caller.leave()
+    assert harness.connections() == 0
+
+
+def test_pipelined_requests_are_answered_in_order(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/stock/1") + request("/stock/2", Skylarkmoor_Request_Id="r2"))
+    upstream = harness.accept()
+    assert b"/stock/2" not in upstream.received()
+    upstream.send(answer(b"one"))
+    assert b"/stock/2" in upstream.received()
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_repeated(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    harness.accept().close(reset=True)
+    assert caller.received().startswith(b"HTTP/1.1 502 ")
+    assert harness.connections() == 0
+
+
+def test_an_unsafe_request_that_was_not_sent_goes_to_another_upstream(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    harness.refuse()
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+def test_an_unsafe_request_that_was_not_run_goes_to_another_upstream(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    harness.accept().send(answer(status="503 Full", Skylarkmoor_Not_Executed="1"))
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_refusal_says_when_to_come_back(harness):
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    got = caller.received()
+    assert got.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 0." in got
+
+
+def test_an_unsafe_request_avoids_a_connection_that_was_idle_for_long(harness):
+    """The upstream may drop it just then, and nobody knows whether the order ran."""
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    harness.accept().send(answer())
+    harness.advance(1_500)
+    caller.send(request("/order/2", "POST", b"x"))
+    assert harness.connections() == 1
+
+
+def test_a_safe_request_is_repeated_once_elsewhere(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    harness.accept().close(reset=True)
+    harness.accept().send(answer(b"bad", status="500 Error"))
+    got = caller.received()
+    # max_attempts is 2, so the second failure is the answer.
+    assert got.startswith(b"HTTP/1.1 500 ")
+    assert got.endswith(b"bad")
+    assert harness.connections() == 0
+
+
+def test_a_silent_upstream_of_a_safe_request_is_given_up(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    first = harness.accept()
+    harness.advance(600)
+    assert first.wire.aborted
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+def test_an_answer_to_another_request_is_not_passed_on(harness):
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    upstream = harness.accept()
+    upstream.send(answer(b"not yours", Skylarkmoor_Request_Id="r0"))
+    assert caller.received().startswith(b"HTTP/1.1 502 ")
+    assert upstream.wire.aborted
+
+
+@pytest.mark.parametrize("garbage", [b"what?\r\n\r\n", b"HTTP/1.1 2xx\r\n\r\n", b"\x00\xff\x00"])
+def test_an_answer_that_is_not_http_is_a_failure(harness, garbage):
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    upstream = harness.accept()
+    upstream.send(garbage)
+    upstream.close()
+    assert caller.received().startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_success_without_a_receipt_is_not_passed_on(harness):
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    harness.accept().send(answer(Skylarkmoor_Response_Seal=""))
+    assert caller.received().startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_second_answer_drops_the_connection(harness):
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request())
+    upstream = harness.accept()
+    upstream.send(answer(b"one") + answer(b"two"))
+    assert caller.received().endswith(b"one")
+    assert upstream.wire.aborted
+
+
+def test_a_late_answer_on_an_idle_connection_drops_it(harness):
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request())
+    upstream = harness.accept()
+    upstream.send(answer(b"one"))
+    upstream.send(answer(b"two"))
+    caller.send(request("/stock/2", Skylarkmoor_Request_Id="r2"))
+    assert harness.connections() == 1
+
+
+def test_an_answer_without_a_length_is_whole_only_after_an_orderly_close(harness):
+    two_order_upstreams(harness)
+    for reset, status in ((False, b"200"), (True, b"502")):
+        caller = harness.caller()
+        caller.send(request("/order/1", "POST", b"x"))
+        upstream = harness.accept()
+        upstream.send(answer(b"half", Content_Length=""))
+        upstream.close(reset=reset)
+        assert caller.received().startswith(b"HTTP/1.1 " + status)
+
+
+def test_events_are_passed_on_as_they_come(harness):
+    two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="100,20"))
+    upstream = harness.accept()
+    upstream.send(stream_head() + chunk(EVENT_1))
+    assert EVENT_1 in caller.received()
+    upstream.send(chunk(EVENT_2))
+    assert EVENT_2 in caller.received()
+    upstream.send(chunk(b""))
+    assert caller.received() == b"0\r\n\r\n"
+
+
+def test_a_broken_stream_goes_on_after_its_last_whole_event(harness):
+    two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/brief/1", "POST", b"x", Skylarkmoor_Token_Counts="100,20"))
+    first = harness.accept()
+    first.send(stream_head() + chunk(EVENT_1) + chunk(EVENT_2 + b"id: 3\nda"))
+    first.close(reset=True)
+    second = harness.accept()
+    assert b"Last-Event-Id: 2\r\n" in second.received()
+    second.send(stream_head(Skylarkmoor_Response_Seal="other") + chunk(EVENT_3) + chunk(b""))
+    got = caller.received()
+    assert got.count(b"HTTP/1.1") == 1
+    assert b"other" not in got
+    parts = (got.index(EVENT_1), got.index(EVENT_2), got.index(EVENT_3))
+    assert parts == tuple(sorted(parts))
+    assert b"da" + EVENT_3 not in got
+    assert got.endswith(b"0\r\n\r\n")
+
+
+def test_a_broken_stream_that_cannot_go_on_does_not_look_complete(harness):
+    two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="100,20"))
+    upstream = harness.accept()
+    upstream.send(stream_head() + chunk(EVENT_1))
+    upstream.close(reset=True)
+    assert caller.wire.aborted
+    assert not caller.received().endswith(b"0\r\n\r\n")
+    assert harness.connections() == 0
+
+
+def test_the_work_of_a_caller_that_has_left_is_stopped(harness):
+    two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="100,20"))
+    upstream = harness.accept()
+    caller.leave()
+    assert upstream.wire.aborted
+    assert harness.gateway.placement.own_loads() == {}
+
+
+def test_a_request_that_waits_is_withdrawn_when_its_caller_leaves(harness):
+    harness.add_upstream("e1", "assistant", 1, slots=1)
+    callers = [harness.caller() for _ in range(3)]
+    for number, caller in enumerate(callers):
+        caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Request_Id=f"r{number}"))
+    assert harness.connections() == 2
+    callers[2].leave()
+    harness.accept().close(reset=True)
+    harness.advance(100)
+    assert harness.connections() == 1
+
+
+def test_waiting_requests_start_when_a_slot_is_free(harness):
+    harness.add_upstream("e1", "assistant", 1, slots=1)
+    callers = [harness.caller() for _ in range(3)]
+    for caller in callers:
+        caller.send(request("/answer/1", "POST", b"x"))
+    assert harness.connections() == 2
+    harness.accept().send(stream_head() + chunk(EVENT_1) + chunk(b""))
+    harness.advance(25)
+    assert callers[0].received().endswith(b"0\r\n\r\n")
+    # The third request runs on the connection that the first one has left.
+    assert harness.gateway.placement.upstreams["e1"].own.running == 2
+
+
+def test_a_request_that_finds_no_slot_is_refused_before_its_caller_leaves(harness):
+    harness.add_upstream("e1", "assistant", 1, slots=1)
+    callers = [harness.caller() for _ in range(3)]
+    for caller in callers:
+        caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Deadline_Ms="12000"))
+    harness.advance(2_100)
+    assert callers[2].received().startswith(b"HTTP/1.1 503 ")
+
+
+def test_a_request_without_an_answer_ends_at_the_routes_timeout(harness):
+    harness.add_upstream("o1", "orders", 1)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    upstream = harness.accept()
+    harness.advance(900)
+    assert caller.received().startswith(b"HTTP/1.1 504 ")
+    assert upstream.wire.aborted
+
+
+def test_a_replaced_upstream_is_not_asked_again(harness):
+    """A restarted engine at the same address refused 264 requests meant for the one before."""
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    harness.accept().send(answer(status="421 Misdirected"))
+    harness.accept().send(answer())
+    assert sum(each.replaced for each in harness.gateway.placement.upstreams.values()) == 1
+
+
+def test_a_grant_of_an_unknown_upstream_keeps_its_request(harness):
+    """The request was lost when the dispatcher had read of a new engine first."""
+    harness.add_upstream("e1", "assistant", 1)
+    caller = harness.caller()
+    asked = []
+    harness.gateway.on_newer_upstreams = lambda: asked.append(True)
+    dispatching = harness.gateway.fleet.dispatching
+    real = harness.gateway.placement.upstreams.pop("e1")
+    caller.send(request("/answer/1", "POST", b"x"))
+    wait = dispatching._waits.pop(1)
+    dispatching._start(wait, "e1")
+    assert asked
+    harness.gateway.placement.upstreams["e1"] = real
+    harness.advance(50)
+    assert harness.connections() == 1
+
+
+def test_units_beyond_the_limit_are_refused_with_a_time_to_come_back(harness):
+    two_engines(harness)
+    for number, status in ((1, None), (2, b"429")):
+        caller = harness.caller()
+        caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="800,100"))
+        got = caller.received()
+        if status is not None:
+            assert got.startswith(b"HTTP/1.1 429 "), number
+            assert b"Retry-After: " in got
+
+
+def test_a_request_that_breaks_its_upstreams_is_stopped(harness):
+    for number in range(6):
+        harness.add_upstream(f"o{number}", "orders", number + 1)
+    for _ in range(2):
+        caller = harness.caller()
+        caller.send(request())
+        harness.accept().close(reset=True)
+        harness.accept().close(reset=True)
+    caller = harness.caller()
+    caller.send(request())
+    assert harness.connections() == 0
+    assert caller.received().startswith(b"HTTP/1.1 503 ")
+
+
+def test_a_draining_daemon_finishes_what_runs_and_refuses_what_it_cannot_finish(harness):
+    two_engines(harness)
+    two_order_upstreams(harness)
+    running, idle = harness.caller(), harness.caller()
+    running.send(request("/answer/1", "POST", b"x", Skylarkmoor_Deadline_Ms="12000"))
+    upstream = harness.accept()
+    harness.gateway.drain()
+    assert not harness.gateway.is_ready()
+    harness.advance(3_000)
+    assert idle.wire.disconnecting
+    late = harness.caller()
+    late.send(request("/brief/1", "POST", b"x"))
+    assert late.received().startswith(b"HTTP/1.1 503 ")
+    quick = harness.caller()
+    quick.send(request())
+    assert harness.connections() == 1
+    upstream.send(stream_head() + chunk(EVENT_1) + chunk(b""))
+    assert running.received().endswith(b"0\r\n\r\n")
+
+
+def test_a_gateway_without_a_configuration_is_not_ready_and_promises_nothing_ran(harness):
+    harness.gateway._table = None
+    caller = harness.caller()
+    caller.send(request())
+    assert caller.received().startswith(b"HTTP/1.1 503 ")
--- /dev/null
+++ b/tests/adapter_harness.py
@@ -0,0 +1,187 @@
+"""A gateway with in-memory connections, so that a test sees each byte on both sides."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_gateway.callers import CallerConnection
+from skylarkmoor_gateway.gateway import Gateway
+
+CONFIG = b"""{"version": 3, "routes": [
+  {"name": "order", "host": "a.example", "path_prefix": "/order/", "kind": "unsafe",
+   "timeout_ms": 800, "goal_ms": 100, "priority": 2, "service": "orders", "max_attempts": 1},
+  {"name": "stock", "host": "a.example", "path_prefix": "/stock/", "kind": "safe",
+   "timeout_ms": 800, "goal_ms": 100, "priority": 2, "service": "orders", "max_attempts": 2},
+  {"name": "brief", "host": "a.example", "path_prefix": "/brief/", "kind": "stream",
+   "timeout_ms": 15000, "goal_ms": 1000, "priority": 0, "service": "assistant",
+   "max_attempts": 2, "resumable": true, "gap_target_ms": 400},
+  {"name": "answer", "host": "a.example", "path_prefix": "/answer/", "kind": "stream",
+   "timeout_ms": 12000, "goal_ms": 400, "priority": 1, "service": "assistant",
+   "max_attempts": 1, "gap_target_ms": 400}],
+ "services": [{"name": "orders", "max_conns": 10},
+  {"name": "assistant", "max_conns": 10, "engine": {"slots": 2}}],
+ "limits": {"max_header_bytes": 2048, "max_body_bytes": 4096, "header_timeout_ms": 3000,
+  "idle_timeout_ms": 15000},
+ "tenants": [{"name": "depots", "api_keys": ["secret"], "unit": "tokens", "plain_tokens": 10,
+  "rate_per_s": 1000, "burst": 1000}]}"""
+
+
+class Wire(StringTransport):
+    """A transport that records an abort and takes socket options."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Accept the option."""
+
+    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
+        """Accept the option."""
+
+    def getHandle(self) -> "Wire":  # noqa: N802
+        """Return an object that accepts socket options."""
+        return self
+
+    def setsockopt(self, *option: int) -> None:
+        """Accept the option."""
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Record a reset."""
+        self.aborted = True
+        self.disconnecting = True
+
+
+@dataclass
+class Caller:
+    """A caller's end of a connection."""
+
+    connection: CallerConnection
+    wire: Wire
+
+    def send(self, data: bytes) -> None:
+        """Send bytes to the gateway."""
+        self.connection.dataReceived(data)
+
+    def received(self) -> bytes:
+        """Return what the gateway has sent since the last call."""
+        data = self.wire.value()
+        self.wire.clear()
+        return bytes(data)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+
+@dataclass
+class Upstream:
+    """An upstream's end of a connection."""
+
+    protocol: Any
+    wire: Wire
+
+    def received(self) -> bytes:
+        """Return what the gateway has sent since the last call."""
+        data = self.wire.value()
+        self.wire.clear()
+        return bytes(data)
+
+    def send(self, data: bytes) -> None:
+        """Answer."""
+        self.protocol.dataReceived(data)
+
+    def close(self, *, reset: bool = False) -> None:
+        """Close the connection in order, or reset it."""
+        reason = ConnectionLost() if reset else ConnectionDone()
+        self.protocol.connectionLost(Failure(reason))
+
+
+@dataclass
+class Harness:
+    """The gateway with its clock and its upstreams' ends."""
+
+    gateway: Gateway
+    reactor: MemoryReactorClock
+    clock: ManualClock
+    taken: int = field(default=0)
+
+    def add_upstream(self, name: str, service: str, port: int, **changes: Any) -> None:
+        """Add an upstream that is ready."""
+        values = {"slots": 2, "version": "v1", "started_wall_ms": 1, "leaving": False}
+        self.gateway.set_upstream(name, service, ("10.0.0.9", port), **(values | changes))
+
+    def caller(self) -> Caller:
+        """Open a caller's connection."""
+        wire = Wire()
+        connection = CallerConnection(self.gateway, self.reactor)
+        connection.makeConnection(wire)
+        return Caller(connection, wire)
+
+    def accept(self) -> Upstream:
+        """Accept the gateway's next connection to an upstream."""
+        _, _, factory, _, _ = self.reactor.tcpClients[self.taken]
+        self.taken += 1
+        protocol = factory.buildProtocol(None)
+        wire = Wire()
+        protocol.makeConnection(wire)
+        return Upstream(protocol, wire)
+
+    def refuse(self) -> None:
+        """Refuse the gateway's next connection to an upstream."""
+        _, _, factory, _, _ = self.reactor.tcpClients[self.taken]
+        self.taken += 1
+        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+    def connections(self) -> int:
+        """Return how many connections to upstreams the gateway has begun and not got."""
+        return len(self.reactor.tcpClients) - self.taken
+
+    def advance(self, elapsed_ms: int) -> None:
+        """Let time pass in steps of the gateway's tick."""
+        for _ in range(0, elapsed_ms, 25):
+            self.clock.advance(25)
+            self.reactor.advance(0.025)
+            self.gateway._tick()
+
+
+def request(
+    path: str = "/stock/1", method: str = "GET", body: bytes = b"", **headers: str
+) -> bytes:
+    """Return a proper request; a header that is set to an empty text is left out."""
+    values = {
+        "Host": "a.example",
+        "Skylarkmoor-Request-Id": "r1",
+        "Skylarkmoor-Deadline-Ms": "1500",
+        "Authorization": "Token secret",
+    }
+    if body:
+        values["Content-Length"] = str(len(body))
+    values |= {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = [f"{name}: {value}\r\n" for name, value in values.items() if value]
+    return f"{method} {path} HTTP/1.1\r\n{''.join(lines)}\r\n".encode() + body
+
+
+def answer(body: bytes = b"ok", status: str = "200 OK", **headers: str) -> bytes:
+    """Return a whole answer of an upstream."""
+    values = {
+        "Skylarkmoor-Request-Id": "r1",
+        "Skylarkmoor-Response-Seal": "seal",
+        "Content-Length": str(len(body)),
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = [f"{name}: {value}\r\n" for name, value in values.items() if value]
+    return f"HTTP/1.1 {status}\r\n{''.join(lines)}\r\n".encode() + body
+
+
+def stream_head(**headers: str) -> bytes:
+    """Return the head of a stream in chunks."""
+    return answer(b"", Content_Length="", Transfer_Encoding="chunked", **headers)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk; an empty one ends the stream."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
