--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -37,7 +37,7 @@
 _PATIENCE_GAPS = 8
 # Part of the patience that a request may wait for a slot. The rest is for its prompt, and a
 # caller that is refused early has time to come back.
-_WAIT_PART = 0.6
+_WAIT_PART = 0.35
 # Part of the goal by which a request has to start to be on time; the rest is for the prompts
 # that the engine reads first.
 _START_PART = 0.6
--- a/libs/policy/src/skylarkmoor_policy/fleetcounts.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetcounts.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 
-from skylarkmoor_core.ids import CustomerId, HostId, Incarnation, ServiceName
+from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
 from skylarkmoor_policy.routetable import ApiCustomer
 
 __all__ = ["FleetAllotments", "FleetRetries", "PeerCounts"]
@@ -15,8 +15,11 @@
 # Part of the retry budget used before this daemon keeps to its own share, because what the
 # peers sent within the last gossip round is not known yet.
 _SHARED_BUDGET_PART = 0.5
-# Part of the tolerance on a customer's limit that goes into the bucket.
-_BUCKET_PART = 0.5
+# Part of the tolerance on a customer's limit that is used; the rest covers what peers admit
+# before they hear of each other.
+_TOLERANCE_PART = 0.5
+# Longest time after which a caller beyond its limit is asked to come back.
+_MAX_WAIT_MS = 8_000
 
 
 class PeerCounts:
@@ -47,17 +50,28 @@
         return grown
 
 
-class _Bucket:
-    """A bucket that mirrors what the whole fleet has admitted."""
+class _Admitted:
+    """Units that the whole fleet has admitted within a sliding window."""
 
-    def __init__(self, level: float, now_ms: int) -> None:
-        self.level = level
-        self.at_ms = now_ms
+    def __init__(self) -> None:
+        self.units = 0
+        self._entries: deque[tuple[int, int]] = deque()
+
+    def add(self, units: int, now_ms: int) -> None:
+        self._entries.append((now_ms, units))
+        self.units += units
+
+    def trim(self, since_ms: int) -> None:
+        while self._entries and self._entries[0][0] <= since_ms:
+            self.units -= self._entries.popleft()[1]
 
-    def refill(self, per_s: float, size: float, now_ms: int) -> None:
-        elapsed_ms = max(0, now_ms - self.at_ms)
-        self.at_ms = max(self.at_ms, now_ms)
-        self.level = min(size, self.level + per_s * elapsed_ms / 1_000)
+    def wait_ms(self, excess: float, since_ms: int) -> int:
+        """Return in how many milliseconds `excess` units will have left the window."""
+        for at_ms, units in self._entries:
+            excess -= units
+            if excess <= 0:
+                return max(1, at_ms - since_ms)
+        return _MAX_WAIT_MS
 
 
 class FleetAllotments:
@@ -74,13 +88,11 @@
 
     Notes
     -----
-    The daemons and the platform see requests in slightly different orders, so an exact bucket
-    refuses requests that were within the limit. Half of the tolerance goes into the bucket's
-    size; the other half covers what peers admit before they hear of each other.
-
-    Each daemon mirrors one bucket a customer: its own admissions are taken off at once, those
-    of its peers when they report them. While some peers are silent, the refill is cut to the
-    part of the fleet that is heard, because a peer that is cut off goes on admitting.
+    Each daemon mirrors what the fleet has admitted: its own admissions at once, those of its
+    peers when they report them. The daemons and the platform see requests in slightly different
+    orders, so an exact limit refuses requests that were within it; a part of the tolerance is
+    used to admit them. While some peers are silent, only the heard part of the limit may be
+    used, because a peer that is cut off goes on admitting.
     """
 
     def __init__(
@@ -89,7 +101,7 @@
         self._window_ms = window_ms
         self._overshoot_part = overshoot_part
         self._slack_units = slack_units
-        self._buckets: dict[CustomerId, _Bucket] = {}
+        self._admitted: dict[str, _Admitted] = {}
         self._part = 1.0
         self.admitted: dict[str, int] = {}
 
@@ -107,40 +119,30 @@
         """
         if customer.units_per_s <= 0:
             return None
-        per_s = customer.units_per_s * self._part
-        bucket = self._refilled(customer, per_s, now_ms)
-        # A request larger than the burst passes when the bucket is full.
-        needed = min(float(units), self._size(customer))
-        if bucket.level < needed:
-            return max(1, round(1_000 * (needed - bucket.level) / per_s)) if per_s > 0 else 1_000
-        bucket.level -= units
+        seen = self._seen(customer.name)
+        since_ms = now_ms - self._window_ms
+        seen.trim(since_ms)
+        excess = seen.units + units - self._bound(customer) * self._part
+        # A request larger than the bound passes when nothing else was admitted.
+        if excess > 0 and seen.units > 0:
+            return seen.wait_ms(excess, since_ms)
+        seen.add(units, now_ms)
         self.admitted[customer.name] = self.admitted.get(customer.name, 0) + units
         return None
 
-    def give_back(self, customer: ApiCustomer, units: int) -> None:
-        """Return the units of a request that no upstream ran."""
-        bucket = self._buckets.get(customer.name)
-        if bucket is not None:
-            bucket.level += units
-        # The published count only grows; the peers see less refund than this daemon.
-
-    def peer_admitted(self, customer: str, units: int) -> None:
-        """Take off what a peer has admitted."""
-        bucket = self._buckets.get(CustomerId(customer))
-        if bucket is not None:
-            bucket.level -= units
-
-    def _refilled(self, customer: ApiCustomer, per_s: float, now_ms: int) -> _Bucket:
-        bucket = self._buckets.get(customer.name)
-        if bucket is None:
-            bucket = self._buckets[customer.name] = _Bucket(self._size(customer), now_ms)
-        bucket.refill(per_s, self._size(customer), now_ms)
-        return bucket
-
-    def _size(self, customer: ApiCustomer) -> float:
+    def peer_admitted(self, customer: str, units: int, now_ms: int) -> None:
+        """Count what a peer has admitted."""
+        self._seen(customer).add(units, now_ms)
+
+    def _seen(self, customer: str) -> _Admitted:
+        if customer not in self._admitted:
+            self._admitted[customer] = _Admitted()
+        return self._admitted[customer]
+
+    def _bound(self, customer: ApiCustomer) -> float:
         in_window = customer.units_per_s * self._window_ms / 1_000 + customer.burst_units
         tolerance = self._overshoot_part * in_window + self._slack_units
-        return customer.burst_units + tolerance * _BUCKET_PART
+        return in_window + tolerance * _TOLERANCE_PART
 
 
 class _Window:
