--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,13 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-LIBS := core policy clients daemon operator standins measure
+LIBS := core policy clients daemon gateway operator standins measure
 SYSTEM := libs/daemon/tests/system
-EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 
 .PHONY: demo check format lint types test measure clean
 
-$(VENV)/installed: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+$(VENV)/installed: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r constraints.txt
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(EDITABLE)
@@ -20,13 +20,13 @@
 check: format lint types test
 
 format: $(VENV)/installed
-	$(BIN)/ruff format --check libs tools
+	$(BIN)/ruff format --check libs platform tests tools
 
 lint: $(VENV)/installed
-	$(BIN)/ruff check libs tools
+	$(BIN)/ruff check libs platform tests tools
 
 types: $(VENV)/installed
-	$(BIN)/mypy libs/*/src
+	$(BIN)/mypy libs/*/src platform
 
 # The systems of different files share nothing. Three at a time keep below 40 processes.
 test: $(VENV)/installed
--- a/libs/core/tests/test_logs.py
+++ b/libs/core/tests/test_logs.py
@@ -3,10 +3,11 @@
 import io
 import json
 import logging
+import os
 
 import pytest
 
-from skylarkmoor_core.logs import configure_logs, part_logger
+from skylarkmoor_core.logs import BoundedStream, configure_logs, part_logger
 
 
 @pytest.fixture
@@ -54,3 +55,27 @@
 def test_unknown_level_is_refused():
     with pytest.raises(ValueError, match="LOUD"):
         configure_logs("loud", io.StringIO())
+
+
+def test_a_slow_reader_loses_lines_and_blocks_nobody():
+    reader, writer = os.pipe()
+    stream = BoundedStream(writer, max_bytes=100_000)
+    for _ in range(1_000):
+        stream.write("x" * 999 + "\n")
+    assert stream.dropped > 0
+    taken = b""
+    while len(taken) < 100_000:
+        taken += os.read(reader, 65_536)
+        stream.flush()
+    assert set(taken.split(b"\n")[:-1]) == {b"x" * 999}
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_without_a_reader_are_dropped():
+    reader, writer = os.pipe()
+    stream = BoundedStream(writer)
+    os.close(reader)
+    stream.write("lost\n")
+    assert stream.dropped == 1
+    os.close(writer)
--- a/libs/gateway/src/skylarkmoor_gateway/callers.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callers.py
@@ -80,11 +80,13 @@
         return self._busy
 
     def connectionMade(self) -> None:  # noqa: N802
+        """Begin; Twisted calls this when the connection is open."""
         tune(self.transport)
         self._sink.opened(self)
         self._arm(self._sink.limits().idle_timeout_ms)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes."""
         if self._closing:
             return
         try:
@@ -100,6 +102,7 @@
         self._advance()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Take the end of the connection."""
         self._disarm()
         whole = self._busy
         self._closing = True
@@ -310,6 +313,7 @@
         self._reactor = reactor
 
     def buildProtocol(self, addr: Any) -> CallerConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
         return CallerConnection(self._sink, self._reactor)
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/dispatching.py
+++ b/libs/gateway/src/skylarkmoor_gateway/dispatching.py
@@ -1,4 +1,4 @@
-"""Requests for slots: asks the service's dispatcher for slots, and dispatches for the services that this daemon has.
+"""The waiting requests of a daemon, and its part as a dispatcher.
 
 One daemon, chosen by rendezvous hashing, hands out the slots of a service's engines. It counts
 what it has granted, so that daemons with old reports do not fill the same free slot together.
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -387,7 +387,7 @@
     def _connect_failed(self, send: _Send, failure: Failure) -> None:
         if self._done or self._current is not send:
             return
-        if not failure.check(ConnectError):
+        if not isinstance(failure.value, ConnectError):
             _log.warning("connecting failed", extra={"error": failure.getErrorMessage()})
         self._host.placement.rest(send.upstream, self._host.clock.now_ms())
         self._unsent(send, f"connecting failed: {failure.getErrorMessage()}")
--- a/libs/gateway/src/skylarkmoor_gateway/pages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/pages.py
@@ -37,6 +37,6 @@
             request.setHeader(name, value)
         return content
 
-    site = Site(app.resource())
+    site = Site(app.resource())  # type: ignore[no-untyped-call]
     site.noisy = False
     return site
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -63,6 +63,7 @@
         return self._open and self._reader is None and self._http.our_state is h11.IDLE
 
     def connectionMade(self) -> None:  # noqa: N802
+        """Begin; Twisted calls this when the connection is open."""
         self._open = True
         tune(self.transport)
 
@@ -80,6 +81,7 @@
         self._transport.write(data)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes."""
         if self._reader is None:
             # Bytes that answer no request.
             self.drop()
@@ -91,11 +93,12 @@
             self._broken(f"not an HTTP answer: {error}")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Take the end of the connection."""
         self._open = False
         self._pool.forget(self)
         if self._reader is None:
             return
-        if reason.check(ConnectionDone):
+        if isinstance(reason.value, ConnectionDone):
             # Only an orderly close can end an answer without a length.
             try:
                 self._http.receive_data(b"")
@@ -179,6 +182,7 @@
         self._pool = pool
 
     def buildProtocol(self, addr: Any) -> UpstreamConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
         return UpstreamConnection(self._pool)
 
 
@@ -201,7 +205,7 @@
         self._reactor = reactor
         self._clock = clock
         self._idle: list[UpstreamConnection] = []
-        self._endpoint = TCP4ClientEndpoint(
+        self._endpoint: Any = TCP4ClientEndpoint(
             reactor, address[0], address[1], timeout=_CONNECT_TIMEOUT_S
         )
 
@@ -229,7 +233,8 @@
     def connect(self) -> "Deferred[UpstreamConnection]":
         """Open a new connection; the result fails with the connection's error."""
         self.opened += 1
-        return self._endpoint.connect(_UpstreamFactory(self))
+        connecting: Deferred[UpstreamConnection] = self._endpoint.connect(_UpstreamFactory(self))
+        return connecting
 
     def keep(self, connection: UpstreamConnection) -> None:
         """Keep a connection whose answer is complete."""
--- /dev/null
+++ b/libs/gateway/tests/test_dispatching.py
@@ -0,0 +1,175 @@
+"""Guards waiting requests against lost messages, lost dispatchers and double grants."""
+
+import random
+
+import pytest
+
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_core.hashing import rendezvous_owner
+from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
+from skylarkmoor_gateway.dispatching import Dispatching, SlotSeeker
+from skylarkmoor_policy.dispatcher import SlotNeed, Ticket
+from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.waitingline import Waiting
+
+HOSTS = ["host-a", "host-b"]
+OWNER = rendezvous_owner("assistant", HOSTS)
+OTHER = next(host for host in HOSTS if host != OWNER)
+
+
+class Seeker(SlotSeeker):
+    """Records what becomes of a wait and holds the slot that it is given."""
+
+    def __init__(self, placement):
+        self.placement = placement
+        self.service = "assistant"
+        self.upstreams = []
+        self.gave_up = 0
+
+    def granted(self, choice, now_ms):
+        self.upstreams.append(choice.upstream)
+        self.placement.started(choice.upstream, 100)
+
+    def gave_up_waiting(self):
+        self.gave_up += 1
+
+
+class Node:
+    """One daemon's dispatching with its messages."""
+
+    def __init__(self, network, host, slots):
+        self.network = network
+        self.host = host
+        self.fresh = list(HOSTS)
+        self.placement = Placement(random.Random(1))
+        self.placement.set_upstream(
+            "engine",
+            "assistant",
+            ("10.0.0.1", 80),
+            slots=slots,
+            version="v1",
+            started_wall_ms=1,
+            leaving=False,
+        )
+        self.dispatching = Dispatching(
+            host,
+            network.clock,
+            self.placement,
+            lambda to, message: network.queue.append((host, to, message)),
+            lambda: list(self.fresh),
+            lambda call: call(),
+        )
+
+    def wait(self, give_up_ms=2_000):
+        seeker = Seeker(self.placement)
+        need = SlotNeed(Ticket("", 0), "assistant", 100, 0, 10, 10_000)
+        number = self.dispatching.wait(seeker, Waiting(need, 0, 0, 0, 400, give_up_ms))
+        return seeker, number
+
+
+class Network:
+    """Daemons whose messages are delivered when told to, or dropped."""
+
+    def __init__(self, slots=1):
+        self.clock = ManualClock()
+        self.queue = []
+        self.nodes = {host: Node(self, host, slots) for host in HOSTS}
+
+    def deliver(self):
+        while self.queue:
+            sender, to, message = self.queue.pop(0)
+            dispatching = self.nodes[to].dispatching
+            match message:
+                case SlotRequest():
+                    dispatching.requested(sender, message)
+                case SlotWithdrawal():
+                    dispatching.withdrawn(sender, message)
+                case SlotGrant():
+                    dispatching.granted(sender, message)
+
+    def tick(self, elapsed_ms):
+        self.clock.advance(elapsed_ms)
+        for node in self.nodes.values():
+            node.dispatching.tick()
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+def test_the_owner_grants_a_slot(network):
+    seeker, _ = network.nodes[OTHER].wait()
+    network.deliver()
+    assert seeker.upstreams == ["engine"]
+
+
+def test_a_lost_request_is_sent_again(network):
+    seeker, _ = network.nodes[OTHER].wait()
+    network.queue.clear()
+    network.tick(500)
+    network.deliver()
+    assert seeker.upstreams == ["engine"]
+
+
+def test_a_lost_grant_is_made_again_and_used_once(network):
+    seeker, _ = network.nodes[OTHER].wait()
+    network.nodes[OWNER].dispatching.requested(OTHER, network.queue.pop(0)[2])
+    network.queue.clear()
+    network.tick(500)
+    network.deliver()
+    assert seeker.upstreams == ["engine"]
+
+
+def test_two_grants_for_one_request_start_it_once(network):
+    node = network.nodes[OTHER]
+    seeker, number = node.wait()
+    for grant in (1, 2):
+        node.dispatching.granted(OWNER, SlotGrant(number, "engine", grant))
+    assert seeker.upstreams == ["engine"]
+    assert node.dispatching.taken == {OWNER: 2}
+
+
+def test_a_daemon_that_hears_nobody_dispatches_for_itself(network):
+    node = network.nodes[OTHER]
+    seeker, _ = node.wait()
+    network.queue.clear()
+    node.fresh = [OTHER]
+    network.tick(25)
+    assert seeker.upstreams == ["engine"]
+
+
+def test_a_withdrawn_request_is_not_granted():
+    network = Network(slots=1)
+    node = network.nodes[OTHER]
+    for _ in range(2):
+        node.wait()
+    late, number = node.wait()
+    network.deliver()
+    node.dispatching.withdraw(number)
+    network.deliver()
+    network.nodes[OWNER].placement.peer_load(OTHER, {}, taken=99)
+    network.tick(25)
+    network.deliver()
+    assert late.upstreams == []
+
+
+def test_a_request_that_waits_for_too_long_is_given_up():
+    network = Network(slots=1)
+    seekers = [network.nodes[OTHER].wait(give_up_ms=100)[0] for _ in range(3)]
+    network.deliver()
+    network.tick(100)
+    assert [each.gave_up for each in seekers] == [0, 0, 1]
+
+
+def test_a_new_daemon_takes_over_what_waits():
+    network = Network(slots=1)
+    node = network.nodes[OTHER]
+    node.fresh = [OTHER]
+    seekers = [node.wait()[0] for _ in range(3)]
+    assert [len(each.upstreams) for each in seekers] == [1, 1, 0]
+    node.fresh = list(HOSTS)
+    network.tick(25)
+    network.deliver()
+    # The owner does not know yet what runs, and the engine's own queue takes the excess.
+    assert [len(each.upstreams) for each in seekers] == [1, 1, 1]
--- /dev/null
+++ b/libs/gateway/tests/test_fleet.py
@@ -0,0 +1,133 @@
+"""Guards what gateways know of each other when some are silent, gone or started again."""
+
+import random
+
+import pytest
+
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_core.messages import GatewayState
+from skylarkmoor_core.settings import Address
+from skylarkmoor_gateway.fleet import Fleet
+from skylarkmoor_policy.fleetcounts import FleetAllotments, FleetRetries
+from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.routetable import ApiCustomer
+from skylarkmoor_policy.strikes import CrashStrikes
+
+CUSTOMER = ApiCustomer("depots", ("k",), units_per_s=100, burst_units=100, counts_tokens=True)
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    clock = ManualClock(now_ms=10_000)
+    placement = Placement(random.Random(1))
+    placement.set_upstream(
+        "engine",
+        "assistant",
+        ("10.0.0.1", 80),
+        slots=2,
+        version="v1",
+        started_wall_ms=1,
+        leaving=False,
+    )
+    asked = []
+    made = Fleet(
+        "me",
+        1,
+        clock,
+        placement,
+        FleetAllotments(window_ms=1_000),
+        FleetRetries(0.2, 10_000, 10),
+        CrashStrikes(),
+        lambda: asked.append("configuration"),
+        lambda: asked.append("upstreams"),
+        lambda delay_ms, call: None,
+    )
+    made.asked = asked
+    made.clock = clock
+    monkeypatch.setattr(made._peers, "set_peers", lambda addresses: None)
+    monkeypatch.setattr(made._peers, "broadcast", lambda message: None)
+    return made
+
+
+def state(**changes):
+    values = {
+        "address": "10.0.0.2:7600",
+        "leaving": False,
+        "configuration": -1,
+        "loads": {},
+        "admitted": {},
+        "requests": {},
+        "repeats": {},
+    }
+    return GatewayState(**(values | changes))
+
+
+def hear(fleet, sender="peer", incarnation=1, **changes):
+    fleet._on_message(sender, incarnation, state(**changes))
+
+
+def test_an_unknown_sender_becomes_a_peer(fleet):
+    hear(fleet)
+    assert fleet.heard() == 1
+    assert fleet.fresh_hosts() == ["me", "peer"]
+
+
+def test_the_load_of_a_silent_peer_is_dropped(fleet):
+    hear(fleet, loads={"engine": (2, 500)})
+    assert fleet._placement.upstreams["engine"].running() == 2
+    fleet.clock.advance(1_300)
+    fleet.tick()
+    assert fleet._placement.upstreams["engine"].running() == 0
+    assert fleet.heard() == 0
+
+
+def test_a_silent_dispatcher_is_replaced_before_it_counts_as_lost(fleet):
+    hear(fleet)
+    fleet.clock.advance(600)
+    assert fleet.fresh_hosts() == ["me"]
+    assert fleet.heard() == 1
+
+
+def test_limits_shrink_while_a_peer_is_silent_and_return_when_it_is_gone(fleet):
+    hear(fleet)
+    fleet.clock.advance(1_300)
+    fleet.tick()
+    assert fleet._allotments.admit(CUSTOMER, 150, fleet.clock.now_ms()) is None
+    assert fleet._allotments.admit(CUSTOMER, 10, fleet.clock.now_ms()) is not None
+    fleet.clock.advance(12_000)
+    fleet.tick()
+    assert fleet._allotments.admit(CUSTOMER, 150, fleet.clock.now_ms()) is None
+    assert fleet._allotments.admit(CUSTOMER, 40, fleet.clock.now_ms()) is None
+
+
+def test_a_leaving_peer_is_dropped_and_its_last_counts_are_taken(fleet):
+    hear(fleet, admitted={"depots": 10})
+    hear(fleet, admitted={"depots": 160}, leaving=True)
+    assert fleet.fresh_hosts() == ["me"]
+    assert fleet._allotments.admit(CUSTOMER, 60, fleet.clock.now_ms()) is not None
+
+
+def test_newer_records_of_a_peer_are_read_at_once(fleet):
+    fleet.configuration = 4
+    fleet.upstreams_read = 9
+    hear(fleet, configuration=4, upstreams=9)
+    assert fleet.asked == []
+    hear(fleet, configuration=5, upstreams=10)
+    assert fleet.asked == ["configuration", "upstreams"]
+
+
+def test_a_peer_without_a_usable_address_is_ignored(fleet):
+    hear(fleet, address="nowhere")
+    assert fleet.heard() == 0
+
+
+def test_a_daemon_that_leaves_dispatches_for_nobody_else(fleet):
+    hear(fleet)
+    fleet.leaving = True
+    assert fleet.fresh_hosts() == ["peer"]
+
+
+def test_the_own_address_is_no_peer(fleet):
+    fleet.add("me", Address("10.0.0.1", 7600))
+    hear(fleet, sender="me")
+    assert fleet.heard() == 0
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -8,7 +8,7 @@
 
 
 class EventSplitter:
-    """Cuts a stream into whole events and keeps the id of the last one.
+    r"""Cuts a stream into whole events and keeps the id of the last one.
 
     Notes
     -----
@@ -18,8 +18,8 @@
     Examples
     --------
     >>> splitter = EventSplitter()
-    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
     >>> splitter.last_id, splitter.pending
     (b'1', True)
     """
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -102,7 +102,7 @@
         self.answers *= keep
         self.faults *= keep
 
-    def values(self) -> tuple[int, ...]:
+    def values(self) -> tuple[int, int, int, int, int, int]:
         """Return the sums in order, times in tenths of a millisecond and counts in tenths."""
         return (
             round(self.read_tokens),
@@ -317,7 +317,7 @@
             if each.own.running
         }
 
-    def own_records(self) -> dict[UpstreamId, tuple[int, ...]]:
+    def own_records(self) -> dict[UpstreamId, tuple[int, int, int, int, int, int]]:
         """Return this daemon's records, to be told to its peers."""
         return {
             name: each.record.values()
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -3,19 +3,21 @@
 import random
 
 import pytest
-from twisted.internet.testing import MemoryReactorClock
-
-from adapter_harness import CONFIG, Harness
-from skylarkmoor_adapter.headers import HeaderCodec
-from skylarkmoor_adapter.records import decode_table
-from skylarkmoor_core.clock import ManualClock
-from skylarkmoor_core.settings import Address
-from skylarkmoor_gateway.gateway import Gateway, GatewaySettings
 
 
 @pytest.fixture
-def harness() -> Harness:
+def harness():
     """Return a gateway with a configuration and no upstreams."""
+    # Imported late, because klein installs the default reactor.
+    from twisted.internet.testing import MemoryReactorClock
+
+    from adapter_harness import CONFIG, Harness
+    from skylarkmoor_adapter.headers import HeaderCodec
+    from skylarkmoor_adapter.records import decode_table
+    from skylarkmoor_core.clock import ManualClock
+    from skylarkmoor_core.settings import Address
+    from skylarkmoor_gateway.gateway import Gateway, GatewaySettings
+
     reactor = MemoryReactorClock()
     clock = ManualClock(now_ms=1_000)
     address = Address("127.0.0.1", 0)
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -2,8 +2,8 @@
 
 import msgspec
 import pytest
-from adapter_harness import CONFIG
 
+from adapter_harness import CONFIG
 from skylarkmoor_adapter.records import decode_table, decode_upstream
 from skylarkmoor_core.errors import DocumentError
 from skylarkmoor_policy.routetable import Repeat
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -53,7 +53,7 @@
 class Answer(Resource):
     """Answers every call with the same bytes and keeps the calls."""
 
-    isLeaf = True
+    isLeaf = True  # noqa: N815
 
     def __init__(self, *answers):
         super().__init__()
