--- a/libs/daemon/tests/test_pages.py
+++ b/libs/daemon/tests/test_pages.py
@@ -26,7 +26,7 @@
 
 
 def test_operations_page_has_exactly_one_row_for_each_error_code():
-    section = (DOCS / "operations.md").read_text().partition("\n## REFUSALS\n")[2]
+    section = (DOCS / "OPERATIONS.md").read_text().partition("\n## REFUSALS\n")[2]
     section = section.partition("\n## ")[0]
     rows = re.findall(r"^\| `([a-z_]+)` \| \d{3} \|", section, re.MULTILINE)
     assert sorted(rows) == sorted(code.value for code in ErrorCode)
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -281,7 +281,7 @@
         now_ms = self._clock.now_ms()
         admitted = self._counts["admitted"].growth(sender, incarnation, state.admitted)
         for customer, units in admitted.items():
-            self._allotments.peer_admitted(customer, units, now_ms)
+            self._allotments.peer_admitted(customer, units)
         requests = self._counts["requests"].growth(sender, incarnation, state.requests)
         repeats = self._counts["repeats"].growth(sender, incarnation, state.repeats)
         for service in requests.keys() | repeats.keys():
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -80,6 +80,8 @@
         How far the customers' limits may be exceeded.
     grace_ms : int
         Time between the signal to end and the kill.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     host: HostId
@@ -94,6 +96,7 @@
     limit_overshoot_part: float = 0.0
     limit_slack_units: int = 0
     grace_ms: int = 8_000
+    first_start: bool = True
 
 
 class Gateway:
@@ -130,7 +133,10 @@
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
         )
         self.allotments = FleetAllotments(
-            settings.limit_window_ms, settings.limit_overshoot_part, settings.limit_slack_units
+            settings.limit_window_ms,
+            settings.limit_overshoot_part,
+            settings.limit_slack_units,
+            first_start=settings.first_start,
         )
         self.strikes = CrashStrikes()
         # Fires with whether the end was forced.
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -35,7 +35,7 @@
         1,
         clock,
         placement,
-        FleetAllotments(window_ms=1_000),
+        FleetAllotments(),
         FleetRetries(0.2, 10_000, 10),
         CrashStrikes(),
         lambda: asked.append("configuration"),
@@ -90,19 +90,23 @@
 
 def test_limits_shrink_while_a_peer_is_silent_and_return_when_it_is_gone(fleet):
     hear(fleet)
+    fleet._allotments.admit(CUSTOMER, 20, fleet.clock.now_ms())
     fleet.clock.advance(1_300)
     fleet.tick()
-    assert fleet._allotments.admit(CUSTOMER, 150, fleet.clock.now_ms()) is None
-    assert fleet._allotments.admit(CUSTOMER, 10, fleet.clock.now_ms()) is not None
+    fleet._allotments.admit(CUSTOMER, 100, fleet.clock.now_ms())
+    fleet.clock.advance(1_000)
+    assert fleet._allotments.admit(CUSTOMER, 60, fleet.clock.now_ms()) is not None
     fleet.clock.advance(12_000)
     fleet.tick()
-    assert fleet._allotments.admit(CUSTOMER, 150, fleet.clock.now_ms()) is None
-    assert fleet._allotments.admit(CUSTOMER, 40, fleet.clock.now_ms()) is None
+    assert fleet._allotments.admit(CUSTOMER, 100, fleet.clock.now_ms()) is None
+    fleet.clock.advance(1_000)
+    assert fleet._allotments.admit(CUSTOMER, 60, fleet.clock.now_ms()) is None
 
 
 def test_a_leaving_peer_is_dropped_and_its_last_counts_are_taken(fleet):
+    fleet._allotments.admit(CUSTOMER, 10, fleet.clock.now_ms())
     hear(fleet, admitted={"depots": 10})
-    hear(fleet, admitted={"depots": 160}, leaving=True)
+    hear(fleet, admitted={"depots": 60}, leaving=True)
     assert fleet.fresh_hosts() == ["me"]
     assert fleet._allotments.admit(CUSTOMER, 60, fleet.clock.now_ms()) is not None
 
--- a/libs/policy/src/skylarkmoor_policy/fleetcounts.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetcounts.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
 from skylarkmoor_policy.routetable import ApiCustomer
@@ -17,9 +18,7 @@
 _SHARED_BUDGET_PART = 0.5
 # Part of the tolerance on a customer's limit that is used; the rest covers what peers admit
 # before they hear of each other.
-_TOLERANCE_PART = 0.5
-# Longest time after which a caller beyond its limit is asked to come back.
-_MAX_WAIT_MS = 8_000
+_TOLERANCE_PART = 0.65
 
 
 class PeerCounts:
@@ -50,28 +49,17 @@
         return grown
 
 
-class _Admitted:
-    """Units that the whole fleet has admitted within a sliding window."""
+@dataclass(slots=True)
+class _Bucket:
+    """A bucket that mirrors what the whole fleet has admitted."""
 
-    def __init__(self) -> None:
-        self.units = 0
-        self._entries: deque[tuple[int, int]] = deque()
-
-    def add(self, units: int, now_ms: int) -> None:
-        self._entries.append((now_ms, units))
-        self.units += units
+    level: float
+    at_ms: int
 
-    def trim(self, since_ms: int) -> None:
-        while self._entries and self._entries[0][0] <= since_ms:
-            self.units -= self._entries.popleft()[1]
-
-    def wait_ms(self, excess: float, since_ms: int) -> int:
-        """Return in how many milliseconds `excess` units will have left the window."""
-        for at_ms, units in self._entries:
-            excess -= units
-            if excess <= 0:
-                return max(1, at_ms - since_ms)
-        return _MAX_WAIT_MS
+    def refill(self, per_s: float, size: float, now_ms: int) -> None:
+        elapsed_ms = max(0, now_ms - self.at_ms)
+        self.at_ms = max(self.at_ms, now_ms)
+        self.level = min(size, self.level + per_s * elapsed_ms / 1_000)
 
 
 class FleetAllotments:
@@ -85,28 +73,43 @@
         Part by which the fleet may exceed the limit in a window.
     slack_units : int
         Units by which it may exceed the limit besides.
+    first_start : bool
+        Whether nothing was admitted before this process. Otherwise buckets start empty,
+        because processes that were killed may have used them up.
 
     Notes
     -----
-    Each daemon mirrors what the fleet has admitted: its own admissions at once, those of its
-    peers when they report them. The daemons and the platform see requests in slightly different
-    orders, so an exact limit refuses requests that were within it; a part of the tolerance is
-    used to admit them. While some peers are silent, only the heard part of the limit may be
-    used, because a peer that is cut off goes on admitting.
+    Each daemon mirrors one bucket a customer: its own admissions are taken off at once, those
+    of its peers when they report them. The daemons and the platform see requests in slightly
+    different orders, so an exact bucket refuses requests that were within the limit; a part of
+    the tolerance makes it larger. A sliding window instead of a bucket would let a customer use
+    a whole window's units at once, and again after a restart of all daemons.
+
+    While some peers are silent, level and refill are cut to the part of the fleet that is
+    heard, because peers that are cut off go on admitting.
     """
 
     def __init__(
-        self, window_ms: int = 8_000, overshoot_part: float = 0.0, slack_units: int = 0
+        self,
+        window_ms: int = 8_000,
+        overshoot_part: float = 0.0,
+        slack_units: int = 0,
+        *,
+        first_start: bool = True,
     ) -> None:
         self._window_ms = window_ms
         self._overshoot_part = overshoot_part
         self._slack_units = slack_units
-        self._admitted: dict[str, _Admitted] = {}
+        self._first_start = first_start
+        self._buckets: dict[str, _Bucket] = {}
         self._part = 1.0
         self.admitted: dict[str, int] = {}
 
     def set_heard_part(self, part: float) -> None:
         """Set the part of the fleet, from 0 to 1, whose reports are fresh."""
+        if part < self._part:
+            for bucket in self._buckets.values():
+                bucket.level = min(bucket.level, bucket.level * part / self._part)
         self._part = part
 
     def admit(self, customer: ApiCustomer, units: int, now_ms: int) -> int | None:
@@ -119,30 +122,31 @@
         """
         if customer.units_per_s <= 0:
             return None
-        seen = self._seen(customer.name)
-        since_ms = now_ms - self._window_ms
-        seen.trim(since_ms)
-        excess = seen.units + units - self._bound(customer) * self._part
-        # A request larger than the bound passes when nothing else was admitted.
-        if excess > 0 and seen.units > 0:
-            return seen.wait_ms(excess, since_ms)
-        seen.add(units, now_ms)
+        per_s = customer.units_per_s * self._part
+        size = self._size(customer)
+        bucket = self._buckets.get(customer.name)
+        if bucket is None:
+            level = size if self._first_start else 0.0
+            bucket = self._buckets[customer.name] = _Bucket(level, now_ms)
+        bucket.refill(per_s, size, now_ms)
+        # A request larger than the bucket passes when the bucket is full.
+        needed = min(float(units), size)
+        if bucket.level < needed:
+            return max(1, round(1_000 * (needed - bucket.level) / per_s))
+        bucket.level -= units
         self.admitted[customer.name] = self.admitted.get(customer.name, 0) + units
         return None
 
-    def peer_admitted(self, customer: str, units: int, now_ms: int) -> None:
-        """Count what a peer has admitted."""
-        self._seen(customer).add(units, now_ms)
-
-    def _seen(self, customer: str) -> _Admitted:
-        if customer not in self._admitted:
-            self._admitted[customer] = _Admitted()
-        return self._admitted[customer]
+    def peer_admitted(self, customer: str, units: int) -> None:
+        """Take off what a peer has admitted."""
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.level -= units
 
-    def _bound(self, customer: ApiCustomer) -> float:
+    def _size(self, customer: ApiCustomer) -> float:
         in_window = customer.units_per_s * self._window_ms / 1_000 + customer.burst_units
         tolerance = self._overshoot_part * in_window + self._slack_units
-        return in_window + tolerance * _TOLERANCE_PART
+        return customer.burst_units + tolerance * _TOLERANCE_PART
 
 
 class _Window:
--- a/libs/policy/tests/test_fleetcounts.py
+++ b/libs/policy/tests/test_fleetcounts.py
@@ -24,52 +24,53 @@
 
 
 def test_an_allotment_is_shared_with_the_peers():
-    allotments = FleetAllotments(window_ms=1_000)
-    # 1000 units/s in a window of 1 s and a burst of 1000.
-    assert allotments.admit(CUSTOMER, 900, 0) is None
-    allotments.peer_admitted("depots", 1_000, 100)
-    assert allotments.admit(CUSTOMER, 200, 200) == 800
-    assert allotments.admit(CUSTOMER, 200, 1_000) is None
+    allotments = FleetAllotments()
+    assert allotments.admit(CUSTOMER, 400, 0) is None
+    allotments.peer_admitted("depots", 600)
+    assert allotments.admit(CUSTOMER, 100, 0) == 100
+    assert allotments.admit(CUSTOMER, 100, 100) is None
 
 
 def test_a_part_of_the_tolerance_is_admitted():
-    allotments = FleetAllotments(window_ms=1_000, overshoot_part=0.1, slack_units=200)
-    # 0.1 * 2000 + 200 = 400, of which half is used.
-    assert allotments.admit(CUSTOMER, 2_200, 0) is None
+    allotments = FleetAllotments(window_ms=8_000, overshoot_part=0.1, slack_units=100)
+    # 0.1 * (8 * 1000 + 1000) + 100 = 1000, of which 650 make the bucket larger.
+    assert allotments.admit(CUSTOMER, 1_650, 0) is None
     assert allotments.admit(CUSTOMER, 1, 0) is not None
 
 
-@given(st.lists(st.tuples(st.integers(0, 300), st.integers(1, 900)), max_size=200))
-def test_no_window_admits_more_than_the_bound(steps):
-    allotments = FleetAllotments(window_ms=1_000, overshoot_part=0.1, slack_units=200)
+@given(
+    st.lists(st.tuples(st.integers(0, 900), st.integers(1, 900)), max_size=120),
+    st.integers(0, 120),
+)
+def test_no_window_admits_more_than_the_platform_allows(steps, restart):
+    """All daemons killed in a flood once admitted 600,717 tokens where 571,160 were allowed."""
+    allotments = FleetAllotments(window_ms=8_000, overshoot_part=0.1, slack_units=100)
     now_ms, admitted = 0, []
-    for pause_ms, units in steps:
+    for number, (pause_ms, units) in enumerate(steps):
+        if number == restart:
+            allotments = FleetAllotments(8_000, 0.1, 100, first_start=False)
         now_ms += pause_ms
         if allotments.admit(CUSTOMER, units, now_ms) is None:
             admitted.append((now_ms, units))
-        window = [u for at_ms, u in admitted if at_ms > now_ms - 1_000]
-        assert sum(window) <= 2_400
+        window = [u for at_ms, u in admitted if at_ms > now_ms - 8_000]
+        assert sum(window) <= (8 * 1_000 + 1_000) * 1.1 + 100
 
 
-def test_a_request_above_the_bound_passes_alone():
-    allotments = FleetAllotments(window_ms=1_000)
+def test_a_request_above_the_bucket_passes_when_it_is_full():
+    allotments = FleetAllotments()
     assert allotments.admit(CUSTOMER, 5_000, 0) is None
-    assert allotments.admit(CUSTOMER, 1, 900) == 100
-
-
-def test_a_lower_limit_counts_what_was_admitted_before():
-    allotments = FleetAllotments(window_ms=1_000)
-    assert allotments.admit(CUSTOMER, 1_900, 0) is None
-    lower = ApiCustomer("depots", ("k",), units_per_s=100, burst_units=100, counts_tokens=True)
-    assert allotments.admit(lower, 50, 500) is not None
+    assert allotments.admit(CUSTOMER, 1, 1_000) is not None
 
 
 def test_daemons_that_hear_nobody_admit_their_part_only():
     """Both sides of a cut would otherwise admit the whole limit."""
-    allotments = FleetAllotments(window_ms=1_000)
+    allotments = FleetAllotments()
+    allotments.admit(CUSTOMER, 200, 0)
     allotments.set_heard_part(0.25)
-    assert allotments.admit(CUSTOMER, 500, 0) is None
-    assert allotments.admit(CUSTOMER, 1, 0) is not None
+    assert allotments.admit(CUSTOMER, 300, 0) is not None
+    assert allotments.admit(CUSTOMER, 200, 0) is None
+    assert allotments.admit(CUSTOMER, 300, 1_000) is not None
+    assert allotments.admit(CUSTOMER, 250, 1_000) is None
 
 
 def test_customers_without_a_rate_have_no_limit():
