--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -49,7 +49,8 @@
     incarnation: Incarnation | None = None
     heard_ms: int = 0
     silent: bool = True
-    configuration: int = -1
+    # Takes no more requests, but those it has go on.
+    leaving: bool = False
 
 
 class Fleet:
@@ -127,7 +128,7 @@
 
     def heard(self) -> int:
         """Return how many peers were heard lately."""
-        return sum(not peer.silent for peer in self._known.values())
+        return sum(not peer.silent and not peer.leaving for peer in self._known.values())
 
     def oldest_ms(self) -> int:
         """Return the age of the oldest state of a peer that is heard."""
@@ -141,7 +142,7 @@
         hosts = [
             host
             for host, peer in self._known.items()
-            if not peer.silent and now_ms - peer.heard_ms <= _FRESH_MS
+            if not peer.silent and not peer.leaving and now_ms - peer.heard_ms <= _FRESH_MS
         ]
         if not self.leaving or not hosts:
             hosts.append(self._host)
@@ -213,15 +214,19 @@
                 peer.silent = True
                 self._placement.forget_peer(host)
                 self.dispatching.forget(host)
-                _log.warning("lost a peer", extra={"peer": host, "age_ms": age_ms})
-            if age_ms > GONE_MS:
+                _log.warning(
+                    "lost a peer",
+                    extra={"peer": host, "age_ms": age_ms, "leaving": peer.leaving},
+                )
+            if age_ms > GONE_MS or (peer.silent and peer.leaving):
                 self._drop(host)
         self._share()
 
     def _share(self) -> None:
         heard = self.heard()
-        self._allotments.set_heard_part((1 + heard) / (1 + len(self._known)))
-        self._retries.set_fleet(1 + len(self._known), heard == len(self._known))
+        others = sum(not peer.leaving for peer in self._known.values())
+        self._allotments.set_heard_part((1 + heard) / (1 + others))
+        self._retries.set_fleet(1 + others, heard == others)
 
     def _drop(self, host: HostId) -> None:
         del self._known[host]
@@ -250,11 +255,7 @@
     def _take(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
         if sender == self._host:
             return
-        if state.leaving:
-            if sender in self._known:
-                _log.info("a peer is leaving", extra={"peer": sender})
-                self._count(sender, incarnation, state)
-                self._drop(sender)
+        if state.leaving and sender not in self._known:
             return
         try:
             self.add(sender, parse_address(state.address))
@@ -264,7 +265,11 @@
         peer = self._known[sender]
         if peer.silent:
             _log.info("heard a peer", extra={"peer": sender})
+        if state.leaving and not peer.leaving:
+            _log.info("a peer is leaving", extra={"peer": sender})
+            self.dispatching.forget(sender)
         peer.silent = False
+        peer.leaving = state.leaving
         peer.incarnation = incarnation
         peer.heard_ms = self._clock.now_ms()
         self._placement.peer_load(sender, state.loads, state.taken.get(self._host, 0))
--- a/libs/policy/src/skylarkmoor_policy/fleetcounts.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetcounts.py
@@ -18,7 +18,11 @@
 _SHARED_BUDGET_PART = 0.5
 # Part of the tolerance on a customer's limit that is used; the rest covers what peers admit
 # before they hear of each other.
-_TOLERANCE_PART = 0.65
+_TOLERANCE_PART = 0.6
+# Part of the tolerance with which buckets start after a restart, so that customers within their
+# limit are not refused. With the part above it stays below the whole tolerance even if all
+# daemons are killed in a flood.
+_RESTART_PART = 0.2
 
 
 class PeerCounts:
@@ -74,8 +78,8 @@
     slack_units : int
         Units by which it may exceed the limit besides.
     first_start : bool
-        Whether nothing was admitted before this process. Otherwise buckets start empty,
-        because processes that were killed may have used them up.
+        Whether nothing was admitted before this process. Otherwise buckets start nearly
+        empty, because processes that were killed may have used them up.
 
     Notes
     -----
@@ -126,7 +130,7 @@
         size = self._size(customer)
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            level = size if self._first_start else 0.0
+            level = size if self._first_start else self._tolerance(customer) * _RESTART_PART
             bucket = self._buckets[customer.name] = _Bucket(level, now_ms)
         bucket.refill(per_s, size, now_ms)
         # A request larger than the bucket passes when the bucket is full.
@@ -144,9 +148,11 @@
             bucket.level -= units
 
     def _size(self, customer: ApiCustomer) -> float:
+        return customer.burst_units + self._tolerance(customer) * _TOLERANCE_PART
+
+    def _tolerance(self, customer: ApiCustomer) -> float:
         in_window = customer.units_per_s * self._window_ms / 1_000 + customer.burst_units
-        tolerance = self._overshoot_part * in_window + self._slack_units
-        return customer.burst_units + tolerance * _TOLERANCE_PART
+        return self._overshoot_part * in_window + self._slack_units
 
 
 class _Window:
