--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -363,6 +363,7 @@
             extra={
                 "request": self.request.request,
                 "route": self.route.name,
+                "customer": None if self.customer is None else self.customer.name,
                 "service": self.service,
                 "upstream": choice.upstream,
                 "send": self._sends,
