Do not refuse a request as not run at its timeout after a run

A stream that broke and waited for a slot to go on was answered 503 when its timeout came, though it had run; with its head sent already, a second head would have followed. Change: the timeout takes the same way out as any other end: a reset if the head was sent, 502 after a run, 503 only if nothing was sent. Result: the new test failed in both cases before and passes; no bench run of this change alone.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -603,7 +603,8 @@
             return
         send = self._current
         if send is None or send.connection is None:
-            self.refuse(503, "the route's timeout passed before the request was sent", 0)
+            # It may have run before and wait to go on.
+            self._give_up("the deadline passed while no upstream had the request")
         elif self._head_sent:
             self._drop_current()
             self._abort("the deadline passed in the middle of the answer")
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -342,6 +342,28 @@
     assert upstream.wire.aborted
 
 
+@pytest.mark.parametrize("head_sent", [False, True])
+def test_a_request_that_has_run_is_not_refused_as_not_run_at_its_timeout(harness, head_sent):
+    """The timeout met a request that waited for a slot to go on, and answered 503."""
+    harness.add_upstream("e1", "assistant", 1)
+    caller = harness.caller()
+    caller.send(request("/brief/1", "POST", b"x"))
+    upstream = harness.accept()
+    if head_sent:
+        upstream.send(stream_head() + chunk(EVENT_1))
+    harness.add_upstream("e2", "assistant", 2, slots=1)
+    harness.gateway.placement.peer_load("peer", {"e2": (2, 0)})
+    upstream.close(reset=True)
+    exchange = harness.gateway._exchanges[caller.connection]
+    exchange._timed_out()
+    got = caller.received()
+    assert b"HTTP/1.1 503" not in got
+    if head_sent:
+        assert caller.wire.aborted
+    else:
+        assert got.startswith(b"HTTP/1.1 502 ")
+
+
 def test_a_replaced_upstream_is_not_asked_again(harness):
     """A restarted engine at the same address refused 264 requests meant for the one before."""
     two_order_upstreams(harness)
