Split the caller's answer and the waiting times from the exchange

Change: answering.py makes the one answer, patience.py decides how long a request waits and when its caller comes back. An answer of more than 256 kB that is no success was broken off at its end; it is passed on now, and the body of an error cannot join a stream that it was to continue.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -11,14 +11,20 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
+from skylarkmoor_gateway.answering import CallerAnswer
 from skylarkmoor_gateway.callers import CallerConnection
 from skylarkmoor_gateway.dispatching import SlotSeeker
 from skylarkmoor_gateway.messages import AnswerHead, Attempt, Codec, Headers, IncomingRequest
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.dispatcher import SlotNeed, Ticket
-from skylarkmoor_policy.eventstream import EventSplitter
 from skylarkmoor_policy.fleetcounts import FleetRetries
+from skylarkmoor_policy.patience import (
+    give_up_ms,
+    on_time_until_ms,
+    retry_after_ms,
+    stall_ms,
+)
 from skylarkmoor_policy.placement import Choice, Placement
 from skylarkmoor_policy.routetable import ApiCustomer, Repeat, Route
 from skylarkmoor_policy.urgencyqueue import Waiting
@@ -28,36 +34,13 @@
 # An output token takes about as much of an engine's time as this many prompt tokens: a step
 # gives one token to each of some ten requests and takes as long as reading 200.
 OUTPUT_WEIGHT = 20
-# Prompt tokens that an engine of middling speed reads in a millisecond.
-READ_TOKENS_PER_MS = 40
-
-# A caller stops waiting for its first event after the longest of these.
-_PATIENCE_MS = 2_000
-_PATIENCE_GOALS = 4
-_PATIENCE_GAPS = 8
-# Part of the patience that a request may wait for a slot. The rest is for its prompt, and a
-# caller that is refused early has time to come back.
-_WAIT_PART = 0.35
-# Part of the goal by which a request has to start to be on time; the rest is for the prompts
-# that the engine reads first.
-_START_PART = 0.6
-# Part of the time left that a request may wait for a slot; what has little left is told at once.
-_DEADLINE_PART = 0.4
-# A repeatable request goes to another upstream after this part of the patience without a sign
-# of the first one, and not before a multiple of the predicted time.
-_STALL_PART = 0.5
-_STALL_FACTOR = 3
+
 # The upstream's own timeout answer gets this long to arrive before the gateway's is sent.
 _TIMEOUT_MARGIN_MS = 60
 # Upstreams that are asked for one request in all, counting those that did not run it.
 _MAX_SENDS = 4
 # Requests that must not run twice use a kept connection only if it was used this recently.
 _FRESH_MS = 1_000
-# Answers up to this size are held until they are whole, so that a broken one can be repeated.
-_MAX_HELD_BYTES = 262_144
-_MIN_RETRY_AFTER_MS = 100
-# Callers honour a pause of up to a third of the time they have left.
-_RETRY_AFTER_PART = 0.3
 # A read of the list of upstreams takes some milliseconds.
 _READ_AGAIN_S = 0.02
 # Time that one more attempt needs at the least.
@@ -182,13 +165,8 @@
         self._unknown: set[UpstreamId] = set()
         self._current: _Send | None = None
         self._done = False
-        self._head_sent = False
-        self._length: int | None = None
         self._first_ms: int | None = None
-        self._forwarded_ms: int | None = None
-        self._longest_gap_ms = 0
-        self._held = bytearray()
-        self._events = EventSplitter() if route.resumable else None
+        self._answer = CallerAnswer(caller, host.clock, resumable=route.resumable)
         self._timer: Any = None
 
     @property
@@ -215,20 +193,6 @@
         if not self._done:
             self._end(Settlement.ABANDONED, "the caller closed the connection")
 
-    def refuse(self, status: int, why: str, retry_after_ms: int) -> None:
-        """Answer that the request has not run and will not run."""
-        remaining_ms = max(0, self._deadline_ms - self._host.clock.now_ms())
-        pause_ms = max(_MIN_RETRY_AFTER_MS, retry_after_ms)
-        pause_ms = min(pause_ms, int(remaining_ms * _RETRY_AFTER_PART))
-        self._answer(status, why, [(b"Retry-After", f"{pause_ms / 1000:.3f}".encode())])
-        self._end(Settlement.REFUSED, why, status=status, retry_after_ms=pause_ms)
-
-    def _patience_ms(self) -> float:
-        if self.route.repeat is not Repeat.STREAM:
-            return self.route.timeout_ms
-        goals_ms = _PATIENCE_GOALS * self.route.goal_ms
-        return max(_PATIENCE_MS, goals_ms, _PATIENCE_GAPS * self.route.max_gap_ms)
-
     def waiting(self, small: bool) -> Waiting[SlotNeed]:
         """Return how urgent the request is while it waits for a slot.
 
@@ -237,15 +201,8 @@
         small : bool
             Whether the requests of its route hold a slot for a small part of the usual time.
         """
-        patience_ms = self._patience_ms()
-        read_ms = self.prompt_tokens / READ_TOKENS_PER_MS
         now_ms = self._host.clock.now_ms()
-        # A request that has run before waits anew; its caller has seen progress.
-        from_ms = now_ms if self._runs else self.arrived_ms
-        give_up_ms = min(
-            from_ms + int(patience_ms * _WAIT_PART),
-            now_ms + int((self._deadline_ms - now_ms) * _DEADLINE_PART),
-        )
+        has_run = self._runs > 0
         return Waiting(
             item=SlotNeed(
                 _NO_TICKET,
@@ -259,9 +216,11 @@
             tier=self.tier,
             route_tier=self.route.tier,
             arrived_ms=self.arrived_ms,
-            on_time_until_ms=int(self.arrived_ms + self.route.goal_ms * _START_PART - read_ms),
-            give_up_ms=give_up_ms,
-            small=small or self._runs > 0,
+            on_time_until_ms=on_time_until_ms(self.route, self.arrived_ms, self.prompt_tokens),
+            give_up_ms=give_up_ms(
+                self.route, self.arrived_ms, now_ms, self._deadline_ms, has_run=has_run
+            ),
+            small=small or has_run,
         )
 
     def check_stall(self, now_ms: int) -> None:
@@ -275,7 +234,7 @@
         if self._done or send is None or send.connection is None or not self.route.idempotent:
             return
         silent_ms = now_ms - max(send.sent_ms, send.heard_ms)
-        if silent_ms < max(self._patience_ms() * _STALL_PART, _STALL_FACTOR * send.predicted_ms):
+        if silent_ms < stall_ms(self.route, send.predicted_ms):
             return
         if self._runs < self.route.max_upstreams and self._sends < _MAX_SENDS:
             self._broken(send, f"the upstream was silent for {silent_ms} ms")
@@ -301,9 +260,7 @@
         if self._runs:
             self._give_up("no other upstream had a free slot in time")
             return
-        remaining_ms = self._deadline_ms - self._host.clock.now_ms()
-        pause_ms = int(remaining_ms * _RETRY_AFTER_PART)
-        self.refuse(503, "all slots of the service are taken", pause_ms)
+        self._refuse("all slots of the service are taken", None)
 
     def _send_somewhere(self) -> None:
         now_ms = self._host.clock.now_ms()
@@ -412,16 +369,13 @@
         if remaining_ms <= 0:
             self._unsent(send, "the deadline has passed")
             return
-        last_id = self.request.last_event_id
-        if self._events is not None and self._events.last_id is not None:
-            last_id = self._events.last_id
+        last_id = self._answer.last_event_id or self.request.last_event_id
         customer = None if self.customer is None else self.customer.name
         attempt = Attempt(send.upstream, remaining_ms, customer, last_id)
         headers = self._host.codec.encode_request(self.request, attempt)
         headers.append((b"Content-Length", str(len(self.request.body)).encode()))
         send.connection = connection
-        if self._head_sent:
-            self.caller.pause_for(connection)
+        self._answer.attach(connection)
         self._runs += 1
         connection.send(
             self.request.method,
@@ -455,18 +409,11 @@
         if not send.answered:
             send.answered = True
             self._first_answer(send)
-        if self.route.repeat is not Repeat.STREAM or head.status != 200:
-            self._held += data
-            if len(self._held) > _MAX_HELD_BYTES:
-                self._start_answer(head)
-                self._forward(self._take_held())
-            return
-        if self._events is not None:
-            data = self._events.feed(data)
-        if data:
-            send.events += data.count(b"\n\n")
-            self._start_answer(head)
-            self._forward(data)
+        if self.route.repeat is Repeat.STREAM and head.status == 200:
+            send.events += self._answer.add_events(head, data, send.connection)
+        elif not (self.route.resumable and self._answer.started):
+            # The body of an error is no part of the stream that it was to continue.
+            self._answer.hold(head, data, send.connection)
 
     def end(self, send: _Send) -> None:
         """Take the whole end of an upstream's answer."""
@@ -486,9 +433,9 @@
         elapsed_ms = self._host.clock.now_ms() - send.sent_ms
         if failed:
             self._failed_at.add(send.upstream)
-        if failed and not self._head_sent and self.route.idempotent and self._may_repeat():
+        if failed and not self._answer.started and self.route.idempotent and self._may_repeat():
             self._release(send, fault=True)
-            self._held.clear()
+            self._answer.drop_partial()
             self._try_again(send, f"the upstream answered {head.status}", charged=True)
             return
         if send.events:
@@ -496,22 +443,10 @@
             expected = self.request.expected_output_tokens
             self._host.placement.streamed(send.upstream, send.events, stream_ms, expected)
         self._release(send, fault=failed, held_ms=None if failed else elapsed_ms)
-        if self._head_sent and head.status != 200:
+        if self._answer.started and head.status != 200 and self.route.resumable:
             self._abort(f"a resumed stream was answered with {head.status}")
             return
-        if self._events is not None and head.status == 200:
-            rest = self._events.flush()
-            if rest:
-                self._start_answer(head)
-                self._forward(rest)
-        body = self._take_held()
-        if self._head_sent:
-            if body:
-                self._forward(body)
-            self.caller.unpause()
-            self.caller.end_answer()
-        else:
-            self.caller.answer(head.status, head.headers, body)
+        self._answer.finish(head)
         self._end(Settlement.ANSWERED, "", status=head.status)
 
     def broken(self, send: _Send, why: str) -> None:
@@ -525,12 +460,10 @@
         self._release(send, fault=True)
         self._failed_at.add(send.upstream)
         self._host.crashed(self, send.upstream)
-        self._held.clear()
-        if self._events is not None:
-            self._events.discard()
+        self._answer.drop_partial()
         if self.route.idempotent and self._may_repeat():
             self._try_again(send, why, charged=True)
-        elif self._head_sent:
+        elif self._answer.started:
             self._abort(why)
         else:
             self._fail(502, why)
@@ -540,7 +473,7 @@
             return False
         if self._deadline_ms - self._host.clock.now_ms() < _MIN_REMAINING_MS:
             return False
-        if self._head_sent and (self._events is None or self._length is not None):
+        if not self._answer.can_continue:
             return False
         now_ms = self._host.clock.now_ms()
         choice = self._host.placement.choose(
@@ -575,27 +508,33 @@
         self._send_somewhere()
 
     def _give_up(self, why: str) -> None:
-        if self._head_sent:
+        if self._answer.started:
             self._abort(why)
         elif self._runs > 0:
             self._fail(502, why)
         else:
-            self.refuse(503, why, self.route.goal_ms)
+            self._refuse(why, self.route.goal_ms)
+
+    def _refuse(self, why: str, wanted_ms: int | None) -> None:
+        """Answer that the request has not run and will not run."""
+        remaining_ms = self._deadline_ms - self._host.clock.now_ms()
+        pause_ms = retry_after_ms(wanted_ms, remaining_ms)
+        self._replace(503, why, [(b"Retry-After", f"{pause_ms / 1000:.3f}".encode())])
+        self._end(Settlement.REFUSED, why, status=503, retry_after_ms=pause_ms)
 
     def _fail(self, status: int, why: str) -> None:
         """Answer with an error that promises nothing."""
-        self._answer(status, why, [])
+        self._replace(status, why, [])
         self._end(Settlement.FAILED, why, status=status)
 
     def _abort(self, why: str) -> None:
-        self.caller.unpause()
-        self.caller.break_off()
+        self._answer.break_off()
         self._end(Settlement.BROKEN_OFF, why)
 
-    def _answer(self, status: int, why: str, headers: Headers) -> None:
+    def _replace(self, status: int, why: str, headers: Headers) -> None:
         named = self._host.codec.request_id_headers(self.request.request)
         kind = [(b"Content-Type", b"text/plain; charset=utf-8")]
-        self.caller.answer(status, [*named, *kind, *headers], f"{why}\n".encode())
+        self._answer.replace(status, [*named, *kind, *headers], f"{why}\n".encode())
 
     def _timed_out(self) -> None:
         self._timer = None
@@ -605,7 +544,7 @@
         if send is None or send.connection is None:
             # It may have run before and wait to go on.
             self._give_up("the deadline passed while no upstream had the request")
-        elif self._head_sent:
+        elif self._answer.started:
             self._drop_current()
             self._abort("the deadline passed in the middle of the answer")
         else:
@@ -624,30 +563,6 @@
             self._first_ms = now_ms - self.arrived_ms
             self._host.metrics.first_byte(self.service, self.route.name, self._first_ms)
 
-    def _start_answer(self, head: AnswerHead) -> None:
-        if self._head_sent:
-            return
-        self._head_sent = True
-        self._length = head.content_length
-        self.caller.start_answer(
-            head.status, _with_length(head), streamed=head.content_length is None
-        )
-        send = self._current
-        if send is not None and send.connection is not None:
-            self.caller.pause_for(send.connection)
-
-    def _forward(self, data: bytes) -> None:
-        now_ms = self._host.clock.now_ms()
-        if self._forwarded_ms is not None:
-            self._longest_gap_ms = max(self._longest_gap_ms, now_ms - self._forwarded_ms)
-        self._forwarded_ms = now_ms
-        self.caller.send_body(data)
-
-    def _take_held(self) -> bytes:
-        held = bytes(self._held)
-        self._held.clear()
-        return held
-
     def _drop_current(self) -> None:
         send = self._current
         if send is None:
@@ -660,8 +575,7 @@
         if self._current is not send:
             return
         self._current = None
-        if self._head_sent:
-            self.caller.unpause()
+        self._answer.detach()
         unread = 0 if send.answered else self.prompt_tokens
         self._host.placement.ended(send.upstream, unread, held_ms=held_ms, fault=fault)
         if self.route.repeat is Repeat.STREAM:
@@ -688,7 +602,7 @@
                 "customer": None if self.customer is None else self.customer.name,
                 "why": why,
                 "first_ms": self._first_ms,
-                "longest_gap_ms": self._longest_gap_ms,
+                "longest_gap_ms": self._answer.longest_gap_ms,
                 "total_ms": now_ms - self.arrived_ms,
                 "sends": self._sends,
                 "runs": self._runs,
@@ -719,9 +633,3 @@
 
     def answer_broken(self, why: str) -> None:
         self._exchange.broken(self._send, why)
-
-
-def _with_length(head: AnswerHead) -> Headers:
-    if head.content_length is None:
-        return head.headers
-    return [*head.headers, (b"Content-Length", str(head.content_length).encode())]
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -288,6 +288,31 @@
     assert harness.connections() == 0
 
 
+def test_the_body_of_an_error_does_not_join_a_resumed_stream(harness):
+    two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/brief/1", "POST", b"x", Skylarkmoor_Deadline_Ms="15000"))
+    first = harness.accept()
+    first.send(stream_head() + chunk(EVENT_1))
+    first.close(reset=True)
+    harness.accept().send(answer(b"x" * 300_000, status="500 Error"))
+    assert b"xxx" not in caller.received()
+    assert caller.wire.aborted
+
+
+def test_a_long_body_is_passed_on_before_it_is_whole(harness):
+    two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    upstream = harness.accept()
+    whole = answer(b"x" * 300_000, status="404 Not Found")
+    upstream.send(whole[:-10])
+    assert caller.received().startswith(b"HTTP/1.1 404 ")
+    upstream.send(whole[-10:])
+    assert caller.received().endswith(b"xxx")
+    assert not caller.wire.aborted
+
+
 def test_the_work_of_a_caller_that_has_left_is_stopped(harness):
     two_engines(harness)
     caller = harness.caller()
