Move peers and tasks into a library that both daemons use

Cause: the gateway imported skylarkmoor_daemon for two modules, and its deployment shipped the whole standalone daemon. Change: libs/process holds peers and tasks with their tests; the deployment no longer contains skylarkmoor_daemon.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-LIBS := core policy clients daemon gateway operator standins measure
+LIBS := core policy clients process daemon gateway operator standins measure
 SYSTEM := libs/daemon/tests/system
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,6 +10,6 @@
     touch "$stamp"
 fi
 rm -rf "$deps"/skylarkmoor_*
-cp -r libs/core/src/* libs/policy/src/* libs/clients/src/* libs/daemon/src/* libs/gateway/src/* \
+cp -r libs/core/src/* libs/policy/src/* libs/clients/src/* libs/process/src/* libs/gateway/src/* \
     platform/skylarkmoor_adapter "$deps"/
 python3 -m compileall -q "$deps"
--- a/libs/daemon/src/skylarkmoor_daemon/claiming.py
+++ b/libs/daemon/src/skylarkmoor_daemon/claiming.py
@@ -24,7 +24,6 @@
 from skylarkmoor_core.records import AuditEntry, Record
 from skylarkmoor_daemon.context import DaemonContext
 from skylarkmoor_daemon.http import CallAnswer, Incoming
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_policy.actions import Send
 from skylarkmoor_policy.claims import (
     Answer,
@@ -45,6 +44,7 @@
     claim_id,
     claim_stream,
 )
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["PARTITIONS", "ClaimLog", "ClaimPeers", "ClaimedCall", "Claiming"]
 
--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -38,11 +38,9 @@
 from skylarkmoor_daemon.documents import Documents, InForce
 from skylarkmoor_daemon.http import CallAnswer, CallerApi, Incoming, make_site
 from skylarkmoor_daemon.metrics import Metrics
-from skylarkmoor_daemon.peers import Peers
 from skylarkmoor_daemon.rollout import Rollout
 from skylarkmoor_daemon.service import Service, UpstreamState
 from skylarkmoor_daemon.shared import SharedState
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import UpstreamReport
 from skylarkmoor_policy.facts import GOSSIP_MS
 from skylarkmoor_policy.lifecycle import (
@@ -56,6 +54,8 @@
     ReportReady,
 )
 from skylarkmoor_policy.requests import AttemptEnd, LoadReport, Request
+from skylarkmoor_process.peers import Peers
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["Daemon", "Settings"]
 
--- a/libs/daemon/src/skylarkmoor_daemon/documents.py
+++ b/libs/daemon/src/skylarkmoor_daemon/documents.py
@@ -14,8 +14,8 @@
 from skylarkmoor_core.messages import DocumentOffer, DocumentQuery, Message
 from skylarkmoor_core.records import AuditEntry
 from skylarkmoor_daemon.claiming import ClaimLog
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_policy.configuration import Accepted, DocumentFollower, Rejected
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["InForce", "DocumentPeers", "Documents"]
 
--- a/libs/daemon/src/skylarkmoor_daemon/rollout.py
+++ b/libs/daemon/src/skylarkmoor_daemon/rollout.py
@@ -24,7 +24,6 @@
 from skylarkmoor_daemon.documents import InForce
 from skylarkmoor_daemon.service import UpstreamState
 from skylarkmoor_daemon.shared import SharedState
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import OrderAnswer, OrderKind, UpstreamClient
 from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request
 from skylarkmoor_policy.rollout import (
@@ -47,6 +46,7 @@
     share_of_step,
     stopped_fact,
 )
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["Rollout", "RolloutHost"]
 
--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -34,7 +34,6 @@
 from skylarkmoor_daemon.metrics import Metrics
 from skylarkmoor_daemon.prompts import block_hashes
 from skylarkmoor_daemon.streams import CallRun, ChatRun, Run
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_daemon.upstreams import CacheEventKind, UpstreamClient, UpstreamReport
 from skylarkmoor_policy.actions import Action, Dispatch, Preempt, Refuse, Send
 from skylarkmoor_policy.requests import (
@@ -45,6 +44,7 @@
     UpstreamInfo,
 )
 from skylarkmoor_policy.scheduler import Scheduler
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["Service", "ServiceHost", "UpstreamState"]
 
--- a/libs/daemon/src/skylarkmoor_daemon/shared.py
+++ b/libs/daemon/src/skylarkmoor_daemon/shared.py
@@ -8,11 +8,11 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, UpstreamId
 from skylarkmoor_core.messages import Digest, Fact, Gossip, Heartbeat, HostState, Message
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_policy.actions import Send
 from skylarkmoor_policy.facts import DIGEST_MS, GOSSIP_MS, FactStore
 from skylarkmoor_policy.membership import Announce, Membership, UpstreamStates
 from skylarkmoor_policy.membership import HostEntry as ListedHost
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["SharedPeers", "SharedState"]
 
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -15,7 +15,6 @@
     SlotWithdrawal,
 )
 from skylarkmoor_core.settings import Address, parse_address
-from skylarkmoor_daemon.peers import Peers
 from skylarkmoor_gateway.dispatching import Dispatching
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.fleetcounts import (
@@ -26,6 +25,7 @@
     PeerCounts,
 )
 from skylarkmoor_policy.placement import Placement
+from skylarkmoor_process.peers import Peers
 
 __all__ = ["Fleet"]
 
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -20,7 +20,6 @@
 )
 from skylarkmoor_core.logs import BoundedStream, part_logger
 from skylarkmoor_core.settings import Address
-from skylarkmoor_daemon.tasks import Tasks
 from skylarkmoor_gateway.callers import CallerConnection, CallerFactory
 from skylarkmoor_gateway.errors import MalformedRequest
 from skylarkmoor_gateway.exchange import Exchange, Settlement
@@ -44,6 +43,7 @@
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
 from skylarkmoor_policy.routework import RouteWork
+from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["Gateway", "GatewaySettings"]
 
--- a/libs/daemon/tests/test_peers.py
+++ b/libs/process/tests/test_peers.py
@@ -11,7 +11,7 @@
 
 
 def _peers(host, incarnation, received):
-    from skylarkmoor_daemon.peers import Peers
+    from skylarkmoor_process.peers import Peers
 
     def take(sender, incarnation, message):
         received.append((sender, incarnation, message.seq))
--- a/tools/framing.py
+++ b/tools/framing.py
@@ -17,8 +17,8 @@
 from skylarkmoor_core.ids import HostId, Incarnation
 from skylarkmoor_core.messages import Digest, Envelope, Message, encode_envelope
 from skylarkmoor_core.settings import Address
-from skylarkmoor_daemon.peers import Peers
 from skylarkmoor_measure.fitting import fit_line
+from skylarkmoor_process.peers import Peers
 
 MESSAGES = (20, 60, 120)
 # Wide enough apart for no two messages to share a segment.
