Use one token bucket for both kinds of limits

Cause: fleetcounts had a bucket of its own beside limits.TokenBucket. Change: TokenBucket takes any number of tokens, may go below zero and can be scaled; the fleet's quotas use it with the same order of steps as before.

--- a/libs/policy/src/skylarkmoor_policy/fleetcounts.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetcounts.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
+from skylarkmoor_policy.limits import TokenBucket
 from skylarkmoor_policy.routetable import ApiCustomer
 
 __all__ = ["FleetQuotas", "FleetRetries", "PeerCounts"]
@@ -53,19 +53,6 @@
         return grown
 
 
-@dataclass(slots=True)
-class _Bucket:
-    """A bucket that mirrors what the whole fleet has admitted."""
-
-    level: float
-    at_ms: int
-
-    def refill(self, per_s: float, size: float, now_ms: int) -> None:
-        elapsed_ms = max(0, now_ms - self.at_ms)
-        self.at_ms = max(self.at_ms, now_ms)
-        self.level = min(size, self.level + per_s * elapsed_ms / 1_000)
-
-
 class FleetQuotas:
     """Customers' limits over all daemons.
 
@@ -105,7 +92,7 @@
         self._overshoot_part = overshoot_part
         self._slack_units = slack_units
         self._first_start = first_start
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, TokenBucket] = {}
         self._part = 1.0
         self.admitted: dict[str, int] = {}
 
@@ -113,7 +100,7 @@
         """Set the part of the fleet, from 0 to 1, whose reports are fresh."""
         if part < self._part:
             for bucket in self._buckets.values():
-                bucket.level = min(bucket.level, bucket.level * part / self._part)
+                bucket.scale(part / self._part)
         self._part = part
 
     def admit(self, customer: ApiCustomer, units: int, now_ms: int) -> int | None:
@@ -130,14 +117,14 @@
         size = self._size(customer)
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            level = size if self._first_start else self._tolerance(customer) * _RESTART_PART
-            bucket = self._buckets[customer.name] = _Bucket(level, now_ms)
-        bucket.refill(per_s, size, now_ms)
+            tokens = size if self._first_start else self._tolerance(customer) * _RESTART_PART
+            bucket = self._buckets[customer.name] = TokenBucket(per_s, size, tokens)
+        bucket.resize(per_s, size)
         # A request larger than the bucket passes when the bucket is full.
         needed = min(float(units), size)
-        if bucket.level < needed:
-            return max(1, round(1_000 * (needed - bucket.level) / per_s))
-        bucket.level -= units
+        if not bucket.take(now_ms, needed):
+            return max(1, bucket.wait_ms(needed))
+        bucket.remove(units - needed)
         self.admitted[customer.name] = self.admitted.get(customer.name, 0) + units
         return None
 
@@ -145,7 +132,7 @@
         """Take off what a peer has admitted."""
         bucket = self._buckets.get(customer)
         if bucket is not None:
-            bucket.level -= units
+            bucket.remove(units)
 
     def _size(self, customer: ApiCustomer) -> float:
         return customer.burst_units + self._tolerance(customer) * _TOLERANCE_PART
--- a/libs/policy/src/skylarkmoor_policy/limits.py
+++ b/libs/policy/src/skylarkmoor_policy/limits.py
@@ -16,13 +16,15 @@
     per_s : float
         Tokens that accrue in a second.
     size : float
-        Most tokens held; the bucket starts full.
+        Most tokens held.
+    tokens : float, optional
+        Tokens at the start; by default the bucket is full.
     """
 
-    def __init__(self, per_s: float, size: float) -> None:
+    def __init__(self, per_s: float, size: float, tokens: float | None = None) -> None:
         self._per_s = per_s
         self._size = size
-        self._tokens = size
+        self._tokens = size if tokens is None else tokens
         self._at_ms: int | None = None
 
     def resize(self, per_s: float, size: float) -> None:
@@ -35,17 +37,26 @@
         """Add tokens up to the bound."""
         self._tokens = min(self._size, self._tokens + tokens)
 
-    def take(self, now_ms: int) -> bool:
-        """Take a token and return whether there was one."""
+    def take(self, now_ms: int, tokens: float = 1) -> bool:
+        """Take tokens and return whether there were enough."""
         self._accrue(now_ms)
-        if self._tokens < 1:
+        if self._tokens < tokens:
             return False
-        self._tokens -= 1
+        self._tokens -= tokens
         return True
 
-    def wait_ms(self) -> int:
-        """Return the time until there is a token."""
-        missing = max(0.0, 1 - self._tokens)
+    def remove(self, tokens: float) -> None:
+        """Take tokens that are spent already, below zero if need be."""
+        self._tokens -= tokens
+
+    def scale(self, part: float) -> None:
+        """Keep a part of the tokens; what is owed stays owed."""
+        if self._tokens > 0:
+            self._tokens *= part
+
+    def wait_ms(self, tokens: float = 1) -> int:
+        """Return the time until there are enough tokens."""
+        missing = max(0.0, tokens - self._tokens)
         return round(1_000 * missing / self._per_s) if self._per_s > 0 else 1_000
 
     def _accrue(self, now_ms: int) -> None:
--- a/libs/policy/tests/test_fleetcounts.py
+++ b/libs/policy/tests/test_fleetcounts.py
@@ -79,6 +79,14 @@
     assert quotas.admit(CUSTOMER, 250, 1_000) is None
 
 
+def test_a_cut_without_requests_counts_at_the_lower_rate():
+    quotas = FleetQuotas()
+    quotas.admit(CUSTOMER, 1_000, 0)
+    quotas.set_heard_part(0.25)
+    assert quotas.admit(CUSTOMER, 501, 2_000) is not None
+    assert quotas.admit(CUSTOMER, 500, 2_000) is None
+
+
 def test_customers_without_a_rate_have_no_limit():
     assert FleetQuotas().admit(ApiCustomer("a", ()), 10**9, 0) is None
 
