--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -40,7 +40,7 @@
     LifecycleState,
     ReportReady,
 )
-from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.placement import ListedUpstream, Placement
 from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
 from skylarkmoor_policy.routework import RouteWork
 from skylarkmoor_process.tasks import Tasks
@@ -208,45 +208,28 @@
         )
         self._act(self._lifecycle.configured())
 
-    def set_upstream(
-        self,
-        upstream: UpstreamId,
-        service: ServiceName,
-        address: tuple[str, int],
-        *,
-        slots: int,
-        version: str,
-        started_wall_ms: int,
-        leaving: bool,
-    ) -> None:
+    def set_upstream(self, listed: ListedUpstream) -> None:
         """Add an upstream or take a change of it."""
-        known = self.placement.upstreams.get(upstream)
-        started_again = known is not None and known.started_wall_ms != started_wall_ms
-        if known is None or started_again or known.leaving != leaving:
+        name = listed.upstream
+        known = self.placement.upstreams.get(name)
+        started_again = known is not None and known.started_wall_ms != listed.started_wall_ms
+        if known is None or started_again or known.leaving != listed.leaving:
             _log.info(
                 "upstream changed",
                 extra={
-                    "upstream": upstream,
-                    "service": service,
-                    "leaving": leaving,
-                    "version": version,
+                    "upstream": name,
+                    "service": listed.service,
+                    "leaving": listed.leaving,
+                    "version": listed.version,
                     "started_again": started_again,
                 },
             )
-        self.placement.set_upstream(
-            upstream,
-            service,
-            address,
-            slots=slots,
-            version=version,
-            started_wall_ms=started_wall_ms,
-            leaving=leaving,
-        )
-        pool = self._pools.get(upstream)
-        if pool is None or pool.address != address or started_again:
+        self.placement.set_upstream(listed)
+        pool = self._pools.get(name)
+        if pool is None or pool.address != listed.address or started_again:
             if pool is not None:
                 pool.close()
-            self._pools[upstream] = UpstreamPool(self.reactor, self.clock, address)
+            self._pools[name] = UpstreamPool(self.reactor, self.clock, listed.address)
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Forget an upstream that has left; what runs there goes on."""
--- a/libs/gateway/tests/test_dispatching.py
+++ b/libs/gateway/tests/test_dispatching.py
@@ -9,7 +9,7 @@
 from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
 from skylarkmoor_gateway.dispatching import Dispatching, SlotSeeker
 from skylarkmoor_policy.dispatcher import SlotNeed, Ticket
-from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.placement import ListedUpstream, Placement
 from skylarkmoor_policy.urgencyqueue import Waiting
 
 HOSTS = ["host-a", "host-b"]
@@ -43,13 +43,14 @@
         self.fresh = list(HOSTS)
         self.placement = Placement(random.Random(1))
         self.placement.set_upstream(
-            "engine",
-            "assistant",
-            ("10.0.0.1", 80),
-            slots=slots,
-            version="v1",
-            started_wall_ms=1,
-            leaving=False,
+            ListedUpstream(
+                "engine",
+                "assistant",
+                ("10.0.0.1", 80),
+                slots=slots,
+                version="v1",
+                started_wall_ms=1,
+            )
         )
         self.dispatching = Dispatching(
             host,
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -10,7 +10,7 @@
 from skylarkmoor_gateway.fleet import Fleet
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.fleetcounts import FleetQuotas, FleetRetries
-from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.placement import ListedUpstream, Placement
 from skylarkmoor_policy.routetable import ApiCustomer
 
 CUSTOMER = ApiCustomer("depots", ("k",), units_per_s=100, burst_units=100, counts_tokens=True)
@@ -21,13 +21,9 @@
     clock = ManualClock(now_ms=10_000)
     placement = Placement(random.Random(1))
     placement.set_upstream(
-        "engine",
-        "assistant",
-        ("10.0.0.1", 80),
-        slots=2,
-        version="v1",
-        started_wall_ms=1,
-        leaving=False,
+        ListedUpstream(
+            "engine", "assistant", ("10.0.0.1", 80), slots=2, version="v1", started_wall_ms=1
+        )
     )
     asked = []
     made = Fleet(
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -9,6 +9,7 @@
 __all__ = [
     "QUEUE_MARGIN",
     "Choice",
+    "ListedUpstream",
     "Load",
     "PlacedUpstream",
     "Placement",
@@ -128,9 +129,19 @@
         return cls(tokens, read / 10, events / 10, events_ms / 10, answers / 10, faults / 10)
 
 
-@dataclass(slots=True)
-class PlacedUpstream:
-    """An upstream as placement sees it."""
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """An upstream as its entry in the list says.
+
+    Attributes
+    ----------
+    version : str
+        Version of its software.
+    started_wall_ms : int
+        Start time, which tells a restart under the same id.
+    leaving : bool
+        Whether it takes no more work.
+    """
 
     upstream: UpstreamId
     service: ServiceName
@@ -139,6 +150,15 @@
     version: str = ""
     started_wall_ms: int = 0
     leaving: bool = False
+
+
+@dataclass(slots=True)
+class PlacedUpstream:
+    """An upstream as placement sees it."""
+
+    listed: ListedUpstream
+    # By its own entry or a peer's word.
+    leaving: bool = False
     # Another instance has answered at the address.
     replaced: bool = False
     own: Load = field(default_factory=Load)
@@ -154,6 +174,21 @@
     failures: int = 0
     rest_until_ms: int = 0
 
+    @property
+    def upstream(self) -> UpstreamId:
+        """Its id."""
+        return self.listed.upstream
+
+    @property
+    def slots(self) -> int:
+        """Requests that it runs at a time."""
+        return self.listed.slots
+
+    @property
+    def started_wall_ms(self) -> int:
+        """Its start time."""
+        return self.listed.started_wall_ms
+
     def running(self) -> int:
         """Return the requests of all daemons that run or wait here."""
         return self.own.running + self.peers_running
@@ -219,17 +254,7 @@
         self._tokens_per_event = _START_TOKENS_PER_EVENT
         self._faded_ms: int | None = None
 
-    def set_upstream(
-        self,
-        upstream: UpstreamId,
-        service: ServiceName,
-        address: tuple[str, int],
-        *,
-        slots: int,
-        version: str,
-        started_wall_ms: int,
-        leaving: bool,
-    ) -> None:
+    def set_upstream(self, listed: ListedUpstream) -> None:
         """Add an upstream or take what its entry says now.
 
         Notes
@@ -237,15 +262,11 @@
         An upstream that started again under its id knows nothing of before, so its load and
         faults are dropped.
         """
-        known = self.upstreams.get(upstream)
-        if known is None or known.started_wall_ms != started_wall_ms:
-            known = PlacedUpstream(upstream, service, address, slots, version, started_wall_ms)
-            self.upstreams[upstream] = known
-        known.service = service
-        known.address = address
-        known.slots = slots
-        known.version = version
-        known.leaving = leaving
+        known = self.upstreams.get(listed.upstream)
+        if known is None or known.started_wall_ms != listed.started_wall_ms:
+            known = self.upstreams[listed.upstream] = PlacedUpstream(listed)
+        known.listed = listed
+        known.leaving = listed.leaving
         # A new entry shows that this instance lives.
         known.replaced = False
 
@@ -352,7 +373,7 @@
         able = [
             each
             for each in self.upstreams.values()
-            if each.service == service and not each.leaving and not each.replaced
+            if each.listed.service == service and not each.leaving and not each.replaced
         ]
         return [each for each in able if each.rest_until_ms <= now_ms] or able
 
--- a/libs/policy/tests/test_dispatcher.py
+++ b/libs/policy/tests/test_dispatcher.py
@@ -3,20 +3,16 @@
 import random
 
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotNeed, Ticket
-from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.placement import ListedUpstream, Placement
 from skylarkmoor_policy.urgencyqueue import Waiting
 
 
 def make(slots=1):
     placement = Placement(random.Random(1))
     placement.set_upstream(
-        "engine",
-        "assistant",
-        ("10.0.0.1", 80),
-        slots=slots,
-        version="v1",
-        started_wall_ms=1,
-        leaving=False,
+        ListedUpstream(
+            "engine", "assistant", ("10.0.0.1", 80), slots=slots, version="v1", started_wall_ms=1
+        )
     )
     return placement, Dispatcher(placement)
 
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 import random
 
-from skylarkmoor_policy.placement import Placement, UpstreamRecord
+from skylarkmoor_policy.placement import ListedUpstream, Placement, UpstreamRecord
 
 ADDRESS = ("10.0.0.1", 80)
 
@@ -11,7 +11,7 @@
     made = Placement(random.Random(1))
     for name in names:
         made.set_upstream(
-            name, "assistant", ADDRESS, slots=slots, version="v1", started_wall_ms=1, leaving=False
+            ListedUpstream(name, "assistant", ADDRESS, slots=slots, version="v1", started_wall_ms=1)
         )
     return made
 
@@ -56,7 +56,9 @@
 def test_leaving_and_replaced_upstreams_get_nothing():
     made = placement("a", "b")
     made.set_upstream(
-        "a", "assistant", ADDRESS, slots=2, version="v1", started_wall_ms=1, leaving=True
+        ListedUpstream(
+            "a", "assistant", ADDRESS, slots=2, version="v1", started_wall_ms=1, leaving=True
+        )
     )
     made.mark_replaced("b", 0)
     assert chosen(made) is None
@@ -66,7 +68,7 @@
     made = placement("a")
     made.mark_replaced("a", 0)
     made.set_upstream(
-        "a", "assistant", ADDRESS, slots=2, version="v1", started_wall_ms=1, leaving=False
+        ListedUpstream("a", "assistant", ADDRESS, slots=2, version="v1", started_wall_ms=1)
     )
     assert chosen(made) == "a"
 
@@ -75,7 +77,7 @@
     made = placement("a")
     made.started("a", 900)
     made.set_upstream(
-        "a", "assistant", ADDRESS, slots=2, version="v1", started_wall_ms=2, leaving=False
+        ListedUpstream("a", "assistant", ADDRESS, slots=2, version="v1", started_wall_ms=2)
     )
     assert made.upstreams["a"].running() == 0
 
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -10,6 +10,7 @@
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_gateway.callers import CallerConnection
 from skylarkmoor_gateway.gateway import Gateway
+from skylarkmoor_policy.placement import ListedUpstream
 
 CONFIG = b"""{"version": 3, "routes": [
   {"name": "order", "host": "a.example", "path_prefix": "/order/", "kind": "unsafe",
@@ -112,8 +113,8 @@
 
     def add_upstream(self, name: str, service: str, port: int, **changes: Any) -> None:
         """Add an upstream that is ready."""
-        values = {"slots": 2, "version": "v1", "started_wall_ms": 1, "leaving": False}
-        self.gateway.set_upstream(name, service, ("10.0.0.9", port), **(values | changes))
+        values = {"slots": 2, "version": "v1", "started_wall_ms": 1} | changes
+        self.gateway.set_upstream(ListedUpstream(name, service, ("10.0.0.9", port), **values))
 
     def caller(self) -> Caller:
         """Open a caller's connection."""
--- a/tools/gateway_slopes.py
+++ b/tools/gateway_slopes.py
@@ -10,7 +10,7 @@
 
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.messages import Envelope, GatewayState, decode_envelope, encode_envelope
-from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.placement import ListedUpstream, Placement
 
 # Upstreams and customers of the small sites, of the grown ones, and of the size to design for.
 SIZES = ((9, 5), (18, 5), (48, 16), (600, 1_800))
@@ -58,13 +58,9 @@
         placement = Placement(random.Random(1))
         for upstream in upstreams:
             placement.set_upstream(
-                upstream,
-                SERVICE,
-                ("10.0.0.1", 80),
-                slots=9,
-                version="v1",
-                started_wall_ms=0,
-                leaving=False,
+                ListedUpstream(
+                    upstream, SERVICE, ("10.0.0.1", 80), slots=9, version="v1", started_wall_ms=0
+                )
             )
 
         def apply(placement: Placement = placement, state: GatewayState = state) -> None:
