Keep requests of an earlier crash away from an upstream that just crashed

Cause: attempts on a crashed upstream end one after the other. Once the request behind the crash was quarantined, its neighbours of the first crash counted as clear, and one of them could start on the second upstream between two ends of that crash. The next end then listed it as in flight there, so it was refused as quarantined after a single real crash.

Ruled out: attempts of an unknown incarnation that make one crash look like two. All three reports carried the same incarnation, and a trial that filled it in still failed.

Change: a request that was in a crash, explained or not, avoids an upstream for 1 s after a crash there, also when a peer reported it.

The new unit test failed before.

--- a/libs/daemon/src/skylarkmoor_daemon/blame.py
+++ b/libs/daemon/src/skylarkmoor_daemon/blame.py
@@ -21,6 +21,11 @@
 # Copies of a suspect on other daemons wait for the end of that next trial. If they ran beside
 # it, they could crash a third upstream.
 _HOLD_COPIES_MS = 2_000
+# A request that was in a crash keeps away from an upstream for this long after the next crash
+# there. The attempts on it end one after the other, and a request that started there between two
+# ends would be counted as in flight at a second crash. Reports are asked for each second, so one
+# that has gone is known by then.
+_AVOID_CRASHED_MS = 1_000
 
 _log = part_logger("quarantine")
 
@@ -45,6 +50,8 @@
         self._table = SuspectTable()
         # Until when requests that are suspected wait, on the monotonic clock.
         self._held_ms: dict[Fingerprint, int] = {}
+        # Until when requests that were in a crash avoid an upstream, on the monotonic clock.
+        self._avoided_ms: dict[UpstreamId, int] = {}
         # Subjects of the suspicions that this daemon reported for the last crash.
         self._reported: set[str] = set()
         self._in_flight: dict[UpstreamId, dict[RequestId, Fingerprint]] = {}
@@ -61,9 +68,9 @@
             message = "equal requests have crashed two upstreams"
             raise RequestRefused(ErrorCode.QUARANTINED, message)
 
-    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+    def was_in_crash(self, fingerprint: Fingerprint) -> bool:
         """Return whether requests with `fingerprint` may not run everywhere."""
-        return self._table.standing(fingerprint) is not Standing.CLEAR
+        return self._table.was_in_crash(fingerprint)
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether requests with `fingerprint` are refused."""
@@ -71,7 +78,15 @@
 
     def is_blocked(self, request: Request, upstream: UpstreamId, *, other_upstreams: bool) -> bool:
         """Return whether a request must not go to an upstream now."""
-        if self._held_ms.get(request.fingerprint, 0) > self._clock.now_ms():
+        if not self.was_in_crash(request.fingerprint):
+            return False
+        now_ms = self._clock.now_ms()
+        # This holds for a request that is clear because its crash is explained, too.
+        if self._avoided_ms.get(upstream, 0) > now_ms:
+            return True
+        if self._table.standing(request.fingerprint) is Standing.CLEAR:
+            return False
+        if self._held_ms.get(request.fingerprint, 0) > now_ms:
             return True
         copies = sum(
             fingerprint == request.fingerprint
@@ -126,11 +141,17 @@
             for fingerprint, until_ms in self._held_ms.items()
             if until_ms > now_ms
         }
+        self._avoided_ms = {
+            upstream: until_ms
+            for upstream, until_ms in self._avoided_ms.items()
+            if until_ms > now_ms
+        }
         self._table.expire(self._clock.wall_ms())
 
     def _crashed(
         self, upstream: UpstreamId, incarnation: Incarnation, suspects: Sequence[Fingerprint]
     ) -> None:
+        self._avoided_ms[upstream] = self._clock.now_ms() + _AVOID_CRASHED_MS
         facts = self._table.crash(upstream, incarnation, suspects, self._clock.wall_ms())
         if facts:
             extra = {"upstream": upstream, "incarnation": incarnation, "suspects": len(facts)}
@@ -143,14 +164,15 @@
 
     def _hold(self, sender: HostId, fact: Fact) -> None:
         try:
-            fingerprint = Suspicion.from_subject(fact.subject).fingerprint
+            suspicion = Suspicion.from_subject(fact.subject)
         except ValueError:
             return
         if self._clock.wall_ms() - fact.value[0] >= _HOLD_COPIES_MS:
             # Old facts come again in digest exchanges.
             return
+        self._avoided_ms[suspicion.upstream] = self._clock.now_ms() + _AVOID_CRASHED_MS
         own = fact.subject in self._reported
         if own and rendezvous_owner(fact.subject, (self._host, sender)) == self._host:
             return
         until_ms = self._clock.now_ms() + _HOLD_COPIES_MS
-        self._held_ms[fingerprint] = until_ms
+        self._held_ms[suspicion.fingerprint] = until_ms
--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -316,8 +316,8 @@
         ]
 
     def is_blocked(self, request: Request, upstream: UpstreamId) -> bool:
-        """Return whether a suspect must not go to an upstream."""
-        if not self._blame.is_suspect(request.fingerprint):
+        """Return whether a request that was in a crash must not go to an upstream."""
+        if not self._blame.was_in_crash(request.fingerprint):
             return False
         name = self._service_of.get(upstream)
         others = 0 if name is None else self.services[name].usable_upstreams()
--- a/libs/daemon/tests/test_blame.py
+++ b/libs/daemon/tests/test_blame.py
@@ -2,6 +2,22 @@
 
 import pytest_twisted
 
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_core.ids import (
+    AttemptId,
+    CustomerId,
+    Fingerprint,
+    HostId,
+    Incarnation,
+    RequestId,
+    RouteName,
+    TierRank,
+    UpstreamId,
+    VersionId,
+)
+from skylarkmoor_daemon.blame import Blame
+from skylarkmoor_policy.requests import AttemptEnd, AttemptResult, Request
+
 _POISON = "poison answer_tokens=20"
 
 
@@ -51,3 +67,54 @@
     for i in range(10):
         assert (await served.chat("entry-2", f"note {i} answer_tokens=60")).status == 200
     assert len(served.crashes) == 2
+
+
+class _OwnFacts:
+    """Shared state of a daemon without peers: facts come back to the table at once."""
+
+    def __init__(self):
+        self.blame = None
+
+    def put_all(self, facts, *, at_once=False):
+        self.blame.apply(facts)
+
+
+def _request(number):
+    return Request(
+        RequestId(f"r{number}"),
+        CustomerId("c"),
+        RouteName("chat"),
+        TierRank(0),
+        Fingerprint(number),
+        arrived_ms=0,
+        deadline_ms=10_000,
+    )
+
+
+def _end(request, upstream, result):
+    return AttemptEnd(
+        request.request, AttemptId(f"{request.request}.1"), upstream, VersionId("v1"), result
+    )
+
+
+def test_suspect_stays_away_from_a_crashed_upstream_whose_attempts_are_still_ending():
+    """Started between two ends of one crash, it counted as in flight there and was refused."""
+    clock, shared = ManualClock(now_ms=1_000), _OwnFacts()
+    blame = Blame(HostId("entry-1"), shared, clock)
+    shared.blame = blame
+    waiting, cause, first, second = (_request(number) for number in range(1, 5))
+    one, two = UpstreamId("u1"), UpstreamId("u2")
+    for request in (waiting, cause):
+        blame.started(request, one)
+    for request in (waiting, cause):
+        blame.ended(request, _end(request, one, AttemptResult.CRASHED), Incarnation(1))
+    clock.advance(250)
+    for request in (cause, first, second):
+        blame.started(request, two)
+    blame.ended(first, _end(first, two, AttemptResult.CRASHED), Incarnation(2))
+    blame.ended(cause, _end(cause, two, AttemptResult.ABANDONED), Incarnation(2))
+    assert blame.is_quarantined(cause.fingerprint)
+    assert blame.is_blocked(waiting, two, other_upstreams=True)
+    assert not blame.is_blocked(waiting, UpstreamId("u3"), other_upstreams=True)
+    clock.advance(1_000)
+    assert not blame.is_blocked(waiting, two, other_upstreams=True)
--- a/libs/policy/src/skylarkmoor_policy/quarantine.py
+++ b/libs/policy/src/skylarkmoor_policy/quarantine.py
@@ -163,6 +163,10 @@
             return Standing.SUSPECT
         return Standing.CLEAR
 
+    def was_in_crash(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request was in flight at a crash, explained or not."""
+        return fingerprint in self._by_request
+
     def may_run(
         self,
         fingerprint: Fingerprint,
