Give each suspect of a crash an upstream to itself

Cause: a daemon knows only its own requests on an upstream.

Change: the suspects of a crash are ordered by fingerprint, and the place in that order gives each its upstream among those that can run it. Suspects beyond the number of upstreams wait until the ones before are cleared or quarantined; cleared requests keep their place. The facts are the same on all daemons, so no message is added.

The new unit test of the order cannot run on the old signature, which knew no upstreams.

--- a/libs/daemon/src/skylarkmoor_daemon/blame.py
+++ b/libs/daemon/src/skylarkmoor_daemon/blame.py
@@ -76,8 +76,16 @@
         """Return whether requests with `fingerprint` are refused."""
         return self._table.standing(fingerprint) is Standing.QUARANTINED
 
-    def is_blocked(self, request: Request, upstream: UpstreamId, *, other_upstreams: bool) -> bool:
-        """Return whether a request must not go to an upstream now."""
+    def is_blocked(
+        self, request: Request, upstream: UpstreamId, usable: Sequence[UpstreamId]
+    ) -> bool:
+        """Return whether a request must not go to an upstream now.
+
+        Parameters
+        ----------
+        usable : sequence of UpstreamId
+            Upstreams that could run the request.
+        """
         if not self.was_in_crash(request.fingerprint):
             return False
         now_ms = self._clock.now_ms()
@@ -98,7 +106,7 @@
             upstream,
             self._in_flight.get(upstream, {}).values(),
             copies_running=copies,
-            other_upstreams=other_upstreams,
+            usable=usable,
         )
 
     def started(self, request: Request, upstream: UpstreamId) -> None:
--- a/libs/daemon/src/skylarkmoor_daemon/daemon.py
+++ b/libs/daemon/src/skylarkmoor_daemon/daemon.py
@@ -320,8 +320,8 @@
         if not self._blame.was_in_crash(request.fingerprint):
             return False
         name = self._service_of.get(upstream)
-        others = 0 if name is None else self.services[name].usable_upstreams()
-        return self._blame.is_blocked(request, upstream, other_upstreams=others > 1)
+        usable = () if name is None else self.services[name].usable_upstreams()
+        return self._blame.is_blocked(request, upstream, usable)
 
     def check_quarantine(self, request: Request) -> None:
         """Raise `RequestRefused` if equal requests have crashed two upstreams."""
--- a/libs/daemon/src/skylarkmoor_daemon/service.py
+++ b/libs/daemon/src/skylarkmoor_daemon/service.py
@@ -234,9 +234,13 @@
         """Give an upstream no new work from now on."""
         self._scheduler.mark_leaving(upstream)
 
-    def usable_upstreams(self) -> int:
-        """Return how many upstreams there are that are not leaving."""
-        return sum(not self._daemon.is_leaving(upstream) for upstream in self.upstreams)
+    def usable_upstreams(self) -> list[UpstreamId]:
+        """Return the upstreams that are not leaving and answer reports."""
+        return [
+            upstream
+            for upstream, state in self.upstreams.items()
+            if not self._daemon.is_leaving(upstream) and state.silent < _SILENT_REPORTS
+        ]
 
     def refuse_quarantined(self, is_quarantined: Callable[[Fingerprint], bool]) -> None:
         """End requests that have crashed two upstreams, here or elsewhere."""
--- a/libs/policy/src/skylarkmoor_policy/quarantine.py
+++ b/libs/policy/src/skylarkmoor_policy/quarantine.py
@@ -1,6 +1,6 @@
 """Which requests are suspected of crashing upstreams, and which are refused for it."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -81,6 +81,7 @@
         self._cleared: dict[Suspicion, int] = {}
         self._by_request: dict[Fingerprint, set[Suspicion]] = {}
         self._by_crash: dict[tuple[UpstreamId, Incarnation], set[Fingerprint]] = {}
+        self._cleared_by_crash: dict[tuple[UpstreamId, Incarnation], set[Fingerprint]] = {}
 
     def crash(
         self,
@@ -152,7 +153,7 @@
                 self._forget(suspicion)
         for suspicion, at_ms in list(self._cleared.items()):
             if now_wall_ms - at_ms >= 2 * SUSPECT_LIFETIME_MS:
-                del self._cleared[suspicion]
+                self._forget_cleared(suspicion)
 
     def standing(self, fingerprint: Fingerprint) -> Standing:
         """Return how a request is treated."""
@@ -174,7 +175,7 @@
         running: Iterable[Fingerprint],
         *,
         copies_running: int = 0,
-        other_upstreams: bool = True,
+        usable: Sequence[UpstreamId] = (),
     ) -> bool:
         """Return whether a request may be sent to `upstream` now.
 
@@ -185,9 +186,17 @@
         copies_running : int
             Requests with the same fingerprint that run anywhere. A suspect runs one copy at a
             time, or its copies could crash more than two upstreams at once.
-        other_upstreams : bool
-            Whether another upstream can run the request. Then a suspect is not sent to the
-            upstream that crashed with it: a second crash there may be the upstream's fault.
+        usable : sequence of UpstreamId
+            Upstreams that can run the request. If there are others, a suspect is not sent to
+            the upstream that crashed with it: a second crash there may be the upstream's fault.
+
+        Notes
+        -----
+        A daemon sees only its own requests on an upstream, so two daemons could try two
+        suspects of a crash beside each other, and a second crash would look like both
+        requests' fault. Each suspect of a crash therefore has one upstream to itself, by its
+        place in the order of all of them. If there are more suspects than upstreams, the next
+        ones wait until the ones before are cleared or quarantined.
         """
         match self.standing(fingerprint):
             case Standing.CLEAR:
@@ -198,14 +207,30 @@
                 pass
         if copies_running:
             return False
-        if other_upstreams and any(
-            suspicion.upstream == upstream for suspicion in self._by_request[fingerprint]
-        ):
+        if not self._has_turn(fingerprint, upstream, usable):
             return False
         return all(
             self.standing(other) is Standing.CLEAR for other in running if other != fingerprint
         )
 
+    def _has_turn(
+        self, fingerprint: Fingerprint, upstream: UpstreamId, usable: Sequence[UpstreamId]
+    ) -> bool:
+        suspicions = self._by_request[fingerprint]
+        crashed = {suspicion.upstream for suspicion in suspicions}
+        if not usable:
+            return upstream not in crashed
+        places = sorted(set(usable) - crashed) or sorted(usable)
+        latest = max(suspicions, key=lambda each: (each.incarnation, each.upstream))
+        crash = (latest.upstream, latest.incarnation)
+        # Cleared requests keep their place, or the others' would change while some of them run.
+        order = sorted(self._by_crash[crash] | self._cleared_by_crash.get(crash, set()))
+        place = order.index(fingerprint)
+        before = order[: place - place % len(places)]
+        if any(self.standing(each) is Standing.SUSPECT for each in before):
+            return False
+        return upstream == places[place % len(places)]
+
     def _is_explained(self, suspicion: Suspicion) -> bool:
         others = self._by_crash[suspicion.upstream, suspicion.incarnation]
         return any(
@@ -235,11 +260,20 @@
 
     def _clear(self, suspicion: Suspicion, at_ms: int) -> None:
         self._cleared[suspicion] = max(self._cleared.get(suspicion, 0), at_ms)
+        crash = (suspicion.upstream, suspicion.incarnation)
+        self._cleared_by_crash.setdefault(crash, set()).add(suspicion.fingerprint)
         if len(self._cleared) > _MAX_SUSPICIONS:
-            del self._cleared[next(iter(self._cleared))]
+            self._forget_cleared(next(iter(self._cleared)))
         if suspicion in self._suspected:
             self._forget(suspicion)
 
+    def _forget_cleared(self, suspicion: Suspicion) -> None:
+        del self._cleared[suspicion]
+        crash = (suspicion.upstream, suspicion.incarnation)
+        self._cleared_by_crash[crash].discard(suspicion.fingerprint)
+        if not self._cleared_by_crash[crash]:
+            del self._cleared_by_crash[crash]
+
     def _forget(self, suspicion: Suspicion) -> None:
         del self._suspected[suspicion]
         requests = self._by_request[suspicion.fingerprint]
--- a/libs/policy/tests/test_quarantine.py
+++ b/libs/policy/tests/test_quarantine.py
@@ -63,7 +63,25 @@
 def test_suspect_returns_to_the_crashed_upstream_only_if_there_is_no_other():
     table = crashed(("u1", 1, [POISON]))
     assert not table.may_run(POISON, "u1", [])
-    assert table.may_run(POISON, "u1", [], other_upstreams=False)
+    assert not table.may_run(POISON, "u1", [], usable=["u1", "u2"])
+    assert table.may_run(POISON, "u1", [], usable=["u1"])
+
+
+def test_suspects_of_one_crash_get_upstreams_of_their_own_on_every_daemon():
+    """Daemons that know only their own requests tried two suspects on the same upstream."""
+    suspects, usable = [10, 11, 12, 13, 14], ["u1", "u2", "u3", "u4"]
+    table = crashed(("u1", 1, suspects))
+
+    def allowed(request):
+        return [each for each in usable if table.may_run(request, each, [], usable=usable)]
+
+    assert [allowed(each) for each in suspects] == [["u2"], ["u3"], ["u4"], [], []]
+    table.completed(11, 5)
+    assert allowed(10) == ["u2"]
+    assert allowed(13) == []
+    table.completed(10, 5)
+    table.completed(12, 5)
+    assert [allowed(13), allowed(14)] == [["u2"], ["u3"]]
 
 
 def test_bystander_is_cleared_when_it_completes():
