Split the engines of a large service among several dispatchers

Ruled out: the cost of taking a state.

Change: engines form groups of about five to ten by a hash of their id, each with a dispatcher of its own. A daemon asks the emptier of two groups, and asks again elsewhere after 500 ms. Dispatchers are told loads of their own engines in a small message.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -30,6 +30,7 @@
     "OutcomeQuery",
     "ReleaseRequest",
     "SlotGrant",
+    "SlotLoads",
     "SlotRequest",
     "SlotWithdrawal",
     "decode_envelope",
@@ -259,6 +260,9 @@
     output_tokens: int
     deadline_in_ms: int
     avoid: tuple[UpstreamId, ...] = ()
+    # The part of the service's engines that is asked for, out of so many.
+    group: int = 0
+    groups: int = 1
 
 
 class SlotWithdrawal(_Message, frozen=True, tag="x"):
@@ -267,6 +271,18 @@
     ticket: int
 
 
+class SlotLoads(_Message, frozen=True, tag="z"):
+    """Tell a dispatcher the sender's work on the engines of a group, as absolute values."""
+
+    service: ServiceName
+    group: int
+    groups: int
+    # Requests running and prompt tokens still to be read, by upstream.
+    loads: dict[UpstreamId, tuple[int, int]]
+    # Number of the last grant taken from the dispatcher; the loads include it.
+    taken: int = 0
+
+
 class SlotGrant(_Message, frozen=True, tag="y"):
     """A slot for a waiting request; grants of a dispatcher are numbered."""
 
@@ -292,6 +308,7 @@
     | SlotRequest
     | SlotWithdrawal
     | SlotGrant
+    | SlotLoads
 )
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/dispatching.py
+++ b/libs/gateway/src/skylarkmoor_gateway/dispatching.py
@@ -1,7 +1,8 @@
 """The waiting requests of a daemon, and its part as a dispatcher.
 
-One daemon, chosen by rendezvous hashing, hands out the slots of a service's engines. It counts
-what it has granted, so that daemons with old reports do not fill the same free slot together.
+One daemon, chosen by rendezvous hashing, hands out the slots of a group of engines; a service
+with few engines is one group. It counts what it has granted, so that daemons with old reports do
+not fill the same free slot together.
 A daemon that hears no other one dispatches for itself.
 """
 
@@ -15,6 +16,7 @@
 from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotNeed, SlotOffer, Ticket
 from skylarkmoor_policy.placement import Choice, Placement
+from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import Waiting
 
 __all__ = ["Dispatching", "SlotSeeker"]
@@ -44,6 +46,7 @@
 class _Wait:
     seeker: SlotSeeker
     waiting: Waiting[SlotNeed]
+    group: SlotGroup
     asked: HostId | None = None
     asked_ms: int = 0
 
@@ -93,30 +96,36 @@
         self._numbers = itertools.count(1)
         self._grants = itertools.count(1)
         self._offering = False
-        # The first daemons in rendezvous order by service.
-        self._candidates: dict[ServiceName, list[HostId]] = {}
+        # The first daemons in rendezvous order by the key of a group.
+        self._candidates: dict[str, list[HostId]] = {}
         self._hosts: list[HostId] = []
 
-    def owner(self, service: ServiceName) -> HostId:
-        """Return the daemon that hands out the slots of a service."""
-        candidates = self._candidates_of(service)
+    def owner(self, group: SlotGroup) -> HostId:
+        """Return the daemon that hands out the slots of a group."""
+        candidates = self._candidates_of(group)
+        # The requests of one group among several ask another one when their dispatcher is silent.
+        if group.count > 1:
+            return candidates[0]
         for host in candidates[:_PROMPT_CANDIDATES]:
             if self._is_prompt(host):
                 return host
         return candidates[-1]
 
     def may_dispatch(self) -> bool:
-        """Return whether this daemon dispatches a service or is the next to do so."""
+        """Return whether this daemon dispatches a whole service or is the next to do so."""
         services = {each.listed.service for each in self._placement.upstreams.values()}
         return any(
-            self._host in self._candidates_of(service)[:_PROMPT_CANDIDATES] for service in services
+            self._host in self._candidates_of(SlotGroup(service))[:_PROMPT_CANDIDATES]
+            for service in services
+            if len(self._placement.group_loads(service)) == 1
         )
 
     def wait(self, seeker: SlotSeeker, waiting: Waiting[SlotNeed]) -> int:
         """Ask for a slot and return the number under which the request waits."""
         number = next(self._numbers)
-        need = replace(waiting.item, ticket=Ticket(self._host, number))
-        wait = _Wait(seeker, replace(waiting, item=need))
+        group = self._placement.emptier_group(seeker.service)
+        need = replace(waiting.item, ticket=Ticket(self._host, number), group=group)
+        wait = _Wait(seeker, replace(waiting, item=need), group)
         self._waits[number] = wait
         self._ask(number, wait)
         return number
@@ -124,30 +133,23 @@
     def withdraw(self, number: int) -> None:
         """End a wait."""
         wait = self._waits.pop(number, None)
-        if wait is None:
-            return
-        if wait.asked == self._host:
-            self._dispatcher.withdraw(Ticket(self._host, number))
-        elif wait.asked is not None:
-            self._send(wait.asked, SlotWithdrawal(number))
+        if wait is not None:
+            self._stop_asking(number, wait)
 
     def tick(self) -> None:
         """End waits that took too long, and ask again where the dispatcher has changed."""
         now_ms = self._clock.now_ms()
-        owners: dict[ServiceName, HostId] = {}
+        owners: dict[SlotGroup, HostId] = {}
         for number, wait in list(self._waits.items()):
-            service = wait.seeker.service
-            if service not in owners:
-                owners[service] = self.owner(service)
+            if wait.group not in owners:
+                owners[wait.group] = self.owner(wait.group)
             if now_ms >= wait.waiting.give_up_ms:
                 self.withdraw(number)
                 wait.seeker.gave_up_waiting()
-            elif (
-                wait.asked != owners[service]
-                or wait.asked != self._host
-                and now_ms - wait.asked_ms >= _ASK_AGAIN_MS
-            ):
+            elif wait.asked != owners[wait.group]:
                 self._ask(number, wait)
+            elif now_ms - wait.asked_ms >= _ASK_AGAIN_MS:
+                self._ask_emptier_group(number, wait)
         self.offer()
 
     def offer(self) -> None:
@@ -166,7 +168,7 @@
         now_ms = self._clock.now_ms()
         need = SlotNeed(
             Ticket(sender, request.ticket),
-            request.service,
+            SlotGroup(request.service, request.group, request.groups),
             request.prompt_tokens,
             request.max_gap_ms,
             request.output_tokens,
@@ -196,6 +198,9 @@
         wait = self._waits.pop(grant.ticket, None)
         if wait is None:
             return False
+        if wait.asked not in (None, sender):
+            # The request has asked another dispatcher since.
+            self._stop_asking(grant.ticket, wait)
         self._start(wait, grant.upstream)
         return True
 
@@ -208,22 +213,33 @@
         """Return how many requests of this daemon wait."""
         return len(self._waits)
 
-    def _candidates_of(self, service: ServiceName) -> list[HostId]:
+    def _candidates_of(self, group: SlotGroup) -> list[HostId]:
         hosts = self._fresh_hosts()
         if hosts != self._hosts:
             self._hosts = hosts
             self._candidates.clear()
-        if service not in self._candidates:
-            order = rendezvous_order(service, hosts)[: _PROMPT_CANDIDATES + 1]
-            self._candidates[service] = [HostId(host) for host in order]
-        return self._candidates[service]
+        if group.key not in self._candidates:
+            order = rendezvous_order(group.key, hosts)[: _PROMPT_CANDIDATES + 1]
+            self._candidates[group.key] = [HostId(host) for host in order]
+        return self._candidates[group.key]
 
-    def _ask(self, number: int, wait: _Wait) -> None:
-        owner = self.owner(wait.seeker.service)
-        if wait.asked is not None and wait.asked not in (owner, self._host):
-            self._send(wait.asked, SlotWithdrawal(number))
-        elif wait.asked == self._host and owner != self._host:
+    def _stop_asking(self, number: int, wait: _Wait) -> None:
+        if wait.asked == self._host:
             self._dispatcher.withdraw(Ticket(self._host, number))
+        elif wait.asked is not None:
+            self._send(wait.asked, SlotWithdrawal(number))
+
+    def _ask_emptier_group(self, number: int, wait: _Wait) -> None:
+        """Ask again, of another group if it has fewer requests by now."""
+        wait.group = self._placement.emptier_group(wait.seeker.service)
+        need = replace(wait.waiting.item, group=wait.group)
+        wait.waiting = replace(wait.waiting, item=need)
+        self._ask(number, wait)
+
+    def _ask(self, number: int, wait: _Wait) -> None:
+        owner = self.owner(wait.group)
+        if wait.asked != owner:
+            self._stop_asking(number, wait)
         now_ms = self._clock.now_ms()
         wait.asked, wait.asked_ms = owner, now_ms
         if owner == self._host:
@@ -238,7 +254,7 @@
             owner,
             SlotRequest(
                 number,
-                waiting.item.service,
+                wait.group.service,
                 waiting.tier,
                 waiting.route_tier,
                 waiting.small,
@@ -250,6 +266,8 @@
                 waiting.item.output_tokens,
                 waiting.item.deadline_ms - now_ms,
                 tuple(waiting.item.avoid),
+                wait.group.number,
+                wait.group.count,
             ),
         )
 
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -27,6 +27,7 @@
 )
 from skylarkmoor_policy.placement import Choice, Placement
 from skylarkmoor_policy.routetable import ApiCustomer, Repeat, Route
+from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import Waiting
 
 __all__ = ["OUTPUT_WEIGHT", "Exchange", "ExchangeHost", "Settlement"]
@@ -80,7 +81,7 @@
     def stop_waiting(self, number: int) -> None:
         """Take a request out of the queue."""
 
-    def load_changed(self, service: ServiceName) -> None:
+    def load_changed(self, upstream: UpstreamId) -> None:
         """Note that a slot was taken or became free."""
 
     def settled(self, exchange: "Exchange", settlement: Settlement) -> None:
@@ -206,7 +207,7 @@
         return Waiting(
             item=SlotNeed(
                 _NO_TICKET,
-                self.service,
+                SlotGroup(self.service),
                 self.prompt_tokens,
                 self.route.max_gap_ms,
                 self._output_tokens(),
@@ -558,7 +559,7 @@
             send.upstream, self.prompt_tokens, now_ms - send.sent_ms, send.read_ahead
         )
         if self.route.repeat is Repeat.STREAM:
-            self._host.load_changed(self.service)
+            self._host.load_changed(send.upstream)
         if self._first_ms is None:
             self._first_ms = now_ms - self.arrived_ms
             self._host.metrics.first_byte(self.service, self.route.name, self._first_ms)
@@ -579,7 +580,7 @@
         unread = 0 if send.answered else self.prompt_tokens
         self._host.placement.ended(send.upstream, unread, held_ms=held_ms, fault=fault)
         if self.route.repeat is Repeat.STREAM:
-            self._host.load_changed(self.service)
+            self._host.load_changed(send.upstream)
 
     def _end(self, settlement: Settlement, why: str, **details: object) -> None:
         if self._done:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -5,12 +5,13 @@
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import SettingsError
-from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
+from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
     GatewayState,
     Message,
     SlotGrant,
+    SlotLoads,
     SlotRequest,
     SlotWithdrawal,
 )
@@ -25,6 +26,7 @@
     PeerCounts,
 )
 from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_process.peers import Peers
 
 __all__ = ["Fleet"]
@@ -113,7 +115,7 @@
             self._is_prompt,
             lambda call: later(0, call),
         )
-        self._telling: set[HostId] = set()
+        self._telling: set[SlotGroup] = set()
         self._counts = {kind: PeerCounts() for kind in ("admitted", "requests", "repeats")}
         self._peers = Peers(host, incarnation, self._on_message)
         self._known: dict[HostId, _Peer] = {}
@@ -159,14 +161,16 @@
             hosts.append(self._host)
         return sorted(hosts)
 
-    def load_changed(self, service: ServiceName) -> None:
-        """Tell the service's dispatcher soon that this daemon's load has changed."""
-        owner = self.dispatching.owner(service)
-        if owner == self._host:
+    def load_changed(self, upstream: UpstreamId) -> None:
+        """Tell the upstream's dispatcher soon that this daemon's load has changed."""
+        group = self._placement.group_of(upstream)
+        if group is None:
+            return
+        if self.dispatching.owner(group) == self._host:
             self.dispatching.offer()
-        elif owner not in self._telling:
-            self._telling.add(owner)
-            self._later(_TELL_DISPATCHER_MS, lambda: self._tell_dispatcher(owner))
+        elif group not in self._telling:
+            self._telling.add(group)
+            self._later(_TELL_DISPATCHER_MS, lambda: self._tell_dispatcher(group))
 
     def tick(self) -> None:
         """Send this daemon's state if it is due, and look for peers that are gone."""
@@ -202,9 +206,12 @@
         """Close all sockets."""
         self._peers.close()
 
-    def _tell_dispatcher(self, owner: HostId) -> None:
-        self._telling.discard(owner)
-        self._peers.send(owner, self._state())
+    def _tell_dispatcher(self, group: SlotGroup) -> None:
+        self._telling.discard(group)
+        owner = self.dispatching.owner(group)
+        loads = self._placement.own_loads(group)
+        taken = self.dispatching.taken.get(owner, 0)
+        self._peers.send(owner, SlotLoads(group.service, group.number, group.count, loads, taken))
 
     def _send_slots(self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant) -> None:
         self._peers.send(to, message)
@@ -277,6 +284,10 @@
                 self.dispatching.withdrawn(sender, message)
             case SlotGrant():
                 self.dispatching.granted(sender, message)
+            case SlotLoads(service=service, group=number, groups=count):
+                group = SlotGroup(service, number, count)
+                self._placement.peer_load(sender, message.loads, message.taken, group)
+                self.dispatching.offer()
             case _:
                 _log.warning("unexpected message", extra={"peer": sender})
 
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -15,7 +15,6 @@
     HostId,
     Incarnation,
     RequestId,
-    ServiceName,
     UpstreamId,
 )
 from skylarkmoor_core.logs import BoundedStream, part_logger
@@ -330,9 +329,9 @@
         """Take a request out of the queue."""
         self.fleet.dispatching.withdraw(number)
 
-    def load_changed(self, service: ServiceName) -> None:
-        """Note that a slot was taken or became free."""
-        self.fleet.load_changed(service)
+    def load_changed(self, upstream: UpstreamId) -> None:
+        """Note that a slot became free, or a prompt was read."""
+        self.fleet.load_changed(upstream)
 
     def settled(self, exchange: Exchange, settlement: Settlement) -> None:
         """Note the end of an exchange."""
--- a/libs/gateway/tests/test_dispatching.py
+++ b/libs/gateway/tests/test_dispatching.py
@@ -10,6 +10,7 @@
 from skylarkmoor_gateway.dispatching import Dispatching, SlotSeeker
 from skylarkmoor_policy.dispatcher import SlotNeed, Ticket
 from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import Waiting
 
 HOSTS = ["host-a", "host-b"]
@@ -37,21 +38,22 @@
 class Node:
     """One daemon's dispatching with its messages."""
 
-    def __init__(self, network, host, slots):
+    def __init__(self, network, host, slots, engines):
         self.network = network
         self.host = host
         self.fresh = list(HOSTS)
         self.placement = Placement(random.Random(1))
-        self.placement.set_upstream(
-            ListedUpstream(
-                "engine",
-                "assistant",
-                ("10.0.0.1", 80),
-                slots=slots,
-                version="v1",
-                started_wall_ms=1,
+        for engine in engines:
+            self.placement.set_upstream(
+                ListedUpstream(
+                    engine,
+                    "assistant",
+                    ("10.0.0.1", 80),
+                    slots=slots,
+                    version="v1",
+                    started_wall_ms=1,
+                )
             )
-        )
         self.dispatching = Dispatching(
             host,
             network.clock,
@@ -64,7 +66,7 @@
 
     def wait(self, give_up_ms=2_000):
         seeker = Seeker(self.placement)
-        need = SlotNeed(Ticket("", 0), "assistant", 100, 0, 10, 10_000)
+        need = SlotNeed(Ticket("", 0), SlotGroup("assistant"), 100, 0, 10, 10_000)
         number = self.dispatching.wait(seeker, Waiting(need, 0, 0, 0, 400, give_up_ms))
         return seeker, number
 
@@ -72,10 +74,10 @@
 class Network:
     """Daemons whose messages are delivered when told to, or dropped."""
 
-    def __init__(self, slots=1):
+    def __init__(self, slots=1, engines=("engine",)):
         self.clock = ManualClock()
         self.queue = []
-        self.nodes = {host: Node(self, host, slots) for host in HOSTS}
+        self.nodes = {host: Node(self, host, slots, engines) for host in HOSTS}
 
     def deliver(self):
         while self.queue:
@@ -175,3 +177,45 @@
     network.deliver()
     # The owner does not know yet what runs, and the engine's own queue takes the excess.
     assert [len(each.upstreams) for each in seekers] == [1, 1, 1]
+
+
+@pytest.fixture
+def large():
+    """Two daemons before as many engines as make four groups; both daemons dispatch some."""
+    made = Network(engines=tuple(f"engine-{number}" for number in range(20)))
+    dispatching = made.nodes[OTHER].dispatching
+    owners = {dispatching.owner(SlotGroup("assistant", number, 4)) for number in range(4)}
+    assert owners == set(HOSTS)
+    return made
+
+
+def test_a_dispatcher_hands_out_the_slots_of_its_own_group(large):
+    """Two dispatchers with the same engines would fill a free slot twice."""
+    for _ in range(20):
+        large.nodes[OTHER].wait()
+    large.deliver()
+    for node in large.nodes.values():
+        for group, queue in node.dispatching._dispatcher._queues.items():
+            assert node.dispatching.owner(group) == node.host
+            assert len(queue) == 0 or not node.placement.has_room(group, 0)
+
+
+def test_a_request_leaves_the_group_of_a_silent_dispatcher(large):
+    """A dispatcher that is dead, or slow, held its requests until their time was over."""
+    seekers = [large.nodes[OTHER].wait(give_up_ms=10_000)[0] for _ in range(4)]
+    for _ in range(10):
+        # Nothing reaches the other dispatcher or comes back from it.
+        large.queue.clear()
+        large.tick(500)
+    assert all(len(seeker.upstreams) == 1 for seeker in seekers)
+
+
+def test_a_grant_of_an_earlier_dispatcher_takes_back_the_later_request(large):
+    """The later dispatcher granted a slot that nobody used."""
+    node = large.nodes[OTHER]
+    _, number = node.wait()
+    wait = node.dispatching._waits[number]
+    wait.asked = OWNER
+    large.queue.clear()
+    node.dispatching.granted("host-gone", SlotGrant(number, "engine-1", 1))
+    assert large.queue == [(OTHER, OWNER, SlotWithdrawal(number))]
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -6,13 +6,14 @@
 
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.hashing import rendezvous_order
-from skylarkmoor_core.messages import GatewayState
+from skylarkmoor_core.messages import GatewayState, SlotLoads
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.fleet import Fleet
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.fleetcounts import FleetQuotas, FleetRetries
 from skylarkmoor_policy.placement import ListedUpstream, Placement
 from skylarkmoor_policy.routetable import ApiCustomer
+from skylarkmoor_policy.slotgroups import SlotGroup
 
 CUSTOMER = ApiCustomer("depots", ("k",), units_per_s=100, burst_units=100, counts_tokens=True)
 
@@ -91,13 +92,13 @@
     for peer in peers:
         hear(fleet, sender=peer)
     first, second, third = rendezvous_order("assistant", [*peers, "me"])[:3]
-    assert fleet.dispatching.owner("assistant") == first
+    assert fleet.dispatching.owner(SlotGroup("assistant")) == first
     fleet.clock.advance(1_300)
     hear(fleet, sender=second)
     assert first in fleet.fresh_hosts()
-    assert fleet.dispatching.owner("assistant") == second
+    assert fleet.dispatching.owner(SlotGroup("assistant")) == second
     fleet.clock.advance(1_300)
-    assert fleet.dispatching.owner("assistant") == third
+    assert fleet.dispatching.owner(SlotGroup("assistant")) == third
 
 
 @pytest.mark.parametrize(("rank", "expected"), [(0, 4), (1, 4), (2, 2)])
@@ -119,6 +120,28 @@
     assert len(sent) == expected
 
 
+def test_only_the_dispatcher_of_an_engine_is_told_its_load_at_once(fleet, monkeypatch):
+    """Whole states at each change of the load overran the dispatcher of a large fleet."""
+    hear(fleet)
+    sent, calls = [], []
+    monkeypatch.setattr(fleet._peers, "send", lambda to, message: sent.append((to, message)))
+    monkeypatch.setattr(fleet.dispatching, "owner", lambda group: "peer")
+    fleet._later = lambda delay_ms, call: calls.append(call)
+    fleet._placement.started("engine", 300)
+    fleet.load_changed("engine")
+    fleet.load_changed("engine")
+    for call in calls:
+        call()
+    assert sent == [("peer", SlotLoads("assistant", 0, 1, {"engine": (1, 300)}))]
+
+
+def test_loads_told_to_a_dispatcher_count(fleet):
+    hear(fleet)
+    message = SlotLoads("assistant", 0, 1, {"engine": (1, 300)})
+    fleet._on_message("peer", 1, message)
+    assert fleet._placement.upstreams["engine"].running() == 1
+
+
 def test_limits_shrink_while_a_peer_is_silent_and_return_when_it_is_gone(fleet):
     hear(fleet)
     fleet._quotas.admit(CUSTOMER, 20, fleet.clock.now_ms())
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_core.ids import HostId, UpstreamId
 from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import UrgencyQueue, Waiting
 
 __all__ = ["Dispatcher", "SlotNeed", "SlotOffer", "Ticket"]
@@ -27,6 +28,8 @@
 
     Attributes
     ----------
+    group : SlotGroup
+        The engines whose slots are asked for.
     max_gap_ms : int
         Longest pause that streams of the route should see.
     output_tokens : int
@@ -38,7 +41,7 @@
     """
 
     ticket: Ticket
-    service: ServiceName
+    group: SlotGroup
     prompt_tokens: int
     max_gap_ms: int
     output_tokens: int
@@ -67,7 +70,7 @@
 
     def __init__(self, placement: Placement) -> None:
         self._placement = placement
-        self._queues: dict[ServiceName, UrgencyQueue[SlotNeed]] = {}
+        self._queues: dict[SlotGroup, UrgencyQueue[SlotNeed]] = {}
         self._needs: dict[Ticket, SlotNeed] = {}
 
     def __len__(self) -> int:
@@ -78,13 +81,13 @@
         need = waiting.item
         self.withdraw(need.ticket)
         self._needs[need.ticket] = need
-        self._queues.setdefault(need.service, UrgencyQueue()).add(waiting)
+        self._queues.setdefault(need.group, UrgencyQueue()).add(waiting)
 
     def withdraw(self, ticket: Ticket) -> None:
         """Take a request out of the queue."""
         need = self._needs.pop(ticket, None)
         if need is not None:
-            self._queues[need.service].remove(need)
+            self._queues[need.group].remove(need)
 
     def forget(self, host: HostId) -> None:
         """Take out all requests of a daemon that is gone."""
@@ -93,12 +96,12 @@
 
     def offers(self, now_ms: int) -> Iterator[SlotOffer]:
         """Yield offers until no waiting request fits a free slot."""
-        for service, queue in self._queues.items():
+        for group, queue in self._queues.items():
             for need in queue.expired(now_ms):
                 self._needs.pop(need.ticket, None)
             # Each peer's state asks for offers. Under overload most of them free no slot, so the
             # queue is put in order only when there is one.
-            if not self._placement.has_room(service, now_ms):
+            if not len(queue) or not self._placement.has_room(group, now_ms):
                 continue
             skipped = 0
             for waiting in queue.ordered(now_ms):
@@ -106,7 +109,7 @@
                 if need.ticket not in self._needs:
                     continue
                 choice = self._placement.choose(
-                    need.service,
+                    group.service,
                     need.prompt_tokens,
                     now_ms,
                     need.avoid,
@@ -114,6 +117,7 @@
                     max_gap_ms=need.max_gap_ms,
                     output_tokens=need.output_tokens,
                     remaining_ms=need.deadline_ms - now_ms,
+                    group=group,
                 )
                 if choice is None:
                     skipped += 1
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -4,7 +4,9 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
+from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_policy.slotgroups import SlotGroup, emptier_group, group_count
 
 __all__ = [
     "QUEUE_MARGIN",
@@ -176,6 +178,12 @@
     fault_part: float = 0.0
     failures: int = 0
     rest_until_ms: int = 0
+    # Assigns the upstream to a group; the same on all daemons.
+    id_hash: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Take the hash of the id once."""
+        self.id_hash = hash64(self.listed.upstream)
 
     @property
     def upstream(self) -> UpstreamId:
@@ -293,7 +301,11 @@
         self.upstreams.pop(upstream, None)
 
     def peer_load(
-        self, peer: HostId, loads: Mapping[UpstreamId, tuple[int, int]], taken: int = 0
+        self,
+        peer: HostId,
+        loads: Mapping[UpstreamId, tuple[int, int]],
+        taken: int = 0,
+        group: SlotGroup | None = None,
     ) -> None:
         """Take a peer's work by upstream: requests running and prompt tokens to read.
 
@@ -301,11 +313,16 @@
         ----------
         taken : int
             Number of the last grant that the loads include; later ones are added to them.
+        group : SlotGroup or None
+            The loads are those of its upstreams; others stay as they are.
         """
         grants = [each for each in self._grants.get(peer, ()) if each.number > taken]
         self._grants[peer] = grants
-        for name in self._loaded.pop(peer, ()):
+        for name in list(self._loaded.get(peer, ())):
             upstream = self.upstreams.get(name)
+            if upstream is not None and group is not None and not _in_group(upstream, group):
+                continue
+            self._loaded[peer].discard(name)
             before = None if upstream is None else upstream.peers.pop(peer, None)
             if upstream is not None and before is not None:
                 upstream.peers_running -= before.running
@@ -315,7 +332,7 @@
             if upstream is not None:
                 self._add_load(peer, upstream, *load)
         for grant in grants:
-            self._add_grant(peer, grant)
+            self._add_grant(peer, grant, group)
 
     def peer_health(
         self,
@@ -347,17 +364,50 @@
         """Drop the work of a peer that is gone."""
         self._grants.pop(peer, None)
         self.peer_load(peer, {})
+        self._loaded.pop(peer, None)
         for upstream in self.upstreams.values():
             upstream.set_peer_record(peer, None)
 
-    def own_loads(self) -> dict[UpstreamId, tuple[int, int]]:
+    def own_loads(self, group: SlotGroup | None = None) -> dict[UpstreamId, tuple[int, int]]:
         """Return this daemon's work by upstream, to be told to its peers."""
         return {
             name: (each.own.running, each.own.prefill_tokens)
             for name, each in self.upstreams.items()
-            if each.own.running
+            if each.own.running and (group is None or _in_group(each, group))
         }
 
+    def _members(self, service: ServiceName) -> list[PlacedUpstream]:
+        return [
+            each
+            for each in self.upstreams.values()
+            if each.listed.service == service and not each.leaving and not each.replaced
+        ]
+
+    def group_loads(self, service: ServiceName) -> list[tuple[int, int]]:
+        """Return the requests and the slots of each group of a service's engines."""
+        members = self._members(service)
+        count = group_count(len(members))
+        loads = [(0, 0)] * count
+        for each in members:
+            number = each.id_hash % count
+            running, slots = loads[number]
+            loads[number] = (running + each.running(), slots + each.slots)
+        return loads
+
+    def group_of(self, upstream: UpstreamId) -> SlotGroup | None:
+        """Return the group of an upstream, or None if it is not known."""
+        known = self.upstreams.get(upstream)
+        if known is None:
+            return None
+        service = known.listed.service
+        count = group_count(len(self._members(service)))
+        return SlotGroup(service, known.id_hash % count, count)
+
+    def emptier_group(self, service: ServiceName) -> SlotGroup:
+        """Return the group of a service's engines that a request should ask for a slot."""
+        loads = self.group_loads(service)
+        return SlotGroup(service, emptier_group(loads, self._rng), len(loads))
+
     def own_records(self) -> dict[UpstreamId, tuple[int, int, int, int, int, int]]:
         """Return this daemon's records, to be told to its peers."""
         return {
@@ -388,18 +438,18 @@
             if known is not None and known.started_wall_ms == started_wall_ms:
                 known.leaving = True
 
-    def usable(self, service: ServiceName, now_ms: int) -> list[PlacedUpstream]:
+    def usable(
+        self, service: ServiceName, now_ms: int, group: SlotGroup | None = None
+    ) -> list[PlacedUpstream]:
         """Return the upstreams of a service that may get work; resting ones if no other may."""
         able = [
-            each
-            for each in self.upstreams.values()
-            if each.listed.service == service and not each.leaving and not each.replaced
+            each for each in self._members(service) if group is None or group.holds(each.id_hash)
         ]
         return [each for each in able if each.rest_until_ms <= now_ms] or able
 
-    def has_room(self, service: ServiceName, now_ms: int) -> bool:
-        """Return whether an upstream of a service has a free slot."""
-        return any(each.has_room() for each in self.usable(service, now_ms))
+    def has_room(self, group: SlotGroup, now_ms: int) -> bool:
+        """Return whether an upstream of a group has a free slot."""
+        return any(each.has_room() for each in self.usable(group.service, now_ms, group))
 
     def choose(
         self,
@@ -412,6 +462,7 @@
         max_gap_ms: int = 0,
         output_tokens: int = 0,
         remaining_ms: int | None = None,
+        group: SlotGroup | None = None,
     ) -> Choice | None:
         """Return the upstream with the least predicted time to the first token.
 
@@ -427,8 +478,10 @@
             Expected length of the answer.
         remaining_ms : int or None
             Time until the answer's deadline.
+        group : SlotGroup or None
+            Only its upstreams are considered.
         """
-        able = [each for each in self.usable(service, now_ms) if each.upstream not in avoid]
+        able = [each for each in self.usable(service, now_ms, group) if each.upstream not in avoid]
         if only_with_room:
             able = [each for each in able if each.has_room()]
         if not able:
@@ -532,9 +585,9 @@
             upstream.record.fade(keep)
             upstream.refresh()
 
-    def _add_grant(self, peer: HostId, grant: _Grant) -> None:
+    def _add_grant(self, peer: HostId, grant: _Grant, group: SlotGroup | None = None) -> None:
         known = self.upstreams.get(grant.upstream)
-        if known is not None:
+        if known is not None and (group is None or _in_group(known, group)):
             self._add_load(peer, known, 1, grant.prompt_tokens)
 
     def _add_load(
@@ -567,3 +620,7 @@
                 cost_ms += _OVERRUN_PENALTY_MS
         # A request waits longer for its tokens beside others, on a slow engine most of all.
         return cost_ms + upstream.hold_ms * 0.2 * upstream.running() / max(1, upstream.slots)
+
+
+def _in_group(upstream: PlacedUpstream, group: SlotGroup) -> bool:
+    return upstream.listed.service == group.service and group.holds(upstream.id_hash)
--- a/libs/policy/tests/test_dispatcher.py
+++ b/libs/policy/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotNeed, Ticket
 from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import Waiting
 
 
@@ -18,7 +19,9 @@
 
 
 def need(host, number, *, tier=0, avoid=(), give_up_ms=2_000):
-    item = SlotNeed(Ticket(host, number), "assistant", 100, 0, 10, 10_000, frozenset(avoid))
+    item = SlotNeed(
+        Ticket(host, number), SlotGroup("assistant"), 100, 0, 10, 10_000, frozenset(avoid)
+    )
     return Waiting(item, tier, tier, 0, 400, give_up_ms)
 
 
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -90,6 +90,24 @@
     assert chosen(made) in ("a", "b")
 
 
+def test_loads_of_one_group_leave_those_of_the_others():
+    """A dispatcher is told the loads of its own engines only, and must not forget the others'."""
+    names = [f"engine-{number}" for number in range(10)]
+    made = placement(*names)
+    groups = {name: made.group_of(name) for name in names}
+    assert {group.count for group in groups.values()} == {2}
+    mine = next(name for name in names if groups[name].number == 0)
+    other = next(name for name in names if groups[name].number == 1)
+    made.peer_load("peer", {mine: (2, 900), other: (1, 400)})
+    made.grant_to_peer("peer", mine, 100, 7)
+    made.peer_load("peer", {mine: (1, 0)}, taken=6, group=groups[mine])
+    assert (made.upstreams[mine].running(), made.upstreams[other].running()) == (2, 1)
+    made.peer_load("peer", {mine: (2, 100)}, taken=7, group=groups[mine])
+    assert (made.upstreams[mine].running(), made.upstreams[other].running()) == (2, 1)
+    made.peer_load("peer", {}, taken=7)
+    assert (made.upstreams[mine].running(), made.upstreams[other].running()) == (0, 0)
+
+
 def test_rests_of_peers_count():
     made = placement("a", "b")
     made.peer_health("peer", {}, {"a": 500}, 0)
