Start the order before the chat in the tests of a daemon's end

The test waited until a chat of 0.6 s and an order of 0.4 s ran at the same time. The order must be claimed first, and on a busy machine the chat was over by then.

Change: the order starts first and takes 2 s, the chat starts once it runs. All checks stay.

--- a/libs/daemon/tests/test_lifecycle.py
+++ b/libs/daemon/tests/test_lifecycle.py
@@ -7,7 +7,7 @@
 async def served(world, assistant, orders):
     """Two daemons before one slow engine and one slow plain service."""
     world.engine("engine-1", decode_ms=10.0)
-    world.plain("plain-1", service_ms=400)
+    world.plain("plain-1", service_ms=2_000)
     world.publish(assistant)
     world.publish(orders)
     for name in ("entry-1", "entry-2"):
@@ -16,11 +16,18 @@
     yield world
 
 
-def _start(world):
+async def _start(world):
+    """Start an order and a chat that run at the same time.
+
+    The order has to be claimed first. A chat that began beside it was over before the order
+    ran when the machine was busy.
+    """
     from twisted.internet.defer import ensureDeferred
 
-    chat = ensureDeferred(world.chat("entry-1", "plan answer_tokens=60", stream=True))
     order = ensureDeferred(world.order("entry-1", "k"))
+    await world.until(lambda: world.plains["plain-1"].running)
+    chat = ensureDeferred(world.chat("entry-1", "plan answer_tokens=60", stream=True))
+    await world.until(lambda: _runs(world))
     return chat, order
 
 
@@ -36,8 +43,7 @@
 @pytest_twisted.ensureDeferred
 async def test_drain_finishes_what_runs_and_refuses_new_work(served):
     daemon = served.daemons["entry-1"]
-    chat, order = _start(served)
-    await served.until(lambda: _runs(served))
+    chat, order = await _start(served)
     daemon.signal()
     url = served.urls["entry-1"]
     assert (await served.web.ask("GET", url + "/readyz")).status == 503
@@ -57,8 +63,7 @@
 @pytest_twisted.ensureDeferred
 async def test_second_signal_ends_with_truthful_outcomes(served):
     daemon = served.daemons["entry-1"]
-    chat, order = _start(served)
-    await served.until(lambda: _runs(served))
+    chat, order = await _start(served)
     await served.until(lambda: served.engines["engine-1"].served[0].position >= 2)
     daemon.signal()
     daemon.signal()
