Pass over loads that a daemon tells after it was dropped

A daemon that leaves is dropped when it falls silent; loads that it still tells a dispatcher were then counted, and nothing takes them off, because only the loss of a known peer does.

Change: loads of a daemon that is not known are logged and passed over.

Measured: the new test failed before (one request stayed counted) and passes.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -284,13 +284,21 @@
                 self.dispatching.withdrawn(sender, message)
             case SlotGrant():
                 self.dispatching.granted(sender, message)
-            case SlotLoads(service=service, group=number, groups=count):
-                group = SlotGroup(service, number, count)
-                self._placement.peer_load(sender, message.loads, message.taken, group)
-                self.dispatching.offer()
+            case SlotLoads():
+                self._take_loads(sender, message)
             case _:
                 _log.warning("unexpected message", extra={"peer": sender})
 
+    def _take_loads(self, sender: HostId, message: SlotLoads) -> None:
+        if sender not in self._known:
+            # Loads of a daemon that was dropped would stay counted, because only the loss of a
+            # known peer takes them off. A new daemon's state comes within its interval.
+            _log.info("passed over the loads of an unknown daemon", extra={"peer": sender})
+            return
+        group = SlotGroup(message.service, message.group, message.groups)
+        self._placement.peer_load(sender, message.loads, message.taken, group)
+        self.dispatching.offer()
+
     def _take(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
         if sender == self._host:
             return
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -142,6 +142,16 @@
     assert fleet._placement.upstreams["engine"].running() == 1
 
 
+def test_loads_of_a_daemon_that_was_dropped_do_not_count(fleet):
+    """Nothing would ever take them off again, and the engine looked busy for good."""
+    hear(fleet)
+    hear(fleet, leaving=True)
+    fleet.clock.advance(1_300)
+    fleet.tick()
+    fleet._on_message("peer", 1, SlotLoads("assistant", 0, 1, {"engine": (1, 300)}))
+    assert fleet._placement.upstreams["engine"].running() == 0
+
+
 def test_limits_shrink_while_a_peer_is_silent_and_return_when_it_is_gone(fleet):
     hear(fleet)
     fleet._quotas.admit(CUSTOMER, 20, fleet.clock.now_ms())
