Refuse what a draining daemon cannot finish before it counts

Cause: found when reading the diff. A draining daemon took a request's tokens from its customer's limit and then refused the request, because it could not end before the kill. The caller's next try on another daemon found the limit used, by up to the whole burst of what was refused.

Change: the check for the end comes before the limit.

--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -365,6 +365,9 @@
         customer: ApiCustomer | None,
     ) -> None:
         now_ms = self.clock.now_ms()
+        if self._too_late_for(route, now_ms):
+            self._refuse(caller, request, 503, "the daemon is about to end", _DRAIN_RETRY_MS)
+            return
         if customer is not None:
             wait_ms = self.quotas.admit(customer, customer.units(request.tokens), now_ms)
             if wait_ms is not None:
@@ -372,9 +375,6 @@
                 self._refuse(caller, request, 429, why, wait_ms)
                 return
         exchange = Exchange(self, caller, request, route, customer, now_ms)
-        if self._too_late_for(route, now_ms):
-            self._refuse(caller, request, 503, "the daemon is about to end", _DRAIN_RETRY_MS)
-            return
         self._exchanges[caller] = exchange
         exchange.start()
 
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -485,6 +485,8 @@
     running, idle = harness.caller(), harness.caller()
     running.send(request("/answer/1", "POST", b"x", Skylarkmoor_Deadline_Ms="12000"))
     upstream = harness.accept()
+    admitted = sum(harness.gateway.quotas.admitted.values())
+    assert admitted > 0
     harness.gateway.drain()
     assert not harness.gateway.is_ready()
     harness.advance(3_000)
@@ -492,6 +494,8 @@
     late = harness.caller()
     late.send(request("/brief/1", "POST", b"x"))
     assert late.received().startswith(b"HTTP/1.1 503 ")
+    # What is refused for the end of the daemon takes nothing from its customer's limit.
+    assert sum(harness.gateway.quotas.admitted.values()) == admitted
     quick = harness.caller()
     quick.send(request())
     assert harness.connections() == 1
