Move what is known of an upstream out of placement, and drop unused parts

Some parameters and a counter of the gateway were never used, some constants had no reason, and the comment and name of the crash that orders suspects promised the latest one.

No decision changes.

Measured: the unit tests of policy, gateway, process and adapter pass, ruff and mypy report nothing.

--- a/libs/gateway/src/skylarkmoor_gateway/callers.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callers.py
@@ -45,7 +45,7 @@
     def opened(self, caller: "CallerConnection") -> None:
         """Note a new connection."""
 
-    def closed(self, caller: "CallerConnection", whole_request: bool) -> None:
+    def closed(self, caller: "CallerConnection") -> None:
         """Note the end of a connection."""
 
     def rejected(self, status: int, why: str) -> None:
@@ -104,10 +104,9 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Take the end of the connection."""
         self._disarm()
-        whole = self._busy
         self._closing = True
         self._busy = False
-        self._sink.closed(self, whole)
+        self._sink.closed(self)
 
     def close_when_idle(self) -> None:
         """Close the connection now if no request is in it."""
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -82,12 +82,12 @@
         """Take a request out of the queue."""
 
     def load_changed(self, upstream: UpstreamId) -> None:
-        """Note that a slot was taken or became free."""
+        """Note that a slot became free, or a prompt was read."""
 
     def settled(self, exchange: "Exchange", settlement: Settlement) -> None:
         """Note the end of an exchange."""
 
-    def crashed(self, exchange: "Exchange", upstream: UpstreamId) -> None:
+    def crashed(self, exchange: "Exchange") -> None:
         """Note that an upstream's connection broke while it ran a request."""
 
     def read_upstreams(self) -> None:
@@ -460,7 +460,7 @@
             send.connection.drop()
         self._release(send, fault=True)
         self._failed_at.add(send.upstream)
-        self._host.crashed(self, send.upstream)
+        self._host.crashed(self)
         self._answer.drop_partial()
         if self.route.idempotent and self._may_repeat():
             self._try_again(send, why, charged=True)
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -1,7 +1,7 @@
 """The gateway: takes requests, decides on them and carries them to upstreams."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -39,15 +39,19 @@
     LifecycleState,
     ReportReady,
 )
-from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.placedupstream import ListedUpstream
+from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import ApiCustomer, CallerLimits, Route, RouteTable
 from skylarkmoor_policy.routework import RouteWork
 from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["Gateway", "GatewaySettings"]
 
+# Waits that ended and states that are due are noticed this late at most.
 _TICK_MS = 25
+# Learnt speeds and gauges change slowly.
 _SWEEP_MS = 500
+# A silent upstream is given up after a second or more, so this delay does not matter.
 _STALL_CHECK_MS = 100
 # The load balancer asks once a second and takes two misses, so new connections may come for
 # this long after the daemon has reported itself not ready.
@@ -58,6 +62,7 @@
 _DRAIN_RETRY_MS = 100
 # A caller of a request that no configuration is known for may come back after this time.
 _NO_TABLE_RETRY_MS = 500
+# A request that broke several upstreams is blocked for a minute; its caller need not ask often.
 _BLOCKED_RETRY_MS = 2_000
 
 _log = part_logger("gateway")
@@ -141,9 +146,9 @@
         # Fires with whether the end was forced.
         self.exited: Deferred[bool] = Deferred()
         # Called when a peer has a newer configuration than this daemon.
-        self.on_newer_configuration: Any = lambda: None
+        self.on_newer_configuration: Callable[[], None] = lambda: None
         # Called when a peer has read of a change of the upstreams that this daemon has not.
-        self.on_newer_upstreams: Any = lambda: None
+        self.on_newer_upstreams: Callable[[], None] = lambda: None
         self.upstreams_read_ms = 0
         # Where the log lines go, if it drops lines that cannot be written.
         self.log_stream: BoundedStream | None = None
@@ -273,7 +278,7 @@
         """Note a new connection of a caller."""
         self._callers.add(caller)
 
-    def closed(self, caller: CallerConnection, whole_request: bool) -> None:
+    def closed(self, caller: CallerConnection) -> None:
         """Note the end of a caller's connection and stop its work."""
         self._callers.discard(caller)
         exchange = self._exchanges.get(caller)
@@ -340,7 +345,7 @@
         if settlement is Settlement.ANSWERED:
             self.crash_counts.clear(self._fingerprint(exchange.request))
 
-    def crashed(self, exchange: Exchange, upstream: UpstreamId) -> None:
+    def crashed(self, exchange: Exchange) -> None:
         """Count a broken run against its request."""
         self.crash_counts.add(self._fingerprint(exchange.request), self.clock.now_ms())
 
@@ -436,7 +441,7 @@
             for exchange in list(self._exchanges.values()):
                 exchange.check_stall(now_ms)
         if self._drained_ms is not None:
-            self._finish_draining(self.clock.now_ms() - self._drained_ms)
+            self._finish_draining(now_ms - self._drained_ms)
 
     def _finish_draining(self, elapsed_ms: int) -> None:
         for caller in list(self._callers):
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -8,6 +8,7 @@
 
 __all__ = ["GatewayMetrics"]
 
+# From a quick call to the longest wait of a caller.
 _TIME_BUCKETS_MS = [25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 4_000.0, 15_000.0]
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/sockets.py
+++ b/libs/gateway/src/skylarkmoor_gateway/sockets.py
@@ -10,6 +10,7 @@
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# The same time for bytes that the other end does not acknowledge.
 _UNACKNOWLEDGED_MS = 4_000
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -26,6 +26,7 @@
 _IDLE_PART = 0.5
 # Idle connections kept for one upstream.
 _MAX_IDLE = 32
+# Upstreams send a few hundred bytes of headers; more comes from a faulty one.
 _MAX_HEAD_BYTES = 65_536
 
 
@@ -52,7 +53,6 @@
         self._pool = pool
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._reader: AnswerReader | None = None
-        self.uses = 0
         self.idle_since_ms = 0
         self.idle_limit_ms = _IDLE_MS
         self._open = False
@@ -71,7 +71,6 @@
         self, method: bytes, target: bytes, headers: Headers, body: bytes, reader: AnswerReader
     ) -> None:
         """Send a request; the reader gets exactly one end."""
-        self.uses += 1
         self._reader = reader
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head) or b""
--- a/libs/gateway/tests/test_dispatching.py
+++ b/libs/gateway/tests/test_dispatching.py
@@ -9,7 +9,8 @@
 from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
 from skylarkmoor_gateway.dispatching import Dispatching, SlotSeeker
 from skylarkmoor_policy.dispatcher import SlotNeed, Ticket
-from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.placedupstream import ListedUpstream
+from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import Waiting
 
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -11,7 +11,8 @@
 from skylarkmoor_gateway.fleet import Fleet
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.fleetcounts import FleetQuotas, FleetRetries
-from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.placedupstream import ListedUpstream
+from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import ApiCustomer
 from skylarkmoor_policy.slotgroups import SlotGroup
 
--- a/libs/policy/src/skylarkmoor_policy/crashcounts.py
+++ b/libs/policy/src/skylarkmoor_policy/crashcounts.py
@@ -9,6 +9,7 @@
 # An innocent request may be hit by two crashes of its neighbours and one lost answer; a request
 # that crashes its upstreams has no success in between.
 _MAX_CRASHES = 4
+# Callers repeat a request for seconds; a later one may meet a repaired upstream.
 _LIFETIME_MS = 60_000
 # Bounds the state and what is told to the peers.
 _MAX_FINGERPRINTS = 256
--- a/libs/policy/src/skylarkmoor_policy/patience.py
+++ b/libs/policy/src/skylarkmoor_policy/patience.py
@@ -28,6 +28,7 @@
 # of the first one, and not before a multiple of the predicted time.
 _STALL_PART = 0.5
 _STALL_FACTOR = 3
+# Keeps callers from coming back within a round trip.
 _MIN_RETRY_AFTER_MS = 100
 # Callers honour a pause of up to a third of the time they have left.
 _RETRY_AFTER_PART = 0.3
--- a/libs/policy/src/skylarkmoor_policy/quarantine.py
+++ b/libs/policy/src/skylarkmoor_policy/quarantine.py
@@ -221,8 +221,9 @@
         if not usable:
             return upstream not in crashed
         places = sorted(set(usable) - crashed) or sorted(usable)
-        latest = max(suspicions, key=lambda each: (each.incarnation, each.upstream))
-        crash = (latest.upstream, latest.incarnation)
+        # Of several crashes, all daemons have to look at the same one.
+        one = max(suspicions, key=lambda each: (each.incarnation, each.upstream))
+        crash = (one.upstream, one.incarnation)
         # Cleared requests keep their place, or the others' would change while some of them run.
         order = sorted(self._by_crash[crash] | self._cleared_by_crash.get(crash, set()))
         place = order.index(fingerprint)
--- a/libs/policy/src/skylarkmoor_policy/routework.py
+++ b/libs/policy/src/skylarkmoor_policy/routework.py
@@ -4,6 +4,7 @@
 
 __all__ = ["RouteWork"]
 
+# Averages follow about the last 20 requests.
 _WEIGHT = 0.05
 # A route whose requests are less than this part of the service's usual work counts as small.
 _SMALL_PART = 0.5
--- a/libs/policy/tests/test_dispatcher.py
+++ b/libs/policy/tests/test_dispatcher.py
@@ -3,7 +3,8 @@
 import random
 
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotNeed, Ticket
-from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.placedupstream import ListedUpstream
+from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import Waiting
 
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -2,7 +2,8 @@
 
 import random
 
-from skylarkmoor_policy.placement import ListedUpstream, Placement, UpstreamRecord
+from skylarkmoor_policy.placedupstream import ListedUpstream, UpstreamRecord
+from skylarkmoor_policy.placement import Placement
 
 ADDRESS = ("10.0.0.1", 80)
 
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -10,7 +10,7 @@
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_gateway.callers import CallerConnection
 from skylarkmoor_gateway.gateway import Gateway
-from skylarkmoor_policy.placement import ListedUpstream
+from skylarkmoor_policy.placedupstream import ListedUpstream
 
 CONFIG = b"""{"version": 3, "routes": [
   {"name": "order", "host": "a.example", "path_prefix": "/order/", "kind": "unsafe",
--- a/tools/gateway_slopes.py
+++ b/tools/gateway_slopes.py
@@ -10,7 +10,8 @@
 
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.messages import Envelope, GatewayState, decode_envelope, encode_envelope
-from skylarkmoor_policy.placement import ListedUpstream, Placement
+from skylarkmoor_policy.placedupstream import ListedUpstream
+from skylarkmoor_policy.placement import Placement
 
 # Upstreams and customers of the small sites, of the grown ones, and of the size to design for.
 SIZES = ((9, 5), (18, 5), (48, 16), (600, 1_800))
