State the gateway's settings and the decoding of messages once

Cause: twelve fields stood in the adapter's settings and again in the gateway's, with a call that copied them one by one; messages and records were decoded by the same ten lines.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from skylarkmoor_core.decoding import decode
 from skylarkmoor_core.document import ServiceDocument
-from skylarkmoor_core.errors import MessageError
 from skylarkmoor_core.ids import ClaimId, HostId, Incarnation, Offset, ServiceName, UpstreamId
 from skylarkmoor_core.outcome import Outcome
 
@@ -337,10 +337,4 @@
     MessageError
         If the bytes are not a valid envelope.
     """
-    try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
-        raise MessageError(f"not a message: {error}") from error
-    # Raised in place of a decoding error by an unknown field that is nested too deeply.
-    except RecursionError as error:
-        raise MessageError(f"not a message: {error}") from error
+    return decode(_DECODER, data, "message")
--- a/libs/core/src/skylarkmoor_core/records.py
+++ b/libs/core/src/skylarkmoor_core/records.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from skylarkmoor_core.decoding import decode
 from skylarkmoor_core.document import ServiceDocument
-from skylarkmoor_core.errors import MessageError
 from skylarkmoor_core.ids import (
     ClaimId,
     HostId,
@@ -165,10 +165,4 @@
     MessageError
         If the text is not a known record.
     """
-    try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
-        raise MessageError(f"not a record: {error}") from error
-    # Raised in place of a decoding error by an unknown field that is nested too deeply.
-    except RecursionError as error:
-        raise MessageError(f"not a record: {error}") from error
+    return decode(_DECODER, data, "record")
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -12,7 +11,6 @@
 from skylarkmoor_core.hashing import fingerprint
 from skylarkmoor_core.ids import (
     Fingerprint,
-    HostId,
     Incarnation,
     RequestId,
     UpstreamId,
@@ -26,6 +24,7 @@
 from skylarkmoor_gateway.messages import Codec, Headers, IncomingRequest
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.pages import make_site
+from skylarkmoor_gateway.settings import GatewaySettings
 from skylarkmoor_gateway.upstreams import UpstreamPool
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.fleetcounts import FleetQuotas, FleetRetries
@@ -45,7 +44,7 @@
 from skylarkmoor_policy.routework import RouteWork
 from skylarkmoor_process.tasks import Tasks
 
-__all__ = ["Gateway", "GatewaySettings"]
+__all__ = ["Gateway"]
 
 # Waits that ended and states that are due are noticed this late at most.
 _TICK_MS = 25
@@ -68,41 +67,6 @@
 _log = part_logger("gateway")
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """Settings of a gateway, checked.
-
-    Attributes
-    ----------
-    caller_address, ready_address, peer_address : Address
-        Where it listens to callers, to the load balancer's checks, and to other daemons.
-    metrics_address : Address or None
-        Where metrics are served.
-    retry_ratio, retry_window_ms, retry_slack
-        The budget of repeated sends of all daemons together.
-    limit_window_ms, limit_overshoot_part, limit_slack_units
-        How far the customers' limits may be exceeded.
-    grace_ms : int
-        Time between the signal to end and the kill.
-    first_start : bool
-        Whether the whole system starts for the first time.
-    """
-
-    host: HostId
-    caller_address: Address
-    ready_address: Address
-    peer_address: Address
-    metrics_address: Address | None = None
-    retry_ratio: float = 0.2
-    retry_window_ms: int = 10_000
-    retry_slack: int = 10
-    limit_window_ms: int = 8_000
-    limit_overshoot_part: float = 0.0
-    limit_slack_units: int = 0
-    grace_ms: int = 8_000
-    first_start: bool = True
-
-
 class Gateway:
     """A gateway with its connections, its view of the fleet and its decisions.
 
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -16,7 +16,8 @@
     from skylarkmoor_adapter.records import decode_table
     from skylarkmoor_core.clock import ManualClock
     from skylarkmoor_core.settings import Address
-    from skylarkmoor_gateway.gateway import Gateway, GatewaySettings
+    from skylarkmoor_gateway.gateway import Gateway
+    from skylarkmoor_gateway.settings import GatewaySettings
 
     reactor = MemoryReactorClock()
     clock = ManualClock(now_ms=1_000)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -25,9 +25,10 @@
 
 def test_settings_are_read_in_the_projects_words(tmp_path):
     settings = read_settings(write(tmp_path))
-    assert settings.host == "front-1"
-    assert str(settings.peer_address) == "10.1.0.25:7600"
-    assert (settings.retry_window_ms, settings.limit_slack_units) == (9_000, 140)
+    gateway = settings.gateway
+    assert gateway.host == "front-1"
+    assert str(gateway.peer_address) == "10.1.0.25:7600"
+    assert (gateway.retry_window_ms, gateway.limit_slack_units) == (9_000, 140)
     assert settings.leaving_bound_ms == 3_000
 
 
