Accept whole numbers and fractions for every bound of the settings file

Cause: the large site writes retry_slack as 430.0, and the decoder took whole numbers only, so no gateway started. Any bound may be written as a number of either kind.

--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -35,9 +35,9 @@
     metrics_address: Address | None = None
     retry_ratio: float = 0.2
     retry_window_ms: int = 10_000
-    retry_slack: int = 10
+    retry_slack: float = 10
     limit_window_ms: int = 8_000
     limit_overshoot_fraction: float = 0.0
-    limit_slack_units: int = 0
+    limit_slack_units: float = 0
     grace_ms: int = 8_000
     is_first_fleet_start: bool = True
--- a/libs/policy/src/skylarkmoor_policy/fleetlimits.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetlimits.py
@@ -62,7 +62,7 @@
         Length of the sliding window over which the platform checks the limit.
     overshoot_fraction : float
         Fraction by which the fleet may exceed the limit in a window.
-    slack_units : int
+    slack_units : float
         Units by which the fleet may exceed the limit in addition.
     first_start : bool
         Whether the whole system starts for the first time. Otherwise buckets start nearly
@@ -85,7 +85,7 @@
         self,
         window_ms: int = 8_000,
         overshoot_fraction: float = 0.0,
-        slack_units: int = 0,
+        slack_units: float = 0,
         *,
         first_start: bool = True,
     ) -> None:
@@ -178,11 +178,11 @@
         Retries allowed per request within the window.
     window_ms : int
         Length of the sliding window.
-    slack : int
+    slack : float
         Retries allowed in each window in addition.
     """
 
-    def __init__(self, ratio: float, window_ms: int, slack: int) -> None:
+    def __init__(self, ratio: float, window_ms: int, slack: float) -> None:
         self._ratio = ratio
         self._window_ms = window_ms
         self._slack = slack
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -48,3 +48,84 @@
     path.write_text("node: front-1\n")
     with pytest.raises(SettingsError, match="`ip`"):
         read_settings(path)
+
+
+BOUNDS = {
+    "retry_ratio": lambda settings: settings.gateway.retry_ratio,
+    "retry_window_s": lambda settings: settings.gateway.retry_window_ms / 1_000,
+    "retry_slack": lambda settings: settings.gateway.retry_slack,
+    "grace_s": lambda settings: settings.gateway.grace_ms / 1_000,
+    "drain_ms": lambda settings: settings.max_drain_delay_ms,
+    "quota_window_s": lambda settings: settings.gateway.limit_window_ms / 1_000,
+    "quota_overshoot": lambda settings: settings.gateway.limit_overshoot_fraction,
+    "quota_slack": lambda settings: settings.gateway.limit_slack_units,
+}
+DEFAULT_BOUNDS = {
+    "retry_ratio": 0.2,
+    "retry_window_s": 10,
+    "retry_slack": 10,
+    "grace_s": 8,
+    "drain_ms": 2_000,
+    "quota_window_s": 8,
+    "quota_overshoot": 0,
+    "quota_slack": 0,
+}
+
+
+def write_bounds(tmp_path, bounds):
+    text = SETTINGS_TEMPLATE.format(front="10.1.0.25:8221", store="10.2.0.1:8225")
+    lines = [line for line in text.splitlines() if not line.startswith("bounds:")]
+    path = tmp_path / "node.yaml"
+    path.write_text("\n".join([*lines, f"bounds: {bounds}"]))
+    return path
+
+
+@pytest.mark.parametrize("name", BOUNDS)
+@pytest.mark.parametrize(("written", "value"), [("5", 5), ("5.0", 5), ("430.0", 430), ("2.5", 2.5)])
+def test_each_bound_may_be_a_whole_number_or_a_fraction(tmp_path, name, written, value):
+    """No gateway of a fleet started, because its retry slack was written as 430.0."""
+    settings = read_settings(write_bounds(tmp_path, f"{{{name}: {written}}}"))
+    # Milliseconds are whole; the rule allows at least what is kept here.
+    assert BOUNDS[name](settings) == (int(value) if name.endswith("_ms") else value)
+
+
+@pytest.mark.parametrize("name", BOUNDS)
+@pytest.mark.parametrize("written", ["true", "false", "text", "[1]", "-1", ".nan", ".inf"])
+def test_a_bound_that_is_no_amount_is_an_error_that_names_it(tmp_path, name, written):
+    """A window of true or a negative slack would be computed with as if it were an amount."""
+    with pytest.raises(ExceptionGroup) as caught:
+        read_settings(write_bounds(tmp_path, f"{{{name}: {written}}}"))
+    assert [str(fault).split(":")[0] for fault in caught.value.exceptions] == [f"bounds.{name}"]
+
+
+@pytest.mark.parametrize("name", ["retry_window_s", "quota_window_s"])
+def test_a_window_of_no_length_is_an_error(tmp_path, name):
+    """Rates are computed over the window, so it may not be empty."""
+    with pytest.raises(ExceptionGroup, match="settings are invalid") as caught:
+        read_settings(write_bounds(tmp_path, f"{{{name}: 0}}"))
+    assert f"bounds.{name}" in str(caught.value.exceptions[0])
+
+
+def test_faults_of_bounds_and_addresses_are_reported_together(tmp_path):
+    path = write_bounds(tmp_path, "{retry_slack: true, drain_ms: soon}")
+    path.write_text(path.read_text().replace("10.2.0.1:8225", "there"))
+    with pytest.raises(ExceptionGroup) as caught:
+        read_settings(path)
+    assert sorted(str(fault).split(":")[0] for fault in caught.value.exceptions) == [
+        "bounds.drain_ms",
+        "bounds.retry_slack",
+        "platform.address",
+    ]
+
+
+@pytest.mark.parametrize("name", BOUNDS)
+@pytest.mark.parametrize("bounds", ["{{}}", "{{{name}: null}}"])
+def test_a_missing_bound_has_its_default(tmp_path, name, bounds):
+    settings = read_settings(write_bounds(tmp_path, bounds.format(name=name)))
+    assert BOUNDS[name](settings) == DEFAULT_BOUNDS[name]
+
+
+@pytest.mark.parametrize("written", ["true", "0.5", "3", "text", "[1]", "{a: 1}", "null"])
+def test_unknown_bounds_of_any_type_are_ignored(tmp_path, written):
+    settings = read_settings(write_bounds(tmp_path, f"{{other_bound: {written}}}"))
+    assert settings.gateway.retry_ratio == 0.2
