Connect to IP addresses without a name lookup, and name timeouts as such

Cause: Twisted's Agent looks up IP addresses in a pool of ten threads. With a hundred orders at once the calls to the log waited for these threads and ended as timeouts or as 'DNS lookup failed: Couldn't find the hostname 127.0.0.1'. A timeout before the head of an answer was reported as 'no answer: CancelledError'. Change: the clients of log, host list, weight store and platform store, and those for the reports of upstreams, use endpoints for addresses. A call that is not answered in time, and a download that never begins, say so. The message that test_hostlist expects is now the one that names the time, which is stricter than 'no answer'. The new tests of timeouts failed before.

--- a/libs/clients/src/skylarkmoor_clients/httpclient.py
+++ b/libs/clients/src/skylarkmoor_clients/httpclient.py
@@ -12,6 +12,7 @@
 from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 
+from skylarkmoor_clients.endpoints import AddressEndpointFactory
 from skylarkmoor_core.errors import PlatformError, SettingsError
 from skylarkmoor_core.settings import parse_address
 
@@ -146,9 +147,16 @@
             await _receive_body(response, keep)
             return Answer(response.code, response.headers, b"".join(chunks))
 
+        what = f"{method} {self.base_url}{path}"
+
+        def report_timeout(result: Any, _: float) -> Any:
+            if isinstance(result, Failure):
+                raise PlatformError(f"{what}: no complete answer within {timeout_ms} ms")
+            return result
+
         call = Deferred.fromCoroutine(send_and_receive())
-        call.addTimeout(timeout_ms / 1000, _reactor())
-        return await _raise_platform_errors(call, f"{method} {self.base_url}{path}")
+        call.addTimeout(timeout_ms / 1000, _reactor(), onTimeoutCancel=report_timeout)
+        return await _raise_platform_errors(call, what)
 
     async def stream(
         self, path: str, on_chunk: Callable[[bytes], None], *, idle_timeout_ms: int
@@ -191,7 +199,8 @@
         call = Deferred.fromCoroutine(send_and_receive())
         try:
             return await _raise_platform_errors(call, f"GET {self.base_url}{path}")
-        except CancelledError:
+        except (CancelledError, PlatformError):
+            # A request that is cancelled before its head arrives fails with an error of the client.
             if timed_out:
                 raise PlatformError(
                     f"GET {self.base_url}{path}: nothing received for {idle_timeout_ms} ms"
@@ -212,7 +221,8 @@
         if self._client is None:
             self._pool = HTTPConnectionPool(_reactor())  # type: ignore[no-untyped-call]
             self._pool.cachedConnectionTimeout = _IDLE_CONNECTION_TIMEOUT_S
-            agent: Any = Agent(_reactor(), pool=self._pool)  # type: ignore[no-untyped-call]
+            make_agent: Any = Agent.usingEndpointFactory
+            agent = make_agent(_reactor(), AddressEndpointFactory(_reactor()), self._pool)
             self._client = HTTPClient(agent)
         producer: Any = None
         if body is not None:
--- a/libs/clients/tests/test_hostlist.py
+++ b/libs/clients/tests/test_hostlist.py
@@ -102,5 +102,5 @@
 @pytest_twisted.ensureDeferred
 async def test_request_without_a_response_times_out(serve):
     hosts = HostListClient(serve(app_answering(Deferred())), timeout_ms=50)
-    with pytest.raises(PlatformError, match="no answer"):
+    with pytest.raises(PlatformError, match="no complete answer within 50 ms"):
         await hosts.fetch()
--- a/libs/clients/tests/test_weightstore.py
+++ b/libs/clients/tests/test_weightstore.py
@@ -57,6 +57,14 @@
         await store.download("v2", lambda chunk: None, max_bytes=10)
 
 
+@pytest_twisted.ensureDeferred
+async def test_download_that_never_begins_is_reported_as_stalled(serve):
+    """The operator read `no answer: CancelledError` when the timer ended the wait for the head."""
+    store = WeightStoreClient(serve(app_serving(lambda request: Deferred())), idle_timeout_ms=50)
+    with pytest.raises(PlatformError, match="nothing received for 50 ms"):
+        await store.download("v2", lambda chunk: None, max_bytes=10)
+
+
 @pytest_twisted.ensureDeferred
 async def test_body_of_an_error_response_is_not_passed_on_as_weights(serve):
     def refuse(request):
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -17,6 +17,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer  # type: ignore[import-untyped]
 
+from skylarkmoor_clients.endpoints import AddressEndpointFactory
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import UpstreamError
 from skylarkmoor_core.ids import AttemptId, Incarnation, Offset, UpstreamId, VersionId
@@ -307,10 +308,11 @@
         self._reactor = reactor
         self._clock = clock
         make_pool: Any = HTTPConnectionPool
-        make_agent: Any = Agent
+        make_agent: Any = Agent.usingEndpointFactory
         self._pool = make_pool(reactor)
         self._pool.maxPersistentPerHost = 1
-        agent = make_agent(reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
+        endpoints = AddressEndpointFactory(reactor, _CONNECT_TIMEOUT_S)
+        agent = make_agent(reactor, endpoints, self._pool)
         self._control_client: Any = HTTPClient(agent)
 
     def close(self) -> None:
