Hold a move whose new version looks worse than few old requests can show

Twelve old requests without a failure still allow a rate of 25%, so a version that failed a third of its requests was within the bound, and a burst in a step with fewer than ten old requests left no comparison at all. With a watch of no length, as in a move of 30 s, the move was then done. Change: a step is delayed if the new version exceeds the old one's observed rate, while the stop still needs the upper bound; a step is over only after ten old requests.

--- a/libs/policy/src/skylarkmoor_policy/evidence.py
+++ b/libs/policy/src/skylarkmoor_policy/evidence.py
@@ -203,6 +203,10 @@
         """Return the number of completed new-version requests that were dispatched at a step."""
         return sum(counts.new.requests for (at, _), counts in self._counts.items() if at == step)
 
+    def old_requests(self, step: int) -> int:
+        """Return the number of completed old-version requests that were dispatched at a step."""
+        return sum(counts.old.requests for (at, _), counts in self._counts.items() if at == step)
+
     def requests_per_s(self, now_ms: int) -> float:
         """Return the completion rate of requests of both versions, 0 if it is not known.
 
--- a/libs/policy/src/skylarkmoor_policy/movedecision.py
+++ b/libs/policy/src/skylarkmoor_policy/movedecision.py
@@ -26,6 +26,9 @@
 # Chernoff exponent from which the next step is delayed. A version within its bound reaches it by
 # chance in at most one in seven comparisons.
 _HOLD_EXPONENT = 2.0
+# With at least this many new requests, the next step is also delayed if they are worse than the
+# old version's observed rate instead of its upper bound, which few old requests leave wide open.
+_MIN_REQUESTS_TO_HOLD = 10
 # Bad requests in excess of the old version's rate that stop a version above its bound, regardless
 # of the exponent. A bad version has to be stopped before 50 requests have failed.
 _MAX_EXCESS_REQUESTS = 30
@@ -92,6 +95,8 @@
         Number of failed or slow requests.
     old_rate : float
         Upper end of the confidence interval of the old version's rate.
+    observed_old_rate : float
+        The old version's rate without the uncertainty of a small sample.
     margin : float
         Amount by which the new version's rate may exceed `old_rate`.
     """
@@ -103,6 +108,7 @@
     bad: int
     requests: int
     old_rate: float
+    observed_old_rate: float
     margin: float
 
     @property
@@ -111,10 +117,15 @@
 
         It is 0 for a rate within the bound, and otherwise assumes a version exactly at the bound.
         """
-        bound = self.old_rate + self.margin
-        if not self.requests or self.bad / self.requests <= bound:
-            return 0.0
-        return self.requests * _kl_divergence(self.bad / self.requests, bound)
+        return self._exponent(self.old_rate + self.margin)
+
+    @property
+    def must_hold(self) -> bool:
+        """Whether the rate is suspicious, so that the version must not get more traffic yet."""
+        exponent = self.chernoff_exponent
+        if self.requests >= _MIN_REQUESTS_TO_HOLD:
+            exponent = max(exponent, self._exponent(self.observed_old_rate + self.margin))
+        return exponent >= _HOLD_EXPONENT
 
     @property
     def must_stop(self) -> bool:
@@ -126,6 +137,11 @@
             and self.bad - self.old_rate * self.requests >= _MAX_EXCESS_REQUESTS
         )
 
+    def _exponent(self, bound: float) -> float:
+        if not self.requests or self.bad / self.requests <= bound:
+            return 0.0
+        return self.requests * _kl_divergence(self.bad / self.requests, bound)
+
     def __str__(self) -> str:
         step = "" if self.step is None else f" at step {self.step}"
         span = "" if self.span_ms is None else f" within {self.span_ms} ms"
@@ -189,7 +205,7 @@
         step = "no step" if progress.step is None else f"step {progress.step}"
         return RollBack(f"{step} at {now_wall_ms} is too late for {plan.by_ms}")
     is_doubtful = any(
-        comparison.chernoff_exponent >= _HOLD_EXPONENT
+        comparison.must_hold
         for comparison in comparisons
         if comparison.step == progress.step and comparison.span_ms is None
     )
@@ -213,7 +229,10 @@
         return True
     if now_wall_ms - progress.stepped_wall_ms < progress.move_plan.step_ms:
         return False
-    return history.requests(progress.step) >= progress.move_plan.min_requests
+    if history.requests(progress.step) < progress.move_plan.min_requests:
+        return False
+    # With fewer old requests, a burst leaves no comparison at all for the step.
+    return history.old_requests(progress.step) >= _MIN_OLD_REQUESTS
 
 
 def _is_watch_over(progress: MoveProgress, now_wall_ms: int) -> bool:
@@ -246,12 +265,8 @@
 ) -> list[_Comparison]:
     if window.old.requests >= _MIN_OLD_REQUESTS:
         return [
-            _compare_errors(
-                plan, window, _wilson_upper_bound(window.old.errors, window.old.requests)
-            ),
-            _compare_slowness(
-                window, _wilson_upper_bound(window.old.slow, window.old.requests), 1.0
-            ),
+            _compare_errors(plan, window, _OldRate(window.old.errors, window.old.requests)),
+            _compare_slowness(window, _OldRate(window.old.slow, window.old.requests), 1.0),
         ]
     earlier = history.old_counts_through(window)
     failed = _compare_errors(
@@ -270,16 +285,32 @@
     return [failed, _compare_slowness(window, slow_rate, _EARLIER_MARGIN_FACTOR)]
 
 
-def _blended_old_rate(bad: int, earlier_bad: int, window: Window, earlier: RequestCounts) -> float:
-    """Return the upper bound of the old version's rate from the window and the time before it.
+@dataclass(frozen=True, slots=True)
+class _OldRate:
+    """Bad requests among the old version's requests; earlier ones count as fractions."""
+
+    bad: float
+    requests: float
+
+    @property
+    def observed(self) -> float:
+        return self.bad / self.requests if self.requests else _DEFAULT_OLD_RATE
+
+    @property
+    def upper_bound(self) -> float:
+        return _wilson_upper_bound(self.bad, self.requests)
+
+
+def _blended_old_rate(
+    bad: int, earlier_bad: int, window: Window, earlier: RequestCounts
+) -> _OldRate:
+    """Return the old version's rate from the window and the time before it.
 
     The earlier requests are weighted like a few requests only. With full weight, a fault that
     affects both versions would be attributed to the new one while few old requests show it.
     """
     weight = min(1.0, _EARLIER_SAMPLE_SIZE / max(1, earlier.requests))
-    return _wilson_upper_bound(
-        bad + weight * earlier_bad, window.old.requests + weight * earlier.requests
-    )
+    return _OldRate(bad + weight * earlier_bad, window.old.requests + weight * earlier.requests)
 
 
 def _sum_over_steps(comparisons: Sequence[_Comparison]) -> Iterator[_Comparison]:
@@ -302,11 +333,13 @@
             bad=sum(part.bad for part in group),
             requests=requests,
             old_rate=sum(part.old_rate * part.requests for part in group) / requests,
+            observed_old_rate=sum(part.observed_old_rate * part.requests for part in group)
+            / requests,
             margin=sum(part.margin * part.requests for part in group) / requests,
         )
 
 
-def _compare_errors(plan: VersionMove, window: Window, old_rate: float) -> _Comparison:
+def _compare_errors(plan: VersionMove, window: Window, old: _OldRate) -> _Comparison:
     return _Comparison(
         name="failed",
         route=window.route,
@@ -314,12 +347,13 @@
         span_ms=window.span_ms,
         bad=window.new.errors,
         requests=window.new.requests,
-        old_rate=old_rate,
+        old_rate=old.upper_bound,
+        observed_old_rate=old.observed,
         margin=plan.max_error_percent / 100,
     )
 
 
-def _compare_slowness(window: Window, old_rate: float, factor: float) -> _Comparison:
+def _compare_slowness(window: Window, old: _OldRate, factor: float) -> _Comparison:
     return _Comparison(
         name="slow",
         route=window.route,
@@ -327,7 +361,8 @@
         span_ms=window.span_ms,
         bad=window.new.slow,
         requests=window.new.requests,
-        old_rate=old_rate,
+        old_rate=old.upper_bound,
+        observed_old_rate=old.observed,
         margin=factor * _SLOW_MARGIN,
     )
 
--- a/libs/policy/tests/test_movedecision.py
+++ b/libs/policy/tests/test_movedecision.py
@@ -219,6 +219,47 @@
     assert decide_next_action(progress_at(1), [doubt], 0, 10_000, ready=True) == KeepWaiting()
 
 
+@pytest.mark.parametrize(
+    ("new", "action"),
+    [
+        # Requests, errors and slow requests of the new version at the last step.
+        ((40, 12, 0), KeepWaiting()),
+        ((40, 2, 2), CompleteMove()),
+        ((40, 0, 24), KeepWaiting()),
+    ],
+)
+def test_bad_rate_beside_few_old_requests_delays_the_end(new, action):
+    """A version that failed a third of its requests was done, as twelve old ones proved little."""
+    history = EvidenceHistory("m1")
+    for i in range(14):
+        earlier = Fact(FactKind.EVIDENCE, "m1|3|h1|1|answer", (10 * i, 0, i, 10 * i, 0, i, 0))
+        history.apply_facts([earlier])
+        history.snapshot(500 * i)
+    # The rate of requests stays the same, because a burst would be no evidence.
+    for i in range(1, 5):
+        counts = (3 * i, 0, 0, *(i * count // 4 for count in new), 0)
+        history.apply_facts([Fact(FactKind.EVIDENCE, "m1|4|h1|1|answer", counts)])
+        history.snapshot(6_500 + 500 * i)
+    progress = progress_at(4, stepped_wall_ms=6_500, move_plan=plan_with(max_watch_ms=1_000))
+    action_now = decide_next_action(progress, [history], 8_500, 20_000, ready=True)
+    assert action_now == action
+
+
+def test_step_without_enough_old_requests_is_not_over():
+    """A burst left a step with few old requests without comparisons, and the move was done."""
+    history = EvidenceHistory("m1")
+    for i in range(14):
+        earlier = Fact(FactKind.EVIDENCE, "m1|3|h1|1|answer", (10 * i, 0, i, 10 * i, 0, i, 0))
+        history.apply_facts([earlier])
+        history.snapshot(500 * i)
+    burst = Fact(FactKind.EVIDENCE, "m1|4|h1|1|answer", (9, 0, 0, 200, 100, 0, 0))
+    history.apply_facts([burst])
+    history.snapshot(7_000)
+    progress = progress_at(4, stepped_wall_ms=6_500, move_plan=plan_with(max_watch_ms=1_000))
+    action = decide_next_action(progress, [history], 7_000, 20_000, ready=True)
+    assert action == KeepWaiting()
+
+
 def test_local_evidence_alone_stops_the_version():
     own = make_history((900, 9, 90, 10, 9, 0))
     action = decide_next_action(progress_at(1), [make_history(GOOD_COUNTS), own], 0, 0, ready=True)
