Receive peer messages without futures

Cause: zmq.asyncio makes a future and queries the socket several times for each message; a gateway of a large fleet receives 83 states a second at any size. Change: a plain socket is drained in a callback of the loop on its descriptor; after a full turn the rest is read in the next one, because the descriptor reports new messages only. The test of a burst passes before and after.

--- a/libs/process/src/skylarkmoor_process/peers.py
+++ b/libs/process/src/skylarkmoor_process/peers.py
@@ -2,10 +2,8 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import Any
 
 import zmq
-import zmq.asyncio
 
 from skylarkmoor_core.errors import MessageError
 from skylarkmoor_core.ids import HostId, Incarnation
@@ -21,7 +19,7 @@
 _RECEIVE_HIGH_WATER_MARK = 4096
 # Limits the memory that one message can use.
 _MAX_MESSAGE_BYTES = 4_000_000
-# Messages handled before yielding to other tasks of the event loop.
+# Messages handled before yielding to other callbacks of the event loop.
 _MAX_MESSAGES_PER_TURN = 64
 _ZMQ_HEARTBEAT_INTERVAL_MS = 2_000
 _RECONNECT_INTERVAL_MS = 50
@@ -46,6 +44,9 @@
     -----
     Sending never blocks: a message to a peer that is not connected, or whose queue is full,
     is dropped. Senders repeat their messages until these are answered or out of date.
+
+    Messages are received in callbacks of the event loop on the socket's file descriptor. The
+    sockets of `zmq.asyncio` cost a future and several queries of the socket for each message.
     """
 
     def __init__(
@@ -59,9 +60,9 @@
         self._host = host
         self._incarnation = incarnation
         self._on_message = on_message
-        self._context = zmq.asyncio.Context()
-        self._router: Any = None
-        self._receive_task: asyncio.Task[None] | None = None
+        self._context = zmq.Context()
+        self._router: zmq.Socket[bytes] | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
         self._addresses: dict[HostId, str] = {}
         self._dealers: dict[HostId, zmq.Socket[bytes]] = {}
         self._incarnations: dict[HostId, Incarnation] = {}
@@ -83,7 +84,10 @@
         router.bind(f"tcp://{endpoint_host}:{address.port or '*'}")
         bound_port = router.getsockopt_string(zmq.LAST_ENDPOINT).rpartition(":")[2]
         self._router = router
-        self._receive_task = asyncio.get_event_loop().create_task(self._receive())
+        self._loop = asyncio.get_event_loop()
+        self._loop.add_reader(_descriptor(router), self._receive)
+        # The descriptor reports new messages only, so those that are already there are read here.
+        self._loop.call_soon(self._receive)
         return Address(address.host, int(bound_port))
 
     def set_peers(self, addresses: Mapping[HostId, Address]) -> None:
@@ -117,13 +121,14 @@
 
     def close(self) -> None:
         """Close all sockets; messages still queued are dropped."""
-        if self._receive_task is not None:
-            self._receive_task.cancel()
         for dealer in self._dealers.values():
             dealer.close(linger=0)
         self._dealers.clear()
-        if self._router is not None:
-            self._router.close(linger=0)
+        router, self._router = self._router, None
+        if router is not None:
+            assert self._loop is not None
+            self._loop.remove_reader(_descriptor(router))
+            router.close(linger=0)
         self._context.destroy(linger=0)
 
     def _encode(self, message: Message) -> bytes:
@@ -138,9 +143,7 @@
         return True
 
     def _connect(self, address: str) -> zmq.Socket[bytes]:
-        # Non-blocking sends need no asyncio socket.
-        create_socket: Any = self._context.socket
-        dealer: zmq.Socket[bytes] = create_socket(zmq.DEALER, socket_class=zmq.Socket)
+        dealer = self._context.socket(zmq.DEALER)
         dealer.setsockopt(zmq.LINGER, 0)
         dealer.setsockopt(zmq.SNDHWM, _SEND_HIGH_WATER_MARK)
         # Nothing is queued without a connection, so a reconnecting peer gets no outdated messages.
@@ -152,14 +155,19 @@
         dealer.connect(address)
         return dealer
 
-    async def _receive(self) -> None:
-        handled_count = 0
-        while True:
-            frames = await self._router.recv_multipart()
+    def _receive(self) -> None:
+        """Handle the messages that have arrived, and continue in a later turn if there are many."""
+        for _ in range(_MAX_MESSAGES_PER_TURN):
+            if self._router is None:
+                return
+            try:
+                frames = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
             self._handle_envelope(frames[-1])
-            handled_count += 1
-            if handled_count % _MAX_MESSAGES_PER_TURN == 0:
-                await asyncio.sleep(0)
+        # The descriptor does not report messages again that were there before.
+        if self._loop is not None:
+            self._loop.call_soon(self._receive)
 
     def _handle_envelope(self, data: bytes) -> None:
         try:
@@ -177,3 +185,8 @@
             self._on_message(envelope.sender, envelope.incarnation, envelope.message)
         except Exception:
             _log.exception("peer message handler failed", extra={"sender": envelope.sender})
+
+
+def _descriptor(socket: "zmq.Socket[bytes]") -> int:
+    """Return the file descriptor that becomes readable when the socket has new messages."""
+    return int(socket.getsockopt(zmq.FD))
--- a/libs/process/tests/test_peers.py
+++ b/libs/process/tests/test_peers.py
@@ -40,6 +40,22 @@
         peer.close()
 
 
+@pytest_twisted.ensureDeferred
+async def test_all_messages_of_a_burst_are_received(wait_until):
+    """The descriptor reports new messages only; those left after one turn would wait for more."""
+    received = []
+    receiver = _make_peers("b", 1, received)
+    address = receiver.listen(_LOOPBACK)
+    sender = _make_peers("a", 1, [])
+    sender.set_peers({HostId("b"): address})
+    await wait_until(lambda: sender.send(HostId("b"), _heartbeat(0)))
+    assert all(sender.send(HostId("b"), _heartbeat(i)) for i in range(1, 400))
+    await wait_until(lambda: len(received) == 400)
+    assert [seq for _, _, seq in received] == list(range(400))
+    for peer in (receiver, sender):
+        peer.close()
+
+
 @pytest_twisted.ensureDeferred
 async def test_message_to_disconnected_peer_is_dropped_without_blocking(wait_until):
     sender = _make_peers("a", 1, [])
