Relay the states of a large fleet through two gateways a failure domain

Cause: every gateway sent its state to every other one, 83 messages a second each way at any size. Change: from 32 peers on a gateway sends its state to two relays of its failure domain, which pass on what has arrived twice a second, to their members and to the relays of the other domains. The second relay only stands in for a silent first one. A relay returns each state to its sender, so that a gateway whose states are not passed on notices and sends to all again. Silence is judged with the delay of two bundles added. A relayed state does not undo a newer load report. Measurements and addresses that are as before are not parsed or applied again.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -6,7 +6,15 @@
 
 from skylarkmoor_core.decoding import decode
 from skylarkmoor_core.document import ServiceDocument
-from skylarkmoor_core.ids import ClaimId, HostId, Incarnation, Offset, ServiceName, UpstreamId
+from skylarkmoor_core.ids import (
+    ClaimId,
+    FailureDomain,
+    HostId,
+    Incarnation,
+    Offset,
+    ServiceName,
+    UpstreamId,
+)
 from skylarkmoor_core.outcome import Outcome
 
 __all__ = [
@@ -28,11 +36,13 @@
     "Message",
     "OutcomeAnswer",
     "OutcomeQuery",
+    "RelayedState",
     "ReleaseRequest",
     "SlotGrant",
     "SlotLoads",
     "SlotRequest",
     "SlotWithdrawal",
+    "StateBundle",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -242,6 +252,24 @@
     upstreams: int = -1
     # Start times of the leaving upstreams that the sender knows; they identify the instances.
     leaving_upstreams: dict[UpstreamId, int] = {}
+    # Empty for a sender that takes no part in the relaying of states.
+    failure_domain: FailureDomain = FailureDomain("")
+    # Number of the state within the sender's incarnation; 0 if the sender does not number them.
+    sequence: int = 0
+
+
+class RelayedState(msgspec.Struct, frozen=True, array_like=True):
+    """The state of a gateway as a relay passes it on."""
+
+    host: HostId
+    incarnation: Incarnation
+    state: GatewayState
+
+
+class StateBundle(_Message, frozen=True, tag="b"):
+    """States of several gateways, sent by a relay."""
+
+    states: tuple[RelayedState, ...]
 
 
 class SlotRequest(_Message, frozen=True, tag="t"):
@@ -281,6 +309,8 @@
     loads: dict[UpstreamId, tuple[int, int]]
     # Number of the last grant accepted from the dispatcher; the loads include it.
     taken: int = 0
+    # Number of the sender's last state; the loads are newer than that state.
+    sequence: int = 0
 
 
 class SlotGrant(_Message, frozen=True, tag="y"):
@@ -305,6 +335,7 @@
     | DocumentOffer
     | DocumentQuery
     | GatewayState
+    | StateBundle
     | SlotRequest
     | SlotWithdrawal
     | SlotGrant
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -29,11 +29,13 @@
     Message,
     OutcomeAnswer,
     OutcomeQuery,
+    RelayedState,
     ReleaseRequest,
     SlotGrant,
     SlotLoads,
     SlotRequest,
     SlotWithdrawal,
+    StateBundle,
     decode_envelope,
     encode_envelope,
 )
@@ -58,6 +60,9 @@
     SlotWithdrawal(3),
     SlotGrant(3, "gpu-1", 17),
     SlotLoads("assistant", 1, 4, {"engine-1": (2, 900)}, 7),
+    StateBundle(
+        (RelayedState("entry-1", 5, GatewayState("10.0.0.1:7600", False, 4, {}, {}, {}, {})),)
+    ),
     ClaimRequest("nadi-1/5/1", 2**64 - 1, 2, 7),
     ClaimResult("nadi-1/5/1", ClaimStatus.HELD, "suva-1/2/9", "suva-1", 2, 8),
     ReleaseRequest("nadi-1/5/1", 2**64 - 1),
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -3,17 +3,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from msgspec import structs
+
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import SettingsError
-from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
+from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
     GatewayState,
     Message,
+    RelayedState,
     SlotGrant,
     SlotLoads,
     SlotRequest,
     SlotWithdrawal,
+    StateBundle,
 )
 from skylarkmoor_core.settings import Address, parse_address
 from skylarkmoor_gateway.slotcoordinator import SlotCoordinator
@@ -27,6 +31,7 @@
 )
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
+from skylarkmoor_policy.staterelay import RELAY_SILENT_MS, StateRelay
 from skylarkmoor_process.peers import Peers
 
 __all__ = ["Fleet"]
@@ -47,6 +52,13 @@
 _MAX_MISSED_STATES = 4
 # Changes of the load within this time are batched into one report to the dispatcher.
 _LOAD_REPORT_DELAY_MS = 8
+# With fewer peers, sending states to all of them is cheap and fresher than through relays.
+_MIN_RELAY_PEERS = 32
+# A relay passes on the states that it has received within this time as one message.
+_BUNDLE_INTERVAL_MS = 500
+# A state waits for the next bundle of the relay in its own and in the receiver's failure domain.
+_MAX_RELAY_DELAY_MS = 2 * _BUNDLE_INTERVAL_MS
+_NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
 
@@ -58,6 +70,9 @@
     unreachable: bool = True
     # Draining: it accepts no new requests, but those in progress continue.
     leaving: bool = False
+    # Empty until the first state of the peer.
+    failure_domain: FailureDomain = _NO_DOMAIN
+    incarnation: Incarnation | None = None
 
 
 class Fleet:
@@ -78,6 +93,8 @@
         this gateway.
     later : callable
         Schedules a function after a delay in milliseconds.
+    failure_domain : FailureDomain
+        Failure domain of this host; empty if it is not known.
     """
 
     def __init__(
@@ -92,6 +109,7 @@
         on_newer: Callable[[], None],
         on_newer_upstreams: Callable[[], None],
         later: Callable[[int, Callable[[], None]], None],
+        failure_domain: FailureDomain = _NO_DOMAIN,
     ) -> None:
         self.configuration = -1
         # Offsets of the last record that changed the list of upstreams and of the last one read.
@@ -124,6 +142,18 @@
         self._last_state: GatewayState | None = None
         self._last_sent_ms = 0
         self._last_check_ms = 0
+        self._eligible = False
+        self._eligible_checked_ms = -_DISPATCHER_INTERVAL_MS
+        self._incarnation = incarnation
+        self._failure_domain = failure_domain
+        self._relay = StateRelay(host, failure_domain)
+        self._relaying = False
+        self._sequence = 0
+        # By peer and slot group, the number of the peer's last state before its last load report.
+        self._load_sequences: dict[HostId, dict[SlotGroup, int]] = {}
+        # When a relay last passed on a state of this host.
+        self._echoed_ms: int | None = None
+        self._last_bundle_ms = 0
 
     def listen(self, address: Address) -> Address:
         """Bind the socket for peer messages and return its address."""
@@ -158,7 +188,7 @@
     def live_hosts(self) -> list[HostId]:
         """Return the hosts with a recent report; a leaving host lists itself only if alone."""
         now_ms = self._clock.now_ms()
-        max_age_ms = max(_LIVE_MS, _MAX_MISSED_STATES * self._interval_ms())
+        max_age_ms = self._max_state_age_ms(_LIVE_MS)
         hosts = [
             host
             for host, peer in self._peer_states.items()
@@ -186,10 +216,13 @@
         now_ms = self._clock.now_ms()
         interval_ms = self._interval_ms()
         since_ms = now_ms - self._last_sent_ms
-        if since_ms >= interval_ms or (
-            since_ms >= _DISPATCHER_INTERVAL_MS and self.slot_coordinator.is_eligible_dispatcher()
-        ):
-            self._broadcast_state(now_ms)
+        if since_ms >= interval_ms:
+            self._send_state(now_ms)
+        elif since_ms >= _DISPATCHER_INTERVAL_MS and self._is_eligible_dispatcher(now_ms):
+            self._send_state(now_ms, to_all=True)
+        if now_ms - self._last_bundle_ms >= _BUNDLE_INTERVAL_MS:
+            self._last_bundle_ms = now_ms
+            self._relay_states(now_ms)
         if now_ms - self._last_check_ms >= PEER_SILENT_MS // 4:
             self._last_check_ms = now_ms
             self._check_peers(now_ms)
@@ -197,6 +230,11 @@
     def _interval_ms(self) -> int:
         return max(_MIN_INTERVAL_MS, _INTERVAL_PER_PEER_MS * len(self._peer_states))
 
+    def _max_state_age_ms(self, at_least_ms: int) -> int:
+        """Return the age of a state from which its sender counts as silent."""
+        missed_ms = max(at_least_ms, _MAX_MISSED_STATES * self._interval_ms())
+        return missed_ms + _MAX_RELAY_DELAY_MS * self._relaying
+
     def _is_responsive(self, host: HostId) -> bool:
         """Return whether an eligible dispatcher has reported recently enough to be used."""
         peer = self._peer_states.get(host)
@@ -209,7 +247,7 @@
     def announce_leaving(self) -> None:
         """Tell the peers that this gateway accepts no new requests."""
         self.draining = True
-        self._broadcast_state(self._clock.now_ms())
+        self._send_state(self._clock.now_ms(), to_all=True)
 
     def close(self) -> None:
         """Close all connections to peers."""
@@ -221,7 +259,8 @@
         loads = self._placement.own_loads(group)
         taken = self.slot_coordinator.last_grants.get(owner, 0)
         self._transport.send(
-            owner, SlotLoads(group.service, group.number, group.count, loads, taken)
+            owner,
+            SlotLoads(group.service, group.number, group.count, loads, taken, self._sequence),
         )
 
     def _send_slots(self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant) -> None:
@@ -244,16 +283,93 @@
             self._placement.own_leaving(),
         )
 
-    def _broadcast_state(self, now_ms: int) -> None:
+    def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
+        """Send this gateway's state to its relays, or to all peers if they do not pass it on."""
         state = self._state()
         if state == self._last_state and now_ms - self._last_sent_ms < _HEARTBEAT_MS:
             return
         self._last_state, self._last_sent_ms = state, now_ms
-        self._transport.broadcast(state)
+        self._sequence += 1
+        numbered = structs.replace(
+            state, failure_domain=self._failure_domain, sequence=self._sequence
+        )
+        own = RelayedState(self._host, self._incarnation, numbered)
+        self._relay.collect(own, own_domain=True)
+        if to_all or not self._is_relayed(now_ms):
+            self._transport.broadcast(numbered)
+        else:
+            relays = [host for host in self._relay.own_relays() if host != self._host]
+            self._transport.multicast(relays, numbered)
+
+    def _is_eligible_dispatcher(self, now_ms: int) -> bool:
+        """Return whether this host may dispatch a service that is a single group."""
+        if now_ms - self._eligible_checked_ms >= _DISPATCHER_INTERVAL_MS:
+            self._eligible_checked_ms = now_ms
+            self._eligible = self.slot_coordinator.is_eligible_dispatcher()
+        return self._eligible
+
+    def _can_relay(self) -> bool:
+        """Return whether the fleet is large enough for relays and every peer supports them."""
+        return (
+            bool(self._failure_domain)
+            and len(self._peer_states) >= _MIN_RELAY_PEERS
+            and all(peer.failure_domain for peer in self._peer_states.values())
+        )
+
+    def _is_relayed(self, now_ms: int) -> bool:
+        """Return whether the states of this host reach the fleet through relays.
+
+        A relay returns each state to its sender with the others, so a state that is lost on the way
+        to it is noticed as well as a relay that is down.
+        """
+        if not self._relaying:
+            return False
+        if self._relay.is_active(now_ms):
+            return True
+        max_age_ms = self._interval_ms() + RELAY_SILENT_MS
+        return self._echoed_ms is not None and now_ms - self._echoed_ms <= max_age_ms
+
+    def _relay_states(self, now_ms: int) -> None:
+        """Choose the relays, and pass on the states that have arrived if this host is one."""
+        self._relaying = self._can_relay()
+        if not self._relaying:
+            self._relay.set_hosts({})
+            return
+        hosts = {
+            host: self._peer_states[host].failure_domain if host != self._host else _NO_DOMAIN
+            for host in self.live_hosts()
+        }
+        if self._host in hosts:
+            hosts[self._host] = self._failure_domain
+        self._relay.set_hosts(hosts)
+        if not self._relay.is_active(now_ms):
+            return
+        bundles = self._relay.take_bundles()
+        if bundles.member_states:
+            self._transport.multicast(bundles.members, StateBundle(tuple(bundles.member_states)))
+        if bundles.relay_states:
+            self._transport.multicast(bundles.relays, StateBundle(tuple(bundles.relay_states)))
+
+    def _handle_bundle(self, sender: HostId, bundle: StateBundle) -> None:
+        now_ms = self._clock.now_ms()
+        peer = self._peer_states.get(sender)
+        own_domain = peer is not None and peer.failure_domain == self._failure_domain
+        if own_domain:
+            self._relay.bundle_heard(sender, bundle.states, now_ms)
+        for relayed in bundle.states:
+            if relayed.host == self._host:
+                if relayed.incarnation == self._incarnation:
+                    self._echoed_ms = now_ms
+            # A relay of the own failure domain passes its states on to all members itself.
+            elif (
+                self._handle_state(relayed.host, relayed.incarnation, relayed.state)
+                and not own_domain
+            ):
+                self._relay.collect(relayed, own_domain=False)
 
     def _check_peers(self, now_ms: int) -> None:
         self._crash_counts.expire(now_ms)
-        silent_ms = max(PEER_SILENT_MS, _MAX_MISSED_STATES * self._interval_ms())
+        silent_ms = self._max_state_age_ms(PEER_SILENT_MS)
         for host, peer in list(self._peer_states.items()):
             age_ms = now_ms - peer.last_heard_ms
             if not peer.unreachable and age_ms > silent_ms:
@@ -276,6 +392,7 @@
 
     def _remove_peer(self, host: HostId) -> None:
         del self._peer_states[host]
+        self._load_sequences.pop(host, None)
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
         self.slot_coordinator.forget(host)
@@ -288,7 +405,13 @@
     def _on_message(self, sender: HostId, incarnation: Incarnation, message: Message) -> None:
         match message:
             case GatewayState():
-                self._handle_state(sender, incarnation, message)
+                if self._handle_state(sender, incarnation, message):
+                    own_domain = message.failure_domain == self._failure_domain
+                    if own_domain and message.sequence:
+                        relayed = RelayedState(sender, incarnation, message)
+                        self._relay.collect(relayed, own_domain=True)
+            case StateBundle():
+                self._handle_bundle(sender, message)
             case SlotRequest():
                 self.slot_coordinator.handle_slot_request(sender, message)
             case SlotWithdrawal():
@@ -308,21 +431,28 @@
             return
         group = SlotGroup(message.service, message.group, message.groups)
         self._placement.set_peer_load(sender, message.loads, message.taken, group)
+        if message.sequence:
+            self._load_sequences.setdefault(sender, {})[group] = message.sequence
         self.slot_coordinator.grant_free_slots()
 
-    def _handle_state(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> None:
+    def _handle_state(self, sender: HostId, incarnation: Incarnation, state: GatewayState) -> bool:
+        """Apply a state; return False if it is invalid or not newer than an earlier one."""
         if sender == self._host:
-            return
+            return False
         if state.leaving and sender not in self._peer_states:
-            return
-        try:
-            self.add_peer(sender, parse_address(state.address))
-        except SettingsError as error:
-            _log.warning(
-                "state report of a peer has an invalid address",
-                extra={"peer": sender, "error": str(error)},
-            )
-            return
+            return False
+        if state.sequence and not self._relay.accept(sender, incarnation, state.sequence):
+            return False
+        known_peer = self._peer_states.get(sender)
+        if known_peer is None or str(known_peer.address) != state.address:
+            try:
+                self.add_peer(sender, parse_address(state.address))
+            except SettingsError as error:
+                _log.warning(
+                    "state report of a peer has an invalid address",
+                    extra={"peer": sender, "error": str(error)},
+                )
+                return False
         peer = self._peer_states[sender]
         if peer.unreachable:
             _log.info("peer is responding", extra={"peer": sender})
@@ -331,8 +461,19 @@
             self.slot_coordinator.forget(sender)
         peer.unreachable = False
         peer.leaving = state.leaving
+        peer.failure_domain = state.failure_domain
+        if peer.incarnation != incarnation:
+            peer.incarnation = incarnation
+            self._load_sequences.pop(sender, None)
         peer.last_heard_ms = self._clock.now_ms()
-        self._placement.set_peer_load(sender, state.loads, state.taken.get(self._host, 0))
+        # A state that came through relays may be older than the load reports of its sender.
+        newer = [
+            group
+            for group, sequence in self._load_sequences.get(sender, {}).items()
+            if sequence >= state.sequence > 0
+        ]
+        taken = state.taken.get(self._host, 0)
+        self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
         self._placement.mark_leaving(state.leaving_upstreams)
         self._placement.update_peer_health(
             sender, state.records, state.resting_ms, peer.last_heard_ms
@@ -344,6 +485,7 @@
         if state.upstreams > self.upstreams_read:
             self._on_newer_upstreams()
         self.slot_coordinator.grant_free_slots()
+        return True
 
     def _add_peer_counts(
         self, sender: HostId, incarnation: Incarnation, state: GatewayState
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -130,6 +130,7 @@
             lambda: self.on_newer_configuration(),
             lambda: self.on_newer_upstreams(),
             lambda delay_ms, function: reactor.callLater(delay_ms / 1000, function),
+            settings.failure_domain,
         )
         self._lifecycle = Lifecycle()
         self._ready = False
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from skylarkmoor_core.ids import HostId
+from skylarkmoor_core.ids import FailureDomain, HostId
 from skylarkmoor_core.settings import Address
 
 __all__ = ["GatewaySettings"]
@@ -26,6 +26,8 @@
         Time between SIGTERM and SIGKILL at shutdown.
     is_first_fleet_start : bool
         Whether the whole fleet starts for the first time.
+    failure_domain : FailureDomain
+        Failure domain of the host; empty if it is not known, in which case no states are relayed.
     """
 
     host: HostId
@@ -41,3 +43,4 @@
     limit_slack_units: float = 0
     grace_ms: int = 8_000
     is_first_fleet_start: bool = True
+    failure_domain: FailureDomain = FailureDomain("")
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -44,6 +44,7 @@
 _MAX_GAP_FRACTION_FOR_PREFILL = 0.8
 # Missing the deadline of the answer costs more than any wait.
 _DEADLINE_MISS_PENALTY_MS = 5_000.0
+_NO_UPSTREAMS: frozenset[UpstreamId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,8 @@
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
         self._peer_loaded_upstreams: dict[HostId, set[UpstreamId]] = {}
+        # Upstreams that the last state of the peer has measurements of.
+        self._peer_recorded_upstreams: dict[HostId, frozenset[UpstreamId]] = {}
         self._tokens_per_event = _INITIAL_TOKENS_PER_EVENT
         self._decayed_at_ms: int | None = None
 
@@ -108,6 +111,7 @@
         loads: Mapping[UpstreamId, tuple[int, int]],
         last_grant: int = 0,
         group: SlotGroup | None = None,
+        keep: Collection[SlotGroup] = (),
     ) -> None:
         """Replace the load of a peer: running requests and pending prompt tokens per upstream.
 
@@ -117,6 +121,8 @@
             Number of the last grant that the loads include; later grants are added to them.
         group : SlotGroup or None
             If given, only the loads of its upstreams are replaced.
+        keep : collection of SlotGroup
+            Groups whose loads are not replaced, because a newer report is known.
         """
         grants = [
             each for each in self._unreported_grants.get(peer, ()) if each.number > last_grant
@@ -124,7 +130,7 @@
         self._unreported_grants[peer] = grants
         for name in list(self._peer_loaded_upstreams.get(peer, ())):
             upstream = self.upstreams.get(name)
-            if upstream is not None and group is not None and not _in_group(upstream, group):
+            if upstream is not None and not _is_replaced(upstream, group, keep):
                 continue
             self._peer_loaded_upstreams[peer].discard(name)
             previous = None if upstream is None else upstream.peer_loads.pop(peer, None)
@@ -133,10 +139,10 @@
                 upstream.peers_prefill_tokens -= previous.prefill_tokens
         for name, load in loads.items():
             upstream = self.upstreams.get(name)
-            if upstream is not None:
+            if upstream is not None and _is_replaced(upstream, None, keep):
                 self._add_load(peer, upstream, *load)
         for grant in grants:
-            self._add_grant(peer, grant, group)
+            self._add_grant(peer, grant, group, keep)
 
     def update_peer_health(
         self,
@@ -146,10 +152,15 @@
         now_ms: int,
     ) -> None:
         """Store the measurements of a peer and apply its remaining backoff times."""
-        for name, upstream in self.upstreams.items():
-            values = records.get(name)
-            if values != upstream.peer_records.get(peer):
+        for name in self._peer_recorded_upstreams.get(peer, _NO_UPSTREAMS) - records.keys():
+            upstream = self.upstreams.get(name)
+            if upstream is not None:
+                upstream.set_peer_record(peer, None)
+        for name, values in records.items():
+            upstream = self.upstreams.get(name)
+            if upstream is not None and values != upstream.peer_records.get(peer):
                 upstream.set_peer_record(peer, values)
+        self._peer_recorded_upstreams[peer] = frozenset(records)
         for name, backoff_ms in resting_ms.items():
             known = self.upstreams.get(name)
             if known is not None:
@@ -169,6 +180,7 @@
         self._unreported_grants.pop(peer, None)
         self.set_peer_load(peer, {})
         self._peer_loaded_upstreams.pop(peer, None)
+        self._peer_recorded_upstreams.pop(peer, None)
         for upstream in self.upstreams.values():
             upstream.set_peer_record(peer, None)
 
@@ -422,9 +434,15 @@
             upstream.record.decay(keep)
             upstream.refresh()
 
-    def _add_grant(self, peer: HostId, grant: _Grant, group: SlotGroup | None = None) -> None:
+    def _add_grant(
+        self,
+        peer: HostId,
+        grant: _Grant,
+        group: SlotGroup | None = None,
+        keep: Collection[SlotGroup] = (),
+    ) -> None:
         known = self.upstreams.get(grant.upstream)
-        if known is not None and (group is None or _in_group(known, group)):
+        if known is not None and _is_replaced(known, group, keep):
             self._add_load(peer, known, 1, grant.prompt_tokens)
 
     def _add_load(
@@ -464,5 +482,14 @@
         return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / max(1, upstream.slots)
 
 
+def _is_replaced(
+    upstream: TrackedUpstream, group: SlotGroup | None, keep: Collection[SlotGroup]
+) -> bool:
+    """Return whether a load report for `group` that leaves out `keep` covers an upstream."""
+    if group is not None and not _in_group(upstream, group):
+        return False
+    return not any(_in_group(upstream, each) for each in keep)
+
+
 def _in_group(upstream: TrackedUpstream, group: SlotGroup) -> bool:
     return upstream.registration.service == group.service and group.holds(upstream.id_hash)
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -29,6 +29,7 @@
 FIRST_TOKEN_OVERHEAD_MS = 20.0
 # Assumed time that a request holds a slot, until requests have completed.
 _INITIAL_SLOT_HOLD_MS = 400.0
+_NO_RECORD = (0, 0, 0, 0, 0, 0)
 
 
 @dataclass(slots=True)
@@ -193,16 +194,12 @@
 
     def set_peer_record(self, peer: HostId, values: tuple[int, ...] | None) -> None:
         """Set the record values of a peer; None removes them."""
-        previous = self.peer_records.pop(peer, None)
-        if previous is not None:
-            self.peer_totals = [
-                total - amount for total, amount in zip(self.peer_totals, previous, strict=True)
-            ]
+        previous = self.peer_records.pop(peer, _NO_RECORD)
+        current = _NO_RECORD if values is None else values
         if values is not None:
             self.peer_records[peer] = values
-            self.peer_totals = [
-                total + amount for total, amount in zip(self.peer_totals, values, strict=True)
-            ]
+        for i, (before, now) in enumerate(zip(previous, current, strict=True)):
+            self.peer_totals[i] += now - before
 
     def refresh(self) -> None:
         """Recompute the estimates from the records of all daemons and the priors."""
--- a/libs/process/src/skylarkmoor_process/peers.py
+++ b/libs/process/src/skylarkmoor_process/peers.py
@@ -1,7 +1,7 @@
 """Message transport between peers over ZeroMQ."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import zmq
 
@@ -115,6 +115,16 @@
         for dealer in self._dealers.values():
             self._try_send(dealer, data)
 
+    def multicast(self, hosts: Iterable[HostId], message: Message) -> None:
+        """Send a message to some of the peers."""
+        data = self._encode(message)
+        for host in hosts:
+            dealer = self._dealers.get(host)
+            if dealer is None:
+                self.dropped += 1
+            else:
+                self._try_send(dealer, data)
+
     def hosts(self) -> list[HostId]:
         """Return the peers last given to `set_peers`, connected or not."""
         return list(self._dealers)
