End streams that only drip, and refusals, events and answers without end

Cause: any byte of an upstream counted as progress, so that a comment, a blank line or a part of an event now and then held a stream until its route's timeout. An event without end was passed on in parts after a mebibyte, so that the events of the next upstream followed a torn one. A refusal that says 'not run' was believed only after its whole body. A request with an unknown transfer encoding ended in a KeyError without an answer. Change: only complete events are progress of a stream; an event that is too large fails the attempt; a refused request is retried 250 ms after the head of the refusal at the latest; 501 has its phrase and an unknown status none. Heads, chunk extensions, trailers, informational answers and bodies without end were bounded already; they now have tests.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -24,6 +24,7 @@
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -266,7 +267,9 @@
                 (b"Connection", b"close"),
             ]
             self._send(
-                h11.Response(status_code=status, headers=headers, reason=_REASON_PHRASES[status])
+                h11.Response(
+                    status_code=status, headers=headers, reason=_REASON_PHRASES.get(status, b"")
+                )
             )
             self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -30,6 +30,7 @@
     stall_timeout_ms,
 )
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
+from skylarkmoor_policy.eventstream import EventTooLarge
 from skylarkmoor_policy.fleetlimits import FleetRetryBudget
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.routetable import CustomerPolicy, RetrySafety, Route
@@ -51,6 +52,9 @@
 _MAX_REUSE_IDLE_MS = 1_000
 # Delay before another placement while the list of upstreams is read, which takes some milliseconds.
 _UPSTREAM_REFRESH_S = 0.02
+# Time for the rest of a response that says that the request was not executed. Its body is short and
+# of no use; the connection is not kept for it any longer.
+_NOT_RUN_BODY_MS = 250
 # Minimum time before the deadline for another attempt.
 _MIN_REMAINING_MS = 30
 # Placeholder that `SlotCoordinator.wait` replaces.
@@ -114,7 +118,9 @@
     connection: UpstreamConnection | None = None
     has_data: bool = False
     predicted_ms: float = 0.0
+    # Of a stream, only complete events count as data.
     last_data_ms: int = 0
+    head_ms: int = 0
     first_byte_ms: int = 0
     event_count: int = 0
     head: ResponseHead | None = None
@@ -239,7 +245,14 @@
         The connection is closed first, so that the upstream cancels the request.
         """
         attempt = self._current
-        if self._done or attempt is None or attempt.connection is None or not self.route.idempotent:
+        if self._done or attempt is None or attempt.connection is None:
+            return
+        if attempt.head is not None and attempt.head.not_run:
+            if now_ms - attempt.head_ms > _NOT_RUN_BODY_MS:
+                attempt.connection.abort()
+                self._handle_not_run(attempt, attempt.head)
+            return
+        if not self.route.idempotent:
             return
         silent_ms = now_ms - max(attempt.sent_ms, attempt.last_data_ms)
         if silent_ms < stall_timeout_ms(self.route, attempt.predicted_ms):
@@ -402,6 +415,7 @@
         """Process the head of the upstream's response."""
         head = self._gateway.codec.decode_response(status, headers)
         attempt.head = head
+        attempt.head_ms = self._gateway.clock.now_ms()
         connection = attempt.connection
         if head.request is not None and head.request != self.request.request:
             self._fail_attempt(attempt, f"the answer names the request {head.request!r}")
@@ -418,13 +432,22 @@
         head = attempt.head
         if head is None or head.not_run:
             return
-        attempt.last_data_ms = self._gateway.clock.now_ms()
         if not attempt.has_data:
             attempt.has_data = True
+            attempt.last_data_ms = self._gateway.clock.now_ms()
             self._record_first_byte(attempt)
         if self.route.retry_safety is RetrySafety.STREAM and head.status == 200:
-            attempt.event_count += self._response.forward_events(head, data, attempt.connection)
-        elif not (self.route.resumable and self._response.started):
+            try:
+                events = self._response.forward_events(head, data, attempt.connection)
+            except EventTooLarge as error:
+                self._fail_attempt(attempt, str(error))
+                return
+            if events:
+                attempt.event_count += events
+                attempt.last_data_ms = self._gateway.clock.now_ms()
+            return
+        attempt.last_data_ms = self._gateway.clock.now_ms()
+        if not (self.route.resumable and self._response.started):
             # The body of an error response must not be appended to a stream that was being resumed.
             self._response.buffer_body(head, data, attempt.connection)
 
@@ -435,16 +458,7 @@
             self.response_failed(attempt, "the answer has no head")
             return
         if head.not_run:
-            self._runs -= 1
-            if head.instance_replaced:
-                self._gateway.placement.mark_replaced(
-                    attempt.upstream, self._gateway.clock.now_ms()
-                )
-            self._release(attempt, fault=None)
-            self._excluded_upstreams.add(attempt.upstream)
-            self._retry(
-                attempt, f"the upstream refused with {head.status}", counts_against_budget=True
-            )
+            self._handle_not_run(attempt, head)
             return
         failed = head.status >= 500
         elapsed_ms = self._gateway.clock.now_ms() - attempt.sent_ms
@@ -468,6 +482,15 @@
         self._response.finish(head)
         self._end(Outcome.ANSWERED, "", status=head.status)
 
+    def _handle_not_run(self, attempt: _SendAttempt, head: ResponseHead) -> None:
+        """Retry a request that the upstream has not executed."""
+        self._runs -= 1
+        if head.instance_replaced:
+            self._gateway.placement.mark_replaced(attempt.upstream, self._gateway.clock.now_ms())
+        self._release(attempt, fault=None)
+        self._excluded_upstreams.add(attempt.upstream)
+        self._retry(attempt, f"the upstream refused with {head.status}", counts_against_budget=True)
+
     def response_failed(self, attempt: _SendAttempt, reason: str) -> None:
         """Process a connection failure before the response was complete."""
         if not self._done and self._current is attempt:
--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -4,14 +4,13 @@
 from skylarkmoor_gateway.callerconnections import CallerConnection
 from skylarkmoor_gateway.messages import Headers, ResponseHead
 from skylarkmoor_gateway.upstreams import UpstreamConnection
-from skylarkmoor_policy.eventstream import EventSplitter
+from skylarkmoor_policy.eventstream import EventSplitter, count_events
 
 __all__ = ["CallerResponse"]
 
 # Bodies up to this size are buffered completely before they are forwarded, so that the request can
 # still be retried if the upstream fails.
 _MAX_BUFFERED_BYTES = 262_144
-_EVENT_DELIMITER = b"\n\n"
 
 
 class CallerResponse:
@@ -59,13 +58,19 @@
     def forward_events(
         self, head: ResponseHead, data: bytes, source: UpstreamConnection | None
     ) -> int:
-        """Forward a chunk of an event stream and return the number of events that it completes."""
+        """Forward a chunk of an event stream and return the number of events that it completes.
+
+        Raises
+        ------
+        EventTooLarge
+            If an event of a stream that can be resumed does not end.
+        """
         if self._events is not None:
             data = self._events.feed(data)
         if data:
             self._start(head, source)
             self._send(data)
-        return data.count(_EVENT_DELIMITER)
+        return count_events(data)
 
     def buffer_body(
         self, head: ResponseHead, data: bytes, source: UpstreamConnection | None
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -1,10 +1,32 @@
 """Splits a stream of server-sent events at event boundaries."""
 
-__all__ = ["EventSplitter"]
+from skylarkmoor_core.errors import SkylarkmoorError
+
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLarge", "count_events"]
 
 _EVENT_DELIMITER = b"\n\n"
-# Data without an event boundary is forwarded unsplit beyond this size.
-_MAX_EVENT_BYTES = 1_048_576
+# Events hold a few tokens. Limits the memory that an upstream can use with an event without end.
+MAX_EVENT_BYTES = 1_048_576
+
+
+class EventTooLarge(SkylarkmoorError):
+    """An event does not end within the size limit."""
+
+
+def count_events(blocks: bytes) -> int:
+    r"""Return the number of complete events in a part of a stream.
+
+    Comments and blank lines, which a stalled upstream may still send, are no events.
+
+    Examples
+    --------
+    >>> count_events(b"id: 1\ndata: a\n\n: comment\n\n\n\n")
+    1
+    """
+    return sum(
+        any(line and not line.startswith(b":") for line in block.split(b"\n"))
+        for block in blocks.split(_EVENT_DELIMITER)[:-1]
+    )
 
 
 class EventSplitter:
@@ -34,13 +56,19 @@
         return bool(self._pending_data)
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that are now complete."""
+        """Add received bytes and return the events that are now complete.
+
+        Raises
+        ------
+        EventTooLarge
+            If an event does not end within `MAX_EVENT_BYTES`.
+        """
         buffered = self._pending_data + data
         end = buffered.rfind(_EVENT_DELIMITER)
         if end < 0:
-            if len(buffered) > _MAX_EVENT_BYTES:
+            if len(buffered) > MAX_EVENT_BYTES:
                 self._pending_data = b""
-                return buffered
+                raise EventTooLarge(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             self._pending_data = buffered
             return b""
         complete_events, self._pending_data = (
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -3,6 +3,7 @@
 import pytest
 
 from adapter_harness import answer, chunk, request, stream_head
+from skylarkmoor_policy.eventstream import MAX_EVENT_BYTES
 
 EVENT_1, EVENT_2, EVENT_3 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"
 
@@ -514,3 +515,142 @@
     caller = harness.caller()
     caller.send(request())
     assert caller.received().startswith(b"HTTP/1.1 503 ")
+
+
+def test_an_unknown_transfer_encoding_is_answered(harness):
+    """The status 501 had no reason phrase, and the caller's connection ended without an answer."""
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", Transfer_Encoding="gzip"))
+    assert caller.received().startswith(b"HTTP/1.1 501 ")
+    assert caller.transport.disconnecting
+
+
+@pytest.mark.parametrize("drip", [b"d", b": c\n\n", b"\n", b"\n\n"])
+def test_a_stream_that_only_drips_moves_to_another_upstream(harness, drip):
+    """Any byte counted as progress, so a stalled stream lasted until its route's timeout."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    head = {"Skylarkmoor_Token_Counts": "100,20", "Skylarkmoor_Deadline_Ms": "15000"}
+    caller.send(request("/brief/1", "POST", b"x", **head))
+    first = harness.accept()
+    first.send(stream_head() + chunk(EVENT_1))
+    for _ in range(20):
+        harness.advance(200)
+        if first.transport.aborted:
+            break
+        first.send(chunk(drip))
+    assert first.transport.aborted
+    second = harness.accept()
+    assert b"Last-Event-Id: 1\r\n" in second.received()
+    second.send(stream_head() + chunk(EVENT_2) + chunk(b""))
+    assert caller.received().endswith(chunk(EVENT_2) + chunk(b""))
+
+
+def test_a_slow_stream_with_events_in_time_is_kept(harness):
+    add_two_engines(harness)
+    caller = harness.caller()
+    head = {"Skylarkmoor_Token_Counts": "100,20", "Skylarkmoor_Deadline_Ms": "15000"}
+    caller.send(request("/brief/1", "POST", b"x", **head))
+    upstream = harness.accept()
+    upstream.send(stream_head() + chunk(EVENT_1))
+    for part in (EVENT_2[:3], EVENT_2[3:], EVENT_3[:5], EVENT_3[5:]):
+        harness.advance(900)
+        upstream.send(chunk(part))
+    upstream.send(chunk(b""))
+    assert not upstream.transport.aborted
+    assert caller.received().endswith(chunk(EVENT_3) + chunk(b""))
+
+
+def test_an_event_without_end_is_a_failure(harness):
+    """A part of it would reach the caller, and the events of the next upstream after it."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/brief/1", "POST", b"x", Skylarkmoor_Token_Counts="100,20"))
+    first = harness.accept()
+    first.send(stream_head() + chunk(EVENT_1))
+    sent = 0
+    while not first.transport.aborted and sent <= 2 * MAX_EVENT_BYTES:
+        first.send(chunk(b"x" * 65_536))
+        sent += 65_536
+    assert sent <= MAX_EVENT_BYTES + 65_536
+    second = harness.accept()
+    second.send(stream_head() + chunk(EVENT_2) + chunk(b""))
+    response = caller.received()
+    assert response.endswith(chunk(EVENT_1) + chunk(EVENT_2) + chunk(b""))
+
+
+@pytest.mark.parametrize("path", ["/order/1", "/stock/1"])
+def test_a_refusal_whose_body_never_ends_is_retried(harness, path):
+    """The request has not run, but its caller was told after the timeout that it may have."""
+    add_two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request(path, "POST", b"x"))
+    first = harness.accept()
+    refusal = answer(
+        status="503 Full",
+        Content_Length="",
+        Transfer_Encoding="chunked",
+        Skylarkmoor_Not_Executed="1",
+    )
+    first.send(refusal.removesuffix(b"ok"))
+    for _ in range(4):
+        first.send(chunk(b"x" * 10_000))
+        harness.advance(100)
+    assert first.transport.aborted
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(
+    "endless",
+    [
+        b"HTTP/1.1 200 OK\r\nX: " + b"a" * 70_000,
+        b"HTTP/1.1 200 OK\r\n" + b"X-Header: value\r\n" * 5_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + b"e" * 70_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + b"T: v\r\n" * 15_000,
+    ],
+    ids=["header line", "header lines", "chunk extension", "trailers"],
+)
+@pytest.mark.parametrize("size", [100, 65_536])
+def test_a_head_or_trailer_without_end_is_a_failure(harness, endless, size):
+    """Without a bound the gateway would keep all that an upstream sends."""
+    add_two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    first = harness.accept()
+    for start in range(0, len(endless), size):
+        if not first.transport.aborted:
+            first.send(endless[start : start + size])
+    assert first.transport.aborted
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+def test_informational_answers_without_end_do_not_hold_a_request(harness):
+    add_two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    first = harness.accept()
+    for _ in range(30):
+        harness.advance(25)
+        if first.transport.aborted:
+            break
+        first.send(b"HTTP/1.1 102 Processing\r\n\r\n" * 50)
+    assert first.transport.aborted
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_body_without_end_ends_with_the_route_and_does_not_look_complete(harness):
+    add_two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request())
+    upstream = harness.accept()
+    upstream.send(answer(b"", Content_Length="", Transfer_Encoding="chunked"))
+    for _ in range(40):
+        if not upstream.transport.aborted:
+            upstream.send(chunk(b"x" * 65_536))
+        harness.advance(25)
+    assert upstream.transport.aborted
+    assert caller.transport.aborted
+    assert not caller.received().endswith(b"0\r\n\r\n")
