Tick slowly in an idle gateway of a large fleet, and leave silent connections to the kernel

Cause: a gateway woke 40 times a second whatever happened, and each of its connections to peers carried a heartbeat and its answer every two seconds in either direction. Change: while no slot is waited for and states are sent at most once a second, the next tick comes after 100 ms. Connections between peers have the keep-alive and user timeout that those to upstreams have, with heartbeats every 6 s for peers whose process hangs.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -214,7 +214,7 @@
     def tick(self) -> None:
         """Broadcast this gateway's state when it is due, and detect silent peers."""
         now_ms = self._clock.now_ms()
-        interval_ms = self._interval_ms()
+        interval_ms = self.interval_ms()
         since_ms = now_ms - self._last_sent_ms
         if since_ms >= interval_ms:
             self._send_state(now_ms)
@@ -227,12 +227,13 @@
             self._last_check_ms = now_ms
             self._check_peers(now_ms)
 
-    def _interval_ms(self) -> int:
+    def interval_ms(self) -> int:
+        """Return the interval at which this gateway sends its state."""
         return max(_MIN_INTERVAL_MS, _INTERVAL_PER_PEER_MS * len(self._peer_states))
 
     def _max_state_age_ms(self, at_least_ms: int) -> int:
         """Return the age of a state from which its sender counts as silent."""
-        missed_ms = max(at_least_ms, _MAX_MISSED_STATES * self._interval_ms())
+        missed_ms = max(at_least_ms, _MAX_MISSED_STATES * self.interval_ms())
         return missed_ms + _MAX_RELAY_DELAY_MS * self._relaying
 
     def _is_responsive(self, host: HostId) -> bool:
@@ -240,7 +241,7 @@
         peer = self._peer_states.get(host)
         if peer is None:
             return host == self._host
-        interval_ms = min(_DISPATCHER_INTERVAL_MS, self._interval_ms())
+        interval_ms = min(_DISPATCHER_INTERVAL_MS, self.interval_ms())
         max_silence_ms = max(_LIVE_MS, _MAX_MISSED_STATES * interval_ms)
         return self._clock.now_ms() - peer.last_heard_ms <= max_silence_ms
 
@@ -326,7 +327,7 @@
             return False
         if self._relay.is_active(now_ms):
             return True
-        max_age_ms = self._interval_ms() + RELAY_SILENT_MS
+        max_age_ms = self.interval_ms() + RELAY_SILENT_MS
         return self._echoed_ms is not None and now_ms - self._echoed_ms <= max_age_ms
 
     def _relay_states(self, now_ms: int) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -48,6 +48,9 @@
 
 # Period of the checks for expired waits and due state reports.
 _TICK_MS = 25
+# The period while nothing waits for a slot, if states are sent at intervals of at least ten times
+# this period.
+_IDLE_TICK_MS = 100
 # Period for updating learned upstream speeds, gauges and idle connections, which change slowly.
 _MAINTENANCE_MS = 500
 # Period of stall checks. Stall timeouts are a second or more, so this delay does not matter.
@@ -163,7 +166,7 @@
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, site)
         self._listen(settings.caller_address, CallerConnectionFactory(self, self.reactor))
-        self.tasks.every(_TICK_MS, self._tick)
+        self.tasks.reschedule(_TICK_MS, self._tick)
         self.tasks.every(_MAINTENANCE_MS, self._maintain)
         _log.info("started", extra={"host": settings.host, "callers": str(settings.caller_address)})
 
@@ -400,7 +403,8 @@
             self.reactor.listenTCP(address.port, factory, interface=address.host, backlog=512)
         )
 
-    def _tick(self) -> None:
+    def _tick(self) -> int:
+        """Do what is due and return the milliseconds until the next call."""
         self.fleet.tick()
         self.fleet.slot_coordinator.tick()
         now_ms = self.clock.now_ms()
@@ -410,6 +414,13 @@
                 exchange.check_stall(now_ms)
         if self._drain_started_ms is not None:
             self._finish_draining(now_ms - self._drain_started_ms)
+        is_idle = not self.slot_requests() and self._drain_started_ms is None
+        is_large_fleet = self.fleet.interval_ms() >= 10 * _IDLE_TICK_MS
+        return _IDLE_TICK_MS if is_idle and is_large_fleet else _TICK_MS
+
+    def slot_requests(self) -> int:
+        """Return the slot requests of this gateway and those that it dispatches."""
+        return self.fleet.slot_coordinator.waiting() + self.fleet.slot_coordinator.queued()
 
     def _finish_draining(self, elapsed_ms: int) -> None:
         for caller in list(self._callers):
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -218,6 +218,10 @@
         """Return the number of local requests that wait for a slot."""
         return len(self._waits)
 
+    def queued(self) -> int:
+        """Return the number of slot requests that this gateway dispatches."""
+        return len(self._dispatcher)
+
     def _ranked_candidates(self, group: SlotGroup) -> list[HostId]:
         hosts = self._live_hosts()
         if hosts != self._ranked_hosts:
--- a/libs/process/src/skylarkmoor_process/peers.py
+++ b/libs/process/src/skylarkmoor_process/peers.py
@@ -21,7 +21,17 @@
 _MAX_MESSAGE_BYTES = 4_000_000
 # Messages handled before yielding to other callbacks of the event loop.
 _MAX_MESSAGES_PER_TURN = 64
-_ZMQ_HEARTBEAT_INTERVAL_MS = 2_000
+# Finds peers whose process no longer runs; each connection costs a message and an answer.
+_ZMQ_HEARTBEAT_INTERVAL_MS = 6_000
+# The kernel finds connections that have gone silent, at no cost for the process: after 2 + 2 * 1
+# seconds without traffic, or when sent data is not acknowledged for the same time.
+_TCP_OPTIONS = (
+    (zmq.TCP_KEEPALIVE, 1),
+    (zmq.TCP_KEEPALIVE_IDLE, 2),
+    (zmq.TCP_KEEPALIVE_INTVL, 1),
+    (zmq.TCP_KEEPALIVE_CNT, 2),
+    (zmq.TCP_MAXRT, 4_000),
+)
 _RECONNECT_INTERVAL_MS = 50
 _MAX_RECONNECT_INTERVAL_MS = 1_000
 
@@ -80,6 +90,7 @@
         router.setsockopt(zmq.RCVHWM, _RECEIVE_HIGH_WATER_MARK)
         router.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         router.setsockopt(zmq.IPV6, int(":" in address.host))
+        _set_tcp_options(router)
         endpoint_host = f"[{address.host}]" if ":" in address.host else address.host
         router.bind(f"tcp://{endpoint_host}:{address.port or '*'}")
         bound_port = router.getsockopt_string(zmq.LAST_ENDPOINT).rpartition(":")[2]
@@ -162,6 +173,7 @@
         dealer.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_INTERVAL_MS)
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _MAX_RECONNECT_INTERVAL_MS)
         dealer.setsockopt(zmq.IPV6, int("[" in address))
+        _set_tcp_options(dealer)
         dealer.connect(address)
         return dealer
 
@@ -197,6 +209,11 @@
             _log.exception("peer message handler failed", extra={"sender": envelope.sender})
 
 
+def _set_tcp_options(socket: "zmq.Socket[bytes]") -> None:
+    for option, value in _TCP_OPTIONS:
+        socket.setsockopt(option, value)
+
+
 def _descriptor(socket: "zmq.Socket[bytes]") -> int:
     """Return the file descriptor that becomes readable when the socket has new messages."""
     return int(socket.getsockopt(zmq.FD))
--- a/libs/process/src/skylarkmoor_process/tasks.py
+++ b/libs/process/src/skylarkmoor_process/tasks.py
@@ -34,6 +34,8 @@
         self._reactor = reactor
         self._deferreds: set[Deferred[None]] = set()
         self._looping_calls: list[LoopingCall] = []
+        # The next call of each rescheduled callback.
+        self._delayed_calls: dict[Callable[[], int], Any] = {}
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Start a coroutine and log the exception that it raises, if any."""
@@ -56,6 +58,28 @@
         self._looping_calls.append(loop)
         loop.start(interval_ms / 1000, now=False)
 
+    def reschedule(self, first_ms: int, callback: Callable[[], int]) -> None:
+        """Call `callback` again and again, each time after the milliseconds that it returned last.
+
+        Parameters
+        ----------
+        first_ms : int
+            Delay of the first call, and of the call after one that has raised an exception.
+        """
+
+        def call_and_log() -> None:
+            delay_ms = first_ms
+            try:
+                delay_ms = callback()
+            except Exception:
+                _log.exception("periodic task failed")
+            if not self.stopped:
+                self._delayed_calls[callback] = self._reactor.callLater(
+                    delay_ms / 1000, call_and_log
+                )
+
+        self._delayed_calls[callback] = self._reactor.callLater(first_ms / 1000, call_and_log)
+
     def repeat(self, pause_ms: int, action: Callable[[], Awaitable[None]]) -> None:
         """Await `action` repeatedly with a pause in between; failures are logged and retried."""
         self.spawn(self._repeat(pause_ms, action))
@@ -70,6 +94,9 @@
         for loop in self._looping_calls:
             if loop.running:
                 loop.stop()
+        for delayed_call in self._delayed_calls.values():
+            if delayed_call.active():
+                delayed_call.cancel()
         for deferred in list(self._deferreds):
             deferred.cancel()
 
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -654,3 +654,15 @@
     assert upstream.transport.aborted
     assert caller.transport.aborted
     assert not caller.received().endswith(b"0\r\n\r\n")
+
+
+def test_a_gateway_of_a_large_fleet_ticks_slowly_only_while_nothing_waits(harness):
+    """Forty ticks a second cost an idle gateway as much as its requests."""
+    harness.add_upstream("e1", "assistant", 1, slots=1)
+    assert harness.gateway._tick() == 25
+    harness.gateway.fleet.interval_ms = lambda: 2_000
+    assert harness.gateway._tick() == 100
+    # One request runs, one queues at the engine, and the third waits for a slot.
+    for _ in range(3):
+        harness.caller().send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="9,9"))
+    assert harness.gateway._tick() == 25
