Test that lying health checks neither attract nor cost requests

Change: a simulated fleet of 30 gateways and 20 upstreams, one of which fails all at once and so always looks idle; and one in which an upstream that is called ill serves. Measured: both pass as the code stands; without the penalty for faults the first one fails.

--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -210,3 +210,60 @@
     # Another start time denotes an earlier instance.
     placement.mark_leaving({"b": 0})
     assert chosen_upstream(placement) == "b"
+
+
+GATEWAYS, WORKERS = 30, 20
+STATE_INTERVAL_MS, REFRESH_MS, HOLD_MS = 500, 500, 400
+
+
+def simulate_fleet(failing, duration_ms=10_000, interval_ms=16):
+    """Return, by upstream, the times at which a fleet of gateways sends it requests.
+
+    All requests of the upstreams in `failing` fail at once, so these always look idle. The
+    upstreams are healthy or ill in their health checks as they like, because none are made.
+    """
+    rng = random.Random(7)
+    names = [f"w{i}" for i in range(WORKERS)]
+    fleet = [make_placement(*names, slots=4) for _ in range(GATEWAYS)]
+    sent = {name: [] for name in names}
+    ends = []
+    for now_ms in range(0, duration_ms, interval_ms):
+        for end in [each for each in ends if each[0] <= now_ms]:
+            ends.remove(end)
+            _, placement, name = end
+            placement.record_end(name, 0, held_ms=HOLD_MS, fault=False)
+        placement = rng.choice(fleet)
+        name = placement.choose("assistant", 500, now_ms, only_with_capacity=True).upstream
+        sent[name].append(now_ms)
+        placement.record_start(name, 500)
+        if name in failing:
+            placement.record_end(name, 500, held_ms=None, fault=True)
+        else:
+            placement.record_first_token(name, 500, 40, 0)
+            ends.append((now_ms + HOLD_MS, placement, name))
+        if now_ms % REFRESH_MS < interval_ms:
+            for each in fleet:
+                each.refresh(now_ms)
+        if now_ms % STATE_INTERVAL_MS < interval_ms:
+            for number, each in enumerate(fleet):
+                loads, records = each.own_loads(), each.own_records()
+                for other in fleet:
+                    if other is not each:
+                        other.set_peer_load(f"g{number}", loads)
+                        other.update_peer_health(f"g{number}", records, {}, now_ms)
+    return sent
+
+
+def test_an_upstream_that_says_well_and_fails_all_gets_little_from_the_whole_fleet():
+    """Lying health checks: an upstream that fails at once is always idle and attracts requests."""
+    sent = simulate_fleet({"w0"})
+    total = sum(len(times) for times in sent.values())
+    assert len(sent["w0"]) < total / WORKERS
+    late = {name: sum(at_ms >= 3_000 for at_ms in times) for name, times in sent.items()}
+    assert late["w0"] < 0.1 * sum(late.values()) / WORKERS
+
+
+def test_an_upstream_that_is_called_ill_and_serves_keeps_its_share():
+    """Lying health checks: answers decide; an upstream that gives them is used like the others."""
+    sent = {name: len(times) for name, times in simulate_fleet(set()).items()}
+    assert min(sent.values()) > 0.5 * sum(sent.values()) / WORKERS
