--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -197,3 +197,22 @@
     )
     assert followers.store.appended == [("keyed.gateways", "host-1", b"10.0.0.1:7600")]
     assert added == [("host-2", "10.0.0.2:7600")]
+
+
+def test_a_read_that_the_stop_cancels_is_no_outage(followers, caplog):
+    """Each planned stop logged that the store was unreachable."""
+    followers.store.read_answers = [PlatformError("cancelled")]
+    followers.store.newest_answers = [page()]
+    configuration = followers.configuration
+    run_to_completion(configuration._reader.next(0))
+
+    def stop_and_fail(topic, from_offset, wait_ms=0):
+        followers.gateway.tasks.stop()
+        raise PlatformError("cancelled")
+
+    followers.store.read = stop_and_fail
+    work = configuration.run()
+    # The follower sleeps once after the failed read.
+    work.send(None)
+    work.close()
+    assert "unreachable" not in caplog.text
