--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+from twisted.internet.defer import Deferred
 
 from adapter_harness import CONFIG
 from skylarkmoor_adapter.store import KeyedRecord, RecordsDropped, StorePage
@@ -163,6 +164,26 @@
     assert upstream_ids(followers) == ["e1"]
 
 
+@pytest.mark.parametrize(("away_again", "left"), [(False, []), (True, ["e1"])])
+def test_a_missing_entry_is_removed_when_its_grace_period_ends(followers, away_again, left):
+    """An upstream got requests until the next read, 2.3 s after it had gone (hunt, DRAIN)."""
+    follower = followers.upstreams
+    follower._apply_page(page(("e1", entry(), 1)), True)
+    follower._store_monitor.failed(PlatformError("down"))
+    followers.clock.advance(5_000)
+    follower._store_monitor.answered()
+    followers.clock.advance(1_300)
+    follower._apply_page(page(("e1", None, 3)), False)
+    if away_again:
+        follower._store_monitor.failed(PlatformError("down"))
+    waiting = Deferred.fromCoroutine(follower._wait_for_next_read(1_300))
+    for _ in range(1_300 // 25):
+        followers.clock.advance(25)
+        followers.reactor.advance(0.025)
+    assert waiting.called
+    assert upstream_ids(followers) == left
+
+
 def test_a_read_of_all_keys_removes_absent_upstreams(followers):
     follower = followers.upstreams
     follower._apply_page(page(("e1", entry(), 1), ("e2", entry(), 2)), True)
