--- a/libs/gateway/tests/test_fleet_relays.py
+++ b/libs/gateway/tests/test_fleet_relays.py
@@ -16,7 +16,6 @@
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
 from skylarkmoor_policy.placement import Placement
-from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream
 
 STEP_MS = 25
@@ -267,4 +266,3 @@
         )
         fleet._on_message(sender, Incarnation(1), state)
         assert upstream.running() == running
-    assert group == SlotGroup(group.service, group.number, group.count)
