Check again that an upstream is in service when the connection to it opens

Seen by callers' upstreams: a request may arrive up to 2,300 ms after the notice of leaving, where 2,000 are allowed: the list is read every 1,300 ms, and a connection may take 1,000 ms to open. The upstream was checked before the connection was opened only. Cause: check and use lie apart by a wait (time of check to time of use). The same holds for an upstream that was removed, or started again under its id, in the meantime. Change: the check is repeated when the connection opens; the request, of which nothing was sent, is placed again. The log line tells how long connecting took. Evidence: test_a_request_is_not_sent_to_an_upstream_that_left_while_connecting, six cases with set moments, failed before.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -35,6 +35,7 @@
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.routetable import CustomerPolicy, RetrySafety, Route
 from skylarkmoor_policy.slotgroups import SlotGroup
+from skylarkmoor_policy.trackedupstream import TrackedUpstream
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
 
 __all__ = ["OUTPUT_WEIGHT", "Exchange", "ExchangeContext", "Outcome"]
@@ -298,7 +299,7 @@
 
     def _dispatch(self, choice: UpstreamChoice, now_ms: int) -> None:
         placed = self._gateway.placement.upstreams.get(choice.upstream)
-        if placed is None or placed.leaving or placed.replaced:
+        if placed is None or not _is_available(placed):
             self._decline(choice.upstream, placed is None)
             return
         self._sends += 1
@@ -371,6 +372,15 @@
         if self._done or self._current is not attempt:
             pool.release(connection)
             return
+        placed = self._gateway.placement.upstreams.get(attempt.upstream)
+        # The pool is replaced if the upstream was started again.
+        if not _is_available(placed) or self._gateway.pool(attempt.upstream) is not pool:
+            connection.abort()
+            connect_ms = self._gateway.clock.now_ms() - attempt.sent_ms
+            self._handle_unsent(
+                attempt, f"the upstream left while connecting to it took {connect_ms} ms"
+            )
+            return
         self._transmit(attempt, connection)
 
     def _connect_failed(self, attempt: _SendAttempt, failure: Failure) -> None:
@@ -667,6 +677,11 @@
         self._gateway.exchange_finished(self, outcome)
 
 
+def _is_available(upstream: TrackedUpstream | None) -> bool:
+    """Return whether an upstream may be sent requests."""
+    return upstream is not None and not upstream.leaving and not upstream.replaced
+
+
 class _ExchangeReader:
     """Forwards the events of one attempt's response to its exchange."""
 
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -444,6 +444,29 @@
     assert b"Skylarkmoor-Expect-Instance: e2" in harness.accept().received()
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [{"leaving": True}, {"started_wall_ms": 2}, None],
+    ids=["leaving", "started again", "removed"],
+)
+@pytest.mark.parametrize("path", ["/order/1", "/brief/1"])
+def test_a_request_is_not_sent_to_an_upstream_that_left_while_connecting(harness, path, changes):
+    """A request reached a leaving upstream when its connection opened, 2.3 s after the notice."""
+    service = "orders" if path.startswith("/order") else "assistant"
+    harness.add_upstream("u1", service, 1)
+    caller = harness.caller()
+    caller.send(request(path, Skylarkmoor_Deadline_Ms="5000"))
+    harness.add_upstream("u2", service, 2)
+    if changes is None:
+        harness.gateway.remove_upstream("u1")
+    else:
+        harness.add_upstream("u1", service, 1, **changes)
+    late = harness.accept()
+    assert late.received() == b""
+    harness.advance(25)
+    assert b"Expect-Instance: u2" in harness.accept().received()
+
+
 def test_an_upstream_that_is_unknown_twice_is_avoided(harness):
     """Its entry is gone from the store, and the dispatcher cannot read the store."""
     harness.add_upstream("e1", "assistant", 1)
