Keep an instance leaving when an older entry of the store says that it is ready

Seen: a gateway that is behind the store, told by a peer that an upstream is leaving, applied an entry from before the notice and sent to the upstream again until the next state of a peer. Cause: the newest value won, whatever it was about; leaving is final for an instance. Change: an entry does not take the notice back; one of a later start does. Evidence: test_an_older_entry_does_not_take_back_a_notice_from_a_peer failed before.

--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -91,13 +91,14 @@
         Notes
         -----
         An upstream that restarted under the same id runs none of its earlier requests, so its load
-        and fault record are dropped.
+        and fault record are dropped. An instance that is leaving does not become ready again; an
+        entry that says so is older than the notice.
         """
         known = self.upstreams.get(listed.upstream)
         if known is None or known.started_wall_ms != listed.started_wall_ms:
             known = self.upstreams[listed.upstream] = TrackedUpstream(listed)
         known.registration = listed
-        known.leaving = listed.leaving
+        known.leaving = known.leaving or listed.leaving
         # A new entry shows that this instance is alive.
         known.replaced = False
 
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -140,6 +140,17 @@
     assert followers.gateway.placement.choose("assistant", 1, 0) is None
 
 
+def test_an_older_entry_does_not_take_back_a_notice_from_a_peer(followers):
+    """A gateway that is behind sent requests to an upstream that its peers knew to be leaving."""
+    follower = followers.upstreams
+    follower._apply_page(page(("e1", entry(), 1)), True)
+    followers.gateway.placement.mark_leaving({"e1": 1})
+    follower._apply_page(page(("e1", entry(seq=4), 2)), False)
+    assert followers.gateway.placement.choose("assistant", 1, 0) is None
+    follower._apply_page(page(("e1", entry(born=2), 4)), False)
+    assert followers.gateway.placement.choose("assistant", 1, 0).upstream == "e1"
+
+
 def test_a_restart_under_the_same_id_resets_the_load(followers):
     """Requests of the previous process would otherwise occupy slots of the new one."""
     follower = followers.upstreams
