--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -151,6 +151,24 @@
     assert followers.gateway.placement.choose("assistant", 1, 0).upstream == "e1"
 
 
+def test_an_older_list_does_not_bring_back_an_upstream_that_left(followers):
+    """After a compaction, a list older than the last read would make it ready again."""
+    reader = followers.upstreams._reader
+    followers.store.newest_answers = [
+        page(("e1", entry(), 1)),
+        page(("e1", entry(), 1), next_offset=2),
+        page(("e2", entry(), 9)),
+    ]
+    followers.store.read_answers = [page(("e1", None, 4)), RecordsDropped("gone")]
+    for _ in range(2):
+        run_to_completion(reader.next(0))
+    with pytest.raises(PlatformError, match="older than offset 5"):
+        run_to_completion(reader.next(0))
+    newest_page, covers_all_keys = run_to_completion(reader.next(0))
+    assert covers_all_keys
+    assert newest_page.next_offset == 10
+
+
 def test_a_restart_under_the_same_id_resets_the_load(followers):
     """Requests of the previous process would otherwise occupy slots of the new one."""
     follower = followers.upstreams
