Block the parts of prompts that crash the upstreams which begin to answer them

Cause: crashes were counted by the fingerprint of a whole request. Requests that share a part of their prompt and are otherwise unlike were never the same one, and each was sent to a second upstream before it was known that the first had crashed. Change: crashes count against the parts of the request whose answer was about to begin, answers that have begun elsewhere count for them (policy/crashevidence, after group testing). A broken connection counts only if the upstream refuses the next one (gateway/crashexaminer). Gateways share the evidence at once, and one request at a time tries a blocked part at growing intervals.

--- a/libs/core/src/skylarkmoor_core/ids.py
+++ b/libs/core/src/skylarkmoor_core/ids.py
@@ -12,6 +12,7 @@
     "Incarnation",
     "MoveId",
     "Offset",
+    "PromptPart",
     "RequestId",
     "RouteName",
     "ServiceName",
@@ -37,5 +38,7 @@
 Offset = NewType("Offset", int)
 # 64-bit hash of a request's customer, route and body.
 Fingerprint = NewType("Fingerprint", int)
+# Identifies the text of a part of a prompt, which several requests may share.
+PromptPart = NewType("PromptPart", int)
 # 0 is the highest priority.
 TierRank = NewType("TierRank", int)
--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -12,6 +12,8 @@
     HostId,
     Incarnation,
     Offset,
+    PromptPart,
+    RequestId,
     ServiceName,
     UpstreamId,
 )
@@ -21,6 +23,9 @@
     "ClaimRequest",
     "ClaimResult",
     "ClaimStatus",
+    "CrashEvidence",
+    "CrashReport",
+    "CrashedRequest",
     "Demand",
     "Digest",
     "DocumentOffer",
@@ -36,6 +41,7 @@
     "Message",
     "OutcomeAnswer",
     "OutcomeQuery",
+    "PartTrial",
     "RelayedState",
     "ReleaseRequest",
     "SlotGrant",
@@ -321,6 +327,47 @@
     grant: int
 
 
+class CrashedRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A request without an event of its answer when its upstream crashed.
+
+    Attributes
+    ----------
+    began : bool
+        Whether the head of the answer had arrived.
+    parts : tuple of PromptPart
+        The parts of its prompt but the last one, which no other request shares.
+    """
+
+    request: RequestId
+    began: bool
+    parts: tuple[PromptPart, ...]
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """The crash of an instance, `age_ms` before the time of sending."""
+
+    upstream: UpstreamId
+    started_wall_ms: int
+    age_ms: int
+    requests: tuple[CrashedRequest, ...]
+
+
+class PartTrial(msgspec.Struct, frozen=True, array_like=True):
+    """A request with a blocked part was sent, `age_ms` before the time of sending."""
+
+    part: PromptPart
+    age_ms: int
+
+
+class CrashEvidence(_Message, frozen=True, tag="p"):
+    """What a gateway knows of the parts of prompts that were on upstreams when these crashed."""
+
+    crashes: tuple[CrashReport, ...] = ()
+    # Age of the last answer that has begun, by part; only parts that a crash names.
+    starts_age_ms: dict[PromptPart, int] = {}
+    trials: tuple[PartTrial, ...] = ()
+
+
 Message = (
     Heartbeat
     | Gossip
@@ -340,6 +387,7 @@
     | SlotWithdrawal
     | SlotGrant
     | SlotLoads
+    | CrashEvidence
 )
 
 
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -14,6 +14,9 @@
     ClaimRequest,
     ClaimResult,
     ClaimStatus,
+    CrashedRequest,
+    CrashEvidence,
+    CrashReport,
     Demand,
     Digest,
     DocumentOffer,
@@ -29,6 +32,7 @@
     Message,
     OutcomeAnswer,
     OutcomeQuery,
+    PartTrial,
     RelayedState,
     ReleaseRequest,
     SlotGrant,
@@ -59,6 +63,11 @@
     SlotRequest(3, "assistant", 0, 1, False, 900, 400, 5, 300, 1500, 80, 9000, ("gpu-1",)),
     SlotWithdrawal(3),
     SlotGrant(3, "gpu-1", 17),
+    CrashEvidence(
+        (CrashReport("gpu-1", 7, 20, (CrashedRequest("r1", True, (2**64 - 1,)),)),),
+        {5: 900},
+        (PartTrial(5, 10),),
+    ),
     SlotLoads("assistant", 1, 4, {"engine-1": (2, 900)}, 7),
     StateBundle(
         (RelayedState("entry-1", 5, GatewayState("10.0.0.1:7600", False, 4, {}, {}, {}, {})),)
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -11,7 +11,9 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
+from skylarkmoor_core.messages import CrashedRequest
 from skylarkmoor_gateway.callerconnections import CallerConnection
+from skylarkmoor_gateway.crashexaminer import CrashExaminer
 from skylarkmoor_gateway.messages import (
     AttemptContext,
     Codec,
@@ -83,6 +85,7 @@
     metrics: GatewayMetrics
     placement: Placement
     retries: FleetRetryBudget
+    crash_examiner: CrashExaminer
 
     def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
         """Return the connection pool of an upstream, None if the upstream is unknown."""
@@ -102,6 +105,15 @@
     def upstream_crashed(self, exchange: "Exchange") -> None:
         """Record that the connection to an upstream failed while it executed the request."""
 
+    def answer_began(self, exchange: "Exchange") -> None:
+        """Record that the answer to a request has begun."""
+
+    def blocked_ms(self, request: IncomingRequest) -> int | None:
+        """Return the time until blocked parts of a prompt may be tried, None if there are none."""
+
+    def request_sent(self, exchange: "Exchange") -> None:
+        """Record that a request is sent, which may be the trial of blocked parts."""
+
     def read_upstreams(self) -> None:
         """Trigger an immediate read of the list of upstreams."""
 
@@ -114,6 +126,8 @@
     """State of one attempt to get a response from an upstream."""
 
     upstream: UpstreamId
+    # Start time of the instance.
+    started_wall_ms: int
     sent_ms: int
     queued_prefill_tokens: int
     connection: UpstreamConnection | None = None
@@ -306,7 +320,9 @@
         if self._sends == 1:
             self._gateway.retries.count_request(self.service, now_ms)
         self._log_choice(choice, now_ms)
-        self._current = _SendAttempt(choice.upstream, now_ms, placed.prefill_tokens())
+        self._current = _SendAttempt(
+            choice.upstream, placed.started_wall_ms, now_ms, placed.prefill_tokens()
+        )
         self._current.predicted_ms = choice.predicted_first_token_ms
         self._gateway.placement.record_start(choice.upstream, self.prompt_tokens)
         self._connect(self._current)
@@ -405,6 +421,13 @@
         if remaining_ms <= 0:
             self._handle_unsent(attempt, "the deadline has passed")
             return
+        blocked_ms = self._gateway.blocked_ms(self.request)
+        if blocked_ms is not None:
+            self._release(attempt, fault=None)
+            self._put_back(attempt, connection)
+            self._stop_blocked(blocked_ms)
+            return
+        self._gateway.request_sent(self)
         last_id = self._response.last_event_id or self.request.last_event_id
         customer = None if self.customer is None else self.customer.name
         upstream_context = AttemptContext(attempt.upstream, remaining_ms, customer, last_id)
@@ -453,6 +476,8 @@
                 self._fail_attempt(attempt, str(error))
                 return
             if events:
+                if not attempt.event_count:
+                    self._gateway.answer_began(self)
                 attempt.event_count += events
                 attempt.last_data_ms = self._gateway.clock.now_ms()
             return
@@ -503,23 +528,69 @@
 
     def response_failed(self, attempt: _SendAttempt, reason: str) -> None:
         """Process a connection failure before the response was complete."""
-        if not self._done and self._current is attempt:
+        if self._done or self._current is not attempt:
+            return
+        if not self.request.prompt_parts or attempt.event_count:
             self._fail_attempt(attempt, reason)
+            return
+        self._end_failed(attempt)
+        began = attempt.head is not None
+        suspect = CrashedRequest(self.request.request, began, self.request.prompt_parts)
+        # A request whose answer was about to begin may crash the next upstream as well.
+        self._gateway.crash_examiner.examine(
+            attempt.upstream,
+            attempt.started_wall_ms,
+            suspect,
+            lambda: self._examined(attempt, reason) if began else None,
+        )
+        if not began:
+            self._retry_or_fail(attempt, reason)
+
+    def _examined(self, attempt: _SendAttempt, reason: str) -> None:
+        if not self._done:
+            self._retry_or_fail(attempt, reason)
 
     def _fail_attempt(self, attempt: _SendAttempt, reason: str) -> None:
+        self._end_failed(attempt)
+        self._retry_or_fail(attempt, reason)
+
+    def _end_failed(self, attempt: _SendAttempt) -> None:
         if attempt.connection is not None:
             attempt.connection.abort()
         self._release(attempt, fault=True)
         self._excluded_upstreams.add(attempt.upstream)
         self._gateway.upstream_crashed(self)
         self._response.discard_partial()
-        if self.route.idempotent and self._may_retry():
+
+    def _retry_or_fail(self, attempt: _SendAttempt, reason: str) -> None:
+        blocked_ms = self._gateway.blocked_ms(self.request)
+        if blocked_ms is not None:
+            self._stop_blocked(blocked_ms)
+        elif self.route.idempotent and self._may_retry():
             self._retry(attempt, reason, counts_against_budget=True)
         elif self._response.started:
             self._abort(reason)
         else:
             self._fail(502, reason)
 
+    def _stop_blocked(self, blocked_ms: int) -> None:
+        """End a request with parts of a prompt that have crashed upstreams."""
+        reason = "a part of the prompt has crashed upstreams"
+        if self._response.started:
+            self._abort(reason)
+        elif self._runs > 0:
+            self._fail(502, reason)
+        else:
+            self._refuse(reason, blocked_ms)
+
+    def _put_back(self, attempt: _SendAttempt, connection: UpstreamConnection) -> None:
+        """Return a connection on which nothing was sent to its pool."""
+        pool = self._gateway.pool(attempt.upstream)
+        if pool is None:
+            connection.abort()
+        else:
+            pool.release(connection)
+
     def _may_retry(self) -> bool:
         if self._done or self._runs >= self.route.max_upstreams or self._sends >= _MAX_SENDS:
             return False
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -10,6 +10,7 @@
 from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
+    CrashEvidence,
     GatewayState,
     Message,
     RelayedState,
@@ -22,6 +23,7 @@
 from skylarkmoor_core.settings import Address, parse_address
 from skylarkmoor_gateway.slotcoordinator import SlotCoordinator
 from skylarkmoor_policy.crashcounts import CrashCounts
+from skylarkmoor_policy.crashevidence import CrashEvidenceTable
 from skylarkmoor_policy.fleetlimits import (
     PEER_EXPIRY_MS,
     PEER_SILENT_MS,
@@ -58,6 +60,10 @@
 _BUNDLE_INTERVAL_MS = 500
 # A state waits for the next bundle of the relay in its own and in the receiver's failure domain.
 _MAX_RELAY_DELAY_MS = 2 * _BUNDLE_INTERVAL_MS
+# A lost report of a crash is repeated at this interval, or at that of the states if it is longer.
+_CRASH_REPEAT_MS = 1_000
+# Several crashes and answers within this time are sent as one message.
+_CRASH_SEND_DELAY_MS = 4
 _NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
@@ -95,6 +101,8 @@
         Schedules a function after a delay in milliseconds.
     failure_domain : FailureDomain
         Failure domain of this host; empty if it is not known.
+    crash_evidence : CrashEvidenceTable, optional
+        Evidence about parts of prompts that crash upstreams, which the gateways share.
     """
 
     def __init__(
@@ -110,6 +118,7 @@
         on_newer_upstreams: Callable[[], None],
         later: Callable[[int, Callable[[], None]], None],
         failure_domain: FailureDomain = _NO_DOMAIN,
+        crash_evidence: CrashEvidenceTable | None = None,
     ) -> None:
         self.configuration = -1
         # Offsets of the last record that changed the list of upstreams and of the last one read.
@@ -125,6 +134,9 @@
         self._on_newer = on_newer
         self._on_newer_upstreams = on_newer_upstreams
         self._later = later
+        self._crash_evidence = crash_evidence or CrashEvidenceTable()
+        self._crashes_sent_ms = 0
+        self._crash_send_pending = False
         self.slot_coordinator = SlotCoordinator(
             host,
             clock,
@@ -220,6 +232,7 @@
             self._send_state(now_ms)
         elif since_ms >= _DISPATCHER_INTERVAL_MS and self._is_eligible_dispatcher(now_ms):
             self._send_state(now_ms, to_all=True)
+        self._repeat_crash_evidence(now_ms)
         if now_ms - self._last_bundle_ms >= _BUNDLE_INTERVAL_MS:
             self._last_bundle_ms = now_ms
             self._relay_states(now_ms)
@@ -250,6 +263,28 @@
         self.draining = True
         self._send_state(self._clock.now_ms(), to_all=True)
 
+    def send_crash_evidence(self) -> None:
+        """Tell all peers at once of a crash, or of an answer or a trial that concerns one."""
+        if not self._crash_send_pending:
+            self._crash_send_pending = True
+            self._later(_CRASH_SEND_DELAY_MS, self._send_crash_evidence)
+
+    def _send_crash_evidence(self) -> None:
+        self._crash_send_pending = False
+        self._crashes_sent_ms = self._clock.now_ms()
+        evidence = self._crash_evidence.export(self._crashes_sent_ms, only_own=True)
+        self._transport.broadcast(evidence)
+
+    def _repeat_crash_evidence(self, now_ms: int) -> None:
+        interval_ms = max(_CRASH_REPEAT_MS, self.interval_ms())
+        if now_ms - self._crashes_sent_ms >= interval_ms and self._crash_evidence.has_own(now_ms):
+            self._send_crash_evidence()
+
+    def _handle_crash_evidence(self, sender: HostId, evidence: CrashEvidence) -> None:
+        now_ms = self._clock.now_ms()
+        if self._crash_evidence.merge(evidence, now_ms):
+            self._transport.send(sender, self._crash_evidence.export(now_ms, only_own=True))
+
     def close(self) -> None:
         """Close all connections to peers."""
         self._transport.close()
@@ -370,6 +405,7 @@
 
     def _check_peers(self, now_ms: int) -> None:
         self._crash_counts.expire(now_ms)
+        self._crash_evidence.expire(now_ms)
         silent_ms = self._max_state_age_ms(PEER_SILENT_MS)
         for host, peer in list(self._peer_states.items()):
             age_ms = now_ms - peer.last_heard_ms
@@ -421,6 +457,8 @@
                 self.slot_coordinator.handle_slot_grant(sender, message)
             case SlotLoads():
                 self._handle_loads(sender, message)
+            case CrashEvidence():
+                self._handle_crash_evidence(sender, message)
             case _:
                 _log.warning("unexpected message type from a peer", extra={"peer": sender})
 
@@ -464,6 +502,9 @@
         peer.leaving = state.leaving
         peer.failure_domain = state.failure_domain
         if peer.incarnation != incarnation:
+            if self._crash_evidence.has_crashes():
+                # It has started, and knows nothing of the crashes before.
+                self._transport.send(sender, self._crash_evidence.export(self._clock.now_ms()))
             peer.incarnation = incarnation
             self._load_sequences.pop(sender, None)
         peer.last_heard_ms = self._clock.now_ms()
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -18,6 +18,7 @@
 from skylarkmoor_core.logs import BoundedStream, part_logger
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.callerconnections import CallerConnection, CallerConnectionFactory
+from skylarkmoor_gateway.crashexaminer import CrashExaminer
 from skylarkmoor_gateway.endpoints import make_site
 from skylarkmoor_gateway.errors import MalformedRequest
 from skylarkmoor_gateway.exchange import Exchange, Outcome
@@ -26,7 +27,9 @@
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.settings import GatewaySettings
 from skylarkmoor_gateway.upstreams import UpstreamPool
+from skylarkmoor_policy.callertimeouts import retry_after_ms
 from skylarkmoor_policy.crashcounts import CrashCounts
+from skylarkmoor_policy.crashevidence import CrashEvidenceTable
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
 from skylarkmoor_policy.lifecycle import (
     AbortRequests,
@@ -111,6 +114,7 @@
             first_start=settings.is_first_fleet_start,
         )
         self.crash_counts = CrashCounts()
+        self.crash_evidence = CrashEvidenceTable()
         # Fires at exit, with whether the shutdown was forced.
         self.exited: Deferred[bool] = Deferred()
         # Called when a peer has read a newer configuration than this gateway.
@@ -134,6 +138,10 @@
             lambda: self.on_newer_upstreams(),
             lambda delay_ms, function: reactor.callLater(delay_ms / 1000, function),
             settings.failure_domain,
+            self.crash_evidence,
+        )
+        self.crash_examiner = CrashExaminer(
+            clock, self.placement, self.crash_evidence, self.pool, self.fleet.send_crash_evidence
         )
         self._lifecycle = Lifecycle()
         self._ready = False
@@ -284,6 +292,12 @@
             reason = "this request broke several upstreams"
             self._refuse(caller, request, 503, reason, _BLOCKED_RETRY_MS)
             return
+        blocked_ms = self.blocked_ms(request)
+        if blocked_ms is not None:
+            reason = "a part of the prompt has crashed upstreams"
+            remaining_ms = min(route.timeout_ms, request.deadline_ms or route.timeout_ms)
+            self._refuse(caller, request, 503, reason, retry_after_ms(blocked_ms, remaining_ms))
+            return
         self._admit(caller, request, route, customer)
 
     def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
@@ -320,6 +334,46 @@
         """Count a failed upstream connection against the request that it carried."""
         self.crash_counts.add(self._fingerprint(exchange.request), self.clock.now_ms())
 
+    def answer_began(self, exchange: Exchange) -> None:
+        """Record that the answer to a request has begun, which acquits the parts of its prompt."""
+        parts = exchange.request.prompt_parts
+        if parts and self.crash_evidence.record_start(parts, self.clock.now_ms()):
+            _log.info(
+                "blocked parts of a prompt began an answer",
+                extra={"request": exchange.request.request, "parts": [f"{p:x}" for p in parts]},
+            )
+            self.fleet.send_crash_evidence()
+
+    def blocked_ms(self, request: IncomingRequest) -> int | None:
+        """Return the time until blocked parts of a prompt may be tried, None if there are none."""
+        blocked = self.crash_evidence.blocked_parts(request.prompt_parts, self.clock.now_ms())
+        if not blocked:
+            return None
+        wait_ms = max(blocked.values())
+        _log.info(
+            "blocked a prompt",
+            extra={
+                "request": request.request,
+                "parts": [f"{part:x}" for part in blocked],
+                "crashes": [self.crash_evidence.suspicions()[part].crashes for part in blocked],
+                "trial_in_ms": wait_ms,
+            },
+        )
+        return wait_ms
+
+    def request_sent(self, exchange: Exchange) -> None:
+        """Record that a request is sent, which may be the trial of blocked parts."""
+        request = exchange.request
+        if self.crash_evidence.begin_trial(request.prompt_parts, self.clock.now_ms()):
+            _log.info(
+                "trying blocked parts of a prompt",
+                extra={
+                    "request": request.request,
+                    "parts": [f"{part:x}" for part in request.prompt_parts],
+                },
+            )
+            self.fleet.send_crash_evidence()
+
     def decision_context(self) -> dict[str, object]:
         """Return version and age of the data that decisions are based on, as log fields."""
         return {
@@ -442,6 +496,7 @@
             version=-1 if self._table is None else self._table.version,
             upstreams=usable,
             peers=self.fleet.active_peer_count(),
+            blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
 
--- a/libs/gateway/src/skylarkmoor_gateway/messages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from skylarkmoor_core.ids import CustomerId, RequestId, UpstreamId
+from skylarkmoor_core.ids import CustomerId, PromptPart, RequestId, UpstreamId
 
 __all__ = ["AttemptContext", "Codec", "Headers", "IncomingRequest", "ResponseHead"]
 
@@ -30,6 +30,8 @@
         The caller's estimate of the output size.
     last_event_id : bytes or None
         Event ID after which the caller resumes a stream.
+    prompt_parts : tuple of PromptPart
+        Parts of the prompt that other requests may share, in order.
     """
 
     request: RequestId
@@ -44,6 +46,7 @@
     max_output_tokens: int | None = None
     expected_output_tokens: int | None = None
     last_event_id: bytes | None = None
+    prompt_parts: tuple[PromptPart, ...] = ()
 
     @property
     def quota_tokens(self) -> int | None:
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -31,6 +31,9 @@
         self._version = self._gauge("configuration_version", "Version in force.")
         self._upstreams = self._gauge("usable_upstreams", "Upstreams that may get work.")
         self._peers = self._gauge("heard_peers", "Other daemons heard within the last second.")
+        self._blocked_parts = self._gauge(
+            "blocked_prompt_parts", "Parts of prompts that are blocked after crashes."
+        )
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
@@ -57,13 +60,21 @@
         self._platform_calls.inc({"result": result})
 
     def state(
-        self, *, held: int, version: int, upstreams: int, peers: int, dropped_lines: int
+        self,
+        *,
+        held: int,
+        version: int,
+        upstreams: int,
+        peers: int,
+        blocked_parts: int,
+        dropped_lines: int,
     ) -> None:
         """Set the gauges."""
         self._held.set({}, held)
         self._version.set({}, version)
         self._upstreams.set({}, upstreams)
         self._peers.set({}, peers)
+        self._blocked_parts.set({}, blocked_parts)
         self._dropped_lines.set({}, dropped_lines)
 
     def render(self, accept_headers: Sequence[str]) -> tuple[bytes, dict[str, str]]:
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -6,7 +6,13 @@
 
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.hashing import rendezvous_order
-from skylarkmoor_core.messages import GatewayState, SlotLoads
+from skylarkmoor_core.messages import (
+    CrashedRequest,
+    CrashEvidence,
+    CrashReport,
+    GatewayState,
+    SlotLoads,
+)
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.fleet import Fleet
 from skylarkmoor_policy.crashcounts import CrashCounts
@@ -228,3 +234,59 @@
     fleet.add_peer("me", Address("10.0.0.1", 7600))
     receive_state(fleet, sender="me")
     assert fleet.active_peer_count() == 0
+
+
+def crash_report(part=9, age_ms=0):
+    request = CrashedRequest("r1", True, (part,))
+    return CrashEvidence((CrashReport("engine", 1, age_ms, (request,)),))
+
+
+@pytest.fixture
+def evidence_sent(fleet, monkeypatch):
+    """Return what the gateway sends: receivers, None for all, with the message."""
+    sent = []
+    monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append((to, message)))
+    monkeypatch.setattr(
+        fleet._transport,
+        "broadcast",
+        lambda message: sent.append((None, message)) if type(message) is CrashEvidence else None,
+    )
+    fleet._later = lambda delay_ms, callback: callback()
+    return sent
+
+
+def test_a_crash_is_reported_at_once_and_repeated_for_a_minute(fleet, evidence_sent):
+    """A report that is lost, or that finds a peer cut off, costs that peer a crash of its own."""
+    fleet._crash_evidence.record_crash("engine", 1, [CrashedRequest("r1", True, (9,))], 10_000)
+    fleet.send_crash_evidence()
+    assert [to for to, _ in evidence_sent] == [None]
+    fleet.clock.advance(900)
+    fleet.tick()
+    assert len(evidence_sent) == 1
+    fleet.clock.advance(100)
+    fleet.tick()
+    assert evidence_sent[1][1].crashes[0].age_ms == 1_000
+    fleet.clock.advance(60_000)
+    fleet.tick()
+    assert len(evidence_sent) == 2
+
+
+def test_the_report_of_a_peer_blocks_the_part(fleet, evidence_sent):
+    fleet._on_message("peer", 1, crash_report(age_ms=40))
+    assert fleet._crash_evidence.blocked_ms([9], 10_000) == 9_960
+    assert evidence_sent == []
+
+
+def test_a_peer_that_blames_a_sound_part_is_told_of_its_answers(fleet, evidence_sent):
+    fleet._crash_evidence.record_start([9], 9_000)
+    fleet._on_message("peer", 1, crash_report())
+    ((to, answer),) = evidence_sent
+    assert (to, answer.starts_age_ms) == ("peer", {9: 1_000})
+
+
+def test_a_peer_that_has_started_again_is_told_of_all_crashes(fleet, evidence_sent):
+    fleet._on_message("first", 1, crash_report())
+    receive_state(fleet, sender="second", incarnation=1)
+    receive_state(fleet, sender="second", incarnation=1)
+    receive_state(fleet, sender="second", incarnation=2)
+    assert [(to, len(message.crashes)) for to, message in evidence_sent] == [("second", 1)] * 2
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -509,6 +509,111 @@
     assert caller.received().startswith(b"HTTP/1.1 503 ")
 
 
+def prompt(path="/brief/1", part="b", number=1, **headers):
+    """Return a request whose prompt has the shared part `a` and one more."""
+    headers = {"Skylarkmoor_Prompt_Prefix": f"a:60,{part}:90,{number}0{part}:500"} | headers
+    return request(path, Skylarkmoor_Deadline_Ms="9000", **headers)
+
+
+def crash_on(harness, upstream):
+    """Break off an answer before its first event, and refuse the connection after it."""
+    upstream.send(stream_head())
+    upstream.close()
+    harness.refuse()
+
+
+def test_a_part_of_a_prompt_that_crashes_upstreams_is_refused_elsewhere(harness):
+    """Requests that shared one part, and no two alike, crashed one upstream after the other."""
+    for number in range(4):
+        harness.add_upstream(f"e{number}", "assistant", number + 1)
+    first, second, sound = harness.caller(), harness.caller(), harness.caller()
+    first.send(prompt())
+    crash_on(harness, harness.accept())
+    assert first.received().startswith(b"HTTP/1.1 502 ")
+    second.send(prompt("/answer/1", number=2))
+    response = second.received()
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 2.700" in response
+    assert harness.pending_connections() == 0
+    sound.send(prompt(part="c"))
+    assert harness.accept().received()
+
+
+def test_a_prompt_whose_upstream_only_broke_off_is_retried(harness):
+    """A reset is no crash; a faulty network would have sound prompts refused."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(prompt())
+    upstream = harness.accept()
+    upstream.send(stream_head())
+    upstream.close(reset=True)
+    kept = harness.accept()
+    assert kept.received() == b""
+    harness.advance(25)
+    retried = harness.accept()
+    assert b"/brief/1" in retried.received()
+    retried.send(stream_head() + chunk(EVENT_1) + chunk(b""))
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_prompt_beside_the_one_that_crashed_the_upstream_is_retried_at_once(harness):
+    harness.add_upstream("e1", "assistant", 1)
+    first, beside = harness.caller(), harness.caller()
+    first.send(prompt())
+    beside.send(prompt(part="c"))
+    harmful, sound = harness.accept(), harness.accept()
+    harness.add_upstream("e2", "assistant", 2)
+    harmful.send(stream_head())
+    sound.close()
+    harness.refuse()
+    harmful.close()
+    retried = harness.accept()
+    harness.refuse()
+    assert b"c:90" in retried.received()
+    assert first.received().startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_prompt_that_waits_for_a_slot_is_refused_when_its_part_is_blocked(harness):
+    harness.add_upstream("e1", "assistant", 1, slots=1)
+    harness.add_upstream("e2", "assistant", 2, slots=1)
+    callers = [harness.caller() for _ in range(5)]
+    for number, caller in enumerate(callers):
+        caller.send(prompt(part="b" if number in (0, 4) else "c", number=number))
+    harmful, *others = [harness.accept() for _ in range(4)]
+    assert harness.pending_connections() == 0
+    harmful.send(stream_head())
+    harmful.close()
+    # The request that waits gets the slot at once, before the crash is known.
+    harness.refuse()
+    harness.refuse()
+    for upstream in others:
+        upstream.send(stream_head() + chunk(EVENT_1) + chunk(b""))
+    harness.advance(100)
+    assert callers[4].received().startswith(b"HTTP/1.1 503 ")
+
+
+def test_an_upstream_that_leaves_is_no_crash(harness):
+    """An upstream that has drained closes what is left, and then refuses connections."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(prompt())
+    upstream = harness.accept()
+    upstream.send(stream_head())
+    name = next(n for n, e in harness.gateway.placement.upstreams.items() if e.running())
+    harness.add_upstream(name, "assistant", int(name[1:]), leaving=True)
+    upstream.close()
+    harness.advance(25)
+    assert b"/brief/1" in harness.accept().received()
+
+
+@pytest.mark.parametrize("parts", ["", "a", "a:1", ",,", "zz:1,x:2", "a:1," * 200])
+def test_a_malformed_list_of_parts_is_forwarded(harness, parts):
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(prompt(Skylarkmoor_Prompt_Prefix=parts))
+    assert b"/brief/1" in harness.accept().received()
+
+
 def test_a_draining_daemon_finishes_what_runs_and_refuses_what_it_cannot_finish(harness):
     add_two_engines(harness)
     add_two_order_upstreams(harness)
