Take a stream that ends inside an event for broken off

Callers saw: a stream whose upstream ended in the middle of an event, with the end of its connection or with a last chunk, was passed on as complete, the half event included. Cause: the end of the body was taken for the end of the answer; the rest of a resumable stream that had not become an event was sent at the end. Change: such a stream has failed: it is resumed where the route allows it, and looks broken to the caller otherwise. Comments and blank lines after the last event belong to none. Evidence: four cases of the request path failed before; streams and plain answers that end with their connection between events are complete as before.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -495,6 +495,10 @@
         if head.not_run:
             self._handle_not_run(attempt, head)
             return
+        if self._response.inside_event:
+            # Nothing else shows this if the end of the connection is the end of the answer.
+            self.response_failed(attempt, "the stream ended inside an event")
+            return
         failed = head.status >= 500
         elapsed_ms = self._gateway.clock.now_ms() - attempt.sent_ms
         if failed:
--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -4,7 +4,7 @@
 from skylarkmoor_gateway.callerconnections import CallerConnection
 from skylarkmoor_gateway.messages import Headers, ResponseHead
 from skylarkmoor_gateway.upstreams import UpstreamConnection
-from skylarkmoor_policy.eventstream import EventSplitter, count_events
+from skylarkmoor_policy.eventstream import EventBoundary, EventSplitter, count_events
 
 __all__ = ["CallerResponse"]
 
@@ -40,6 +40,7 @@
         self._caller = caller
         self._clock = clock
         self._events = EventSplitter() if resumable else None
+        self._boundary = EventBoundary()
         self._content_length: int | None = None
         self._buffered = bytearray()
         self._last_sent_ms: int | None = None
@@ -55,6 +56,11 @@
         # A Content-Length that was sent would not match what the next upstream sends.
         return not self.started or (self._events is not None and self._content_length is None)
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the events of the current upstream end in the middle of one."""
+        return self._boundary.inside_event
+
     def forward_events(
         self, head: ResponseHead, data: bytes, source: UpstreamConnection | None
     ) -> int:
@@ -65,6 +71,7 @@
         EventTooLarge
             If an event of a stream that can be resumed does not end.
         """
+        self._boundary.feed(data)
         if self._events is not None:
             data = self._events.feed(data)
         if data:
@@ -84,6 +91,7 @@
     def discard_partial(self) -> None:
         """Discard buffered data of an upstream that has failed."""
         self._buffered.clear()
+        self._boundary = EventBoundary()
         if self._events is not None:
             self._events.discard()
 
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -2,7 +2,7 @@
 
 from skylarkmoor_core.errors import SkylarkmoorError
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLarge", "count_events"]
+__all__ = ["MAX_EVENT_BYTES", "EventBoundary", "EventSplitter", "EventTooLarge", "count_events"]
 
 _EVENT_DELIMITER = b"\n\n"
 # Events hold a few tokens. Limits the memory that an upstream can use with an event without end.
@@ -29,6 +29,45 @@
     )
 
 
+class EventBoundary:
+    r"""Tells whether a stream has ended inside an event.
+
+    Notes
+    -----
+    Comments and blank lines belong to no event. Lines end with a line feed, or with a carriage
+    return and a line feed.
+
+    Examples
+    --------
+    >>> boundary = EventBoundary()
+    >>> boundary.feed(b"id: 1\ndata: a\n\n: comment\nid: 2")
+    >>> boundary.inside_event
+    True
+    """
+
+    def __init__(self) -> None:
+        self._has_field = False
+        # First byte of the line that has not ended, empty at the start of a line.
+        self._line_start = b""
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return self._has_field or self._line_start not in (b"", b":", b"\r")
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        *ended, rest = data.split(b"\n")
+        for piece in ended:
+            start = self._line_start or piece[:1]
+            if start in (b"", b"\r"):
+                self._has_field = False
+            elif start != b":":
+                self._has_field = True
+            self._line_start = b""
+        self._line_start = self._line_start or rest[:1]
+
+
 class EventSplitter:
     r"""Buffers a stream up to event boundaries and tracks the ID of the last complete event.
 
--- a/libs/policy/tests/test_eventstream.py
+++ b/libs/policy/tests/test_eventstream.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from skylarkmoor_policy.eventstream import EventSplitter
+from skylarkmoor_policy.eventstream import EventBoundary, EventSplitter
 
 
 @pytest.mark.parametrize("size", [1, 2, 5, 7, 100])
@@ -42,3 +42,25 @@
     splitter.feed(b"data: [DONE]")
     assert splitter.pending
     assert splitter.flush() == b"data: [DONE]"
+
+
+@pytest.mark.parametrize(
+    ("stream", "inside"),
+    [
+        (b"", False),
+        (b"id: 1\ndata: a\n\n", False),
+        (b"id: 1\r\ndata: a\r\n\r\n", False),
+        (b"id: 1\ndata: a\n\n: comment", False),
+        (b"id: 1\ndata: a\n\n\n\n", False),
+        (b"id: 1\ndata: a\n", True),
+        (b"id: 1\ndata: a", True),
+        (b"id: 1\ndata: a\n\ni", True),
+        (b"id: 1\n: comment\n", True),
+    ],
+)
+def test_the_end_inside_an_event_is_seen_however_the_bytes_arrive(stream, inside):
+    whole, single = EventBoundary(), EventBoundary()
+    whole.feed(stream)
+    for byte in stream:
+        single.feed(bytes([byte]))
+    assert (whole.inside_event, single.inside_event) == (inside, inside)
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -281,6 +281,61 @@
     assert response.endswith(b"0\r\n\r\n")
 
 
+def unframed_stream(**headers):
+    """Return the head of a stream that ends with its connection."""
+    return answer(b"", Content_Length="", **headers)
+
+
+def test_a_stream_that_ends_with_its_connection_is_complete(harness):
+    add_two_engines(harness)
+    for path in ("/answer/1", "/brief/1"):
+        caller = harness.caller()
+        caller.send(request(path, Skylarkmoor_Deadline_Ms="9000"))
+        upstream = harness.accept()
+        upstream.send(unframed_stream() + EVENT_1 + EVENT_2 + b": end\n")
+        assert EVENT_2 in caller.received()
+        upstream.close()
+        assert caller.received().endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_stream_that_ends_inside_an_event_is_resumed(harness, framed):
+    """The half event was sent as the end of a complete answer."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+    first = harness.accept()
+    if framed:
+        first.send(stream_head() + chunk(EVENT_1 + b"id: 2\nda") + chunk(b""))
+    else:
+        first.send(unframed_stream() + EVENT_1 + b"id: 2\nda")
+        first.close()
+    harness.advance(25)
+    second = harness.accept()
+    assert b"Last-Event-Id: 1\r\n" in second.received()
+    second.send(unframed_stream() + EVENT_2)
+    second.close()
+    response = caller.received()
+    assert response.count(b"id: 2") == 1
+    assert response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_stream_that_cannot_resume_and_ends_inside_an_event_looks_broken(harness, framed):
+    """The half event was sent as the end of a complete answer."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    upstream = harness.accept()
+    if framed:
+        upstream.send(stream_head() + chunk(EVENT_1 + b"id: 2\nda") + chunk(b""))
+    else:
+        upstream.send(unframed_stream() + EVENT_1 + b"id: 2\nda")
+        upstream.close()
+    assert caller.transport.aborted
+    assert not caller.received().endswith(b"0\r\n\r\n")
+
+
 def test_a_broken_stream_that_cannot_resume_does_not_look_complete(harness):
     add_two_engines(harness)
     caller = harness.caller()
