Test answers without a length or chunks against a gateway process

Plain answers and streams that end with their connection are whole; a stream that ends inside an event is resumed where the route allows it, and looks broken otherwise.

--- /dev/null
+++ b/tests/adapter/test_gateway_process.py
@@ -0,0 +1,237 @@
+"""Runs a gateway as a process between callers, upstreams and a store on loopback sockets."""
+
+import base64
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from contextlib import closing, suppress
+from http.client import HTTPConnection, IncompleteRead
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import pytest
+
+from adapter_harness import CONFIG, answer
+
+EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
+WAIT_S = 20
+
+
+class Upstream(threading.Thread):
+    """Answers each connection with one of the prepared answers, and closes it."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.answers = []
+        self.received = []
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with closing(connection):
+                data = b""
+                while b"\r\n\r\n" not in data and (chunk := connection.recv(65_536)):
+                    data += chunk
+                if data:
+                    self.received.append(data)
+                    connection.sendall(self.answers.pop(0))
+
+
+def store_handler(entries):
+    """Return a request handler that serves the configuration and the entries of upstreams."""
+    records = {
+        "keyed.op": {"config": CONFIG},
+        "keyed.servers": entries,
+        "keyed.gateways": {},
+    }
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *args):
+            pass
+
+        def respond(self, body):
+            # The gateway ends while its last read waits.
+            with suppress(BrokenPipeError, ConnectionResetError):
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+        def do_GET(self):
+            url = urlsplit(self.path)
+            query = {name: values[0] for name, values in parse_qs(url.query).items()}
+            held = records[query["topic"]]
+            if url.path == "/log-read":
+                # There are no later records; the end of the wait is answered with none.
+                time.sleep(min(1.0, int(query.get("wait_ms", "0")) / 1_000))
+                self.respond(struct.pack(">QQ", len(held), 0))
+                return
+            items = [
+                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                for offset, (key, value) in enumerate(held.items())
+            ]
+            page = {"items": items, "end_offset": len(held), "more_pages": False}
+            self.respond(json.dumps(page).encode())
+
+        def do_POST(self):
+            self.rfile.read(int(self.headers["Content-Length"]))
+            self.respond(b'{"offset": 0, "end_offset": 1}')
+
+    return Handler
+
+
+@pytest.fixture
+def engines():
+    upstreams = [Upstream() for _ in range(2)]
+    for upstream in upstreams:
+        upstream.start()
+    yield upstreams
+    for upstream in upstreams:
+        upstream.listener.close()
+
+
+@pytest.fixture
+def gateway(engines, tmp_path):
+    """Return the address of a ready gateway with two engines."""
+    entries = {
+        f"e{number}": msgspec.json.encode(
+            {
+                "service": "assistant",
+                "address": f"127.0.0.1:{engine.port}",
+                "slots": 2,
+                "state": "ready",
+                "born": 1,
+            }
+        )
+        for number, engine in enumerate(engines)
+    }
+    store = ThreadingHTTPServer(("127.0.0.1", 0), store_handler(entries))
+    store.daemon_threads = True
+    threading.Thread(target=store.serve_forever, daemon=True).start()
+    ports = free_ports(3)
+    settings = {
+        "node": "front-1",
+        "ip": "127.0.0.1",
+        "listen": {"front": f"127.0.0.1:{ports[0]}", "ready": f"127.0.0.1:{ports[1]}"},
+        "port_range": [ports[2], ports[2]],
+        "platform": {"address": f"127.0.0.1:{store.server_address[1]}"},
+        "bootstrap": True,
+    }
+    path = tmp_path / "node.yaml"
+    path.write_text(json.dumps(settings))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "skylarkmoor_adapter.main"],
+        env=os.environ | {"SKYLARKMOOR_SETTINGS": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    try:
+        wait_until_ready(process, ports[1], tuple(entries))
+        yield ports[0]
+    finally:
+        process.send_signal(signal.SIGKILL)
+        process.communicate()
+        store.shutdown()
+        store.server_close()
+
+
+def free_ports(count):
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in listeners]
+    for each in listeners:
+        each.close()
+    return ports
+
+
+def wait_until_ready(process, port, upstreams):
+    """Read the log until the upstreams are known and the gateway is ready."""
+    seen = set()
+    timer = threading.Timer(WAIT_S, process.kill)
+    timer.start()
+    for line in process.stdout:
+        record = json.loads(line)
+        if record["message"] == "gateway: upstream changed":
+            seen.add(record["upstream"])
+        if record["message"] == "gateway: ready":
+            seen.add("ready")
+        if seen >= {*upstreams, "ready"}:
+            timer.cancel()
+            # Keeps the pipe from filling up.
+            threading.Thread(target=process.stdout.read, daemon=True).start()
+            return
+    raise AssertionError("the gateway ended before it was ready")
+
+
+def ask(port, path):
+    connection = HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+    headers = {
+        "Host": "a.example",
+        "Skylarkmoor-Request-Id": "r1",
+        "Skylarkmoor-Deadline-Ms": "9000",
+        "Authorization": "Token secret",
+    }
+    with closing(connection):
+        connection.request("POST", path, b"x", headers)
+        response = connection.getresponse()
+        return response.status, response.read()
+
+
+def unframed(body):
+    """Return an answer that ends with its connection."""
+    return answer(b"", Content_Length="") + body
+
+
+def test_an_answer_that_ends_with_its_connection_is_whole(gateway, engines):
+    for engine in engines:
+        engine.answers = [answer(b"", "404 Not Found", Content_Length="") + b"no such draft"]
+    assert ask(gateway, "/answer/1") == (404, b"no such draft")
+
+
+@pytest.mark.parametrize("path", ["/answer/1", "/brief/1"])
+def test_a_stream_that_ends_with_its_connection_is_whole(gateway, engines, path):
+    for engine in engines:
+        engine.answers = [unframed(EVENT_1 + EVENT_2)]
+    assert ask(gateway, path) == (200, EVENT_1 + EVENT_2)
+
+
+def test_a_stream_that_ends_inside_an_event_is_resumed_elsewhere(gateway, engines):
+    """The half event was sent as the end of a complete answer."""
+    whole = unframed(EVENT_2)
+    for engine, other in (engines, reversed(engines)):
+        engine.answers = Once(unframed(EVENT_1 + b"id: 2\nda"), whole, other)
+    assert ask(gateway, "/brief/1") == (200, EVENT_1 + EVENT_2)
+    resumed = [data for engine in engines for data in engine.received if b"Last-Event-Id" in data]
+    assert len(resumed) == 1
+    assert b"Last-Event-Id: 1\r\n" in resumed[0]
+
+
+def test_a_stream_that_cannot_resume_and_ends_inside_an_event_looks_broken(gateway, engines):
+    """The half event was sent as the end of a complete answer."""
+    for engine in engines:
+        engine.answers = [unframed(EVENT_1 + b"id: 2\nda")]
+    with pytest.raises((IncompleteRead, ConnectionError)):
+        ask(gateway, "/answer/1")
+
+
+class Once:
+    """The answers of an engine: the second one if the other engine got a request before it."""
+
+    def __init__(self, first, second, other):
+        self.first, self.second, self.other = first, second, other
+
+    def pop(self, _index):
+        return self.second if self.other.received else self.first
