Give a new version a small share, and take it back when it is bad or not proven in time

Cause: orders were not read, and the version of an upstream was used nowhere. Evidence: the new tests of orders, shares, declined slots and groups failed before.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -297,6 +297,9 @@
     # Number of the requested group of the service's engines, and the count of groups.
     group: int = 0
     groups: int = 1
+    # Version of the upstreams that should run the request, and of those that must not.
+    preferred_version: str = ""
+    except_version: str = ""
 
 
 class SlotWithdrawal(_Message, frozen=True, tag="x"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -39,6 +39,7 @@
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.trackedupstream import TrackedUpstream
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
+from skylarkmoor_policy.versionrules import OtherVersions, VersionRule
 
 __all__ = ["OUTPUT_WEIGHT", "Exchange", "ExchangeContext", "Outcome"]
 
@@ -58,6 +59,9 @@
 # Time for the rest of a response that says that the request was not executed. Its body is short and
 # of no use; the connection is not kept for it any longer.
 _NOT_RUN_BODY_MS = 250
+# Events after which the speed of a stream is counted for its version. A slow stream would otherwise
+# be counted at its end only, when many more have begun.
+_SAMPLE_EVENTS = 8
 # Minimum time before the deadline for another attempt.
 _MIN_REMAINING_MS = 30
 # Placeholder that `SlotCoordinator.wait` replaces.
@@ -105,14 +109,22 @@
     def upstream_crashed(self, exchange: "Exchange") -> None:
         """Record that the connection to an upstream failed while it executed the request."""
 
+    def version_rule(self, exchange: "Exchange", *, is_retry: bool) -> VersionRule | None:
+        """Return the versions that may answer a request, None for all."""
+
+    def count_for_version(
+        self, exchange: "Exchange", version: str, latency_ms: float, *, failed: bool
+    ) -> None:
+        """Count an attempt for the comparison of a new version with the old one."""
+
     def answer_began(self, exchange: "Exchange") -> None:
         """Record that the answer to a request has begun."""
 
     def blocked_ms(self, request: IncomingRequest) -> int | None:
         """Return the time until blocked parts of a prompt may be tried, None if there are none."""
 
-    def request_sent(self, exchange: "Exchange") -> None:
-        """Record that a request is sent, which may be the trial of blocked parts."""
+    def request_sent(self, exchange: "Exchange", version: str) -> None:
+        """Record that a request is sent to an upstream of a version."""
 
     def read_upstreams(self) -> None:
         """Trigger an immediate read of the list of upstreams."""
@@ -126,6 +138,7 @@
     """State of one attempt to get a response from an upstream."""
 
     upstream: UpstreamId
+    version: str
     # Start time of the instance.
     started_wall_ms: int
     sent_ms: int
@@ -139,6 +152,7 @@
     first_byte_ms: int = 0
     event_count: int = 0
     head: ResponseHead | None = None
+    counted: bool = False
 
 
 class Exchange(SlotRequester):
@@ -241,6 +255,7 @@
                 self._output_tokens(),
                 self._deadline_ms,
                 frozenset(self._excluded_upstreams),
+                self._version_rule(),
             ),
             tier=self.tier,
             route_tier=self.route.tier,
@@ -275,6 +290,9 @@
         if self._runs < self.route.max_upstreams and self._sends < _MAX_SENDS:
             self._fail_attempt(attempt, f"the upstream was silent for {silent_ms} ms")
 
+    def _version_rule(self) -> VersionRule | None:
+        return self._gateway.version_rule(self, is_retry=self._sends > 0)
+
     def work_tokens(self) -> float:
         """Return the estimated cost of the request in prompt tokens."""
         return self.prompt_tokens + self._output_tokens() * OUTPUT_WEIGHT
@@ -304,7 +322,11 @@
             self._gateway.wait_for_slot(self)
             return
         choice = self._gateway.placement.choose(
-            self.service, self.prompt_tokens, now_ms, self._excluded_upstreams
+            self.service,
+            self.prompt_tokens,
+            now_ms,
+            self._excluded_upstreams,
+            version_rule=self._version_rule(),
         )
         if choice is None:
             self._give_up("no upstream of the service may take the request")
@@ -313,7 +335,11 @@
 
     def _dispatch(self, choice: UpstreamChoice, now_ms: int) -> None:
         placed = self._gateway.placement.upstreams.get(choice.upstream)
-        if placed is None or not _is_available(placed):
+        if (
+            placed is None
+            or not _is_available(placed)
+            or self._version_rule() == OtherVersions(placed.registration.version)
+        ):
             self._decline(choice.upstream, placed is None)
             return
         self._sends += 1
@@ -321,7 +347,11 @@
             self._gateway.retries.count_request(self.service, now_ms)
         self._log_choice(choice, now_ms)
         self._current = _SendAttempt(
-            choice.upstream, placed.started_wall_ms, now_ms, placed.prefill_tokens()
+            choice.upstream,
+            placed.registration.version,
+            placed.started_wall_ms,
+            now_ms,
+            placed.prefill_tokens(),
         )
         self._current.predicted_ms = choice.predicted_first_token_ms
         self._gateway.placement.record_start(choice.upstream, self.prompt_tokens)
@@ -427,7 +457,7 @@
             self._put_back(attempt, connection)
             self._stop_blocked(blocked_ms)
             return
-        self._gateway.request_sent(self)
+        self._gateway.request_sent(self, attempt.version)
         last_id = self._response.last_event_id or self.request.last_event_id
         customer = None if self.customer is None else self.customer.name
         upstream_context = AttemptContext(attempt.upstream, remaining_ms, customer, last_id)
@@ -480,6 +510,8 @@
                     self._gateway.answer_began(self)
                 attempt.event_count += events
                 attempt.last_data_ms = self._gateway.clock.now_ms()
+                if attempt.event_count >= _SAMPLE_EVENTS:
+                    self._count_for_version(attempt, fault=None)
             return
         attempt.last_data_ms = self._gateway.clock.now_ms()
         if not (self.route.resumable and self._response.started):
@@ -604,7 +636,11 @@
             return False
         now_ms = self._gateway.clock.now_ms()
         choice = self._gateway.placement.choose(
-            self.service, self.prompt_tokens, now_ms, self._excluded_upstreams
+            self.service,
+            self.prompt_tokens,
+            now_ms,
+            self._excluded_upstreams,
+            version_rule=self._version_rule(),
         )
         return choice is not None and self._gateway.retries.try_acquire(self.service, now_ms)
 
@@ -710,6 +746,7 @@
         if self._current is not attempt:
             return
         self._current = None
+        self._count_for_version(attempt, fault)
         self._response.detach()
         unread_tokens = 0 if attempt.has_data else self.prompt_tokens
         self._gateway.placement.record_end(
@@ -718,6 +755,28 @@
         if self.route.retry_safety is RetrySafety.STREAM:
             self._gateway.load_changed(attempt.upstream)
 
+    def _count_for_version(self, attempt: _SendAttempt, fault: bool | None) -> None:
+        """Count an attempt once, by its speed or as a failure.
+
+        Notes
+        -----
+        Without two events the time of a stream does not tell a slow upstream from a long prompt.
+        """
+        if attempt.connection is None or attempt.counted:
+            return
+        is_stream = self.route.retry_safety is RetrySafety.STREAM
+        if attempt.event_count > 1:
+            stream_ms = attempt.last_data_ms - attempt.first_byte_ms
+            latency_ms = stream_ms / (attempt.event_count - 1)
+        elif fault:
+            latency_ms = 0.0
+        elif fault is None or is_stream:
+            return
+        else:
+            latency_ms = float(self._gateway.clock.now_ms() - attempt.sent_ms)
+        attempt.counted = True
+        self._gateway.count_for_version(self, attempt.version, latency_ms, failed=bool(fault))
+
     def _end(self, outcome: Outcome, reason: str, **details: object) -> None:
         if self._done:
             return
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -1,6 +1,6 @@
 """State exchange between gateways: membership, loads, quotas and retry budgets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from msgspec import structs
@@ -11,7 +11,9 @@
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
     CrashEvidence,
+    Fact,
     GatewayState,
+    Gossip,
     Message,
     RelayedState,
     SlotGrant,
@@ -125,6 +127,8 @@
         self.upstreams_changed = -1
         self.upstreams_read = -1
         self.draining = False
+        # Called with the facts that a peer has sent.
+        self.on_facts: Callable[[Sequence[Fact]], None] = lambda facts: None
         self._host = host
         self._clock = clock
         self._placement = placement
@@ -263,6 +267,10 @@
         self.draining = True
         self._send_state(self._clock.now_ms(), to_all=True)
 
+    def send_facts(self, facts: Sequence[Fact]) -> None:
+        """Send facts to all peers."""
+        self._transport.broadcast(Gossip(tuple(facts)))
+
     def send_crash_evidence(self) -> None:
         """Tell all peers at once of a crash, or of an answer or a trial that concerns one."""
         if not self._crash_send_pending:
@@ -457,6 +465,8 @@
                 self.slot_coordinator.handle_slot_grant(sender, message)
             case SlotLoads():
                 self._handle_loads(sender, message)
+            case Gossip(facts=facts):
+                self.on_facts(facts)
             case CrashEvidence():
                 self._handle_crash_evidence(sender, message)
             case _:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -28,6 +28,7 @@
 from skylarkmoor_gateway.settings import GatewaySettings
 from skylarkmoor_gateway.upstreams import UpstreamPool
 from skylarkmoor_policy.callertimeouts import retry_after_ms
+from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
@@ -45,6 +46,7 @@
 from skylarkmoor_policy.routecosts import RouteCosts
 from skylarkmoor_policy.routetable import CallerLimits, CustomerPolicy, Route, RouteTable
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream
+from skylarkmoor_policy.versionrules import VersionRule
 from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["Gateway"]
@@ -126,9 +128,12 @@
         self.log_stream: BoundedStream | None = None
         self.tasks = Tasks(reactor)
         self._settings = settings
+        incarnation = Incarnation(clock.wall_ms())
+        self.canaries = CanaryTable(settings.host, incarnation, settings.max_canary_share)
+        self._canaries_checked_ms = 0
         self.fleet = Fleet(
             settings.host,
-            Incarnation(clock.wall_ms()),
+            incarnation,
             clock,
             self.placement,
             self.quotas,
@@ -143,6 +148,7 @@
         self.crash_examiner = CrashExaminer(
             clock, self.placement, self.crash_evidence, self.pool, self.fleet.send_crash_evidence
         )
+        self.fleet.on_facts = lambda facts: self.canaries.apply_facts(facts, clock.now_ms())
         self._lifecycle = Lifecycle()
         self._ready = False
         self._drain_started_ms: int | None = None
@@ -334,6 +340,44 @@
         """Count a failed upstream connection against the request that it carried."""
         self.crash_counts.add(self._fingerprint(exchange.request), self.clock.now_ms())
 
+    def begin_rollout(self, order: RolloutOrder) -> None:
+        """Begin to send a small share of a service's requests to a new version."""
+        if self.canaries.begin(order, self.clock.wall_ms()):
+            _log.info(
+                "rollout ordered",
+                extra={
+                    "service": order.service,
+                    "version": order.version,
+                    "order": order.number,
+                    "duration_ms": order.duration_ms,
+                },
+            )
+
+    def version_rule(self, exchange: Exchange, *, is_retry: bool) -> VersionRule | None:
+        """Return the versions that may answer a request, None for all."""
+        service = exchange.service
+        target = self.canaries.target(service)
+        if target is None:
+            return None
+        versions = self.placement.versions(service)
+        if is_retry:
+            return self.canaries.rule_after_failure(service, versions)
+        return self.canaries.rule(
+            service,
+            exchange.request.request,
+            versions,
+            running=self.placement.own_running(service, target),
+            daemons=self.fleet.live_hosts(),
+            now_ms=self.clock.now_ms(),
+        )
+
+    def count_for_version(
+        self, exchange: Exchange, version: str, latency_ms: float, *, failed: bool
+    ) -> None:
+        """Count an attempt for the comparison of a new version with the old one."""
+        route = exchange.route.name
+        self.canaries.record(exchange.service, route, version, latency_ms, failed=failed)
+
     def answer_began(self, exchange: Exchange) -> None:
         """Record that the answer to a request has begun, which acquits the parts of its prompt."""
         parts = exchange.request.prompt_parts
@@ -361,8 +405,9 @@
         )
         return wait_ms
 
-    def request_sent(self, exchange: Exchange) -> None:
+    def request_sent(self, exchange: Exchange, version: str) -> None:
         """Record that a request is sent, which may be the trial of blocked parts."""
+        self.canaries.count_sent(exchange.service, version)
         request = exchange.request
         if self.crash_evidence.begin_trial(request.prompt_parts, self.clock.now_ms()):
             _log.info(
@@ -490,6 +535,10 @@
         self.placement.refresh(self.clock.now_ms())
         for pool in self._pools.values():
             pool.close_expired()
+        now_ms = self.clock.now_ms()
+        if now_ms - self._canaries_checked_ms >= self.fleet.interval_ms():
+            self._canaries_checked_ms = now_ms
+            self._check_canaries(now_ms)
         usable = sum(not each.leaving for each in self.placement.upstreams.values())
         self.metrics.state(
             held=len(self._exchanges),
@@ -500,6 +549,25 @@
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
 
+    def _check_canaries(self, now_ms: int) -> None:
+        """Decide on the new versions, and tell the peers of counts and stops."""
+        if not self.canaries.canaries():
+            return
+        running = {each.move for each in self.canaries.canaries() if each.stop_reason is None}
+        facts = self.canaries.collect_facts(now_ms, self.clock.wall_ms())
+        for canary in self.canaries.canaries():
+            if canary.move in running and canary.stop_reason is not None:
+                _log.warning(
+                    "stopped a new version",
+                    extra={
+                        "service": canary.order.service,
+                        "version": canary.order.version,
+                        "why": canary.stop_reason,
+                    },
+                )
+        if facts:
+            self.fleet.send_facts(facts)
+
     def _apply(self, decisions: Sequence[LifecycleDecision]) -> None:
         for decision in decisions:
             match decision:
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -26,6 +26,8 @@
         Time between SIGTERM and SIGKILL at shutdown.
     is_first_fleet_start : bool
         Whether the whole fleet starts for the first time.
+    max_canary_share : float
+        Share of a service's requests, from 0 to 1, that a bad new version may get.
     failure_domain : FailureDomain
         Failure domain of the host; empty if it is not known, in which case no states are relayed.
     """
@@ -43,4 +45,5 @@
     limit_slack_units: float = 0
     grace_ms: int = 8_000
     is_first_fleet_start: bool = True
+    max_canary_share: float = 0.1
     failure_domain: FailureDomain = FailureDomain("")
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -18,6 +18,7 @@
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
+from skylarkmoor_policy.versionrules import OtherVersions, PreferVersion, VersionRule
 
 __all__ = ["SlotCoordinator", "SlotRequester"]
 
@@ -128,7 +129,7 @@
     def wait(self, requester: SlotRequester, waiting: QueuedRequest[SlotRequirements]) -> int:
         """Request a slot and return the ticket number of the wait."""
         number = next(self._wait_numbers)
-        group = self._placement.less_loaded_group(requester.service)
+        group = self._placement.less_loaded_group(requester.service, waiting.item.version_rule)
         need = replace(waiting.item, ticket=Ticket(self._host, number), group=group)
         wait = _Wait(requester, replace(waiting, item=need), group)
         self._waits[number] = wait
@@ -179,6 +180,7 @@
             request.output_tokens,
             now_ms + request.deadline_in_ms,
             frozenset(request.avoid),
+            _version_rule(request),
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -240,7 +242,8 @@
 
     def _request_from_less_loaded_group(self, number: int, wait: _Wait) -> None:
         """Repeat a slot request, possibly for another group with a lower load."""
-        wait.group = self._placement.less_loaded_group(wait.requester.service)
+        rule = wait.waiting.item.version_rule
+        wait.group = self._placement.less_loaded_group(wait.requester.service, rule)
         need = replace(wait.waiting.item, group=wait.group)
         wait.waiting = replace(wait.waiting, item=need)
         self._request_slot(number, wait)
@@ -277,6 +280,7 @@
                 tuple(waiting.item.exclude),
                 wait.group.number,
                 wait.group.count,
+                *_version_fields(waiting.item.version_rule),
             ),
         )
 
@@ -302,3 +306,20 @@
         slots = 0 if placed is None else placed.slots
         choice = UpstreamChoice(upstream, start_ms, running, slots)
         wait.requester.slot_granted(choice, self._clock.now_ms())
+
+
+def _version_rule(request: SlotRequest) -> VersionRule | None:
+    if request.preferred_version:
+        return PreferVersion(request.preferred_version)
+    return OtherVersions(request.except_version) if request.except_version else None
+
+
+def _version_fields(rule: VersionRule | None) -> tuple[str, str]:
+    """Return the preferred version and the excluded one of a slot request."""
+    match rule:
+        case PreferVersion(version=version):
+            return version, ""
+        case OtherVersions(version=version):
+            return "", version
+        case None:
+            return "", ""
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -7,6 +7,7 @@
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import QueuedRequest, UrgencyQueue
+from skylarkmoor_policy.versionrules import VersionRule
 
 __all__ = ["Dispatcher", "SlotOffer", "SlotRequirements", "Ticket"]
 
@@ -38,6 +39,8 @@
         Time by which the answer has to be complete.
     exclude : frozenset of UpstreamId
         Upstreams to exclude because they failed the request before.
+    version_rule : VersionRule or None
+        Versions of the upstreams that may run the request; None for all.
     """
 
     ticket: Ticket
@@ -47,6 +50,7 @@
     output_tokens: int
     deadline_ms: int
     exclude: frozenset[UpstreamId] = frozenset()
+    version_rule: VersionRule | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +122,7 @@
                     output_tokens=need.output_tokens,
                     remaining_ms=need.deadline_ms - now_ms,
                     group=group,
+                    version_rule=need.version_rule,
                 )
                 if choice is None:
                     skipped += 1
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
     RegisteredUpstream,
     TrackedUpstream,
 )
+from skylarkmoor_policy.versionrules import PreferVersion, VersionRule, matches
 
 __all__ = ["Placement", "UpstreamChoice"]
 
@@ -200,12 +202,32 @@
             if each.registration.service == service and not each.leaving and not each.replaced
         ]
 
-    def group_loads(self, service: ServiceName) -> list[tuple[int, int]]:
-        """Return the running requests and the slots of each slot group of a service."""
-        active = self._active_upstreams(service)
-        count = group_count(len(active))
+    def _group_count(self, service: ServiceName) -> int:
+        """Return the number of slot groups of a service.
+
+        Notes
+        -----
+        While two versions run beside each other, each group needs enough upstreams of the one
+        that gets most of the requests.
+        """
+        versions = Counter(each.registration.version for each in self._active_upstreams(service))
+        return group_count(max(versions.values(), default=0))
+
+    def group_loads(
+        self, service: ServiceName, version_rule: VersionRule | None = None
+    ) -> list[tuple[int, int]]:
+        """Return the running requests and the slots of each slot group of a service.
+
+        Parameters
+        ----------
+        version_rule : VersionRule or None
+            Versions of the upstreams that count; None for all.
+        """
+        count = self._group_count(service)
         loads = [(0, 0)] * count
-        for each in active:
+        for each in self._active_upstreams(service):
+            if not matches(version_rule, each.registration.version):
+                continue
             number = each.id_hash % count
             running, slots = loads[number]
             loads[number] = (running + each.running(), slots + each.slots)
@@ -217,12 +239,14 @@
         if known is None:
             return None
         service = known.registration.service
-        count = group_count(len(self._active_upstreams(service)))
+        count = self._group_count(service)
         return SlotGroup(service, known.id_hash % count, count)
 
-    def less_loaded_group(self, service: ServiceName) -> SlotGroup:
+    def less_loaded_group(
+        self, service: ServiceName, version_rule: VersionRule | None = None
+    ) -> SlotGroup:
         """Return the slot group of a service that a new request should queue at."""
-        loads = self.group_loads(service)
+        loads = self.group_loads(service, version_rule)
         return SlotGroup(service, less_loaded_group(loads, self._rng), len(loads))
 
     def own_records(self) -> dict[UpstreamId, tuple[int, int, int, int, int, int]]:
@@ -255,14 +279,31 @@
             if known is not None and known.started_wall_ms == started_wall_ms:
                 known.leaving = True
 
+    def versions(self, service: ServiceName) -> set[str]:
+        """Return the versions of the upstreams of a service that are in use."""
+        return {each.registration.version for each in self._active_upstreams(service)}
+
+    def own_running(self, service: ServiceName, version: str) -> int:
+        """Return the requests of this daemon that run on a version of a service."""
+        return sum(
+            each.own_load.running
+            for each in self.upstreams.values()
+            if each.registration.service == service and each.registration.version == version
+        )
+
     def usable(
-        self, service: ServiceName, now_ms: int, group: SlotGroup | None = None
+        self,
+        service: ServiceName,
+        now_ms: int,
+        group: SlotGroup | None = None,
+        version_rule: VersionRule | None = None,
     ) -> list[TrackedUpstream]:
         """Return the candidates of a service; those in backoff only if there are no others."""
         candidates = [
             each
             for each in self._active_upstreams(service)
-            if group is None or group.holds(each.id_hash)
+            if (group is None or group.holds(each.id_hash))
+            and matches(version_rule, each.registration.version)
         ]
         return [each for each in candidates if each.backoff_until_ms <= now_ms] or candidates
 
@@ -282,6 +323,7 @@
         output_tokens: int = 0,
         remaining_ms: int | None = None,
         group: SlotGroup | None = None,
+        version_rule: VersionRule | None = None,
     ) -> UpstreamChoice | None:
         """Return the upstream with the lowest cost, or None if there is no candidate.
 
@@ -302,12 +344,28 @@
             Time until the deadline of the answer; None if it has none.
         group : SlotGroup or None
             If given, only its upstreams are considered.
+        version_rule : VersionRule or None
+            Versions to choose among; None for all.
         """
         candidates = [
-            each for each in self.usable(service, now_ms, group) if each.upstream not in exclude
+            each
+            for each in self.usable(service, now_ms, group, version_rule)
+            if each.upstream not in exclude
         ]
         if only_with_capacity:
             candidates = [each for each in candidates if each.has_capacity()]
+        if not candidates and isinstance(version_rule, PreferVersion):
+            return self.choose(
+                service,
+                prompt_tokens,
+                now_ms,
+                exclude,
+                only_with_capacity=only_with_capacity,
+                max_event_gap_ms=max_event_gap_ms,
+                output_tokens=output_tokens,
+                remaining_ms=remaining_ms,
+                group=group,
+            )
         if not candidates:
             return None
         costs = [
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -4,6 +4,7 @@
 
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream, UpstreamStats
+from skylarkmoor_policy.versionrules import OtherVersions, PreferVersion
 
 ADDRESS = ("10.0.0.1", 80)
 
@@ -267,3 +268,41 @@
     """Lying health checks: answers decide; an upstream that gives them is used like the others."""
     sent = {name: len(times) for name, times in simulate_fleet(set()).items()}
     assert min(sent.values()) > 0.5 * sum(sent.values()) / WORKERS
+
+
+def make_two_versions(old, new):
+    placement = make_placement(*(f"old-{number}" for number in range(old)))
+    for number in range(new):
+        placement.set_upstream(
+            RegisteredUpstream(f"new-{number}", "assistant", ADDRESS, slots=2, version="v2")
+        )
+    return placement
+
+
+def test_a_version_rule_keeps_requests_from_the_new_version():
+    placement = make_two_versions(1, 3)
+    assert chosen_upstream(placement, version_rule=OtherVersions("v2")) == "old-0"
+    full = {"only_with_capacity": True, "version_rule": OtherVersions("v2")}
+    placement.set_peer_load("peer", {"old-0": (9, 0)})
+    assert chosen_upstream(placement, **full) is None
+
+
+def test_a_preferred_version_that_is_full_does_not_hold_a_request_up():
+    placement = make_two_versions(1, 1)
+    prefer = {"only_with_capacity": True, "version_rule": PreferVersion("v2")}
+    assert chosen_upstream(placement, **prefer) == "new-0"
+    placement.set_peer_load("peer", {"new-0": (9, 0)})
+    assert chosen_upstream(placement, **prefer) == "old-0"
+
+
+def test_the_upstreams_of_a_new_version_do_not_split_the_old_ones_into_groups():
+    """Requests waited in a group with few old upstreams while another one had free slots."""
+    assert len(make_two_versions(6, 6).group_loads("assistant")) == 1
+    assert len(make_two_versions(10, 6).group_loads("assistant")) == 2
+
+
+def test_the_load_of_a_group_is_that_of_the_versions_that_may_be_chosen():
+    placement = make_two_versions(10, 10)
+    loads = placement.group_loads("assistant", OtherVersions("v2"))
+    assert sum(slots for _, slots in loads) == 20
+    assert sum(slots for _, slots in placement.group_loads("assistant")) == 40
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -266,3 +266,77 @@
     work.send(None)
     work.close()
     assert "unreachable" not in caplog.text
+
+
+def order(**overrides):
+    return msgspec.json.encode(
+        {"service": "assistant", "target": "v2", "duration_s": 15} | overrides
+    )
+
+
+def status(state="rolled_back", target="v2"):
+    return msgspec.json.encode({"service": "assistant", "target": target, "state": state})
+
+
+def only_canary(harness):
+    (canary,) = harness.gateway.canaries.canaries()
+    return canary
+
+
+@pytest.fixture
+def reporter(followers):
+    from skylarkmoor_adapter.followers import RolloutReporter
+
+    gateway = followers.gateway
+    return RolloutReporter(followers.store, gateway, gateway.tasks, followers.clock, "host-1")
+
+
+def test_a_rollout_order_begins_a_canary(followers):
+    """The new version got as many requests as the old one at once (EXPOSURE)."""
+    follower = followers.configuration
+    follower._apply_page(page(("rollout/assistant", order(), 5), ("rollout/x", b"half", 6)))
+    canary = only_canary(followers)
+    assert (canary.order.version, canary.order.duration_ms) == ("v2", 15_000)
+    follower._apply_page(page(("rollout/assistant", order(target="v3"), 8)))
+    follower._apply_page(page(("rollout/assistant", order(), 5)))
+    assert only_canary(followers).order.version == "v3"
+
+
+@pytest.mark.parametrize(
+    "invalid", [order(duration_s=-1), order(service=None), order(target={}), b"[]"]
+)
+def test_an_invalid_rollout_order_is_ignored(followers, invalid):
+    followers.configuration._apply_page(page(("rollout/assistant", invalid, 5)))
+    assert not followers.gateway.canaries.canaries()
+
+
+def test_the_status_of_a_rollout_is_written_once_a_state(followers, reporter):
+    followers.configuration._apply_page(page(("rollout/assistant", order(), 5)))
+    canary = only_canary(followers)
+    for reason in (None, None, "bad", "bad"):
+        canary.stop_reason = reason
+        run_to_completion(reporter._report(canary))
+    assert followers.store.appended == [
+        ("keyed.status", "rollout/assistant", status("running")),
+        ("keyed.status", "rollout/assistant", status("rolled_back")),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("covers_all_keys", "record", "stopped"),
+    [
+        (True, status(), True),
+        (True, status("running"), False),
+        (True, status(target="v1"), False),
+        (True, b"half", False),
+        # The status is that of an earlier order of the same version.
+        (False, status(), False),
+    ],
+)
+def test_a_daemon_that_starts_later_learns_of_a_stop(
+    followers, reporter, covers_all_keys, record, stopped
+):
+    followers.configuration._apply_page(page(("rollout/assistant", order(), 5)), covers_all_keys)
+    followers.store.newest_answers = [page(("rollout/assistant", record, 3))]
+    run_to_completion(reporter._read_status(only_canary(followers)))
+    assert (only_canary(followers).stop_reason is not None) is stopped
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -3,7 +3,9 @@
 import pytest
 
 from adapter_harness import answer, chunk, request, stream_head
+from skylarkmoor_policy.canary import RolloutOrder
 from skylarkmoor_policy.eventstream import MAX_EVENT_BYTES
+from skylarkmoor_policy.placement import UpstreamChoice
 
 EVENT_1, EVENT_2, EVENT_3 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"
 
@@ -849,3 +851,55 @@
     for _ in range(3):
         harness.caller().send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="9,9"))
     assert harness.gateway._tick() == 25
+
+
+def order_rollout(harness, service):
+    harness.gateway.begin_rollout(RolloutOrder(service, "v2", 7, 15_000))
+    harness.add_upstream("old", service, 1, slots=9)
+    harness.add_upstream("new", service, 2, slots=9, version="v2")
+
+
+@pytest.mark.parametrize(("path", "service"), [("/stock/1", "orders"), ("/answer/1", "assistant")])
+def test_a_new_version_gets_a_small_share_until_it_is_stopped(harness, path, service):
+    """The new version got as many requests as the old one at once (EXPOSURE)."""
+    order_rollout(harness, service)
+    served = []
+    for number in range(300):
+        caller = harness.caller()
+        caller.send(
+            request(path, Skylarkmoor_Request_Id=f"r{number}", Skylarkmoor_Token_Counts="1,1")
+        )
+        upstream = harness.accept()
+        served.append(b"Expect-Instance: new" in upstream.received())
+        caller.disconnect()
+        if number == 200:
+            harness.gateway.canaries.mark_stopped(service, "v2")
+    assert 1 <= sum(served[:200]) <= 20
+    assert not any(served[201:])
+
+
+def test_a_request_that_a_new_version_failed_is_repeated_on_the_old_one(harness):
+    order_rollout(harness, "orders")
+    for number in range(300):
+        caller = harness.caller()
+        caller.send(request(Skylarkmoor_Request_Id=f"r{number}"))
+        upstream = harness.accept()
+        if b"Expect-Instance: new" in upstream.received():
+            upstream.close(reset=True)
+            assert b"Expect-Instance: old" in harness.accept().received()
+            return
+        caller.disconnect()
+    raise AssertionError("the new version got no request")
+
+
+def test_a_slot_at_a_version_that_was_stopped_meanwhile_is_declined(harness):
+    gateway = harness.gateway
+    caller = harness.caller()
+    caller.send(request("/answer/1"))
+    (exchange,) = gateway._exchanges.values()
+    gateway.stop_waiting(exchange.wait_number)
+    order_rollout(harness, "assistant")
+    gateway.canaries.mark_stopped("assistant", "v2")
+    exchange.slot_granted(UpstreamChoice("new", 0.0, 0, 9), 0)
+    harness.advance(25)
+    assert b"Expect-Instance: old" in harness.accept().received()
