--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -756,13 +756,13 @@
             self._gateway.load_changed(attempt.upstream)
 
     def _count_for_version(self, attempt: _SendAttempt, fault: bool | None) -> None:
-        """Count an attempt once, by its speed or as a failure.
+        """Count the speed of an attempt once, and its failure also if its speed has been counted.
 
         Notes
         -----
         Without two events the time of a stream does not tell a slow upstream from a long prompt.
         """
-        if attempt.connection is None or attempt.counted:
+        if attempt.connection is None or (attempt.counted and not fault):
             return
         is_stream = self.route.retry_safety is RetrySafety.STREAM
         if attempt.event_count > 1:
--- a/libs/gateway/src/skylarkmoor_gateway/messages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/messages.py
@@ -8,6 +8,7 @@
 __all__ = ["AttemptContext", "Codec", "Headers", "IncomingRequest", "ResponseHead"]
 
 Headers = list[tuple[bytes, bytes]]
+_EVENT_STREAM_TYPE = b"text/event-stream"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +96,14 @@
     instance_replaced: bool = False
     keep_alive_ms: int | None = None
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the body consists of events, unless its content type says otherwise."""
+        types = [value for name, value in self.headers if name.lower() == b"content-type"]
+        return all(
+            value.partition(b";")[0].strip().lower() == _EVENT_STREAM_TYPE for value in types
+        )
+
 
 class Codec(Protocol):
     """Translates between the platform's HTTP headers and the gateway's types."""
--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -71,7 +71,8 @@
         EventTooLarge
             If an event of a stream that can be resumed does not end.
         """
-        self._boundary.feed(data)
+        if head.has_events:
+            self._boundary.feed(data)
         if self._events is not None:
             data = self._events.feed(data)
         if data:
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -300,6 +300,18 @@
         assert caller.received().endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    ("content_type", "aborted"),
+    [("application/json", False), ("text/event-stream; charset=utf-8", True)],
+)
+def test_only_events_can_be_broken_off_inside_one(harness, content_type, aborted):
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    harness.accept().send(answer(b'{"answer": 42}', Content_Type=content_type))
+    assert caller.transport.aborted is aborted
+
+
 @pytest.mark.parametrize("framed", [True, False])
 def test_a_stream_that_ends_inside_an_event_is_resumed(harness, framed):
     """The half event was sent as the end of a complete answer."""
