--- a/libs/policy/src/skylarkmoor_policy/canary.py
+++ b/libs/policy/src/skylarkmoor_policy/canary.py
@@ -45,6 +45,9 @@
 _FINISH_RESERVE_MS = 1_500
 # How long a stop is repeated to the peers, which may have been cut off when it was decided.
 _REPEAT_STOP_MS = 60_000
+# Upstreams of a stopped version that were gone for this long belong to another change when they
+# come back, for which there may be no order.
+_GONE_MS = 60_000
 # The only step of a canary.
 _STEP = 1
 
@@ -82,6 +85,8 @@
         Why the version gets no more requests; None while it gets some.
     stopped_ms : int or None
         When it was stopped; None if that was before this daemon started.
+    used_ms : int or None
+        When upstreams of the version were last in use; None if they have not been.
     """
 
     order: RolloutOrder
@@ -92,6 +97,7 @@
     sent: int = 0
     stop_reason: str | None = None
     stopped_ms: int | None = None
+    used_ms: int | None = None
 
     @property
     def move(self) -> MoveId:
@@ -115,6 +121,8 @@
         self._incarnation = incarnation
         self._share_percent = max(1, int(100 * max_share * _SHARE_FRACTION))
         self._canaries: dict[ServiceName, Canary] = {}
+        # Number of the last order by service; its canary may be over.
+        self._last_orders: dict[ServiceName, int] = {}
 
     def canaries(self) -> Collection[Canary]:
         """Return the canaries of all services."""
@@ -127,9 +135,9 @@
 
     def begin(self, order: RolloutOrder, now_wall_ms: int) -> bool:
         """Begin the canary of an order; return False if the order is not newer."""
-        known = self._canaries.get(order.service)
-        if known is not None and known.order.number >= order.number:
+        if self._last_orders.get(order.service, -1) >= order.number:
             return False
+        self._last_orders[order.service] = order.number
         move = MoveId(f"{order.service}@{order.number}")
         plan = VersionMove(
             version=order.version,
@@ -169,7 +177,7 @@
             Live daemons, this one included, which share the limits on such requests.
         """
         canary = self._canaries.get(service)
-        if canary is None:
+        if canary is None or self._is_over(canary, versions, now_ms):
             return None
         new = canary.order.version
         if all(version == new for version in versions):
@@ -185,6 +193,21 @@
             return old
         return PreferVersion(new) if canary.sent < self._allowance(canary.move, daemons) else old
 
+    def _is_over(self, canary: Canary, versions: Collection[str], now_ms: int) -> bool:
+        """Return whether the upstreams of a stopped version have left, and forget it then."""
+        is_used = canary.order.version in versions
+        if is_used and (canary.used_ms is None or now_ms - canary.used_ms <= _GONE_MS):
+            canary.used_ms = now_ms
+        if canary.stop_reason is None or not versions:
+            return False
+        if canary.used_ms is None:
+            is_over = canary.stopped_ms is None
+        else:
+            is_over = now_ms - canary.used_ms > _GONE_MS
+        if is_over:
+            del self._canaries[canary.order.service]
+        return is_over
+
     def _allowance(self, move: MoveId, daemons: Sequence[HostId]) -> int:
         """Return how many requests this daemon may send to the new version."""
         if len(daemons) <= _MAX_REQUESTS:
--- a/libs/policy/tests/test_canary.py
+++ b/libs/policy/tests/test_canary.py
@@ -55,6 +55,28 @@
     assert canaries.rule_after_failure("assistant", {"v2"}) is None
 
 
+def test_a_stopped_version_may_come_back_by_another_change():
+    """A release of it would leave all requests to ever fewer upstreams."""
+    canaries = stop(table())
+    for now_ms in (0, 1_000):
+        assert rule(canaries, now_ms=now_ms) == OtherVersions("v2")
+    assert rule(canaries, versions={"v1"}, now_ms=50_000) == OtherVersions("v2")
+    assert rule(canaries, now_ms=60_000) == OtherVersions("v2")
+    assert rule(canaries, versions={"v1"}, now_ms=120_001) is None
+    assert rule(canaries, now_ms=121_000) is None
+    assert canaries.target("assistant") is None
+    assert not canaries.begin(ORDER, 0)
+
+
+def test_a_version_that_was_stopped_and_has_left_before_the_start_is_forgotten():
+    canaries = stop(table())
+    # The list of upstreams has not been read yet.
+    assert rule(canaries, versions=set()) is None
+    assert canaries.target("assistant") == "v2"
+    assert rule(canaries, versions={"v1"}) is None
+    assert rule(canaries) is None
+
+
 def test_a_request_is_repeated_on_the_old_version():
     assert table().rule_after_failure("assistant", BOTH) == OtherVersions("v2")
 
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -322,21 +322,31 @@
     ]
 
 
+def run_reporter_once(followers, reporter):
+    work = reporter.run()
+    work.send(None)
+    work.close()
+
+
 @pytest.mark.parametrize(
-    ("covers_all_keys", "record", "stopped"),
+    ("record", "stopped"),
     [
-        (True, status(), True),
-        (True, status("running"), False),
-        (True, status(target="v1"), False),
-        (True, b"half", False),
-        # The status is that of an earlier order of the same version.
-        (False, status(), False),
+        (status(), True),
+        (status("running"), False),
+        (status(target="v1"), False),
+        (b"half", False),
     ],
 )
-def test_a_daemon_that_starts_later_learns_of_a_stop(
-    followers, reporter, covers_all_keys, record, stopped
-):
-    followers.configuration._apply_page(page(("rollout/assistant", order(), 5)), covers_all_keys)
+def test_a_daemon_that_starts_later_learns_of_a_stop(followers, reporter, record, stopped):
+    followers.configuration._apply_page(page(("rollout/assistant", order(), 5)), True)
     followers.store.newest_answers = [page(("rollout/assistant", record, 3))]
-    run_to_completion(reporter._read_status(only_canary(followers)))
+    run_reporter_once(followers, reporter)
     assert (only_canary(followers).stop_reason is not None) is stopped
+    assert followers.store.newest_answers == []
+
+
+def test_the_status_of_an_earlier_order_does_not_stop_a_new_one(followers, reporter):
+    followers.configuration._apply_page(page(("rollout/assistant", order(), 5)), False)
+    followers.store.newest_answers = [page(("rollout/assistant", status(), 3))]
+    run_reporter_once(followers, reporter)
+    assert only_canary(followers).stop_reason is None
