Report the crashes of the last minute only

Cause: each repeated report named all own crashes of half an hour, so that it grew with each crash. Change: a crash is left out of the reports when it has been repeated for a minute. A gateway that has started is told of all of them once, as before. Evidence: test_a_report_has_the_crashes_of_the_last_minute_only failed before.

--- a/libs/policy/src/skylarkmoor_policy/crashevidence.py
+++ b/libs/policy/src/skylarkmoor_policy/crashevidence.py
@@ -178,12 +178,13 @@
         Parameters
         ----------
         only_own : bool
-            Whether to leave out the crashes that only peers have seen.
+            Whether to leave out the crashes that only peers have seen, and those that have been
+            repeated for long enough.
         """
         crashes = [
             CrashReport(key[0], key[1], now_ms - crash.at_ms, tuple(crash.requests.values()))
             for key, crash in self._crashes.items()
-            if crash.is_own or not only_own
+            if not only_own or self._is_repeated(crash, now_ms)
         ]
         starts_ms = {part: self._last_start_ms(part) for part in self._named_parts}
         return CrashEvidence(
@@ -202,10 +203,11 @@
 
     def has_own(self, now_ms: int) -> bool:
         """Return whether this daemon has seen a crash lately, which it repeats to its peers."""
-        return any(
-            crash.is_own and now_ms - crash.at_ms <= _REPEAT_PERIOD_MS
-            for crash in self._crashes.values()
-        )
+        return any(self._is_repeated(crash, now_ms) for crash in self._crashes.values())
+
+    @staticmethod
+    def _is_repeated(crash: _Crash, now_ms: int) -> bool:
+        return crash.is_own and now_ms - crash.at_ms <= _REPEAT_PERIOD_MS
 
     def expire(self, now_ms: int) -> None:
         """Forget old crashes and trials."""
--- a/libs/policy/tests/test_crashevidence.py
+++ b/libs/policy/tests/test_crashevidence.py
@@ -142,6 +142,16 @@
     assert restarted.blocked_ms([HARMFUL], 111)
 
 
+def test_a_report_has_the_crashes_of_the_last_minute_only():
+    """The reports of a rough day would grow with each crash."""
+    table = CrashEvidenceTable()
+    crash(table, [HARMFUL], now_ms=0)
+    crash(table, [OTHER], upstream="e2", now_ms=50_000)
+    recent = table.export(70_000, only_own=True)
+    assert [report.upstream for report in recent.crashes] == ["e2"]
+    assert len(table.export(70_000).crashes) == 2
+
+
 def test_memory_is_bounded():
     table = CrashEvidenceTable()
     for number in range(20_000):
