--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -209,6 +209,9 @@
         self._current: _SendAttempt | None = None
         self._done = False
         self._first_byte_ms: int | None = None
+        # Head and number of events of the last attempt that has ended.
+        self._last_head: ResponseHead | None = None
+        self._last_events = 0
         self._response = CallerResponse(caller, gateway.clock, resumable=route.resumable)
         self._timer: Any = None
 
@@ -746,6 +749,7 @@
         if self._current is not attempt:
             return
         self._current = None
+        self._last_head, self._last_events = attempt.head, attempt.event_count
         self._count_for_version(attempt, fault)
         self._response.detach()
         unread_tokens = 0 if attempt.has_data else self.prompt_tokens
@@ -802,6 +806,8 @@
                 "total_ms": now_ms - self.arrived_ms,
                 "sends": self._sends,
                 "runs": self._runs,
+                "framing": None if self._last_head is None else self._last_head.framing.value,
+                "events": self._last_events,
                 **details,
             },
         )
--- a/libs/gateway/src/skylarkmoor_gateway/messages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/messages.py
@@ -1,11 +1,19 @@
 """Decoded requests and response heads, and the interface of the codec that translates them."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from skylarkmoor_core.ids import CustomerId, PromptPart, RequestId, UpstreamId
 
-__all__ = ["AttemptContext", "Codec", "Headers", "IncomingRequest", "ResponseHead"]
+__all__ = [
+    "AttemptContext",
+    "BodyFraming",
+    "Codec",
+    "Headers",
+    "IncomingRequest",
+    "ResponseHead",
+]
 
 Headers = list[tuple[bytes, bytes]]
 _EVENT_STREAM_TYPE = b"text/event-stream"
@@ -67,6 +75,15 @@
     last_event_id: bytes | None = None
 
 
+class BodyFraming(Enum):
+    """What marks the end of a body (RFC 9112, section 6.3); the values appear in logs."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # The connection is closed, which also happens when the upstream fails.
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Decoded status and headers of an upstream's response.
@@ -85,6 +102,8 @@
         Headers that are forwarded to the caller.
     keep_alive_ms : int or None
         Time after which the upstream closes an idle connection, if it states one.
+    is_chunked : bool
+        Whether the body is sent in chunks.
     """
 
     status: int
@@ -95,6 +114,14 @@
     content_length: int | None
     instance_replaced: bool = False
     keep_alive_ms: int | None = None
+    is_chunked: bool = False
+
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body."""
+        if self.is_chunked:
+            return BodyFraming.CHUNKS
+        return BodyFraming.CLOSE if self.content_length is None else BodyFraming.LENGTH
 
     @property
     def has_events(self) -> bool:
