Read the events of a stream in one way, whatever ends its lines

Callers saw: on a route that resumes, nothing of a stream whose lines end with CR LF until its end, and a broken one ended without a resumption. Change: EventReader takes the place of both and of count_events. Lines end with a line feed, a carriage return or both, as the event stream format says; an event that is split over two chunks is counted too. Tests of the splitter and of the boundary now run on the reader, 'pending' as 'inside_event'. Evidence: test_events_whose_lines_end_with_carriage_returns_arrive_and_are_resumed failed on the code before; it, test_eventstream, tests/adapter and libs/gateway pass.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -530,7 +530,7 @@
         if head.not_run:
             self._handle_not_run(attempt, head)
             return
-        if self._response.inside_event:
+        if head.has_events and self._response.inside_event:
             # Nothing else shows this if the end of the connection is the end of the answer.
             self.response_failed(attempt, "the stream ended inside an event")
             return
--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -4,7 +4,7 @@
 from skylarkmoor_gateway.callerconnections import CallerConnection
 from skylarkmoor_gateway.messages import Headers, ResponseHead
 from skylarkmoor_gateway.upstreams import UpstreamConnection
-from skylarkmoor_policy.eventstream import EventBoundary, EventSplitter, count_events
+from skylarkmoor_policy.eventstream import EventReader
 
 __all__ = ["CallerResponse"]
 
@@ -39,8 +39,8 @@
         self.longest_gap_ms = 0
         self._caller = caller
         self._clock = clock
-        self._events = EventSplitter() if resumable else None
-        self._boundary = EventBoundary()
+        self._resumable = resumable
+        self._events = EventReader(hold_incomplete=resumable)
         self._content_length: int | None = None
         self._buffered = bytearray()
         self._last_sent_ms: int | None = None
@@ -48,18 +48,18 @@
     @property
     def last_event_id(self) -> bytes | None:
         """ID of the last event that was forwarded, None if there is none."""
-        return None if self._events is None else self._events.last_id
+        return self._events.last_id
 
     @property
     def can_continue(self) -> bool:
         """Whether another upstream may replace the response or resume it after the last event."""
         # A Content-Length that was sent would not match what the next upstream sends.
-        return not self.started or (self._events is not None and self._content_length is None)
+        return not self.started or (self._resumable and self._content_length is None)
 
     @property
     def inside_event(self) -> bool:
         """Whether the events of the current upstream end in the middle of one."""
-        return self._boundary.inside_event
+        return self._events.inside_event
 
     def forward_events(
         self, head: ResponseHead, data: bytes, source: UpstreamConnection | None
@@ -71,14 +71,12 @@
         EventTooLarge
             If an event of a stream that can be resumed does not end.
         """
-        if head.has_events:
-            self._boundary.feed(data)
-        if self._events is not None:
-            data = self._events.feed(data)
+        count = self._events.count
+        data = self._events.feed(data)
         if data:
             self._start(head, source)
             self._send(data)
-        return count_events(data)
+        return self._events.count - count
 
     def buffer_body(
         self, head: ResponseHead, data: bytes, source: UpstreamConnection | None
@@ -92,9 +90,7 @@
     def discard_partial(self) -> None:
         """Discard buffered data of an upstream that has failed."""
         self._buffered.clear()
-        self._boundary = EventBoundary()
-        if self._events is not None:
-            self._events.discard()
+        self._events.discard()
 
     def attach(self, source: UpstreamConnection) -> None:
         """Apply the caller's backpressure to an upstream that resumes the response."""
@@ -108,8 +104,7 @@
 
     def finish(self, head: ResponseHead) -> None:
         """Send what is buffered and complete the response."""
-        if self._events is not None:
-            self._buffered += self._events.flush()
+        self._buffered += self._events.flush()
         body = self._pop_buffered()
         if not self.started:
             self._caller.send_response(head.status, head.headers, body)
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -1,10 +1,12 @@
-"""Splits a stream of server-sent events at event boundaries."""
+"""Reads streams of server-sent events."""
+
+import re
 
 from skylarkmoor_core.errors import SkylarkmoorError
 
-__all__ = ["MAX_EVENT_BYTES", "EventBoundary", "EventSplitter", "EventTooLarge", "count_events"]
+__all__ = ["MAX_EVENT_BYTES", "EventReader", "EventTooLarge"]
 
-_EVENT_DELIMITER = b"\n\n"
+_LINE_END = re.compile(rb"\r\n?|\n")
 # Events hold a few tokens. Limits the memory that an upstream can use with an event without end.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -13,124 +15,123 @@
     """An event does not end within the size limit."""
 
 
-def count_events(blocks: bytes) -> int:
-    r"""Return the number of complete events in a part of a stream.
+class EventReader:
+    r"""Finds the ends of events, counts them and tracks the ID of the last complete one.
 
-    Comments and blank lines, which a stalled upstream may still send, are no events.
+    Parameters
+    ----------
+    hold_incomplete : bool
+        Whether `feed` keeps back what follows the last complete event. If another upstream may
+        resume the stream, only complete events may be forwarded, because an upstream can fail in
+        the middle of an event.
 
-    Examples
-    --------
-    >>> count_events(b"id: 1\ndata: a\n\n: comment\n\n\n\n")
-    1
-    """
-    return sum(
-        any(line and not line.startswith(b":") for line in block.split(b"\n"))
-        for block in blocks.split(_EVENT_DELIMITER)[:-1]
-    )
-
-
-class EventBoundary:
-    r"""Tells whether a stream has ended inside an event.
+    Attributes
+    ----------
+    count : int
+        Number of complete events.
+    last_id : bytes or None
+        ID of the last complete event that has one; tracked only with `hold_incomplete`.
 
     Notes
     -----
-    Comments and blank lines belong to no event. Lines end with a line feed, or with a carriage
-    return and a line feed.
-
-    Examples
-    --------
-    >>> boundary = EventBoundary()
-    >>> boundary.feed(b"id: 1\ndata: a\n\n: comment\nid: 2")
-    >>> boundary.inside_event
-    True
-    """
-
-    def __init__(self) -> None:
-        self._has_field = False
-        # First byte of the line that has not ended, empty at the start of a line.
-        self._line_start = b""
-
-    @property
-    def inside_event(self) -> bool:
-        """Whether an event has begun and not ended."""
-        return self._has_field or self._line_start not in (b"", b":", b"\r")
-
-    def feed(self, data: bytes) -> None:
-        """Add received bytes."""
-        *ended, rest = data.split(b"\n")
-        for piece in ended:
-            start = self._line_start or piece[:1]
-            if start in (b"", b"\r"):
-                self._has_field = False
-            elif start != b":":
-                self._has_field = True
-            self._line_start = b""
-        self._line_start = self._line_start or rest[:1]
+    A line ends with a line feed, a carriage return or both, and an event with an empty line.
+    Comments and further empty lines, which a stalled upstream may still send, are no events.
 
-
-class EventSplitter:
-    r"""Buffers a stream up to event boundaries and tracks the ID of the last complete event.
-
-    Notes
-    -----
-    If another upstream may resume the stream, only complete events may be forwarded, because an
-    upstream can fail in the middle of an event.
+    References
+    ----------
+    WHATWG, HTML Living Standard, section 9.2.5, "Parsing an event stream".
 
     Examples
     --------
-    >>> splitter = EventSplitter()
-    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-    b'id: 1\ndata: a\n\n'
-    >>> splitter.last_id, splitter.pending
-    (b'1', True)
+    >>> reader = EventReader(hold_incomplete=True)
+    >>> reader.feed(b"id: 1\ndata: a\n\n: comment\n\nid: 2\r\nda")
+    b'id: 1\ndata: a\n\n: comment\n\n'
+    >>> reader.count, reader.last_id, reader.inside_event
+    (1, b'1', True)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, hold_incomplete: bool) -> None:
+        self.count = 0
         self.last_id: bytes | None = None
-        self._pending_data = b""
+        self._hold_incomplete = hold_incomplete
+        self._held = b""
+        self._start_event()
 
     @property
-    def pending(self) -> bool:
-        """Whether an incomplete event is buffered."""
-        return bool(self._pending_data)
+    def inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return self._has_field or self._line[:1] not in (b"", b":")
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that are now complete.
+        """Add received bytes and return those that may be forwarded.
 
         Raises
         ------
         EventTooLarge
-            If an event does not end within `MAX_EVENT_BYTES`.
+            If bytes are held and an event does not end within `MAX_EVENT_BYTES`.
         """
-        buffered = self._pending_data + data
-        end = buffered.rfind(_EVENT_DELIMITER)
-        if end < 0:
-            if len(buffered) > MAX_EVENT_BYTES:
-                self._pending_data = b""
-                raise EventTooLarge(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-            self._pending_data = buffered
-            return b""
-        complete_events, self._pending_data = (
-            buffered[: end + len(_EVENT_DELIMITER)],
-            buffered[end + len(_EVENT_DELIMITER) :],
-        )
-        self._update_last_id(complete_events)
-        return complete_events
+        end = self._read_lines(data)
+        if not self._hold_incomplete:
+            return data
+        complete = b""
+        if end:
+            complete, self._held = self._held + data[:end], data[end:]
+        else:
+            self._held += data
+        if len(self._held) > MAX_EVENT_BYTES:
+            self.discard()
+            raise EventTooLarge(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        return complete
 
     def flush(self) -> bytes:
-        """Return the buffered rest at the end of the stream."""
-        buffered, self._pending_data = self._pending_data, b""
-        return buffered
+        """Return the held bytes at the end of the stream."""
+        held, self._held = self._held, b""
+        return held
 
     def discard(self) -> None:
         """Discard the incomplete event of an upstream that has failed."""
-        self._pending_data = b""
-
-    def _update_last_id(self, events: bytes) -> None:
-        start = events.rfind(b"id:")
-        # Only a field at the start of a line is an ID.
-        while start > 0 and events[start - 1 : start] != b"\n":
-            start = events.rfind(b"id:", 0, start)
-        if start >= 0:
-            line = events[start + 3 : events.find(b"\n", start)]
-            self.last_id = line.strip()
+        self._held = b""
+        self._start_event()
+
+    def _start_event(self) -> None:
+        self._has_field = False
+        self._id: bytes | None = None
+        # The line that has not ended, or its first byte if IDs are not tracked.
+        self._line = b""
+        # Whether the last byte was a carriage return, which a line feed may follow.
+        self._after_return = False
+
+    def _read_lines(self, data: bytes) -> int:
+        """Read the lines that end in `data` and return the end of the last empty one, or 0."""
+        start = int(self._after_return and data[:1] == b"\n")
+        if data:
+            self._after_return = data.endswith(b"\r")
+        end = 0
+        for match in _LINE_END.finditer(data, start):
+            line = self._line + data[start : match.start()]
+            self._line = b""
+            start = match.end()
+            if not line:
+                end = start
+                self._end_event()
+            elif not line.startswith(b":"):
+                self._read_field(line)
+        rest = data[start:]
+        if self._hold_incomplete:
+            self._line += rest
+        else:
+            self._line = self._line or rest[:1]
+        return end
+
+    def _read_field(self, line: bytes) -> None:
+        self._has_field = True
+        name, _, value = line.partition(b":")
+        if name == b"id" and self._hold_incomplete:
+            self._id = value.strip()
+
+    def _end_event(self) -> None:
+        if self._has_field:
+            self.count += 1
+            self.last_id = self.last_id if self._id is None else self._id
+        self._has_field = False
+        self._id = None
