Take a stream that ends without an event for broken off

Cause: the framing of the answer was believed; only the end inside an event was checked. A request runs with its first token, so a stream without an event is none. The end of a connection says nothing in a resumed run either, where only a last chunk or a length tells that there is nothing to add. Change: such an end is a failure of the attempt, which is repeated where the route allows it. Comments before the first event are held back on routes that resume, so that the answer can still be replaced. Why it works: test_answer_ends lists framing, what has arrived and end for first and resumed runs; 14 of its tests failed on the code before and all pass now. tests/adapter passes.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -16,6 +16,7 @@
 from skylarkmoor_gateway.crashexaminer import CrashExaminer
 from skylarkmoor_gateway.messages import (
     AttemptContext,
+    BodyFraming,
     Codec,
     Headers,
     IncomingRequest,
@@ -461,9 +462,10 @@
             self._stop_blocked(blocked_ms)
             return
         self._gateway.request_sent(self, attempt.version)
-        last_id = self._response.last_event_id or self.request.last_event_id
         customer = None if self.customer is None else self.customer.name
-        upstream_context = AttemptContext(attempt.upstream, remaining_ms, customer, last_id)
+        upstream_context = AttemptContext(
+            attempt.upstream, remaining_ms, customer, self._last_event_id()
+        )
         headers = self._gateway.codec.encode_request(self.request, upstream_context)
         headers.append((b"Content-Length", str(len(self.request.body)).encode()))
         attempt.connection = connection
@@ -530,9 +532,9 @@
         if head.not_run:
             self._handle_not_run(attempt, head)
             return
-        if head.has_events and self._response.inside_event:
-            # Nothing else shows this if the end of the connection is the end of the answer.
-            self.response_failed(attempt, "the stream ended inside an event")
+        missing = self._missing_part(attempt, head)
+        if missing is not None:
+            self.response_failed(attempt, missing)
             return
         failed = head.status >= 500
         elapsed_ms = self._gateway.clock.now_ms() - attempt.sent_ms
@@ -556,6 +558,27 @@
         self._response.finish(head)
         self._end(Outcome.ANSWERED, "", status=head.status)
 
+    def _missing_part(self, attempt: _SendAttempt, head: ResponseHead) -> str | None:
+        """Return what a stream lacks although its framing says that it is complete.
+
+        Notes
+        -----
+        An upstream that resumes a stream may have nothing to add. The close of its connection does
+        not say so, as it would also be closed if the upstream had failed.
+        """
+        is_stream = self.route.retry_safety is RetrySafety.STREAM and head.status == 200
+        if not is_stream or not head.has_events:
+            return None
+        if self._response.inside_event:
+            return "the stream ended inside an event"
+        is_resumed = self._last_event_id() is not None
+        if not attempt.event_count and (not is_resumed or head.framing is BodyFraming.CLOSE):
+            return "the stream ended without an event"
+        return None
+
+    def _last_event_id(self) -> bytes | None:
+        return self._response.last_event_id or self.request.last_event_id
+
     def _handle_not_run(self, attempt: _SendAttempt, head: ResponseHead) -> None:
         """Retry a request that the upstream has not executed."""
         self._runs -= 1
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -102,7 +102,7 @@
         self._after_return = False
 
     def _read_lines(self, data: bytes) -> int:
-        """Read the lines that end in `data` and return the end of the last empty one, or 0."""
+        """Read the lines that end in `data` and return where what may be forwarded ends."""
         start = int(self._after_return and data[:1] == b"\n")
         if data:
             self._after_return = data.endswith(b"\r")
@@ -112,8 +112,9 @@
             self._line = b""
             start = match.end()
             if not line:
-                end = start
                 self._end_event()
+                # Comments before the first event are no answer yet.
+                end = start if self.count else 0
             elif not line.startswith(b":"):
                 self._read_field(line)
         rest = data[start:]
--- a/tests/adapter/test_answer_ends.py
+++ b/tests/adapter/test_answer_ends.py
@@ -52,3 +52,127 @@
     assert b"Last-Event-Id: 1\r\n" in second.received()
     second.send(stream_head() + chunk(event_2) + chunk(b""))
     assert caller.received().endswith(chunk(event_2) + chunk(b""))
+
+
+def reset(upstream):
+    upstream.close(reset=True)
+
+
+def close(upstream):
+    upstream.close()
+
+
+def last_chunk(upstream):
+    upstream.send(chunk(b""))
+
+
+HEADS = {
+    "length": answer(b"", Content_Length=str(len(EVENT_1 + EVENT_2))),
+    "chunks": stream_head(),
+    "close": answer(b"", Content_Length=""),
+}
+COMMENT = b": comment\n\n"
+BODIES = {
+    "no-body": b"",
+    "comment": COMMENT,
+    "inside-first-event": EVENT_1[:5],
+    "one-event": EVENT_1,
+    "inside-second-event": EVENT_1 + EVENT_2[:9],
+}
+# Ends that show by themselves that the answer is not complete, and those that do not.
+BROKEN_ENDS = [
+    ("length", close),
+    ("length", reset),
+    ("chunks", close),
+    ("chunks", reset),
+    ("close", reset),
+]
+ORDERLY_ENDS = [("chunks", last_chunk), ("close", close)]
+BROKEN_OFF = [
+    pytest.param(framing, body, end, id=f"{framing}-{name}-{end.__name__}")
+    for ends, bodies in (
+        (BROKEN_ENDS, BODIES),
+        (ORDERLY_ENDS, {name: body for name, body in BODIES.items() if name != "one-event"}),
+    )
+    for framing, end in ends
+    for name, body in bodies.items()
+]
+# A length that the caller has been told does not fit what another engine sends.
+RESUMABLE = [
+    each for each in BROKEN_OFF if each.values[0] != "length" or EVENT_1 not in each.values[1]
+]
+
+
+def looks_complete(caller):
+    """Return whether what a caller has received ends as an answer of HTTP/1.1."""
+    head, _, body = caller.received().partition(b"\r\n\r\n")
+    if head.startswith(b"HTTP/1.1 5") or caller.transport.aborted:
+        return False
+    assert head.startswith(b"HTTP/1.1 200 ")
+    return body.endswith(b"0\r\n\r\n") if b"chunked" in head else b"Content-Length" in head
+
+
+def send_and_end(upstream, framing, body, end):
+    upstream.send(HEADS[framing])
+    if body:
+        upstream.send(chunk(body) if framing == "chunks" else body)
+    end(upstream)
+
+
+@pytest.mark.parametrize(("framing", "body", "end"), BROKEN_OFF)
+def test_a_stream_that_is_broken_off_does_not_look_complete(engines, framing, body, end):
+    """A stream without an event, or that ended inside one, reached its caller as complete."""
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    send_and_end(engines.accept(), framing, body, end)
+    engines.advance(25)
+    assert not looks_complete(caller)
+    assert engines.pending_connections() == 0
+
+
+@pytest.mark.parametrize(("framing", "body", "end"), BROKEN_OFF)
+def test_a_resumed_stream_that_is_broken_off_does_not_look_complete(engines, framing, body, end):
+    caller = engines.caller()
+    caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+    first = engines.accept()
+    first.send(stream_head() + chunk(EVENT_1))
+    first.close(reset=True)
+    send_and_end(engines.accept(), framing, body, end)
+    engines.advance(25)
+    # The second engine may have had nothing to add, but only its last chunk says so.
+    nothing_left = end is last_chunk and body in (b"", COMMENT)
+    assert looks_complete(caller) is nothing_left
+
+
+@pytest.mark.parametrize(("framing", "body", "end"), RESUMABLE)
+def test_a_stream_that_is_broken_off_is_resumed(engines, framing, body, end):
+    caller = engines.caller()
+    caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+    send_and_end(engines.accept(), framing, body, end)
+    engines.advance(25)
+    second = engines.accept()
+    assert (b"Last-Event-Id: 1\r\n" in second.received()) is (EVENT_1 in body)
+    missing = EVENT_2 if EVENT_1 in body else EVENT_1 + EVENT_2
+    second.send(stream_head() + chunk(missing) + chunk(b""))
+    response = caller.received()
+    assert (response.count(EVENT_1), response.count(EVENT_2)) == (1, 1)
+    assert response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("body", [b"", COMMENT])
+@pytest.mark.parametrize("last_id", ["", "7"])
+def test_only_a_caller_that_resumes_gets_a_stream_without_an_event(engines, body, last_id):
+    """An engine that began an answer and ended was taken for one with an empty answer."""
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000", Last_Event_Id=last_id))
+    send_and_end(engines.accept(), "chunks", body, last_chunk)
+    engines.advance(25)
+    assert looks_complete(caller) is bool(last_id)
+
+
+@pytest.mark.parametrize("status", [500, 404])
+def test_a_failure_without_a_body_is_passed_on(engines, status):
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    engines.accept().send(answer(b"", f"{status} Failed"))
+    assert caller.received().startswith(b"HTTP/1.1 %d " % status)
