Reset the connection of an HTTP/1.0 caller unless its answer is complete

Callers saw: a caller that speaks HTTP/1.0 gets streams without chunks, and the end of the connection ends them. Cause: the operating system, and Twisted at its stop, close connections in order. Change: while such an answer is in progress, SO_LINGER makes each close a reset. A forced stop resets the connections with an answer in progress itself, as Twisted shuts them down before it closes them. Why it works: both cases of test_a_caller_without_chunks_sees_that_the_gateway_was_ended, which run a gateway process, failed on the code before and pass now; tests/adapter passes.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from skylarkmoor_gateway.messages import Headers
-from skylarkmoor_gateway.tcpoptions import configure_socket
+from skylarkmoor_gateway.tcpoptions import configure_socket, reset_on_close
 from skylarkmoor_policy.routetable import CallerLimits
 
 __all__ = ["CallerConnection", "CallerConnectionFactory", "RequestHandler"]
@@ -72,6 +72,8 @@
         self._response_started = False
         self._closing = False
         self._has_producer = False
+        # Whether the response ends with the connection, because the caller speaks HTTP/1.0.
+        self._close_delimited = False
         self._timer: Any = None
         self._reading_head = False
 
@@ -114,6 +116,10 @@
         if not self._busy and self._head is None and not self._reading_head:
             self._close()
 
+    def close_now(self) -> None:
+        """Close the connection, or reset it if a response is in progress."""
+        self._close(abort=self._response_started)
+
     def start_response(self, status: int, headers: Headers, *, streamed: bool) -> None:
         """Send the response head.
 
@@ -134,6 +140,10 @@
                 status_code=status, headers=all_headers, reason=_REASON_PHRASES.get(status, b"")
             )
         )
+        self._close_delimited = streamed and self._http.their_http_version == b"1.0"
+        if self._close_delimited and not self._closing:
+            # The caller would take any orderly close for the end of the response.
+            reset_on_close(self.transport, True)
 
     def send_body(self, data: bytes) -> None:
         """Send a chunk of the response body."""
@@ -142,6 +152,8 @@
     def end_response(self) -> None:
         """Complete the response, then read the next request or close the connection."""
         self._send(h11.EndOfMessage())
+        if self._close_delimited and not self._closing:
+            reset_on_close(self.transport, False)
         self._finish_response()
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -238,7 +238,7 @@
         for port in self._ports:
             await port.stopListening()
         for caller in list(self._callers):
-            caller.close_if_idle()
+            caller.close_now()
         self.tasks.stop()
         self.fleet.close()
         for pool in self._pools.values():
--- a/libs/gateway/src/skylarkmoor_gateway/tcpoptions.py
+++ b/libs/gateway/src/skylarkmoor_gateway/tcpoptions.py
@@ -1,9 +1,10 @@
 """TCP options of all connections of the gateway."""
 
 import socket
+import struct
 from typing import Any
 
-__all__ = ["configure_socket"]
+__all__ = ["configure_socket", "reset_on_close"]
 
 # A dead connection is detected after 2 + 2 * 1 seconds, within the shortest caller timeout of 5 s.
 _KEEPALIVE_IDLE_S = 2
@@ -25,3 +26,9 @@
         (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def reset_on_close(transport: Any, enabled: bool) -> None:
+    """Choose whether a connection is reset when it is closed, also if the process is killed."""
+    linger = struct.pack("ii", int(enabled), 0)
+    transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/adapter/test_answer_ends.py
+++ b/tests/adapter/test_answer_ends.py
@@ -176,3 +176,40 @@
     caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
     engines.accept().send(answer(b"", f"{status} Failed"))
     assert caller.received().startswith(b"HTTP/1.1 %d " % status)
+
+
+def http_1_0(data):
+    """Return a request as a caller sends it that speaks HTTP/1.0."""
+    return data.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n")
+
+
+@pytest.mark.parametrize(("framing", "end"), [("chunks", last_chunk), ("close", close)])
+def test_an_answer_without_chunks_resets_the_connection_until_it_is_complete(engines, framing, end):
+    """A caller of HTTP/1.0 took a stream for complete when the gateway was killed."""
+    caller = engines.caller()
+    caller.send(http_1_0(request("/answer/1", Skylarkmoor_Deadline_Ms="9000")))
+    upstream = engines.accept()
+    upstream.send(HEADS[framing])
+    upstream.send(chunk(EVENT_1) if framing == "chunks" else EVENT_1)
+    assert caller.received().endswith(b"\r\n\r\n" + EVENT_1)
+    assert caller.transport.resets_on_close
+    end(upstream)
+    assert not caller.transport.resets_on_close
+    assert caller.transport.disconnecting
+    assert not caller.transport.aborted
+
+
+@pytest.mark.parametrize(("framing", "body", "end"), BROKEN_OFF)
+def test_a_caller_without_chunks_sees_that_a_stream_is_broken_off(engines, framing, body, end):
+    caller = engines.caller()
+    caller.send(http_1_0(request("/answer/1", Skylarkmoor_Deadline_Ms="9000")))
+    send_and_end(engines.accept(), framing, body, end)
+    engines.advance(25)
+    assert caller.transport.aborted or caller.received().startswith(b"HTTP/1.1 5")
+
+
+def test_answers_in_chunks_or_with_a_length_do_not_change_how_connections_are_closed(engines):
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    engines.accept().send(HEADS["chunks"] + chunk(EVENT_1))
+    assert not caller.transport.resets_on_close
--- a/tests/adapter/test_gateway_process.py
+++ b/tests/adapter/test_gateway_process.py
@@ -18,7 +18,7 @@
 import msgspec
 import pytest
 
-from adapter_harness import CONFIG, answer
+from adapter_harness import CONFIG, answer, request
 
 EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
 WAIT_S = 20
@@ -33,6 +33,9 @@
         self.port = self.listener.getsockname()[1]
         self.answers = []
         self.received = []
+        # Answers are followed by the end of their connection once this is set.
+        self.may_close = threading.Event()
+        self.may_close.set()
 
     def run(self):
         while True:
@@ -47,6 +50,7 @@
                 if data:
                     self.received.append(data)
                     connection.sendall(self.answers.pop(0))
+                    self.may_close.wait(WAIT_S)
 
 
 def store_handler(entries):
@@ -105,8 +109,14 @@
 
 
 @pytest.fixture
-def gateway(engines, tmp_path):
-    """Return the address of a ready gateway with two engines."""
+def gateway(process):
+    """Return the port for callers of a ready gateway with two engines."""
+    return process[1]
+
+
+@pytest.fixture
+def process(engines, tmp_path):
+    """Return a ready gateway with two engines, and its port for callers."""
     entries = {
         f"e{number}": msgspec.json.encode(
             {
@@ -141,7 +151,7 @@
     )
     try:
         wait_until_ready(process, ports[1], tuple(entries))
-        yield ports[0]
+        yield process, ports[0]
     finally:
         process.send_signal(signal.SIGKILL)
         process.communicate()
@@ -227,6 +237,33 @@
         ask(gateway, "/answer/1")
 
 
+@pytest.mark.parametrize(
+    "signals",
+    [(signal.SIGKILL,), (signal.SIGTERM, signal.SIGTERM)],
+    ids=["killed", "forced to stop"],
+)
+def test_a_caller_without_chunks_sees_that_the_gateway_was_ended(process, engines, signals):
+    """The end of the connection was an orderly one, which completes an answer of HTTP/1.0."""
+    gateway, port = process
+    for engine in engines:
+        engine.answers = [answer(b"", Content_Length="") + EVENT_1]
+        engine.may_close.clear()
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT_S) as caller:
+        head = request("/answer/1", "POST", Skylarkmoor_Deadline_Ms="9000")
+        caller.sendall(head.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        received = b""
+        while EVENT_1 not in received:
+            received += caller.recv(65_536)
+        for each in signals:
+            gateway.send_signal(each)
+            # Signals of one kind that are pending together are delivered once.
+            time.sleep(0.2)
+        with pytest.raises(ConnectionResetError):
+            caller.recv(65_536)
+    for engine in engines:
+        engine.may_close.set()
+
+
 class Once:
     """The answers of an engine: the second one if the other engine got a request before it."""
 
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -1,5 +1,7 @@
 """Gateway with in-memory connections, so that tests control the bytes on both sides."""
 
+import socket
+import struct
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -37,6 +39,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.aborted = False
+        self.options: dict[tuple[int, int], Any] = {}
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Accept the option."""
@@ -48,8 +51,15 @@
         """Return an object that accepts socket options."""
         return self
 
-    def setsockopt(self, *option: int) -> None:
-        """Accept the option."""
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        """Record the option."""
+        self.options[level, option] = value
+
+    @property
+    def resets_on_close(self) -> bool:
+        """Whether closing the connection resets it, also when the process ends."""
+        linger = self.options.get((socket.SOL_SOCKET, socket.SO_LINGER), bytes(8))
+        return struct.unpack("ii", linger) == (1, 0)
 
     def abortConnection(self) -> None:  # noqa: N802
         """Record a reset."""
