Do not resume a stream after an event that has no id

Callers saw: when a stream without ids broke off on a route that resumes, the other engine got no Last-Event-Id, began anew, and its events followed those of the first (found by the table of ends). Cause: any stream of such a route counted as one that can continue; with ids on some events only, the id of an earlier event was used. Change: a stream whose last complete event has no id is broken off instead. Evidence: test_a_stream_without_ids_is_not_continued_by_another_engine failed on the code before.

--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -53,8 +53,11 @@
     @property
     def can_continue(self) -> bool:
         """Whether another upstream may replace the response or resume it after the last event."""
-        # A Content-Length that was sent would not match what the next upstream sends.
-        return not self.started or (self._resumable and self._content_length is None)
+        if not self.started:
+            return True
+        # A Content-Length that was sent would not match what the next upstream sends, and without
+        # an ID the next one would begin anew.
+        return self._resumable and self._content_length is None and self.last_event_id is not None
 
     @property
     def inside_event(self) -> bool:
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -30,7 +30,7 @@
     count : int
         Number of complete events.
     last_id : bytes or None
-        ID of the last complete event that has one; tracked only with `hold_incomplete`.
+        ID of the last complete event, None if it has none; tracked only with `hold_incomplete`.
 
     Notes
     -----
@@ -133,6 +133,6 @@
     def _end_event(self) -> None:
         if self._has_field:
             self.count += 1
-            self.last_id = self.last_id if self._id is None else self._id
+            self.last_id = self._id
         self._has_field = False
         self._id = None
--- a/tests/adapter/test_answer_ends.py
+++ b/tests/adapter/test_answer_ends.py
@@ -213,3 +213,123 @@
     caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
     engines.accept().send(HEADS["chunks"] + chunk(EVENT_1))
     assert not caller.transport.resets_on_close
+
+
+@pytest.mark.parametrize("body", [b"data: a\n\n", EVENT_1 + b"data: a\n\n"])
+def test_a_stream_without_ids_is_not_continued_by_another_engine(engines, body):
+    """The other engine began anew, so that its caller got the first events twice."""
+    caller = engines.caller()
+    caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+    send_and_end(engines.accept(), "chunks", body, reset)
+    engines.advance(25)
+    assert not looks_complete(caller)
+    assert engines.pending_connections() == 0
+
+
+RUNS_WITHOUT_THE_REST = {
+    "status-500": answer(b"", "500 Error"),
+    "status-404": answer(b"", "404 Not Found"),
+    "status-206": answer(b"", "206 Partial Content"),
+    "no-events": answer(EVENT_2, Content_Type="text/plain"),
+    "other-request": answer(EVENT_2, Skylarkmoor_Request_Id="r2"),
+    "no-signature": answer(EVENT_2, Skylarkmoor_Response_Seal=""),
+    "short": answer(EVENT_2, Content_Length=str(len(EVENT_2) + 9)),
+    "half-head": b"HTTP/1.1 200",
+    "not-http": b"not http\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("resumed_from", ["close", "chunks"])
+@pytest.mark.parametrize("second", RUNS_WITHOUT_THE_REST)
+def test_a_resumed_run_without_the_rest_does_not_look_complete(engines, resumed_from, second):
+    caller = engines.caller()
+    caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+    send_and_end(engines.accept(), resumed_from, EVENT_1, reset)
+    engines.advance(25)
+    upstream = engines.accept()
+    upstream.send(RUNS_WITHOUT_THE_REST[second])
+    if not upstream.transport.aborted:
+        upstream.close()
+    engines.advance(25)
+    assert not looks_complete(caller)
+
+
+def test_a_resumed_run_with_a_length_and_another_version_completes_the_stream(engines):
+    caller = engines.caller()
+    caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+    send_and_end(engines.accept(), "close", EVENT_1, reset)
+    engines.advance(25)
+    body = b"skylarkmoor-weight-versions: 2\n" + EVENT_2
+    engines.accept().send(answer(body, Skylarkmoor_Weight_Versions="2"))
+    response = caller.received()
+    assert response.count(b"HTTP/1.1") == 1
+    assert response.endswith(chunk(EVENT_1) + chunk(body) + chunk(b""))
+
+
+@pytest.mark.parametrize("path", ["/answer/1", "/brief/1"])
+@pytest.mark.parametrize("framing", HEADS)
+def test_a_stream_that_the_gateway_gives_up_does_not_look_complete(engines, path, framing):
+    caller = engines.caller()
+    caller.send(request(path, Skylarkmoor_Deadline_Ms="2000"))
+    upstream = engines.accept()
+    upstream.send(HEADS[framing])
+    for number in range(9):
+        data = b"id: %d\ndata: a\n\n" % number
+        if not upstream.transport.aborted and framing != "length":
+            upstream.send(chunk(data) if framing == "chunks" else data)
+        engines.advance(250)
+    assert upstream.transport.aborted
+    assert not looks_complete(caller)
+
+
+@pytest.mark.parametrize("framing", HEADS)
+def test_a_stream_of_a_draining_gateway_is_complete_or_broken_off(engines, framing):
+    for end, complete in ((reset, False), (close, framing == "close")):
+        caller = engines.caller()
+        caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+        upstream = engines.accept()
+        upstream.send(HEADS[framing])
+        upstream.send(chunk(EVENT_1) if framing == "chunks" else EVENT_1)
+        if end is reset:
+            engines.gateway.drain()
+        end(upstream)
+        assert looks_complete(caller) is complete
+
+
+@pytest.mark.parametrize("framing", HEADS)
+def test_a_stream_whose_caller_has_left_is_cancelled(engines, framing):
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    upstream = engines.accept()
+    upstream.send(HEADS[framing])
+    caller.disconnect()
+    assert upstream.transport.aborted
+
+
+@pytest.mark.parametrize("long", [False, True], ids=["short", "long"])
+@pytest.mark.parametrize(
+    ("framing", "end", "complete"),
+    [
+        ("length", close, False),
+        ("length", reset, False),
+        ("chunks", close, False),
+        ("chunks", reset, False),
+        ("chunks", last_chunk, True),
+        ("close", reset, False),
+        ("close", close, True),
+    ],
+)
+def test_a_plain_answer_looks_complete_only_if_its_framing_says_so(
+    harness, long, framing, end, complete
+):
+    """A long body is forwarded before its end; a short one is only sent when it is complete."""
+    harness.add_upstream("o1", "orders", 1)
+    body = b"x" * (300_000 if long else 10)
+    heads = HEADS | {"length": answer(b"", Content_Length=str(len(body) + 1))}
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    upstream = harness.accept()
+    upstream.send(heads[framing])
+    upstream.send(chunk(body) if framing == "chunks" else body)
+    end(upstream)
+    assert looks_complete(caller) is complete
