Take a resumed run that sends no events for failed

Callers saw: the body of a 200 of another content type was appended to the events of a stream that was being resumed, and the whole looked complete. Cause: only failures were kept out of a stream that was being resumed, not successes of another type. Change: the attempt fails at the head. Evidence: both cases 'no-events' of test_a_resumed_run_without_the_rest_does_not_look_complete failed on the commit before and pass now; tests/adapter passes.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -494,6 +494,8 @@
                 pool.set_keep_alive(connection, head.keep_alive_ms)
         if 200 <= status < 300 and not head.has_signature:
             self._fail_attempt(attempt, "the answer has no signature")
+        elif self._response.started and status == 200 and not head.has_events:
+            self._fail_attempt(attempt, "a stream was resumed with what are no events")
 
     def response_data(self, attempt: _SendAttempt, data: bytes) -> None:
         """Process a chunk of the body of the upstream's response."""
