Accept a call's result with neither a length nor chunks

Callers saw: a call whose upstream answers without a length and without chunks got upstream_failed; the attempt counted as a crash, so an idempotent call ran again and its request came under suspicion. Cause: Twisted reports the end of such a body as possible loss, which was taken for a broken connection. Change: the client of an upstream hands the body on; it is a JSON object, which is whole if it decodes. The client of the platform keeps taking it for an error, as pages of records may be cut between two of them. Evidence: test_result_with_neither_a_length_nor_chunks_is_returned failed on the code before; with it test_upstreams and test_httpclient pass.

--- a/libs/clients/tests/test_httpclient.py
+++ b/libs/clients/tests/test_httpclient.py
@@ -1,4 +1,4 @@
-"""Guards against timeouts that are reported as something else."""
+"""Guards against truncated answers, and timeouts that are reported as something else."""
 
 import pytest
 import pytest_twisted
@@ -31,3 +31,39 @@
     client = PlatformHttp(serve(app))
     with pytest.raises(PlatformError, match="GET .*/slow: no complete answer within 50 ms"):
         await client.request("GET", "/slow", timeout_ms=50, max_bytes=100)
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+    ],
+)
+async def test_answer_that_may_lack_its_end_is_an_error(answer):
+    """Twisted does not tell whether a connection that ends an answer was closed or reset."""
+    from twisted.internet import reactor
+    from twisted.internet.protocol import Factory, Protocol
+
+    class Server(Protocol):
+        def dataReceived(self, data):  # noqa: N802
+            self.transport.write(answer)
+            self.transport.loseConnection()
+
+    factory = Factory.forProtocol(Server)
+    factory.noisy = False
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    client = PlatformHttp(f"http://127.0.0.1:{port.getHost().port}")
+    try:
+        with pytest.raises(PlatformError):
+            await client.request("POST", "/", timeout_ms=2_000, max_bytes=100, body=b"{}")
+        received = []
+        with pytest.raises(PlatformError):
+            await client.stream("/", received.append, idle_timeout_ms=2_000)
+    finally:
+        await client.close()
+        await port.stopListening()
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer  # type: ignore[import-untyped]
 
@@ -272,7 +273,9 @@
         """Fire `finished` with the whole body, or fail it if the body is incomplete."""
         if self.finished.called:
             return
-        if isinstance(reason.value, ResponseDone):
+        # A body that ends with its connection is a JSON object, which cannot be decoded if a part
+        # of it is missing.
+        if isinstance(reason.value, (ResponseDone, PotentialDataLoss)):
             self.finished.callback(b"".join(self._chunks))
         else:
             self.finished.errback(reason)
--- a/libs/daemon/tests/test_upstreams.py
+++ b/libs/daemon/tests/test_upstreams.py
@@ -103,6 +103,14 @@
     assert upstream.received[0].endswith(b'{"attempt":"r.1","route":"order","body":{"n":1}}')
 
 
+@pytest_twisted.ensureDeferred
+async def test_result_with_neither_a_length_nor_chunks_is_returned(fake_upstream):
+    """The call was reported as crashed although it had run, and its answer was lost."""
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    upstream = fake_upstream(head + b'{"attempt":"r.1","result":{"a" : 1}}')
+    assert await _call(upstream.client()) == b'{"a" : 1}'
+
+
 @pytest_twisted.ensureDeferred
 async def test_refused_connection_is_reported_as_unsent():
     with socket.socket() as unused:
@@ -126,6 +134,8 @@
     [
         (None, AttemptResult.CRASHED),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{", AttemptResult.CRASHED),
+        (b"HTTP/1.1 200 OK\r\n\r\n", AttemptResult.CRASHED),
+        (b'HTTP/1.1 200 OK\r\n\r\n{"attempt":"r.1","result":{"a" : 1}', AttemptResult.CRASHED),
         (_http_response(200, {"attempt": "other", "result": 1}), AttemptResult.CRASHED),
         (_http_response(200, b"not json"), AttemptResult.CRASHED),
         (_http_response(500, {"error": "x"}), AttemptResult.FAILED),
