--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -25,6 +25,9 @@
         self._platform_calls = self._counter(
             "platform_calls_total", "Calls to the platform by result."
         )
+        self._restores = self._counter(
+            "platform_restores_total", "Returns of the platform's store from an older copy."
+        )
         self._first_byte = self._histogram("first_byte_ms", "Arrival to first byte of the answer.")
         self._duration = self._histogram("request_ms", "Arrival to end.")
         self._held = self._gauge("held_requests", "Requests that wait or run.")
@@ -59,6 +62,10 @@
         """Count a call to the platform by its result."""
         self._platform_calls.inc({"result": result})
 
+    def platform_restored(self) -> None:
+        """Count a return of the platform's store from an older copy."""
+        self._restores.inc({})
+
     def state(
         self,
         *,
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,6 +1,7 @@
 """Guards against wrong offsets, missed pages and truncated responses that pass as complete."""
 
 import struct
+from contextlib import suppress
 
 import pytest
 from twisted.internet import reactor
@@ -66,8 +67,11 @@
     def render(self, request):
         """Return the next response; the last one is repeated."""
         self.calls.append((request.uri, request.content.read()))
-        status, body = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        status, body, *era = answer
         request.setResponseCode(status)
+        if era:
+            request.setHeader("Store-Era", era[0])
         return body
 
 
@@ -125,3 +129,54 @@
         lambda store: store.append("keyed.gateways", "host-1", b"10.0.0.1:7600"),
     )
     return done.addCallback(check)
+
+
+EMPTY = page(end=0)
+
+
+@pytest.mark.parametrize(
+    ("eras", "era", "restores"),
+    [
+        (["3", "3"], 3, 0),
+        (["1", "2", "2", "3"], 3, 2),
+        (["2", "1"], 2, 0),
+        (["2", "", "2"], 2, 0),
+        (["", "", ""], 0, 0),
+        (["2", "two", "-3", "2.5", "\u0662", "3"], 3, 1),
+    ],
+)
+def test_a_restore_is_seen_when_the_era_rises(eras, era, restores):
+    """The first era says nothing of what this process has read before."""
+    seen = []
+
+    async def read_all(store):
+        store.on_restored.append(lambda: seen.append(store.era))
+        for _ in eras:
+            with suppress(PlatformError):
+                await store.read("keyed.op", 0)
+        return store.era
+
+    done = run([(200, EMPTY, each.encode()) for each in eras], read_all)
+    return done.addCallback(lambda result: check_equal((result[0], len(seen)), (era, restores)))
+
+
+def check_equal(left, right):
+    assert left == right
+
+
+@pytest.mark.parametrize("status", [410, 503, 412])
+def test_failures_and_appends_show_a_restore_as_well(status):
+    seen = []
+
+    async def read_and_append(store):
+        store.on_restored.append(lambda: seen.append(store.era))
+        await store.append("keyed.gateways", "host-1", b"a")
+        with suppress(PlatformError):
+            await store.read("keyed.op", 4)
+        await store.append("keyed.gateways", "host-1", b"a")
+
+    appended = b'{"offset":1,"end_offset":2}'
+    done = run(
+        [(200, appended, b"1"), (status, b"{}", b"2"), (200, appended, b"3")], read_and_append
+    )
+    return done.addCallback(lambda _: check_equal(seen, [2, 3]))
