Order records of different eras by what they say, not by their offsets

Cause: a position in a log was taken for the age of what stands there. The reader refused every list that ended below what it had read before, records at offsets that had been applied before counted as older, and a peer with an offset of before the restore made the others read with each of its states. Change: LogPosition carries the era with the offset, in readers, states and announcements; an offset of an earlier era is given up for the newest record of each key, and an answer of an earlier era is refused. VersionHistory compares configurations of different eras by version: a newer one is kept, and what is written again or later is in force, also at the same offset. Within an era the offset decides as before, so that an operator may go back to a lower version. A restore that any call shows makes the follower of the configuration read at once. The log says from what position to what, and what was kept.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -262,6 +262,9 @@
     failure_domain: FailureDomain = FailureDomain("")
     # Number of the state within the sender's incarnation; 0 if the sender does not number them.
     sequence: int = 0
+    # Eras of the offsets in `configuration` and `upstreams`; 0 if the sender does not know them.
+    configuration_era: int = 0
+    upstreams_era: int = 0
 
 
 class RelayedState(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -8,6 +8,7 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import SettingsError
 from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, ServiceName, UpstreamId
+from skylarkmoor_core.logposition import BEFORE_ALL, LogPosition
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
     CrashEvidence,
@@ -122,10 +123,11 @@
         failure_domain: FailureDomain = _NO_DOMAIN,
         crash_evidence: CrashEvidenceTable | None = None,
     ) -> None:
-        self.configuration = -1
-        # Offsets of the last record that changed the list of upstreams and of the last one read.
-        self.upstreams_changed = -1
-        self.upstreams_read = -1
+        # Position of the last record of the operator that was read.
+        self.configuration = BEFORE_ALL
+        # Positions of the last record that changed the list of upstreams and of the last one read.
+        self.upstreams_changed = BEFORE_ALL
+        self.upstreams_read = BEFORE_ALL
         self.draining = False
         # Called with the facts that a peer has sent.
         self.on_facts: Callable[[Sequence[Fact]], None] = lambda facts: None
@@ -314,7 +316,7 @@
         return GatewayState(
             self._address,
             self.draining,
-            self.configuration,
+            self.configuration.offset,
             self._placement.own_loads(),
             dict(self._quotas.admitted),
             dict(self._retries.requests),
@@ -323,8 +325,10 @@
             dict(self.slot_coordinator.last_grants),
             self._placement.own_records(),
             self._placement.own_backoffs_ms(self._clock.now_ms()),
-            self.upstreams_changed,
+            self.upstreams_changed.offset,
             self._placement.own_leaving(),
+            configuration_era=self.configuration.era,
+            upstreams_era=self.upstreams_changed.era,
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -532,9 +536,9 @@
         )
         self._crash_counts.set_peer_counts(sender, state.crashes)
         self._add_peer_counts(sender, incarnation, state)
-        if state.configuration > self.configuration:
+        if LogPosition(state.configuration_era, state.configuration) > self.configuration:
             self._on_newer()
-        if state.upstreams > self.upstreams_read:
+        if LogPosition(state.upstreams_era, state.upstreams) > self.upstreams_read:
             self._on_newer_upstreams()
         self.slot_coordinator.grant_free_slots()
         return True
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -15,6 +15,7 @@
     RequestId,
     UpstreamId,
 )
+from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_core.logs import BoundedStream, part_logger
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.callerconnections import CallerConnection, CallerConnectionFactory
@@ -184,14 +185,19 @@
         self.tasks.every(_MAINTENANCE_MS, self._maintain)
         _log.info("started", extra={"host": settings.host, "callers": str(settings.caller_address)})
 
-    def set_table(self, table: RouteTable, offset: int) -> None:
-        """Activate a configuration."""
+    def set_table(self, table: RouteTable, position: LogPosition) -> None:
+        """Activate a configuration, whose record is at `position`."""
         previous_version = None if self._table is None else self._table.version
         self._table = table
-        self.fleet.configuration = max(self.fleet.configuration, offset)
+        self.fleet.configuration = max(self.fleet.configuration, position)
         _log.info(
             "configuration activated",
-            extra={"version": table.version, "before": previous_version, "offset": offset},
+            extra={
+                "version": table.version,
+                "before": previous_version,
+                "offset": position.offset,
+                "era": position.era,
+            },
         )
         self._apply(self._lifecycle.configuration_loaded())
 
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -6,6 +6,7 @@
 
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.hashing import rendezvous_order
+from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_core.messages import (
     CrashedRequest,
     CrashEvidence,
@@ -210,14 +211,32 @@
 
 
 def test_newer_offsets_of_a_peer_trigger_a_read(fleet):
-    fleet.configuration = 4
-    fleet.upstreams_read = 9
+    fleet.configuration = LogPosition(0, 4)
+    fleet.upstreams_read = LogPosition(0, 9)
     receive_state(fleet, configuration=4, upstreams=9)
     assert fleet.asked == []
     receive_state(fleet, configuration=5, upstreams=10)
     assert fleet.asked == ["configuration", "upstreams"]
 
 
+def test_offsets_of_an_earlier_era_trigger_no_read(fleet):
+    """After a restore every state of a peer that had not read it made all others read."""
+    fleet.configuration = LogPosition(2, 4)
+    fleet.upstreams_read = LogPosition(2, 9)
+    receive_state(fleet, configuration=50, configuration_era=1, upstreams=90, upstreams_era=1)
+    assert fleet.asked == []
+    receive_state(fleet, configuration=1, configuration_era=3, upstreams=2, upstreams_era=3)
+    assert fleet.asked == ["configuration", "upstreams"]
+
+
+def test_state_names_the_eras_of_its_offsets(fleet):
+    fleet.configuration = LogPosition(2, 4)
+    fleet.upstreams_changed = LogPosition(3, 9)
+    sent = fleet._state()
+    assert (sent.configuration, sent.configuration_era) == (4, 2)
+    assert (sent.upstreams, sent.upstreams_era) == (9, 3)
+
+
 def test_peer_with_an_invalid_address_is_ignored(fleet):
     receive_state(fleet, address="nowhere")
     assert fleet.active_peer_count() == 0
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -15,6 +15,7 @@
     from skylarkmoor_adapter.headers import HeaderCodec
     from skylarkmoor_adapter.records import decode_configuration
     from skylarkmoor_core.clock import ManualClock
+    from skylarkmoor_core.logposition import LogPosition
     from skylarkmoor_core.settings import Address
     from skylarkmoor_gateway.gateway import Gateway
     from skylarkmoor_gateway.settings import GatewaySettings
@@ -29,5 +30,5 @@
         random.Random(1),
         HeaderCodec(),
     )
-    gateway.set_table(decode_configuration(CONFIG), 0)
+    gateway.set_table(decode_configuration(CONFIG), LogPosition(0, 0))
     return Harness(gateway, reactor, clock)
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -7,6 +7,7 @@
 from adapter_harness import CONFIG
 from skylarkmoor_adapter.store import KeyedRecord, RecordsDropped, StorePage
 from skylarkmoor_core.errors import PlatformError
+from skylarkmoor_core.logposition import LogPosition
 
 
 def entry(**overrides):
@@ -35,6 +36,7 @@
     """Store with prepared answers; an answer that is an exception is raised."""
 
     def __init__(self):
+        self.on_restored = []
         self.newest_answers = []
         self.read_answers = []
         self.appended = []
@@ -224,11 +226,11 @@
     """Each announcement makes the peers read the store, and each read is billed."""
     follower, fleet = followers.upstreams, followers.gateway.fleet
     follower._apply_page(page(("e1", entry(), 1)), True)
-    assert fleet.upstreams_changed == 1
+    assert fleet.upstreams_changed == LogPosition(0, 1)
     follower._apply_page(page(("e1", entry(seq=9), 2)), False)
-    assert fleet.upstreams_changed == 1
+    assert fleet.upstreams_changed == LogPosition(0, 1)
     follower._apply_page(page(("e1", entry(state="draining"), 3)), False)
-    assert fleet.upstreams_changed == 3
+    assert fleet.upstreams_changed == LogPosition(0, 3)
 
 
 def test_the_peer_directory_appends_before_it_reads(followers):
--- /dev/null
+++ b/tests/adapter/test_restored_store.py
@@ -0,0 +1,258 @@
+"""Guards against what an older copy of the store takes back, keeps for good or hides."""
+
+import msgspec
+import pytest
+from twisted.web.http_headers import Headers
+
+from adapter_harness import CONFIG
+from adapter_store import StoreModel
+from skylarkmoor_adapter.store import OutdatedAnswer, Store
+from skylarkmoor_clients.httpclient import Answer
+from skylarkmoor_core.errors import PlatformError
+from skylarkmoor_core.logposition import LogPosition
+from skylarkmoor_core.settings import Address
+
+
+class ModelHttp:
+    """Passes the calls of a client to a store model, unless it is away.
+
+    Attributes
+    ----------
+    delayed : StoreResponse or None
+        Returned in place of the next response, which is then the next to be returned.
+    """
+
+    def __init__(self, model):
+        self.model = model
+        self.is_away = False
+        self.delayed = None
+
+    async def request(self, method, path, *, params, body=None, timeout_ms, max_bytes):
+        if self.is_away:
+            raise PlatformError("the store is away")
+        response = self.model.respond(method, path, params, body or b"")
+        if self.delayed is not None:
+            response, self.delayed = self.delayed, None
+        return Answer(
+            response.status, Headers({k: [v] for k, v in response.headers.items()}), response.body
+        )
+
+
+def run_to_completion(work):
+    """Run a coroutine that does not wait for anything."""
+    with pytest.raises(StopIteration) as stop:
+        work.send(None)
+    return stop.value.value
+
+
+def run_step(work):
+    """Run a coroutine up to its first wait, and end it."""
+    work.send(None)
+    work.close()
+
+
+class RestoredStore:
+    """A gateway that follows a store model."""
+
+    def __init__(self, harness):
+        from skylarkmoor_adapter.followers import (
+            ConfigurationFollower,
+            UpstreamFollower,
+        )
+
+        self.harness = harness
+        self.gateway = harness.gateway
+        # The table of the harness is replaced by that of the store.
+        self.gateway._table = None
+        self.model = StoreModel()
+        self.store = Store(Address("127.0.0.1", 1))
+        self.http = self.store._http = ModelHttp(self.model)
+        tasks = self.gateway.tasks
+        self.configuration = ConfigurationFollower(self.store, self.gateway, tasks, harness.clock)
+        self.upstreams = UpstreamFollower(self.store, self.gateway, tasks, harness.clock, 2_000)
+
+    def publish(self, number):
+        return self.model.write("keyed.op", "config", version(number))
+
+    def follow_configuration(self):
+        """Make the read that the follower of the configuration would make next."""
+        page, covers_all_keys = run_to_completion(self.configuration._reader.next(0))
+        self.configuration._apply_page(page, covers_all_keys)
+
+    def follow_upstreams(self):
+        """Make the read that the follower of the upstreams would make next."""
+        page, covers_all_keys = run_to_completion(self.upstreams._reader.next(0))
+        self.upstreams._store_monitor.answered()
+        self.upstreams._apply_page(page, covers_all_keys)
+        self.gateway.fleet.upstreams_read = LogPosition(page.era, page.next_offset - 1)
+
+    @property
+    def version(self):
+        return self.gateway.table.version
+
+
+@pytest.fixture
+def restored(harness):
+    return RestoredStore(harness)
+
+
+def version(number):
+    config = msgspec.json.decode(CONFIG)
+    config["version"] = number
+    return msgspec.json.encode(config)
+
+
+@pytest.mark.parametrize(
+    ("rewritten", "expected"),
+    [
+        ([], 14),
+        ([10], 14),
+        ([10, 14], 14),
+        ([10, 14, 16], 16),
+        ([10, 12, 14, 16, 18], 18),
+        ([16], 16),
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("read_each", [False, True])
+def test_a_newer_version_is_kept_and_what_is_written_later_is_in_force(
+    restored, rewritten, expected, read_each
+):
+    """A version at an offset that had been read before was never applied (CONFIG)."""
+    restored.publish(2)
+    older = restored.model.copy()
+    for number in (6, 10, 14):
+        restored.publish(number)
+    restored.follow_configuration()
+    restored.model.restore(older)
+    versions = []
+    for number in rewritten:
+        restored.publish(number)
+        if read_each:
+            restored.follow_configuration()
+            versions.append(restored.version)
+    restored.follow_configuration()
+    assert restored.version == expected
+    assert versions == sorted(versions)
+
+
+@pytest.mark.parametrize("seen_by", ["read", "append", "newest"])
+@pytest.mark.parametrize("lost", [0, 1, 3])
+@pytest.mark.parametrize("written", [0, 1, 3])
+def test_a_restore_is_noticed_wherever_the_log_ends(restored, seen_by, lost, written):
+    """The old offset may be beyond the end, exactly at it, or passed by new records."""
+    restored.publish(2)
+    older = restored.model.copy()
+    for _ in range(lost):
+        restored.model.write("keyed.op", "other", b"x")
+    restored.follow_configuration()
+    restored.model.restore(older)
+    restored.publish(9)
+    for _ in range(written):
+        restored.model.write("keyed.op", "other", b"x")
+    match seen_by:
+        case "append":
+            run_to_completion(restored.store.append("keyed.gateways", "host-1", b"a"))
+        case "newest":
+            run_to_completion(restored.store.newest("keyed.servers"))
+    restored.follow_configuration()
+    assert restored.version == 9
+    assert restored.gateway.fleet.configuration.era == 2
+
+
+def test_two_restores_in_a_row(restored):
+    restored.publish(2)
+    copies = [restored.model.copy()]
+    restored.publish(6)
+    copies.append(restored.model.copy())
+    restored.publish(10)
+    restored.follow_configuration()
+    for older, published in zip(reversed(copies), (12, 14), strict=True):
+        restored.model.restore(older)
+        restored.follow_configuration()
+        restored.publish(published)
+        restored.follow_configuration()
+        assert restored.version == published
+
+
+def test_an_answer_of_an_earlier_era_is_refused(restored):
+    """A delayed answer would bring back offsets and records that are gone."""
+    restored.publish(2)
+    older = restored.model.copy()
+    restored.publish(6)
+    restored.follow_configuration()
+    restored.publish(10)
+    delayed = restored.model.respond("GET", "/log-read", {"topic": "keyed.op", "from": "2"})
+    restored.model.restore(older)
+    run_to_completion(restored.store.newest("keyed.servers"))
+    restored.http.delayed = delayed
+    with pytest.raises(OutdatedAnswer, match="era 1 came after one of era 2"):
+        restored.store_read = run_failing(restored.configuration._reader.next(0))
+    restored.follow_configuration()
+    assert restored.version == 6
+
+
+def run_failing(work):
+    work.send(None)
+
+
+def test_a_restore_between_two_pages_is_an_error(restored):
+    first = restored.model.respond("GET", "/log-newest", {"topic": "keyed.op"})
+    items = [{"key": "a", "value": "MQ==", "offset": 0}]
+    body = msgspec.json.encode({"items": items, "end_offset": 1, "more_pages": True})
+    restored.model.era = 2
+    restored.http.delayed = type(first)(200, body, {"Store-Era": "1"})
+    with pytest.raises(OutdatedAnswer, match="between two of its pages"):
+        run_failing(restored.store.newest("keyed.op"))
+
+
+@pytest.mark.parametrize("header", ["", "two"])
+def test_answers_without_an_era_are_taken_for_the_last_one(restored, header):
+    restored.publish(2)
+    restored.follow_configuration()
+    restored.model.era_header = header
+    restored.publish(6)
+    restored.follow_configuration()
+    assert restored.version == 6
+    assert restored.gateway.fleet.configuration == LogPosition(1, 1)
+
+
+def test_an_operator_may_go_back_to_a_lower_version(restored):
+    """What was taken back on purpose is not brought forward by an older copy."""
+    restored.publish(2)
+    restored.publish(6)
+    restored.follow_configuration()
+    older = restored.model.copy()
+    restored.publish(4)
+    restored.follow_configuration()
+    assert restored.version == 4
+    restored.model.restore(older)
+    restored.follow_configuration()
+    assert restored.version == 4
+    restored.publish(8)
+    restored.follow_configuration()
+    assert restored.version == 8
+
+
+def test_a_restore_makes_the_waiting_follower_read_at_once(restored):
+    """Its read may have been open since before the restore, and waits for 8 s."""
+    restored.publish(2)
+    restored.follow_configuration()
+    restored.model.restore(restored.model.copy())
+    restored.publish(6)
+    restored.follow_upstreams()
+    assert restored.version == 6
+
+
+def test_the_log_says_what_was_kept(restored, caplog):
+    restored.publish(2)
+    older = restored.model.copy()
+    restored.publish(6)
+    restored.follow_configuration()
+    restored.model.restore(older)
+    restored.follow_configuration()
+    lines = {each.message: each for each in caplog.records}
+    topic = lines["platform: topic was restored; reading the newest record of each key"]
+    assert (topic.era_before, topic.read_to, topic.era, topic.end) == (1, 2, 2, 1)
+    kept = lines["platform: kept the configuration, as the one of the restored store is older"]
+    assert (kept.version, kept.version_of_store) == (6, 2)
