Compare the entries of upstreams of different eras by start and sequence

Callers saw: an upstream that had left, or said that it leaves, got requests again when the store came back from a copy that listed it as ready, on gateways that knew better as well as on those that started meanwhile; one that had started after the copy was made was taken for gone at once. Cause: as for the configuration, the position of an entry was taken for its age; there was no memory of upstreams that had left, and the time to come back counted from outages only. Change: EntryHistory compares entries of different eras by the start of the instance, its sequence number and whether it leaves, and remembers for ten minutes those that left. A restore gives missing entries the time that an outage gives them. For a minute after it, gateways tell each other what has left, with the last sequence number, so that one that was only silent is not given up.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -265,6 +265,8 @@
     # Eras of the offsets in `configuration` and `upstreams`; 0 if the sender does not know them.
     configuration_era: int = 0
     upstreams_era: int = 0
+    # After a restore of the log: start time and last sequence number of upstreams that have left.
+    departed: dict[UpstreamId, tuple[int, int]] = {}
 
 
 class RelayedState(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -1,6 +1,6 @@
 """State exchange between gateways: membership, loads, quotas and retry budgets."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from msgspec import structs
@@ -72,6 +72,10 @@
 _log = part_logger("fleet")
 
 
+def _ignore(_: object) -> None:
+    pass
+
+
 @dataclass(slots=True)
 class _Peer:
     address: Address
@@ -129,6 +133,10 @@
         self.upstreams_changed = BEFORE_ALL
         self.upstreams_read = BEFORE_ALL
         self.draining = False
+        # Start time and last sequence number of upstreams that have left, for peers that may not
+        # know it. The function is called with those of a peer.
+        self.departed: dict[UpstreamId, tuple[int, int]] = {}
+        self.on_departed: Callable[[Mapping[UpstreamId, tuple[int, int]]], None] = _ignore
         # Called with the facts that a peer has sent.
         self.on_facts: Callable[[Sequence[Fact]], None] = lambda facts: None
         self._host = host
@@ -329,6 +337,7 @@
             self._placement.own_leaving(),
             configuration_era=self.configuration.era,
             upstreams_era=self.upstreams_changed.era,
+            departed=self.departed,
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -531,6 +540,8 @@
         taken = state.taken.get(self._host, 0)
         self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
         self._placement.mark_leaving(state.leaving_upstreams)
+        if state.departed:
+            self.on_departed(state.departed)
         self._placement.update_peer_health(
             sender, state.records, state.resting_ms, peer.last_heard_ms
         )
--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -4,11 +4,18 @@
 are compared by what they say of their own age.
 """
 
+from collections.abc import Mapping
+from dataclasses import dataclass
 from enum import Enum
 
+from skylarkmoor_core.ids import UpstreamId
 from skylarkmoor_core.logposition import BEFORE_ALL, LogPosition
 
-__all__ = ["RecordAge", "VersionHistory"]
+__all__ = ["EntryAge", "EntryHistory", "RecordAge", "VersionHistory"]
+
+# An older copy of the log may still list what has left since. Copies are seconds old; the rest
+# covers the time until the log is back and its entries have expired.
+_MAX_GONE_MS = 600_000
 
 
 class RecordAge(Enum):
@@ -61,3 +68,112 @@
         elif age is RecordAge.SAME:
             self.position = max(self.position, position)
         return age
+
+
+@dataclass(frozen=True, order=True, slots=True)
+class EntryAge:
+    """What an upstream's entry says of its own age; a later entry compares as greater.
+
+    Attributes
+    ----------
+    started_wall_ms : int
+        Start time of the instance.
+    sequence : int
+        Rises with each entry of an instance; 0 if the entry has none.
+    leaving : bool
+        An instance that is leaving does not become ready again.
+    """
+
+    started_wall_ms: int
+    sequence: int
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class _KnownEntry:
+    position: LogPosition
+    age: EntryAge
+    gone_ms: int | None = None
+
+
+class EntryHistory:
+    """Position and age of the newest entry of each upstream, also of those that have left."""
+
+    def __init__(self) -> None:
+        self._entries: dict[UpstreamId, _KnownEntry] = {}
+
+    def is_listed(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream is known and has not left."""
+        known = self._entries.get(upstream)
+        return known is not None and known.gone_ms is None
+
+    def listed(self) -> set[UpstreamId]:
+        """Return the upstreams that have not left."""
+        return {name for name, known in self._entries.items() if known.gone_ms is None}
+
+    def is_passed(self, upstream: UpstreamId, position: LogPosition) -> bool:
+        """Return whether a record of the era of the newest one comes before it."""
+        known = self._entries.get(upstream)
+        return (
+            known is not None
+            and known.position.era == position.era
+            and position.offset < known.position.offset
+        )
+
+    def update(self, upstream: UpstreamId, position: LogPosition, age: EntryAge) -> RecordAge:
+        """Take over an entry unless it is older, and return its age.
+
+        Notes
+        -----
+        The entry of an upstream that has left brings it back only if it is newer.
+        """
+        known = self._entries.get(upstream)
+        if known is not None and known.position.era != position.era:
+            if age < known.age:
+                return RecordAge.OLDER
+            if age == known.age:
+                known.position = max(known.position, position)
+                return RecordAge.SAME
+        elif self.is_passed(upstream, position):
+            return RecordAge.OLDER
+        self._entries[upstream] = _KnownEntry(position, age)
+        return RecordAge.NEWER
+
+    def mark_gone(self, upstream: UpstreamId, now_ms: int) -> None:
+        """Record that an upstream has left."""
+        self._entries[upstream].gone_ms = now_ms
+
+    def gone_since(self, since_ms: int) -> dict[UpstreamId, tuple[int, int]]:
+        """Return start time and last sequence number of the upstreams that have left since."""
+        return {
+            name: (known.age.started_wall_ms, known.age.sequence)
+            for name, known in self._entries.items()
+            if known.gone_ms is not None and known.gone_ms >= since_ms
+        }
+
+    def add_gone(self, gone: Mapping[UpstreamId, tuple[int, int]], now_ms: int) -> list[UpstreamId]:
+        """Record what a peer knows to have left, and return those that were listed here.
+
+        Notes
+        -----
+        An entry that is newer than the last one the peer has read is not affected. Entries without
+        a sequence number cannot be compared.
+        """
+        removed = []
+        for upstream, (started_wall_ms, sequence) in gone.items():
+            if not sequence:
+                continue
+            known = self._entries.get(upstream)
+            last_age = EntryAge(started_wall_ms, sequence, leaving=True)
+            if known is None:
+                self._entries[upstream] = _KnownEntry(BEFORE_ALL, last_age, now_ms)
+            elif known.gone_ms is None and known.age <= last_age:
+                known.gone_ms = now_ms
+                removed.append(upstream)
+        return removed
+
+    def expire(self, now_ms: int) -> None:
+        """Forget the upstreams that have left long ago."""
+        for name, known in list(self._entries.items()):
+            if known.gone_ms is not None and now_ms - known.gone_ms > _MAX_GONE_MS:
+                del self._entries[name]
--- a/libs/policy/tests/test_recordage.py
+++ b/libs/policy/tests/test_recordage.py
@@ -3,7 +3,7 @@
 import pytest
 
 from skylarkmoor_core.logposition import LogPosition
-from skylarkmoor_policy.recordage import RecordAge, VersionHistory
+from skylarkmoor_policy.recordage import EntryAge, EntryHistory, RecordAge, VersionHistory
 
 NEWER, SAME, OLDER = RecordAge.NEWER, RecordAge.SAME, RecordAge.OLDER
 
@@ -36,3 +36,87 @@
 )
 def test_the_age_of_a_record_follows_from_its_era_offset_and_version(records, ages, version):
     assert replay(*records) == (ages, version)
+
+
+def entry_ages(*records):
+    """Return the ages of the entries of one upstream: era, offset, start, sequence, leaving."""
+    history = EntryHistory()
+    return [
+        history.update("e1", LogPosition(era, offset), EntryAge(*age))
+        for era, offset, *age in records
+    ]
+
+
+@pytest.mark.parametrize(
+    ("records", "ages"),
+    [
+        # Within an era the offset decides; the same record may be read again.
+        ([(1, 3, 5, 9), (1, 3, 5, 9), (1, 2, 6, 1), (1, 4, 4, 1)], [NEWER, NEWER, OLDER, NEWER]),
+        # An older copy, what is written again, and the first entry after that.
+        ([(1, 9, 5, 9), (2, 1, 5, 7), (2, 2, 5, 9), (2, 3, 5, 10)], [NEWER, OLDER, SAME, NEWER]),
+        # A notice that was lost with the log, and one that the last entry did not have.
+        ([(1, 9, 5, 9, True), (2, 1, 5, 8), (2, 2, 5, 9)], [NEWER, OLDER, OLDER]),
+        ([(1, 9, 5, 9), (2, 1, 5, 9, True)], [NEWER, NEWER]),
+        # A later instance under the same id begins its sequence anew.
+        ([(1, 9, 5, 9), (2, 1, 6, 1), (3, 0, 5, 9)], [NEWER, NEWER, OLDER]),
+        # Entries without a sequence number.
+        ([(1, 9, 5, 0), (2, 1, 5, 0), (2, 2, 5, 0)], [NEWER, SAME, NEWER]),
+    ],
+)
+def test_the_age_of_an_entry_follows_from_its_era_offset_and_what_it_says(records, ages):
+    assert entry_ages(*records) == ages
+
+
+def test_an_upstream_that_has_left_comes_back_with_a_newer_entry_only():
+    history = EntryHistory()
+    history.update("e1", LogPosition(1, 9), EntryAge(5, 9))
+    history.mark_gone("e1", 1_000)
+    assert history.gone_since(1_000) == {"e1": (5, 9)}
+    history.update("e1", LogPosition(2, 3), EntryAge(5, 9))
+    assert not history.is_listed("e1")
+    history.update("e1", LogPosition(2, 4), EntryAge(5, 10))
+    assert history.is_listed("e1")
+    assert history.gone_since(0) == {}
+
+
+def test_within_an_era_a_silent_upstream_comes_back_with_any_entry():
+    history = EntryHistory()
+    history.update("e1", LogPosition(1, 9), EntryAge(5, 9))
+    history.mark_gone("e1", 1_000)
+    history.update("e1", LogPosition(1, 10), EntryAge(5, 9))
+    assert history.is_listed("e1")
+
+
+@pytest.mark.parametrize(
+    ("own", "of_peer", "removed"),
+    [
+        ((5, 9), (5, 9), ["e1"]),
+        ((5, 8), (5, 9), ["e1"]),
+        ((5, 10), (5, 9), []),
+        ((6, 1), (5, 9), []),
+        ((5, 0), (5, 0), []),
+    ],
+)
+def test_a_peer_removes_only_what_it_knows_to_have_left(own, of_peer, removed):
+    """An upstream that was silent for a while would be lost if only its id counted."""
+    history = EntryHistory()
+    history.update("e1", LogPosition(2, 3), EntryAge(*own))
+    assert history.add_gone({"e1": of_peer}, 0) == removed
+
+
+def test_what_a_peer_knows_keeps_out_an_entry_that_is_read_later():
+    history = EntryHistory()
+    history.add_gone({"e1": (5, 9), "e2": (5, 0)}, 0)
+    for name in ("e1", "e2"):
+        history.update(name, LogPosition(2, 3), EntryAge(5, 9))
+    assert history.listed() == {"e2"}
+
+
+def test_upstreams_that_left_long_ago_are_forgotten():
+    history = EntryHistory()
+    history.update("e1", LogPosition(1, 9), EntryAge(5, 9))
+    history.mark_gone("e1", 1_000)
+    history.expire(601_000)
+    assert history.gone_since(0) == {"e1": (5, 9)}
+    history.expire(601_001)
+    assert history.gone_since(0) == {}
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -74,6 +74,14 @@
     def publish(self, number):
         return self.model.write("keyed.op", "config", version(number))
 
+    def beat(self, name, sequence, **changes):
+        """Write the entry of an upstream."""
+        self.model.write("keyed.servers", name, entry(seq=sequence, **changes))
+
+    def leave(self, name):
+        """Delete the entry of an upstream."""
+        self.model.write("keyed.servers", name, None)
+
     def follow_configuration(self):
         """Make the read that the follower of the configuration would make next."""
         page, covers_all_keys = run_to_completion(self.configuration._reader.next(0))
@@ -86,6 +94,11 @@
         self.upstreams._apply_page(page, covers_all_keys)
         self.gateway.fleet.upstreams_read = LogPosition(page.era, page.next_offset - 1)
 
+    def usable(self):
+        """Return the upstreams that may get requests."""
+        placed = self.gateway.placement.upstreams
+        return sorted(name for name, each in placed.items() if not each.leaving)
+
     @property
     def version(self):
         return self.gateway.table.version
@@ -256,3 +269,131 @@
     assert (topic.era_before, topic.read_to, topic.era, topic.end) == (1, 2, 2, 1)
     kept = lines["platform: kept the configuration, as the one of the restored store is older"]
     assert (kept.version, kept.version_of_store) == (6, 2)
+
+
+def entry(**changes):
+    values = {
+        "service": "assistant",
+        "address": "10.1.0.9:80",
+        "slots": 8,
+        "state": "ready",
+        "version": "v1",
+        "born": 5,
+        "seq": 1,
+    }
+    return msgspec.json.encode(values | changes)
+
+
+def advance(restored, elapsed_ms):
+    restored.harness.clock.advance(elapsed_ms)
+    restored.upstreams._remove_missing(restored.harness.clock.now_ms())
+
+
+@pytest.fixture
+def two_upstreams(restored):
+    restored.beat("e1", 1)
+    restored.beat("e2", 1)
+    restored.follow_upstreams()
+    restored.older = restored.model.copy()
+    return restored
+
+
+def test_an_upstream_that_left_stays_out(two_upstreams):
+    """The older copy still lists it as ready, and requests were sent to it."""
+    two_upstreams.beat("e1", 2, state="draining")
+    two_upstreams.follow_upstreams()
+    two_upstreams.leave("e1")
+    two_upstreams.follow_upstreams()
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e2"]
+    # The upstream's own records are written again in their order.
+    two_upstreams.beat("e1", 2, state="draining")
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e2"]
+
+
+def test_an_upstream_that_is_leaving_does_not_become_ready_again(two_upstreams):
+    two_upstreams.beat("e1", 2, state="draining")
+    two_upstreams.follow_upstreams()
+    two_upstreams.model.restore(two_upstreams.older)
+    for _ in range(2):
+        two_upstreams.follow_upstreams()
+        assert two_upstreams.usable() == ["e2"]
+        two_upstreams.beat("e2", 2)
+
+
+def test_a_notice_that_is_written_after_the_restore_is_read(two_upstreams):
+    """It stands at an offset that another record had before."""
+    two_upstreams.beat("e2", 2)
+    two_upstreams.beat("e2", 3)
+    two_upstreams.follow_upstreams()
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.beat("e1", 2, state="draining")
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e2"]
+
+
+@pytest.mark.parametrize("returns", [True, False])
+@pytest.mark.parametrize("outage_is_seen", [True, False])
+def test_an_upstream_that_the_copy_lacks_has_time_to_come_back(
+    two_upstreams, returns, outage_is_seen
+):
+    """It started after the copy was made, and would be taken for gone at once."""
+    two_upstreams.beat("e3", 1)
+    two_upstreams.follow_upstreams()
+    if outage_is_seen:
+        two_upstreams.upstreams._store_monitor.failed(PlatformError("down"))
+        two_upstreams.harness.clock.advance(2_000)
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e1", "e2", "e3"]
+    advance(two_upstreams, 1_900)
+    if returns:
+        two_upstreams.beat("e3", 1)
+        two_upstreams.follow_upstreams()
+    advance(two_upstreams, 700)
+    assert two_upstreams.usable() == (["e1", "e2", "e3"] if returns else ["e1", "e2"])
+
+
+def test_an_upstream_that_was_silent_comes_back_after_a_restore(two_upstreams):
+    """It was only silent; its entry expired before the restore."""
+    two_upstreams.leave("e1")
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e2"]
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.follow_upstreams()
+    two_upstreams.beat("e1", 2)
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e1", "e2"]
+
+
+def test_a_gateway_that_starts_after_the_restore_learns_what_has_left(two_upstreams, caplog):
+    """It has the older copy only, and its peers know better."""
+    two_upstreams.leave("e1")
+    two_upstreams.follow_upstreams()
+    fleet = two_upstreams.gateway.fleet
+    assert fleet.departed == {}
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.follow_upstreams()
+    assert fleet._state().departed == {"e1": (5, 1)}
+    assert "kept upstreams out" in caplog.text
+    # The same gateway stands for the one that has started.
+    two_upstreams.beat("e1", 2)
+    two_upstreams.follow_upstreams()
+    fleet.on_departed({"e1": (5, 1)})
+    assert two_upstreams.usable() == ["e1", "e2"]
+    fleet.on_departed({"e1": (5, 2)})
+    assert two_upstreams.usable() == ["e2"]
+    advance(two_upstreams, 60_000)
+    two_upstreams.follow_upstreams()
+    assert fleet.departed == {}
+
+
+def test_offsets_of_the_copy_are_announced_with_their_era(two_upstreams):
+    two_upstreams.beat("e2", 2)
+    two_upstreams.follow_upstreams()
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.beat("e1", 2, state="draining")
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.gateway.fleet.upstreams_changed == LogPosition(2, 2)
