Tell orders of rollouts apart by their content when the era has risen

Callers saw: after a restore of the store, an order that stands at another offset was taken for a new one and began anew, also when its version had been stopped; a new order at a low offset did not begin. Cause: the offset of its record was the identity of an order. Change: OrderHistory compares orders within an era by position, and those of a later era by content: a known one is from the older copy or written again. The position, era included, names the move.

--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -354,7 +354,8 @@
                 extra={
                     "service": order.service,
                     "version": order.version,
-                    "order": order.number,
+                    "offset": order.position.offset,
+                    "era": order.position.era,
                     "duration_ms": order.duration_ms,
                 },
             )
--- a/libs/policy/src/skylarkmoor_policy/canary.py
+++ b/libs/policy/src/skylarkmoor_policy/canary.py
@@ -19,8 +19,10 @@
     ServiceName,
     VersionId,
 )
+from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_core.messages import Fact, FactKind
 from skylarkmoor_policy.movefollower import limited_share
+from skylarkmoor_policy.recordage import OrderHistory, RecordAge
 from skylarkmoor_policy.rollout import (
     Evidence,
     EvidenceHistory,
@@ -58,8 +60,8 @@
 
     Attributes
     ----------
-    number : int
-        Tells orders of a service apart; a later one has a higher number.
+    position : LogPosition
+        Position of its record, which tells orders of a service apart.
     duration_ms : int
         Time that the operator gives the move.
     may_have_ended : bool
@@ -68,7 +70,7 @@
 
     service: ServiceName
     version: VersionId
-    number: int
+    position: LogPosition
     duration_ms: int
     may_have_ended: bool = False
 
@@ -121,8 +123,8 @@
         self._incarnation = incarnation
         self._share_percent = max(1, int(100 * max_share * _SHARE_FRACTION))
         self._canaries: dict[ServiceName, Canary] = {}
-        # Number of the last order by service; its canary may be over.
-        self._last_orders: dict[ServiceName, int] = {}
+        # The orders by service; their canaries may be over.
+        self._orders: dict[ServiceName, OrderHistory] = {}
 
     def canaries(self) -> Collection[Canary]:
         """Return the canaries of all services."""
@@ -135,10 +137,11 @@
 
     def begin(self, order: RolloutOrder, now_wall_ms: int) -> bool:
         """Begin the canary of an order; return False if the order is not newer."""
-        if self._last_orders.get(order.service, -1) >= order.number:
+        history = self._orders.setdefault(order.service, OrderHistory())
+        age = history.update(order.position, (order.version, order.duration_ms))
+        if age is not RecordAge.NEWER:
             return False
-        self._last_orders[order.service] = order.number
-        move = MoveId(f"{order.service}@{order.number}")
+        move = MoveId(f"{order.service}@{order.position.era}.{order.position.offset}")
         plan = VersionMove(
             version=order.version,
             by_ms=now_wall_ms + order.duration_ms,
--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -4,18 +4,21 @@
 are compared by what they say of their own age.
 """
 
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 from skylarkmoor_core.ids import UpstreamId
 from skylarkmoor_core.logposition import BEFORE_ALL, LogPosition
 
-__all__ = ["EntryAge", "EntryHistory", "RecordAge", "VersionHistory"]
+__all__ = ["EntryAge", "EntryHistory", "OrderHistory", "RecordAge", "VersionHistory"]
 
 # An older copy of the log may still list what has left since. Copies are seconds old; the rest
 # covers the time until the log is back and its entries have expired.
 _MAX_GONE_MS = 600_000
+# Orders of one subject that are remembered. A copy of the log that is seconds old has missed one or
+# two.
+_MAX_ORDERS = 16
 
 
 class RecordAge(Enum):
@@ -177,3 +180,37 @@
         for name, known in list(self._entries.items()):
             if known.gone_ms is not None and now_ms - known.gone_ms > _MAX_GONE_MS:
                 del self._entries[name]
+
+
+@dataclass(slots=True)
+class _KnownOrder:
+    position: LogPosition
+    content: Hashable
+
+
+class OrderHistory:
+    """Orders about one subject, of which the last one counts.
+
+    Notes
+    -----
+    Within an era each record is an order of its own, even if it repeats an earlier one. In a later
+    era, a record with the content of a known order is that order, from the older copy or written
+    again; once the last order has been seen there, the records after it are new ones.
+    """
+
+    def __init__(self) -> None:
+        self._orders: list[_KnownOrder] = []
+
+    def update(self, position: LogPosition, content: Hashable) -> RecordAge:
+        """Take over an order unless it is older, and return its age compared with the last one."""
+        if any(known.position >= position for known in self._orders):
+            return RecordAge.OLDER
+        for known in reversed(self._orders):
+            if known.position.era < position.era and known.content == content:
+                known.position = position
+                if known is not self._orders[-1]:
+                    return RecordAge.OLDER
+                self._orders = [known]
+                return RecordAge.SAME
+        self._orders = [*self._orders, _KnownOrder(position, content)][-_MAX_ORDERS:]
+        return RecordAge.NEWER
--- a/libs/policy/tests/test_canary.py
+++ b/libs/policy/tests/test_canary.py
@@ -4,10 +4,11 @@
 
 import pytest
 
+from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
 from skylarkmoor_policy.versionrules import OtherVersions, PreferVersion
 
-ORDER = RolloutOrder("assistant", "v2", 7, 15_000)
+ORDER = RolloutOrder("assistant", "v2", LogPosition(1, 7), 15_000)
 BOTH = {"v1", "v2"}
 OLD_GAP_MS = 20.0
 
@@ -32,7 +33,7 @@
 @pytest.mark.parametrize("max_share", [0.1, 0.04])
 def test_a_new_version_gets_half_of_the_bound(max_share):
     canaries = table(max_share=max_share)
-    rules = [rule(canaries, f"r{number}") for number in range(5_000)]
+    rules = [rule(canaries, f"r{number}") for number in range(50_000)]
     share = rules.count(PreferVersion("v2")) / len(rules)
     assert share == pytest.approx(max_share / 2, rel=0.2)
     assert set(rules) == {PreferVersion("v2"), OtherVersions("v2")}
@@ -45,7 +46,7 @@
 def test_only_a_newer_order_replaces_one():
     canaries = stop(table())
     assert not canaries.begin(ORDER, 0)
-    assert canaries.begin(RolloutOrder("assistant", "v3", 9, 15_000), 0)
+    assert canaries.begin(RolloutOrder("assistant", "v3", LogPosition(1, 9), 15_000), 0)
     assert canaries.target("assistant") == "v3"
 
 
--- a/libs/policy/tests/test_recordage.py
+++ b/libs/policy/tests/test_recordage.py
@@ -3,7 +3,13 @@
 import pytest
 
 from skylarkmoor_core.logposition import LogPosition
-from skylarkmoor_policy.recordage import EntryAge, EntryHistory, RecordAge, VersionHistory
+from skylarkmoor_policy.recordage import (
+    EntryAge,
+    EntryHistory,
+    OrderHistory,
+    RecordAge,
+    VersionHistory,
+)
 
 NEWER, SAME, OLDER = RecordAge.NEWER, RecordAge.SAME, RecordAge.OLDER
 
@@ -120,3 +126,31 @@
     assert history.gone_since(0) == {"e1": (5, 9)}
     history.expire(601_001)
     assert history.gone_since(0) == {}
+
+
+@pytest.mark.parametrize(
+    ("records", "ages"),
+    [
+        # Within an era each record is an order, and is read more than once.
+        ([(1, 3, "a"), (1, 3, "a"), (1, 5, "a"), (1, 4, "b")], [NEWER, OLDER, NEWER, OLDER]),
+        # The older copy has the last order, or it is written again; then it is ordered anew.
+        ([(1, 9, "a"), (2, 3, "a"), (2, 3, "a"), (2, 5, "a")], [NEWER, SAME, OLDER, NEWER]),
+        # The older copy has the order before the last one only.
+        ([(1, 3, "a"), (1, 9, "b"), (2, 3, "a"), (2, 4, "b")], [NEWER, NEWER, OLDER, SAME]),
+        # After the last order, an earlier one is a new one.
+        (
+            [(1, 3, "a"), (1, 9, "b"), (2, 3, "a"), (2, 4, "b"), (2, 5, "a")],
+            [NEWER, NEWER, OLDER, SAME, NEWER],
+        ),
+        # A new order at an offset that another one had.
+        ([(1, 3, "a"), (2, 3, "b")], [NEWER, NEWER]),
+        ([(1, 3, "a"), (2, 3, "b"), (2, 4, "a")], [NEWER, NEWER, OLDER]),
+        # Two restores.
+        ([(1, 9, "a"), (2, 3, "a"), (3, 1, "a"), (3, 2, "b")], [NEWER, SAME, SAME, NEWER]),
+    ],
+)
+def test_an_order_of_a_later_era_is_known_by_its_content(records, ages):
+    history = OrderHistory()
+    assert [
+        history.update(LogPosition(*position), content) for *position, content in records
+    ] == ages
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -3,6 +3,7 @@
 import pytest
 
 from adapter_harness import answer, chunk, request, stream_head
+from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_policy.canary import RolloutOrder
 from skylarkmoor_policy.eventstream import MAX_EVENT_BYTES
 from skylarkmoor_policy.placement import UpstreamChoice
@@ -866,7 +867,7 @@
 
 
 def order_rollout(harness, service):
-    harness.gateway.begin_rollout(RolloutOrder(service, "v2", 7, 15_000))
+    harness.gateway.begin_rollout(RolloutOrder(service, "v2", LogPosition(1, 7), 15_000))
     harness.add_upstream("old", service, 1, slots=9)
     harness.add_upstream("new", service, 2, slots=9, version="v2")
 
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -74,6 +74,15 @@
     def publish(self, number):
         return self.model.write("keyed.op", "config", version(number))
 
+    def order(self, target, duration_s=15):
+        """Order a rollout of the assistant."""
+        self.model.write("keyed.op", "rollout/assistant", rollout(target, duration_s))
+
+    def canary(self):
+        """Return the canary of the assistant, None if there is none."""
+        canaries = {each.order.service: each for each in self.gateway.canaries.canaries()}
+        return canaries.get("assistant")
+
     def beat(self, name, sequence, **changes):
         """Write the entry of an upstream."""
         self.model.write("keyed.servers", name, entry(seq=sequence, **changes))
@@ -397,3 +406,68 @@
     two_upstreams.beat("e1", 2, state="draining")
     two_upstreams.follow_upstreams()
     assert two_upstreams.gateway.fleet.upstreams_changed == LogPosition(2, 2)
+
+
+def rollout(target, duration_s):
+    order = {"service": "assistant", "target": target, "duration_s": duration_s}
+    return msgspec.json.encode(order)
+
+
+@pytest.mark.parametrize("rewritten", [0, 1, 2])
+def test_a_version_that_was_stopped_stays_so(restored, rewritten):
+    """The order was taken for a new one, so that the version got requests again (EXPOSURE)."""
+    restored.order("v2")
+    older = restored.model.copy()
+    restored.model.write("keyed.op", "other", b"x")
+    restored.follow_configuration()
+    canary = restored.canary()
+    canary.stop_reason = "bad"
+    restored.model.restore(older)
+    for _ in range(rewritten):
+        restored.model.write("keyed.op", "other", b"x")
+        restored.follow_configuration()
+    restored.follow_configuration()
+    assert restored.canary() is canary
+
+
+def test_an_order_that_the_restore_lost_goes_on_when_it_is_written_again(restored):
+    older = restored.model.copy()
+    restored.order("v2")
+    restored.follow_configuration()
+    canary = restored.canary()
+    restored.model.restore(older)
+    restored.follow_configuration()
+    assert restored.canary() is canary
+    restored.model.write("keyed.op", "other", b"x")
+    restored.order("v2")
+    restored.follow_configuration()
+    assert restored.canary() is canary
+
+
+def test_an_older_order_of_the_copy_does_not_replace_the_last_one(restored):
+    restored.order("v2")
+    restored.follow_configuration()
+    older = restored.model.copy()
+    restored.order("v3")
+    restored.follow_configuration()
+    canary = restored.canary()
+    restored.model.restore(older)
+    restored.follow_configuration()
+    assert restored.canary() is canary
+    restored.order("v3")
+    restored.follow_configuration()
+    assert restored.canary() is canary
+    # After the last order, the same one as before is a new one.
+    restored.order("v2")
+    restored.follow_configuration()
+    assert restored.canary().order.version == "v2"
+
+
+def test_an_order_after_the_restore_begins_at_an_offset_that_was_used(restored):
+    older = restored.model.copy()
+    restored.order("v2")
+    restored.follow_configuration()
+    restored.model.restore(older)
+    restored.order("v3")
+    restored.follow_configuration()
+    assert restored.canary().order.version == "v3"
