Write peer addresses and statuses again after a restore of the store

Callers saw: nothing at once; but a gateway that started after a restore did not find its peers, and the operator's status of a rollout went back to running for good. Cause: what the daemons had appended was taken to stay there; both writers appended once. Change: a restore makes each gateway exchange addresses again, and the first in order write the last status of each rollout. A run of these tests hung once: a test of this commit had left a socket open, and collecting its context blocked (traced with faulthandler); the fixture closes it now.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -164,6 +164,8 @@
         self._counts = {kind: PeerCounters() for kind in ("admitted", "requests", "repeats")}
         self._transport = Peers(host, incarnation, self._on_message)
         self._peer_states: dict[HostId, _Peer] = {}
+        # Last addresses of peers that were removed.
+        self._expired_peers: dict[HostId, str] = {}
         self._address = ""
         self._last_state: GatewayState | None = None
         self._last_sent_ms = 0
@@ -194,9 +196,23 @@
             known_peer is not None and str(known_peer.address) == str(address)
         ):
             return
+        self._expired_peers.pop(host, None)
         self._peer_states[host] = _Peer(address, last_heard_ms=self._clock.now_ms())
         self._update_peers()
 
+    def add_listed_peer(self, host: HostId, address: Address) -> None:
+        """Add a peer from a list that may be old.
+
+        Notes
+        -----
+        The address of a peer that is heard is known better. A peer that has expired here would
+        reduce the limits of customers again until it expires once more.
+        """
+        known_peer = self._peer_states.get(host)
+        is_heard = known_peer is not None and not known_peer.unreachable
+        if not is_heard and self._expired_peers.get(host) != str(address):
+            self.add_peer(host, address)
+
     def active_peer_count(self) -> int:
         """Return the number of peers that are neither silent nor leaving."""
         return sum(not peer.unreachable and not peer.leaving for peer in self._peer_states.values())
@@ -449,7 +465,7 @@
         self._retries.set_fleet_state(1 + peer_count, heard == peer_count)
 
     def _remove_peer(self, host: HostId) -> None:
-        del self._peer_states[host]
+        self._expired_peers[host] = str(self._peer_states.pop(host).address)
         self._load_sequences.pop(host, None)
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -17,7 +17,7 @@
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.fleet import Fleet
 from skylarkmoor_policy.crashcounts import CrashCounts
-from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
+from skylarkmoor_policy.fleetlimits import PEER_EXPIRY_MS, FleetQuotas, FleetRetryBudget
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routetable import CustomerPolicy
 from skylarkmoor_policy.slotgroups import SlotGroup
@@ -309,3 +309,17 @@
     receive_state(fleet, sender="second", incarnation=1)
     receive_state(fleet, sender="second", incarnation=2)
     assert [(to, len(message.crashes)) for to, message in evidence_sent] == [("second", 1)] * 2
+
+
+def test_an_older_list_does_not_change_what_is_known_of_peers(fleet):
+    """An expired peer reduced the limits of customers again, and a heard one was disconnected."""
+    receive_state(fleet)
+    fleet.add_listed_peer("peer", Address("10.0.0.9", 7600))
+    assert str(fleet._peer_states["peer"].address) == "10.0.0.2:7600"
+    fleet.add_listed_peer("gone", Address("10.0.0.3", 7600))
+    fleet.clock.advance(PEER_EXPIRY_MS + 1)
+    fleet._check_peers(fleet.clock.now_ms())
+    fleet.add_listed_peer("gone", Address("10.0.0.3", 7600))
+    assert "gone" not in fleet._peer_states
+    fleet.add_listed_peer("gone", Address("10.0.0.4", 7600))
+    assert "gone" in fleet._peer_states
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -238,7 +238,7 @@
     from skylarkmoor_core.settings import Address
 
     added = []
-    followers.gateway.fleet.add_peer = lambda host, address: added.append((host, str(address)))
+    followers.gateway.fleet.add_listed_peer = lambda *peer: added.append((peer[0], str(peer[1])))
     followers.store.newest_answers = [
         page(("host-2", b"10.0.0.2:7600", 1), ("host-3", b"?", 2), ("host-4", None, 3))
     ]
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -10,6 +10,7 @@
 from skylarkmoor_clients.httpclient import Answer
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.logposition import LogPosition
+from skylarkmoor_core.messages import GatewayState
 from skylarkmoor_core.settings import Address
 
 
@@ -57,6 +58,8 @@
     def __init__(self, harness):
         from skylarkmoor_adapter.followers import (
             ConfigurationFollower,
+            PeerDirectory,
+            RolloutReporter,
             UpstreamFollower,
         )
 
@@ -70,6 +73,10 @@
         tasks = self.gateway.tasks
         self.configuration = ConfigurationFollower(self.store, self.gateway, tasks, harness.clock)
         self.upstreams = UpstreamFollower(self.store, self.gateway, tasks, harness.clock, 2_000)
+        self.reporter = RolloutReporter(self.store, self.gateway, tasks, harness.clock, "host-1")
+        self.peers = PeerDirectory(
+            self.store, self.gateway, tasks, "host-1", Address("10.0.0.1", 7600)
+        )
 
     def publish(self, number):
         return self.model.write("keyed.op", "config", version(number))
@@ -115,7 +122,9 @@
 
 @pytest.fixture
 def restored(harness):
-    return RestoredStore(harness)
+    yield RestoredStore(harness)
+    # A socket that is open when its context is collected blocks the interpreter.
+    harness.gateway.fleet.close()
 
 
 def version(number):
@@ -471,3 +480,94 @@
     restored.order("v3")
     restored.follow_configuration()
     assert restored.canary().order.version == "v3"
+
+
+def addresses(restored):
+    return restored.model.newest("keyed.gateways")
+
+
+def test_the_own_address_is_written_again_after_each_restore(restored):
+    """A gateway that started later did not find its peers."""
+    older = restored.model.copy()
+    run_to_completion(restored.peers.run())
+    for _ in range(2):
+        restored.model.restore(older)
+        assert addresses(restored) == {}
+        restored.follow_upstreams()
+        assert addresses(restored) == {"host-1": b"10.0.0.1:7600"}
+
+
+def test_an_address_that_the_restore_loses_at_once_is_written_again(restored):
+    """The call that writes it shows the restore."""
+    restored.publish(2)
+    restored.follow_configuration()
+    restored.model.restore(restored.model.copy())
+    calls = len(restored.model.calls)
+    run_to_completion(restored.peers.run())
+    assert addresses(restored) == {"host-1": b"10.0.0.1:7600"}
+    appends = [each for each in restored.model.calls[calls:] if each.startswith("POST")]
+    assert len(appends) == 2
+
+
+def report(restored):
+    run_step(restored.reporter.run())
+
+
+def statuses(restored):
+    newest = restored.model.newest("keyed.status")
+    return {key: msgspec.json.decode(value)["state"] for key, value in newest.items()}
+
+
+@pytest.mark.parametrize("is_over", [False, True])
+def test_the_status_of_a_rollout_is_written_again_after_a_restore(restored, is_over):
+    """The operator's view went back to running for good."""
+    restored.order("v2")
+    restored.follow_configuration()
+    report(restored)
+    older = restored.model.copy()
+    restored.canary().stop_reason = "bad"
+    report(restored)
+    if is_over:
+        restored.gateway.canaries._canaries.clear()
+    assert statuses(restored) == {"rollout/assistant": "rolled_back"}
+    restored.model.restore(older)
+    restored.follow_configuration()
+    assert statuses(restored) == {"rollout/assistant": "running"}
+    report(restored)
+    assert statuses(restored) == {"rollout/assistant": "rolled_back"}
+    calls = len(restored.model.calls)
+    report(restored)
+    assert len(restored.model.calls) == calls
+
+
+def test_a_gateway_that_reads_the_last_status_of_a_known_order_again_keeps_it_stopped(restored):
+    restored.order("v2")
+    restored.follow_configuration()
+    report(restored)
+    restored.canary().stop_reason = "bad"
+    restored.model.restore(restored.model.copy())
+    restored.follow_configuration()
+    report(restored)
+    assert restored.canary().stop_reason == "bad"
+
+
+def test_calls_after_a_restore_are_few(restored):
+    """Each state of a peer that had not read the restore made all others read."""
+    restored.publish(2)
+    for each in (restored.follow_configuration, restored.follow_upstreams):
+        each()
+    run_to_completion(restored.peers.run())
+    restored.model.restore(restored.model.copy())
+    calls = len(restored.model.calls)
+    restored.follow_upstreams()
+    restored.follow_configuration()
+    for offset in range(50, 60):
+        restored.gateway.fleet._on_message("peer", 1, peer_state(offset))
+    assert len(restored.model.calls) - calls <= 8
+
+
+def peer_state(offset):
+    return GatewayState(
+        "10.0.0.2:7600", False, offset, {}, {}, {}, {}, configuration_era=1,
+        upstreams=offset, upstreams_era=1,
+    )  # fmt: skip
