Pass a newer configuration on to gateways that lack it

Callers saw: a gateway that started after a restore of the store had the older copy only, until the operator's records were written again: routes that had been added were not found and revoked keys accepted, though its peers knew better. A gateway without the store had no configuration at all. Cause: gateways told each other of positions in the log, and none of what stands there. Change: states name position and version of the configuration in force; a gateway that has been behind a peer for 500 ms asks it for the record. VersionHistory decides on it as on any record, so that what is written again on the way to it does not take it back. Evidence: test_a_gateway_that_starts_after_the_restore_gets_the_newer_version (with and without the store) needs the new messages; without them nothing else brings the version over. tests/adapter, libs/gateway and libs/core pass.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -23,6 +23,8 @@
     "ClaimRequest",
     "ClaimResult",
     "ClaimStatus",
+    "ConfigurationCopy",
+    "ConfigurationQuery",
     "CrashEvidence",
     "CrashReport",
     "CrashedRequest",
@@ -267,6 +269,21 @@
     upstreams_era: int = 0
     # After a restore of the log: start time and last sequence number of upstreams that have left.
     departed: dict[UpstreamId, tuple[int, int]] = {}
+    # Era, offset and version of the configuration in force; None without one.
+    in_force: tuple[int, int, int] | None = None
+
+
+class ConfigurationQuery(_Message, frozen=True, tag="u"):
+    """Asks for the configuration that is in force on the receiver."""
+
+
+class ConfigurationCopy(_Message, frozen=True, tag="v"):
+    """A configuration with its version and the position of its record, as the log has it."""
+
+    era: int
+    offset: int
+    version: int
+    data: bytes
 
 
 class RelayedState(msgspec.Struct, frozen=True, array_like=True):
@@ -390,6 +407,8 @@
     | DocumentOffer
     | DocumentQuery
     | GatewayState
+    | ConfigurationQuery
+    | ConfigurationCopy
     | StateBundle
     | SlotRequest
     | SlotWithdrawal
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -11,6 +11,8 @@
 from skylarkmoor_core.logposition import BEFORE_ALL, LogPosition
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
+    ConfigurationCopy,
+    ConfigurationQuery,
     CrashEvidence,
     Fact,
     GatewayState,
@@ -35,6 +37,7 @@
     PeerCounters,
 )
 from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.recordage import RecordAge, VersionHistory
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.staterelay import RELAY_SILENT_MS, StateRelay
 from skylarkmoor_process.peers import Peers
@@ -67,6 +70,8 @@
 _CRASH_REPEAT_MS = 1_000
 # Several crashes and answers within this time are sent as one message.
 _CRASH_SEND_DELAY_MS = 4
+# A peer is asked for its newer configuration if the log has not shown it within this time.
+_CONFIGURATION_QUERY_DELAY_MS = 500
 _NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
@@ -132,6 +137,13 @@
         # Positions of the last record that changed the list of upstreams and of the last one read.
         self.upstreams_changed = BEFORE_ALL
         self.upstreams_read = BEFORE_ALL
+        # Age of the configuration in force, and its record for peers that lack it.
+        self.versions = VersionHistory()
+        self._configuration_copy: ConfigurationCopy | None = None
+        # Since when a peer has had a newer one; None if none has.
+        self._behind_since_ms: int | None = None
+        # Called with the configuration of a peer.
+        self.on_configuration: Callable[[ConfigurationCopy], None] = _ignore
         self.draining = False
         # Start time and last sequence number of upstreams that have left, for peers that may not
         # know it. The function is called with those of a peer.
@@ -242,6 +254,29 @@
             hosts.append(self._host)
         return sorted(hosts)
 
+    def configuration_activated(self, copy: ConfigurationCopy) -> None:
+        """Tell the peers of the configuration in force, and pass it on to those that ask."""
+        self.configuration = max(self.configuration, LogPosition(copy.era, copy.offset))
+        self._configuration_copy = copy
+        self._behind_since_ms = None
+
+    def _compare_configuration(self, sender: HostId, in_force: tuple[int, int, int]) -> None:
+        """Ask a peer for its configuration if it has been newer for some time.
+
+        Notes
+        -----
+        The log may be out of reach here, or may have lost what the peer has read.
+        """
+        era, offset, version = in_force
+        if self.versions.compare(LogPosition(era, offset), version) is not RecordAge.NEWER:
+            return
+        now_ms = self._clock.now_ms()
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        elif now_ms - self._behind_since_ms >= _CONFIGURATION_QUERY_DELAY_MS:
+            self._behind_since_ms = now_ms
+            self._transport.send(sender, ConfigurationQuery())
+
     def load_changed(self, upstream: UpstreamId) -> None:
         """Schedule a load report to the dispatcher of an upstream whose local load has changed."""
         group = self._placement.group_of(upstream)
@@ -337,6 +372,7 @@
         self._transport.send(to, message)
 
     def _state(self) -> GatewayState:
+        copy = self._configuration_copy
         return GatewayState(
             self._address,
             self.draining,
@@ -354,6 +390,7 @@
             configuration_era=self.configuration.era,
             upstreams_era=self.upstreams_changed.era,
             departed=self.departed,
+            in_force=None if copy is None else (copy.era, copy.offset, copy.version),
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -486,6 +523,11 @@
                         self._relay.collect(relayed, own_domain=True)
             case StateBundle():
                 self._handle_bundle(sender, message)
+            case ConfigurationQuery():
+                if self._configuration_copy is not None:
+                    self._transport.send(sender, self._configuration_copy)
+            case ConfigurationCopy():
+                self.on_configuration(message)
             case SlotRequest():
                 self.slot_coordinator.handle_slot_request(sender, message)
             case SlotWithdrawal():
@@ -556,6 +598,8 @@
         taken = state.taken.get(self._host, 0)
         self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
         self._placement.mark_leaving(state.leaving_upstreams)
+        if state.in_force is not None:
+            self._compare_configuration(sender, state.in_force)
         if state.departed:
             self.on_departed(state.departed)
         self._placement.update_peer_health(
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -6,8 +6,18 @@
 
 
 @pytest.fixture
-def harness():
+def harness(make_harness):
     """Return a gateway with a configuration and no upstreams."""
+    return make_harness()
+
+
+@pytest.fixture
+def make_harness():
+    """Return a function that makes gateways."""
+    return _make_harness
+
+
+def _make_harness():
     # Imported here, because importing klein installs the default reactor.
     from twisted.internet.testing import MemoryReactorClock
 
@@ -30,5 +40,5 @@
         random.Random(1),
         HeaderCodec(),
     )
-    gateway.set_table(decode_configuration(CONFIG), LogPosition(0, 0))
+    gateway.set_table(decode_configuration(CONFIG), LogPosition(0, 0), CONFIG)
     return Harness(gateway, reactor, clock)
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -10,7 +10,7 @@
 from skylarkmoor_clients.httpclient import Answer
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.logposition import LogPosition
-from skylarkmoor_core.messages import GatewayState
+from skylarkmoor_core.messages import ConfigurationCopy, GatewayState
 from skylarkmoor_core.settings import Address
 
 
@@ -66,7 +66,7 @@
         self.harness = harness
         self.gateway = harness.gateway
         # The table of the harness is replaced by that of the store.
-        self.gateway._table = None
+        self.gateway._table = self.gateway.fleet._configuration_copy = None
         self.model = StoreModel()
         self.store = Store(Address("127.0.0.1", 1))
         self.http = self.store._http = ModelHttp(self.model)
@@ -571,3 +571,87 @@
         "10.0.0.2:7600", False, offset, {}, {}, {}, {}, configuration_era=1,
         upstreams=offset, upstreams_era=1,
     )  # fmt: skip
+
+
+class Wire:
+    """Carries messages between fleets in place of their sockets."""
+
+    def __init__(self, host, fleet):
+        self.host, self.fleet, self.sent = host, fleet, []
+        fleet._address = f"{host}:7600"
+        fleet._transport.send = lambda to, message: self.sent.append(message)
+        fleet._transport.set_peers = lambda addresses: None
+
+    def deliver_to(self, other):
+        messages, self.sent = [self.fleet._state(), *self.sent], []
+        for message in messages:
+            other.fleet._on_message(self.host, 1, message)
+
+
+@pytest.fixture
+def two_gateways(make_harness):
+    """Return a gateway that knows what the restore lost, and one that has started since."""
+    knowing, started = (RestoredStore(make_harness()) for _ in range(2))
+    started.store._http = ModelHttp(knowing.model)
+    for number, each in enumerate((knowing, started)):
+        each.wire = Wire(f"10.0.0.{number}", each.gateway.fleet)
+    knowing.publish(2)
+    older = knowing.model.copy()
+    knowing.publish(6)
+    knowing.publish(8)
+    knowing.follow_configuration()
+    knowing.model.restore(older)
+    knowing.follow_configuration()
+    yield knowing, started
+    for each in (knowing, started):
+        each.gateway.fleet.close()
+
+
+def exchange(knowing, started, elapsed_ms):
+    for _ in range(0, elapsed_ms, 100):
+        started.harness.clock.advance(100)
+        knowing.wire.deliver_to(started.wire)
+        started.wire.deliver_to(knowing.wire)
+    knowing.wire.deliver_to(started.wire)
+
+
+@pytest.mark.parametrize("store_is_away", [False, True])
+def test_a_gateway_that_starts_after_the_restore_gets_the_newer_version(
+    two_gateways, store_is_away
+):
+    """The store had the older version only, so that keys that were revoked were accepted."""
+    knowing, started = two_gateways
+    started.http = started.store._http
+    started.http.is_away = store_is_away
+    if not store_is_away:
+        started.follow_configuration()
+        assert started.version == 2
+    exchange(knowing, started, 700)
+    assert started.version == 8
+    started.http.is_away = False
+    # What is written again on the way to it does not take it back.
+    for number in (6, 8):
+        knowing.publish(number)
+        started.follow_configuration()
+        assert started.version == 8
+    knowing.publish(9)
+    started.follow_configuration()
+    assert started.version == 9
+
+
+def test_a_gateway_with_the_newest_version_does_not_ask_for_others(two_gateways):
+    knowing, started = two_gateways
+    knowing.publish(9)
+    knowing.follow_configuration()
+    started.follow_configuration()
+    exchange(knowing, started, 1_500)
+    assert (knowing.version, started.version) == (9, 9)
+    assert knowing.wire.sent == started.wire.sent == []
+
+
+def test_an_invalid_copy_is_ignored(two_gateways):
+    knowing, started = two_gateways
+    knowing.gateway.fleet.configuration_activated(ConfigurationCopy(2, 9, 99, b"half"))
+    started.follow_configuration()
+    exchange(knowing, started, 1_500)
+    assert started.version == 2
