Test a restored store against a gateway process

Cause: the stand-in of the store in test_gateway_process had fixed records and no eras. Change: it serves the store model, can be away, and comes back from a copy; the new test restores it twice.

--- a/tests/adapter/test_gateway_process.py
+++ b/tests/adapter/test_gateway_process.py
@@ -1,11 +1,9 @@
 """Runs a gateway as a process between callers, upstreams and a store on loopback sockets."""
 
-import base64
 import json
 import os
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import threading
@@ -19,9 +17,12 @@
 import pytest
 
 from adapter_harness import CONFIG, answer, request
+from adapter_store import StoreModel
 
 EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
 WAIT_S = 20
+# Two offsets, without records after them.
+EMPTY_PAGE_BYTES = 16
 
 
 class Upstream(threading.Thread):
@@ -53,13 +54,37 @@
                     self.may_close.wait(WAIT_S)
 
 
-def store_handler(entries):
-    """Return a request handler that serves the configuration and the entries of upstreams."""
-    records = {
-        "keyed.op": {"config": CONFIG},
-        "keyed.servers": entries,
-        "keyed.gateways": {},
-    }
+class StoreServer:
+    """Serves a store model; while it is away, it closes connections without an answer."""
+
+    def __init__(self):
+        self.model = StoreModel()
+        self.is_away = False
+        self.lock = threading.Lock()
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), store_handler(self))
+        self.server.daemon_threads = True
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def write(self, topic, key, value):
+        with self.lock:
+            self.model.write(topic, key, value)
+
+    def restore(self, older):
+        """Be away for a moment, and come back from a copy."""
+        self.is_away = True
+        time.sleep(0.3)
+        with self.lock:
+            self.model.restore(older)
+        self.is_away = False
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def store_handler(store):
+    """Return a request handler for the calls of the store."""
 
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -67,33 +92,31 @@
         def log_message(self, *args):
             pass
 
-        def respond(self, body):
+        def handle_call(self):
+            body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
+            url = urlsplit(self.path)
+            query = {name: values[0] for name, values in parse_qs(url.query).items()}
+            wait_until = time.monotonic() + min(1.0, int(query.get("wait_ms", "0")) / 1_000)
+            while True:
+                if store.is_away:
+                    self.close_connection = True
+                    return
+                with store.lock:
+                    response = store.model.respond(self.command, url.path, query, body)
+                has_records = len(response.body) > EMPTY_PAGE_BYTES
+                if self.command != "GET" or has_records or time.monotonic() >= wait_until:
+                    break
+                time.sleep(0.02)
             # The gateway ends while its last read waits.
             with suppress(BrokenPipeError, ConnectionResetError):
-                self.send_response(200)
-                self.send_header("Content-Length", str(len(body)))
+                self.send_response(response.status)
+                for name, value in response.headers.items():
+                    self.send_header(name, value)
+                self.send_header("Content-Length", str(len(response.body)))
                 self.end_headers()
-                self.wfile.write(body)
+                self.wfile.write(response.body)
 
-        def do_GET(self):
-            url = urlsplit(self.path)
-            query = {name: values[0] for name, values in parse_qs(url.query).items()}
-            held = records[query["topic"]]
-            if url.path == "/log-read":
-                # There are no later records; the end of the wait is answered with none.
-                time.sleep(min(1.0, int(query.get("wait_ms", "0")) / 1_000))
-                self.respond(struct.pack(">QQ", len(held), 0))
-                return
-            items = [
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-                for offset, (key, value) in enumerate(held.items())
-            ]
-            page = {"items": items, "end_offset": len(held), "more_pages": False}
-            self.respond(json.dumps(page).encode())
-
-        def do_POST(self):
-            self.rfile.read(int(self.headers["Content-Length"]))
-            self.respond(b'{"offset": 0, "end_offset": 1}')
+        do_GET = do_POST = handle_call  # noqa: N815
 
     return Handler
 
@@ -115,30 +138,33 @@
 
 
 @pytest.fixture
-def process(engines, tmp_path):
+def store():
+    server = StoreServer()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def process(engines, store, tmp_path):
     """Return a ready gateway with two engines, and its port for callers."""
-    entries = {
-        f"e{number}": msgspec.json.encode(
-            {
-                "service": "assistant",
-                "address": f"127.0.0.1:{engine.port}",
-                "slots": 2,
-                "state": "ready",
-                "born": 1,
-            }
-        )
-        for number, engine in enumerate(engines)
-    }
-    store = ThreadingHTTPServer(("127.0.0.1", 0), store_handler(entries))
-    store.daemon_threads = True
-    threading.Thread(target=store.serve_forever, daemon=True).start()
+    for number, engine in enumerate(engines):
+        entry = {
+            "service": "assistant",
+            "address": f"127.0.0.1:{engine.port}",
+            "slots": 2,
+            "state": "ready",
+            "born": 1,
+            "seq": 1,
+        }
+        store.write("keyed.servers", f"e{number}", msgspec.json.encode(entry))
+    store.write("keyed.op", "config", CONFIG)
     ports = free_ports(3)
     settings = {
         "node": "front-1",
         "ip": "127.0.0.1",
         "listen": {"front": f"127.0.0.1:{ports[0]}", "ready": f"127.0.0.1:{ports[1]}"},
         "port_range": [ports[2], ports[2]],
-        "platform": {"address": f"127.0.0.1:{store.server_address[1]}"},
+        "platform": {"address": store.address},
         "bootstrap": True,
     }
     path = tmp_path / "node.yaml"
@@ -150,13 +176,11 @@
         stderr=subprocess.STDOUT,
     )
     try:
-        wait_until_ready(process, ports[1], tuple(entries))
+        wait_until_ready(process, ports[1], ("e0", "e1"))
         yield process, ports[0]
     finally:
         process.send_signal(signal.SIGKILL)
         process.communicate()
-        store.shutdown()
-        store.server_close()
 
 
 def free_ports(count):
@@ -264,6 +288,41 @@
         engine.may_close.set()
 
 
+def version(number):
+    """Return a configuration with a route that only this version has."""
+    config = msgspec.json.decode(CONFIG)
+    route = {"name": "new", "host": "a.example", "path_prefix": f"/v{number}/", "kind": "safe"}
+    config["routes"].append(route | {"timeout_ms": 800, "service": "none"})
+    return msgspec.json.encode(config | {"version": number})
+
+
+def wait_for_status(port, path, expected):
+    """Send requests until one gets a status."""
+    until = time.monotonic() + WAIT_S
+    while (status := ask(port, path)[0]) != expected:
+        assert time.monotonic() < until, f"{path}: {status} in place of {expected}"
+        time.sleep(0.05)
+
+
+def test_a_store_that_comes_back_older_neither_takes_back_nor_hides_a_version(gateway, store):
+    """A version that was written after the restore was not in force (CONFIG)."""
+    older = store.model.copy()
+    store.write("keyed.op", "config", version(5))
+    wait_for_status(gateway, "/v5/1", 503)
+    for restore in (1, 2):
+        store.restore(older)
+        # The read that shows the restore has been made when the address is written again.
+        until = time.monotonic() + WAIT_S
+        while "front-1" not in store.model.newest("keyed.gateways"):
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        newest = f"/v{restore + 4}/1"
+        assert ask(gateway, newest)[0] == 503
+        store.write("keyed.op", "config", version(restore + 5))
+        wait_for_status(gateway, f"/v{restore + 5}/1", 503)
+        assert ask(gateway, newest)[0] == 404
+
+
 class Once:
     """The answers of an engine: the second one if the other engine got a request before it."""
 
