Do not take an entry that is read again for a newer one

Callers saw: nothing yet; found on reading the change again. After a restore of the store, an upstream that had left and stands in the older copy came back, and got requests, when the newest record of each key was read a second time, as after a compaction. Cause: EntryHistory took a record at the position of the known one for newer. Evidence: test_an_upstream_that_left_stays_out_when_the_copy_is_read_again and the one of what a peer knows failed before; they, tests/adapter and test_recordage pass.

--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -131,14 +131,16 @@
         The entry of an upstream that has left brings it back only if it is newer.
         """
         known = self._entries.get(upstream)
+        if self.is_passed(upstream, position):
+            return RecordAge.OLDER
+        if known is not None and known.position == position:
+            return RecordAge.SAME
         if known is not None and known.position.era != position.era:
             if age < known.age:
                 return RecordAge.OLDER
             if age == known.age:
                 known.position = max(known.position, position)
                 return RecordAge.SAME
-        elif self.is_passed(upstream, position):
-            return RecordAge.OLDER
         self._entries[upstream] = _KnownEntry(position, age)
         return RecordAge.NEWER
 
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -331,6 +331,25 @@
     assert two_upstreams.usable() == ["e2"]
 
 
+def test_an_upstream_that_left_stays_out_when_the_copy_is_read_again(two_upstreams):
+    """The second read of its entry in the copy brought it back (DRAIN)."""
+    two_upstreams.leave("e1")
+    two_upstreams.follow_upstreams()
+    two_upstreams.model.restore(two_upstreams.older)
+    for _ in range(2):
+        # As after a compaction, the newest record of each key is read.
+        two_upstreams.upstreams._reader.offset = None
+        two_upstreams.follow_upstreams()
+        assert two_upstreams.usable() == ["e2"]
+
+
+def test_an_upstream_that_a_peer_knows_to_have_left_stays_out_when_it_is_read_again(two_upstreams):
+    two_upstreams.gateway.fleet.on_departed({"e1": (5, 1)})
+    two_upstreams.upstreams._reader.offset = None
+    two_upstreams.follow_upstreams()
+    assert two_upstreams.usable() == ["e2"]
+
+
 def test_an_upstream_that_is_leaving_does_not_become_ready_again(two_upstreams):
     two_upstreams.beat("e1", 2, state="draining")
     two_upstreams.follow_upstreams()
