Log only upstreams that had left as kept out

Cause: the line 'kept upstreams out that had left' named every entry that was not taken over, also those that cannot be read. Change: EntryHistory says which upstreams have left.

--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -110,6 +110,11 @@
         known = self._entries.get(upstream)
         return known is not None and known.gone_ms is None
 
+    def has_left(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream is known to have left."""
+        known = self._entries.get(upstream)
+        return known is not None and known.gone_ms is not None
+
     def listed(self) -> set[UpstreamId]:
         """Return the upstreams that have not left."""
         return {name for name, known in self._entries.items() if known.gone_ms is None}
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -350,6 +350,17 @@
     assert two_upstreams.usable() == ["e2"]
 
 
+def test_only_upstreams_that_had_left_are_logged_as_kept_out(two_upstreams, caplog):
+    """An entry that cannot be read names no upstream that had left."""
+    two_upstreams.leave("e1")
+    two_upstreams.follow_upstreams()
+    two_upstreams.model.restore(two_upstreams.older)
+    two_upstreams.model.write("keyed.servers", "e3", b"half")
+    two_upstreams.follow_upstreams()
+    (line,) = [each for each in caplog.records if "kept upstreams out" in each.message]
+    assert line.upstreams == ["e1"]
+
+
 def test_an_upstream_that_is_leaving_does_not_become_ready_again(two_upstreams):
     two_upstreams.beat("e1", 2, state="draining")
     two_upstreams.follow_upstreams()
