Announce the configuration in force at the position where it was last seen

Callers saw: nothing yet; found on reading the change again. When an operator published a lower version after a restore, a gateway that had started since took the higher one back from a peer that had not read it yet. Cause: a peer announced its configuration at the position of before the restore also after it had seen it written again, so that versions were compared where offsets of one era decide. Change: states and copies take version and position from VersionHistory, the only place that keeps them; the fleet keeps the record's bytes alone. Evidence: test_a_version_that_is_taken_back_after_the_restore_is_not_passed_on failed before; it, tests/adapter, libs/gateway and libs/core pass.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -137,9 +137,9 @@
         # Positions of the last record that changed the list of upstreams and of the last one read.
         self.upstreams_changed = BEFORE_ALL
         self.upstreams_read = BEFORE_ALL
-        # Age of the configuration in force, and its record for peers that lack it.
+        # Version and position of the configuration in force, and its record for peers that lack it.
         self.versions = VersionHistory()
-        self._configuration_copy: ConfigurationCopy | None = None
+        self._configuration_data = b""
         # Since when a peer has had a newer one; None if none has.
         self._behind_since_ms: int | None = None
         # Called with the configuration of a peer.
@@ -254,12 +254,17 @@
             hosts.append(self._host)
         return sorted(hosts)
 
-    def configuration_activated(self, copy: ConfigurationCopy) -> None:
-        """Tell the peers of the configuration in force, and pass it on to those that ask."""
-        self.configuration = max(self.configuration, LogPosition(copy.era, copy.offset))
-        self._configuration_copy = copy
+    def configuration_activated(self, data: bytes) -> None:
+        """Keep the record of the configuration in force for peers that ask for it."""
+        self.configuration = max(self.configuration, self.versions.position)
+        self._configuration_data = data
         self._behind_since_ms = None
 
+    def _in_force(self) -> tuple[int, int, int] | None:
+        """Return era, offset and version of the configuration in force, None without one."""
+        position, version = self.versions.position, self.versions.version
+        return None if version is None else (position.era, position.offset, version)
+
     def _compare_configuration(self, sender: HostId, in_force: tuple[int, int, int]) -> None:
         """Ask a peer for its configuration if it has been newer for some time.
 
@@ -372,7 +377,6 @@
         self._transport.send(to, message)
 
     def _state(self) -> GatewayState:
-        copy = self._configuration_copy
         return GatewayState(
             self._address,
             self.draining,
@@ -390,7 +394,7 @@
             configuration_era=self.configuration.era,
             upstreams_era=self.upstreams_changed.era,
             departed=self.departed,
-            in_force=None if copy is None else (copy.era, copy.offset, copy.version),
+            in_force=self._in_force(),
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -524,8 +528,10 @@
             case StateBundle():
                 self._handle_bundle(sender, message)
             case ConfigurationQuery():
-                if self._configuration_copy is not None:
-                    self._transport.send(sender, self._configuration_copy)
+                in_force = self._in_force()
+                if in_force is not None:
+                    copy = ConfigurationCopy(*in_force, self._configuration_data)
+                    self._transport.send(sender, copy)
             case ConfigurationCopy():
                 self.on_configuration(message)
             case SlotRequest():
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -15,9 +15,7 @@
     RequestId,
     UpstreamId,
 )
-from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_core.logs import BoundedStream, part_logger
-from skylarkmoor_core.messages import ConfigurationCopy
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.callerconnections import CallerConnection, CallerConnectionFactory
 from skylarkmoor_gateway.crashexaminer import CrashExaminer
@@ -186,13 +184,17 @@
         self.tasks.every(_MAINTENANCE_MS, self._maintain)
         _log.info("started", extra={"host": settings.host, "callers": str(settings.caller_address)})
 
-    def set_table(self, table: RouteTable, position: LogPosition, data: bytes) -> None:
-        """Activate a configuration, which the record `data` at `position` of the log holds."""
+    def set_table(self, table: RouteTable, data: bytes) -> None:
+        """Activate a configuration, which the record `data` holds.
+
+        Notes
+        -----
+        Its version and position are in the history of the fleet.
+        """
         previous_version = None if self._table is None else self._table.version
         self._table = table
-        self.fleet.configuration_activated(
-            ConfigurationCopy(position.era, position.offset, table.version, data)
-        )
+        self.fleet.configuration_activated(data)
+        position = self.fleet.versions.position
         _log.info(
             "configuration activated",
             extra={
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -25,7 +25,6 @@
     from skylarkmoor_adapter.headers import HeaderCodec
     from skylarkmoor_adapter.records import decode_configuration
     from skylarkmoor_core.clock import ManualClock
-    from skylarkmoor_core.logposition import LogPosition
     from skylarkmoor_core.settings import Address
     from skylarkmoor_gateway.gateway import Gateway
     from skylarkmoor_gateway.settings import GatewaySettings
@@ -40,5 +39,5 @@
         random.Random(1),
         HeaderCodec(),
     )
-    gateway.set_table(decode_configuration(CONFIG), LogPosition(0, 0), CONFIG)
+    gateway.set_table(decode_configuration(CONFIG), CONFIG)
     return Harness(gateway, reactor, clock)
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -10,7 +10,7 @@
 from skylarkmoor_clients.httpclient import Answer
 from skylarkmoor_core.errors import PlatformError
 from skylarkmoor_core.logposition import LogPosition
-from skylarkmoor_core.messages import ConfigurationCopy, GatewayState
+from skylarkmoor_core.messages import GatewayState
 from skylarkmoor_core.settings import Address
 
 
@@ -66,7 +66,7 @@
         self.harness = harness
         self.gateway = harness.gateway
         # The table of the harness is replaced by that of the store.
-        self.gateway._table = self.gateway.fleet._configuration_copy = None
+        self.gateway._table = None
         self.model = StoreModel()
         self.store = Store(Address("127.0.0.1", 1))
         self.http = self.store._http = ModelHttp(self.model)
@@ -679,9 +679,25 @@
     assert knowing.wire.sent == started.wire.sent == []
 
 
+def test_a_version_that_is_taken_back_after_the_restore_is_not_passed_on(two_gateways):
+    """A gateway that had not read this yet told of its version as of before the restore."""
+    knowing, started = two_gateways
+    for number in (6, 8):
+        knowing.publish(number)
+    knowing.follow_configuration()
+    knowing.publish(7)
+    started.follow_configuration()
+    assert (knowing.version, started.version) == (8, 7)
+    knowing.wire.deliver_to(started.wire)
+    started.harness.clock.advance(600)
+    knowing.wire.deliver_to(started.wire)
+    assert started.wire.sent == []
+
+
 def test_an_invalid_copy_is_ignored(two_gateways):
     knowing, started = two_gateways
-    knowing.gateway.fleet.configuration_activated(ConfigurationCopy(2, 9, 99, b"half"))
+    knowing.gateway.fleet.versions.update(LogPosition(2, 9), 99)
+    knowing.gateway.fleet.configuration_activated(b"half")
     started.follow_configuration()
     exchange(knowing, started, 1_500)
     assert started.version == 2
