--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -49,11 +49,12 @@
     def __init__(self) -> None:
         self.position = BEFORE_ALL
         self.version: int | None = None
+        # Higher than the version in force if an operator has gone back.
         self._highest_version: int | None = None
 
     def compare(self, position: LogPosition, version: int) -> RecordAge:
         """Return the age of a record compared with the one in force."""
-        if self.version is None or self._highest_version is None:
+        if self._highest_version is None:
             return RecordAge.NEWER
         if position.era == self.position.era:
             is_newer = position.offset > self.position.offset
@@ -66,8 +67,9 @@
         """Take over a record unless it is older, and return its age."""
         age = self.compare(position, version)
         if age is RecordAge.NEWER:
+            highest = self._highest_version
             self.position, self.version = position, version
-            self._highest_version = max(version, self._highest_version or version)
+            self._highest_version = version if highest is None else max(highest, version)
         elif age is RecordAge.SAME:
             self.position = max(self.position, position)
         return age
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -104,11 +104,8 @@
         self.configuration._apply_page(page, covers_all_keys)
 
     def follow_upstreams(self):
-        """Make the read that the follower of the upstreams would make next."""
-        page, covers_all_keys = run_to_completion(self.upstreams._reader.next(0))
-        self.upstreams._store_monitor.answered()
-        self.upstreams._apply_page(page, covers_all_keys)
-        self.gateway.fleet.upstreams_read = LogPosition(page.era, page.next_offset - 1)
+        """Read the entries of the upstreams once."""
+        run_step(self.upstreams.run())
 
     def usable(self):
         """Return the upstreams that may get requests."""
