Call what waits for a slot its client

Cause: 'requester' is the users' word for a client; the claim's requester is a term of the glossary and stays. Change: SlotRequester is SlotClient. Nothing else. Measured: libs/gateway and test_request_path pass, type check is clean.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -24,7 +24,7 @@
 )
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.responses import CallerResponse
-from skylarkmoor_gateway.slotcoordinator import SlotRequester
+from skylarkmoor_gateway.slotcoordinator import SlotClient
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.callertimeouts import (
     latest_start_ms,
@@ -156,7 +156,7 @@
     counted: bool = False
 
 
-class Exchange(SlotRequester):
+class Exchange(SlotClient):
     """A request and its attempts at upstreams.
 
     Parameters
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -20,7 +20,7 @@
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
 from skylarkmoor_policy.versionrules import OtherVersions, PreferVersion, VersionRule
 
-__all__ = ["SlotCoordinator", "SlotRequester"]
+__all__ = ["SlotCoordinator", "SlotClient"]
 
 # Number of gateways, first in rendezvous order, that may dispatch a service and therefore report
 # their state at a shorter interval. In a large fleet the regular interval is too long to detect a
@@ -30,7 +30,7 @@
 _REQUEST_RETRY_MS = 500
 
 
-class SlotRequester:
+class SlotClient:
     """A request that waits for a slot; implemented by the exchange."""
 
     service: ServiceName
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True)
 class _Wait:
-    requester: SlotRequester
+    client: SlotClient
     waiting: QueuedRequest[SlotRequirements]
     group: SlotGroup
     requested_from: HostId | None = None
@@ -126,12 +126,12 @@
             if len(self._placement.group_loads(service)) == 1
         )
 
-    def wait(self, requester: SlotRequester, waiting: QueuedRequest[SlotRequirements]) -> int:
+    def wait(self, client: SlotClient, waiting: QueuedRequest[SlotRequirements]) -> int:
         """Request a slot and return the ticket number of the wait."""
         number = next(self._wait_numbers)
-        group = self._placement.less_loaded_group(requester.service, waiting.item.version_rule)
+        group = self._placement.less_loaded_group(client.service, waiting.item.version_rule)
         need = replace(waiting.item, ticket=Ticket(self._host, number), group=group)
-        wait = _Wait(requester, replace(waiting, item=need), group)
+        wait = _Wait(client, replace(waiting, item=need), group)
         self._waits[number] = wait
         self._request_slot(number, wait)
         return number
@@ -151,7 +151,7 @@
                 owners[wait.group] = self.dispatcher_of(wait.group)
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self.withdraw(number)
-                wait.requester.wait_timed_out()
+                wait.client.wait_timed_out()
             elif wait.requested_from != owners[wait.group]:
                 self._request_slot(number, wait)
             elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
@@ -243,7 +243,7 @@
     def _request_from_less_loaded_group(self, number: int, wait: _Wait) -> None:
         """Repeat a slot request, possibly for another group with a lower load."""
         rule = wait.waiting.item.version_rule
-        wait.group = self._placement.less_loaded_group(wait.requester.service, rule)
+        wait.group = self._placement.less_loaded_group(wait.client.service, rule)
         need = replace(wait.waiting.item, group=wait.group)
         wait.waiting = replace(wait.waiting, item=need)
         self._request_slot(number, wait)
@@ -305,7 +305,7 @@
         running = 0 if placed is None else placed.running()
         slots = 0 if placed is None else placed.slots
         choice = UpstreamChoice(upstream, start_ms, running, slots)
-        wait.requester.slot_granted(choice, self._clock.now_ms())
+        wait.client.slot_granted(choice, self._clock.now_ms())
 
 
 def _version_rule(request: SlotRequest) -> VersionRule | None:
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -7,7 +7,7 @@
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.hashing import rendezvous_owner
 from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
-from skylarkmoor_gateway.slotcoordinator import SlotCoordinator, SlotRequester
+from skylarkmoor_gateway.slotcoordinator import SlotClient, SlotCoordinator
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
@@ -19,7 +19,7 @@
 NON_OWNER = next(host for host in HOSTS if host != OWNER)
 
 
-class RecordingRequester(SlotRequester):
+class RecordingClient(SlotClient):
     """Records the outcome of a wait and occupies the granted slot."""
 
     def __init__(self, placement):
@@ -66,12 +66,12 @@
         )
 
     def wait(self, queue_deadline_ms=2_000):
-        requester = RecordingRequester(self.placement)
+        client = RecordingClient(self.placement)
         need = SlotRequirements(Ticket("", 0), SlotGroup("assistant"), 100, 0, 10, 10_000)
         number = self.slot_coordinator.wait(
-            requester, QueuedRequest(need, 0, 0, 0, 400, queue_deadline_ms)
+            client, QueuedRequest(need, 0, 0, 0, 400, queue_deadline_ms)
         )
-        return requester, number
+        return client, number
 
 
 class Network:
@@ -109,45 +109,45 @@
 
 
 def test_dispatcher_grants_a_slot(network):
-    requester, _ = network.nodes[NON_OWNER].wait()
+    client, _ = network.nodes[NON_OWNER].wait()
     network.deliver()
-    assert requester.upstreams == ["engine"]
+    assert client.upstreams == ["engine"]
 
 
 def test_lost_slot_request_is_repeated(network):
-    requester, _ = network.nodes[NON_OWNER].wait()
+    client, _ = network.nodes[NON_OWNER].wait()
     network.queue.clear()
     network.tick(500)
     network.deliver()
-    assert requester.upstreams == ["engine"]
+    assert client.upstreams == ["engine"]
 
 
 def test_lost_grant_is_repeated_and_used_once(network):
-    requester, _ = network.nodes[NON_OWNER].wait()
+    client, _ = network.nodes[NON_OWNER].wait()
     network.nodes[OWNER].slot_coordinator.handle_slot_request(NON_OWNER, network.queue.pop(0)[2])
     network.queue.clear()
     network.tick(500)
     network.deliver()
-    assert requester.upstreams == ["engine"]
+    assert client.upstreams == ["engine"]
 
 
 def test_duplicate_grant_starts_the_request_once(network):
     """Unless the second grant is acknowledged too, the dispatcher keeps counting it as load."""
     node = network.nodes[NON_OWNER]
-    requester, number = node.wait()
+    client, number = node.wait()
     for grant in (1, 2):
         node.slot_coordinator.handle_slot_grant(OWNER, SlotGrant(number, "engine", grant))
-    assert requester.upstreams == ["engine"]
+    assert client.upstreams == ["engine"]
     assert node.slot_coordinator.last_grants == {OWNER: 2}
 
 
 def test_gateway_without_live_peers_dispatches_for_itself(network):
     node = network.nodes[NON_OWNER]
-    requester, _ = node.wait()
+    client, _ = node.wait()
     network.queue.clear()
     node.live = [NON_OWNER]
     network.tick(25)
-    assert requester.upstreams == ["engine"]
+    assert client.upstreams == ["engine"]
 
 
 def test_withdrawn_request_gets_no_grant():
@@ -217,7 +217,7 @@
             assert granted[-1] == groups[message.ticket]
         four_groups.deliver_next()
     assert len(granted) == len(groups)
-    assert all(len(requester.upstreams) == 1 for requester, _ in waits)
+    assert all(len(client.upstreams) == 1 for client, _ in waits)
 
 
 def test_request_moves_to_another_group_if_its_dispatcher_is_silent(four_groups):
@@ -227,7 +227,7 @@
         # All messages to and from the other dispatcher are lost.
         four_groups.queue.clear()
         four_groups.tick(500)
-    assert all(len(requester.upstreams) == 1 for requester in requesters)
+    assert all(len(client.upstreams) == 1 for client in requesters)
 
 
 def test_grant_of_an_earlier_dispatcher_withdraws_the_request_at_the_later_one(four_groups):
