Test that a version seen at another position is not asked for

Cause: no test failed when a gateway asked for a configuration that it had at a position of another era. Change: a test in which the peer cannot read that its version has been written again. Measured: with the check of the age loosened to 'not older' this test fails, and only it; test_restored_store passes.

--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -636,6 +636,17 @@
     assert knowing.wire.carried == started.wire.carried == []
 
 
+def test_a_version_that_a_peer_has_at_another_position_is_not_asked_for(two_gateways):
+    """The peer cannot read that its version has been written again."""
+    knowing, started = two_gateways
+    knowing.publish(8)
+    started.follow_configuration()
+    knowing.http.is_away = True
+    exchange(knowing, started, 1_500)
+    assert (knowing.version, started.version) == (8, 8)
+    assert knowing.wire.carried == started.wire.carried == []
+
+
 def test_a_version_that_is_taken_back_after_the_restore_is_not_passed_on(two_gateways):
     """A gateway that had not read this yet told of its version as of before the restore."""
     knowing, started = two_gateways
