Log and count what upstreams say of themselves in their answers

A table keeps them for each instance; a line and a counter tell when one begins, changes or ends, a gauge how many are in force. A value that cannot be read is logged once for each instance. Nothing is decided by them.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -39,6 +39,7 @@
 from skylarkmoor_policy.routetable import CustomerPolicy, RetrySafety, Route
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.trackedupstream import TrackedUpstream
+from skylarkmoor_policy.upstreamnotices import AnswerNotices, InstanceId
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
 from skylarkmoor_policy.versionrules import OtherVersions, VersionRule
 
@@ -124,6 +125,11 @@
     def blocked_ms(self, request: IncomingRequest) -> int | None:
         """Return the time until blocked parts of a prompt may be tried, None if there are none."""
 
+    def answer_notices(
+        self, exchange: "Exchange", instance: InstanceId, notices: AnswerNotices
+    ) -> None:
+        """Record what the answer to a request says of the instance that sent it."""
+
     def request_sent(self, exchange: "Exchange", version: str) -> None:
         """Record that a request is sent to an upstream of a version."""
 
@@ -488,6 +494,10 @@
         if head.request is not None and head.request != self.request.request:
             self._fail_attempt(attempt, f"the answer names the request {head.request!r}")
             return
+        # An answer with this status comes from another instance, which has the address now.
+        if not head.instance_replaced:
+            instance = InstanceId(attempt.upstream, attempt.started_wall_ms)
+            self._gateway.answer_notices(self, instance, head.notices)
         if head.keep_alive_ms is not None and connection is not None:
             pool = self._gateway.pool(attempt.upstream)
             if pool is not None:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -46,6 +46,12 @@
 from skylarkmoor_policy.routecosts import RouteCosts
 from skylarkmoor_policy.routetable import CallerLimits, CustomerPolicy, Route, RouteTable
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream
+from skylarkmoor_policy.upstreamnotices import (
+    AnswerNotices,
+    InstanceId,
+    NoticeChange,
+    NoticeTable,
+)
 from skylarkmoor_policy.versionrules import VersionRule
 from skylarkmoor_process.tasks import Tasks
 
@@ -72,6 +78,8 @@
 # Retry-After for a request that is blocked, for about a minute, because it crashed several
 # upstreams.
 _BLOCKED_RETRY_MS = 2_000
+# Length of a header value in a log line.
+_MAX_LOGGED_CHARACTERS = 100
 
 _log = part_logger("gateway")
 
@@ -117,6 +125,7 @@
         )
         self.crash_counts = CrashCounts()
         self.crash_evidence = CrashEvidenceTable()
+        self.notices = NoticeTable()
         # Fires at exit, with whether the shutdown was forced.
         self.exited: Deferred[bool] = Deferred()
         # Called when a peer has read a newer configuration than this gateway.
@@ -417,6 +426,41 @@
         )
         return wait_ms
 
+    def answer_notices(
+        self, exchange: Exchange, instance: InstanceId, notices: AnswerNotices
+    ) -> None:
+        """Record what the answer to a request says of the instance that sent it."""
+        now_ms = self.clock.now_ms()
+        request = exchange.request.request
+        for change in self.notices.record_answer(instance, notices, now_ms):
+            self._log_notice(change, request)
+        for kind, value in notices.invalid:
+            if self.notices.is_first_invalid(instance, kind, now_ms):
+                _log.warning(
+                    "ignored an invalid notice of an upstream",
+                    extra={
+                        "upstream": instance.upstream,
+                        "notice": kind.value,
+                        "value": value[:_MAX_LOGGED_CHARACTERS],
+                        "request": request,
+                    },
+                )
+
+    def _log_notice(self, change: NoticeChange, request: RequestId | None = None) -> None:
+        """Log that a notice of an upstream began, changed or ended, and count it."""
+        state = "ended" if change.value is None else "heard"
+        self.metrics.notice(change.kind.value, state)
+        _log.info(
+            f"notice of an upstream {state}",
+            extra={
+                "upstream": change.instance.upstream,
+                "started_wall_ms": change.instance.started_wall_ms,
+                "notice": change.kind.value,
+                "value": change.value,
+                "request": request,
+            },
+        )
+
     def request_sent(self, exchange: Exchange, version: str) -> None:
         """Record that a request is sent, which may be the trial of blocked parts."""
         self.canaries.count_sent(exchange.service, version)
@@ -548,6 +592,12 @@
         for pool in self._pools.values():
             pool.close_expired()
         now_ms = self.clock.now_ms()
+        listed = [
+            InstanceId(name, each.started_wall_ms)
+            for name, each in self.placement.upstreams.items()
+        ]
+        for change in self.notices.expire(listed, now_ms):
+            self._log_notice(change)
         if now_ms - self._canaries_checked_ms >= self.fleet.interval_ms():
             self._canaries_checked_ms = now_ms
             self._check_canaries(now_ms)
@@ -560,6 +610,8 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
+        for kind, count in self.notices.counts(now_ms).items():
+            self.metrics.upstreams_with_notice(kind.value, count)
 
     def _check_canaries(self, now_ms: int) -> None:
         """Decide on the new versions, and tell the peers of counts and stops."""
--- a/libs/gateway/src/skylarkmoor_gateway/messages.py
+++ b/libs/gateway/src/skylarkmoor_gateway/messages.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from skylarkmoor_core.ids import CustomerId, PromptPart, RequestId, UpstreamId
+from skylarkmoor_policy.upstreamnotices import AnswerNotices
 
 __all__ = [
     "AttemptContext",
@@ -104,6 +105,8 @@
         Time after which the upstream closes an idle connection, if it states one.
     is_chunked : bool
         Whether the body is sent in chunks.
+    notices : AnswerNotices
+        What the upstream says of itself.
     """
 
     status: int
@@ -115,6 +118,7 @@
     instance_replaced: bool = False
     keep_alive_ms: int | None = None
     is_chunked: bool = False
+    notices: AnswerNotices = AnswerNotices()
 
     @property
     def framing(self) -> BodyFraming:
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -37,6 +37,13 @@
         self._blocked_parts = self._gauge(
             "blocked_prompt_parts", "Parts of prompts that are blocked after crashes."
         )
+        self._notices = self._counter(
+            "upstream_notices_total",
+            "Notices in answers of upstreams that began or ended, by kind.",
+        )
+        self._noticed_upstreams = self._gauge(
+            "upstreams_with_notice", "Instances with a notice in force, by kind."
+        )
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
@@ -66,6 +73,14 @@
         """Count a return of the platform's store from an older copy."""
         self._restores.inc({})
 
+    def notice(self, kind: str, state: str) -> None:
+        """Count a notice of an upstream that was heard or has ended."""
+        self._notices.inc({"notice": kind, "state": state})
+
+    def upstreams_with_notice(self, kind: str, count: int) -> None:
+        """Set the number of instances with a notice of a kind."""
+        self._noticed_upstreams.set({"notice": kind}, count)
+
     def state(
         self,
         *,
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -0,0 +1,151 @@
+"""What upstreams say of themselves in their answers, kept for each instance."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from skylarkmoor_core.ids import UpstreamId
+
+__all__ = ["AnswerNotices", "InstanceId", "NoticeChange", "NoticeKind", "NoticeTable"]
+
+# A list of upstreams may show an instance again that it had dropped. Its notices are kept for as
+# long as the entries of upstreams that have left.
+_MAX_UNLISTED_MS = 600_000
+
+
+class InstanceId(NamedTuple):
+    """An instance of an upstream, which a restart under the same id replaces."""
+
+    upstream: UpstreamId
+    started_wall_ms: int
+
+
+class NoticeKind(Enum):
+    """What a notice is about; the values appear in metrics and logs."""
+
+    LEAVING = "leaving"
+    RETRY_AFTER = "retry after"
+    LIMIT = "limit"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerNotices:
+    """What one answer says of the upstream that sent it.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the upstream is leaving.
+    retry_after_ms : int or None
+        Time in which it wants no request from this host; None if the answer gives none.
+    max_requests_per_s : float or None
+        Requests per second that it accepts from all hosts together; None for no limit.
+    invalid : tuple of (NoticeKind, str)
+        Values that cannot be read. They change nothing.
+    """
+
+    leaving: bool = False
+    retry_after_ms: int | None = None
+    max_requests_per_s: float | None = None
+    invalid: tuple[tuple[NoticeKind, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeChange:
+    """A notice of an instance that began, changed or ended.
+
+    Attributes
+    ----------
+    value : float or None
+        1 for an instance that is leaving, else the milliseconds until it wants requests again, or
+        its limit in requests per second; None at the end of the notice.
+    """
+
+    instance: InstanceId
+    kind: NoticeKind
+    value: float | None
+
+
+@dataclass(slots=True)
+class _InstanceNotices:
+    listed_ms: int
+    leaving: bool = False
+    # Until when it wants no request from this host.
+    paused_until_ms: int = 0
+    max_requests_per_s: float | None = None
+    invalid_kinds: set[NoticeKind] = field(default_factory=set)
+
+
+class NoticeTable:
+    """The notices of all known instances.
+
+    Notes
+    -----
+    They outlast the entry of the instance in the list of upstreams, which may drop it and show it
+    again. An instance that starts anew under the same id has none.
+    """
+
+    def __init__(self) -> None:
+        self._instances: dict[InstanceId, _InstanceNotices] = {}
+
+    def record_answer(
+        self, instance: InstanceId, notices: AnswerNotices, now_ms: int
+    ) -> list[NoticeChange]:
+        """Record what an answer says, and return what has changed.
+
+        Parameters
+        ----------
+        now_ms : int
+            Time at which the head of the answer arrived.
+        """
+        known = self._known(instance, now_ms)
+        changes = []
+        if notices.leaving and not known.leaving:
+            known.leaving = True
+            changes.append(NoticeChange(instance, NoticeKind.LEAVING, 1))
+        if notices.retry_after_ms is not None:
+            until_ms = now_ms + notices.retry_after_ms
+            if known.paused_until_ms <= now_ms < until_ms:
+                value = float(notices.retry_after_ms)
+                changes.append(NoticeChange(instance, NoticeKind.RETRY_AFTER, value))
+            known.paused_until_ms = max(known.paused_until_ms, until_ms)
+        limit = notices.max_requests_per_s
+        has_limit = NoticeKind.LIMIT not in {kind for kind, _ in notices.invalid}
+        if has_limit and limit != known.max_requests_per_s:
+            known.max_requests_per_s = limit
+            changes.append(NoticeChange(instance, NoticeKind.LIMIT, limit))
+        return changes
+
+    def is_first_invalid(self, instance: InstanceId, kind: NoticeKind, now_ms: int) -> bool:
+        """Return whether this is the first invalid value of its kind from an instance."""
+        kinds = self._known(instance, now_ms).invalid_kinds
+        is_first = kind not in kinds
+        kinds.add(kind)
+        return is_first
+
+    def expire(self, listed: Iterable[InstanceId], now_ms: int) -> list[NoticeChange]:
+        """Forget instances that have not been listed for long, and return the pauses that ended."""
+        for instance in listed:
+            if instance in self._instances:
+                self._instances[instance].listed_ms = now_ms
+        changes = []
+        for instance, known in list(self._instances.items()):
+            if 0 < known.paused_until_ms <= now_ms:
+                known.paused_until_ms = 0
+                changes.append(NoticeChange(instance, NoticeKind.RETRY_AFTER, None))
+            if now_ms - known.listed_ms > _MAX_UNLISTED_MS:
+                del self._instances[instance]
+        return changes
+
+    def counts(self, now_ms: int) -> dict[NoticeKind, int]:
+        """Return the number of instances with a notice of each kind."""
+        notices = self._instances.values()
+        return {
+            NoticeKind.LEAVING: sum(each.leaving for each in notices),
+            NoticeKind.RETRY_AFTER: sum(each.paused_until_ms > now_ms for each in notices),
+            NoticeKind.LIMIT: sum(each.max_requests_per_s is not None for each in notices),
+        }
+
+    def _known(self, instance: InstanceId, now_ms: int) -> _InstanceNotices:
+        return self._instances.setdefault(instance, _InstanceNotices(now_ms))
--- /dev/null
+++ b/libs/policy/tests/test_upstreamnotices.py
@@ -0,0 +1,67 @@
+"""Guards against notices of upstreams that are lost, never end or bind another instance."""
+
+import pytest
+
+from skylarkmoor_policy.upstreamnotices import (
+    AnswerNotices,
+    InstanceId,
+    NoticeChange,
+    NoticeKind,
+    NoticeTable,
+)
+
+FIRST, SECOND = InstanceId("e1", 1), InstanceId("e1", 2)
+
+
+@pytest.fixture
+def table():
+    return NoticeTable()
+
+
+def test_each_notice_is_reported_once_until_it_changes(table):
+    notices = AnswerNotices(leaving=True, retry_after_ms=500, max_requests_per_s=2.0)
+    assert [(each.kind, each.value) for each in table.record_answer(FIRST, notices, 0)] == [
+        (NoticeKind.LEAVING, 1),
+        (NoticeKind.RETRY_AFTER, 500),
+        (NoticeKind.LIMIT, 2.0),
+    ]
+    assert table.record_answer(FIRST, notices, 10) == []
+    assert table.counts(10) == dict.fromkeys(NoticeKind, 1)
+
+
+def test_an_answer_without_the_header_ends_a_limit_but_not_the_leaving(table):
+    table.record_answer(FIRST, AnswerNotices(leaving=True, max_requests_per_s=2.0), 0)
+    change = NoticeChange(FIRST, NoticeKind.LIMIT, None)
+    assert table.record_answer(FIRST, AnswerNotices(), 10) == [change]
+    assert table.counts(10)[NoticeKind.LEAVING] == 1
+
+
+def test_an_invalid_limit_changes_nothing(table):
+    table.record_answer(FIRST, AnswerNotices(max_requests_per_s=2.0), 0)
+    invalid = AnswerNotices(invalid=((NoticeKind.LIMIT, "few"),))
+    assert table.record_answer(FIRST, invalid, 10) == []
+    assert table.counts(10)[NoticeKind.LIMIT] == 1
+
+
+def test_an_invalid_value_is_the_first_one_once(table):
+    assert table.is_first_invalid(FIRST, NoticeKind.LIMIT, 0)
+    assert not table.is_first_invalid(FIRST, NoticeKind.LIMIT, 10)
+    assert table.is_first_invalid(FIRST, NoticeKind.LEAVING, 10)
+    assert table.is_first_invalid(SECOND, NoticeKind.LIMIT, 10)
+
+
+def test_the_end_of_a_pause_is_reported_once(table):
+    table.record_answer(FIRST, AnswerNotices(retry_after_ms=500), 0)
+    table.record_answer(FIRST, AnswerNotices(retry_after_ms=100), 10)
+    assert table.expire([FIRST], 499) == []
+    assert table.expire([FIRST], 500) == [NoticeChange(FIRST, NoticeKind.RETRY_AFTER, None)]
+    assert table.expire([FIRST], 501) == []
+
+
+def test_an_instance_is_forgotten_ten_minutes_after_it_was_listed_last(table):
+    table.record_answer(FIRST, AnswerNotices(leaving=True), 0)
+    table.expire([FIRST], 1_000)
+    table.expire([], 601_000)
+    assert table.counts(601_000)[NoticeKind.LEAVING] == 1
+    table.expire([], 601_001)
+    assert table.counts(601_001)[NoticeKind.LEAVING] == 0
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -5,6 +5,7 @@
 from skylarkmoor_adapter.headers import HeaderCodec
 from skylarkmoor_gateway.errors import MalformedRequest
 from skylarkmoor_gateway.messages import AttemptContext
+from skylarkmoor_policy.upstreamnotices import AnswerNotices, NoticeKind
 
 CODEC = HeaderCodec()
 
@@ -81,3 +82,41 @@
     )
     assert (decoded.content_length, decoded.keep_alive_ms) == (12, 7_000)
     assert answer(200, (b"Keep-Alive", b"timeout=x")).keep_alive_ms is None
+
+
+NOTICES = [
+    ({}, AnswerNotices()),
+    ({"Server-Leaving": "1"}, AnswerNotices(leaving=True)),
+    ({"skylarkmoor-server-leaving": " 1 "}, AnswerNotices(leaving=True)),
+    ({"Server-Leaving": "0"}, AnswerNotices(invalid=((NoticeKind.LEAVING, "0"),))),
+    ({"Server-Leaving": "true"}, AnswerNotices(invalid=((NoticeKind.LEAVING, "true"),))),
+    ({"Server-Limit": "2.5"}, AnswerNotices(max_requests_per_s=2.5)),
+    ({"Skylarkmoor-Server-Limit": "0"}, AnswerNotices(max_requests_per_s=0.0)),
+    ({"Server-Limit": "-1"}, AnswerNotices(invalid=((NoticeKind.LIMIT, "-1"),))),
+    ({"Server-Limit": "1e3"}, AnswerNotices(invalid=((NoticeKind.LIMIT, "1e3"),))),
+    ({"Server-Limit": "nan"}, AnswerNotices(invalid=((NoticeKind.LIMIT, "nan"),))),
+    ({"Server-Limit": "9" * 400}, AnswerNotices(invalid=((NoticeKind.LIMIT, "9" * 400),))),
+    ({"Retry-After": "0.25"}, AnswerNotices(retry_after_ms=250)),
+    ({"Retry-After": "999999999"}, AnswerNotices(retry_after_ms=3_600_000)),
+    (
+        {"Retry-After": "Sat, 05 Dec 2026 00:00:00 GMT"},
+        AnswerNotices(invalid=((NoticeKind.RETRY_AFTER, "Sat, 05 Dec 2026 00:00:00 GMT"),)),
+    ),
+]
+
+
+@pytest.mark.parametrize(("values", "expected"), NOTICES)
+def test_notices_of_an_upstream_are_decoded_from_its_answer(values, expected):
+    headers = [(name.encode(), value.encode()) for name, value in values.items()]
+    assert CODEC.decode_response(503, headers).notices == expected
+
+
+def test_only_a_503_asks_for_a_pause():
+    headers = [(b"Retry-After", b"3")]
+    assert CODEC.decode_response(429, headers).notices == AnswerNotices()
+
+
+def test_a_notice_that_is_repeated_with_another_value_cannot_be_read():
+    headers = [(b"Server-Limit", b"2"), (b"Skylarkmoor-Server-Limit", b"3")]
+    invalid = ((NoticeKind.LIMIT, "2, 3"),)
+    assert CODEC.decode_response(200, headers).notices == AnswerNotices(invalid=invalid)
