--- a/conftest.py
+++ b/conftest.py
@@ -17,7 +17,7 @@
     if not _LIST.exists():
         return found
     for line in _LIST.read_text().splitlines():
-        if line.startswith("libs/"):
+        if line.startswith(("libs/", "tests/")):
             test = line.strip()
             found[test] = []
         elif line.startswith(" ") and line.strip():
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -13,8 +13,16 @@
 
 @pytest.fixture
 def make_harness():
-    """Return a function that makes gateways."""
-    return _make_harness
+    """Return a function that makes gateways, whose sockets are closed after the test."""
+    made = []
+
+    def make():
+        made.append(_make_harness())
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.gateway.fleet.close()
 
 
 def _make_harness():
