Send nothing to an instance whose answer says that it leaves

Cause: what an upstream says of itself in an answer was not read.

Change: Placement keeps the notices of all instances. One that leaves is marked as leaving when the head of its answer arrives, and each time its entry is set, so that a list that drops it and shows it again does not take that back. All ways of sending ask TrackedUpstream.leaving already. Peers are told in the states, and remember instances that they do not list (yet).

Two stream cases of the test passed without the fix, because the other upstream was idle; it is the worse choice now.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -390,7 +390,7 @@
             self._placement.own_records(),
             self._placement.own_backoffs_ms(self._clock.now_ms()),
             self.upstreams_changed.offset,
-            self._placement.own_leaving(),
+            self._placement.own_leaving(self._clock.now_ms()),
             configuration_era=self.configuration.era,
             upstreams_era=self.upstreams_changed.era,
             departed=self.departed,
@@ -603,7 +603,16 @@
         ]
         taken = state.taken.get(self._host, 0)
         self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
-        self._placement.mark_leaving(state.leaving_upstreams)
+        new_leaving = self._placement.mark_leaving(state.leaving_upstreams, peer.last_heard_ms)
+        for instance in new_leaving:
+            _log.info(
+                "a peer has heard that an upstream is leaving",
+                extra={
+                    "peer": sender,
+                    "upstream": instance.upstream,
+                    "started_wall_ms": instance.started_wall_ms,
+                },
+            )
         if state.in_force is not None:
             self._compare_configuration(sender, state.in_force)
         if state.departed:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -50,7 +50,6 @@
     AnswerNotices,
     InstanceId,
     NoticeChange,
-    NoticeTable,
 )
 from skylarkmoor_policy.versionrules import VersionRule
 from skylarkmoor_process.tasks import Tasks
@@ -125,7 +124,6 @@
         )
         self.crash_counts = CrashCounts()
         self.crash_evidence = CrashEvidenceTable()
-        self.notices = NoticeTable()
         # Fires at exit, with whether the shutdown was forced.
         self.exited: Deferred[bool] = Deferred()
         # Called when a peer has read a newer configuration than this gateway.
@@ -432,10 +430,10 @@
         """Record what the answer to a request says of the instance that sent it."""
         now_ms = self.clock.now_ms()
         request = exchange.request.request
-        for change in self.notices.record_answer(instance, notices, now_ms):
+        for change in self.placement.record_notices(instance, notices, now_ms):
             self._log_notice(change, request)
         for kind, value in notices.invalid:
-            if self.notices.is_first_invalid(instance, kind, now_ms):
+            if self.placement.is_first_invalid_notice(instance, kind, now_ms):
                 _log.warning(
                     "ignored an invalid notice of an upstream",
                     extra={
@@ -592,11 +590,7 @@
         for pool in self._pools.values():
             pool.close_expired()
         now_ms = self.clock.now_ms()
-        listed = [
-            InstanceId(name, each.started_wall_ms)
-            for name, each in self.placement.upstreams.items()
-        ]
-        for change in self.notices.expire(listed, now_ms):
+        for change in self.placement.expire_notices(now_ms):
             self._log_notice(change)
         if now_ms - self._canaries_checked_ms >= self.fleet.interval_ms():
             self._canaries_checked_ms = now_ms
@@ -610,7 +604,7 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
-        for kind, count in self.notices.counts(now_ms).items():
+        for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
 
     def _check_canaries(self, now_ms: int) -> None:
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -16,6 +16,13 @@
     RegisteredUpstream,
     TrackedUpstream,
 )
+from skylarkmoor_policy.upstreamnotices import (
+    AnswerNotices,
+    InstanceId,
+    NoticeChange,
+    NoticeKind,
+    NoticeTable,
+)
 from skylarkmoor_policy.versionrules import PreferVersion, VersionRule, matches
 
 __all__ = ["Placement", "UpstreamChoice"]
@@ -46,6 +53,9 @@
 _MAX_GAP_FRACTION_FOR_PREFILL = 0.8
 # Missing the deadline of the answer costs more than any wait.
 _DEADLINE_MISS_PENALTY_MS = 5_000.0
+# Peers are told for this long that an upstream is leaving that is no longer listed here, in case
+# they still list it.
+_UNLISTED_LEAVING_MS = 60_000
 _NO_UPSTREAMS: frozenset[UpstreamId] = frozenset()
 
 
@@ -78,6 +88,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.upstreams: dict[UpstreamId, TrackedUpstream] = {}
+        self._notices = NoticeTable()
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -100,7 +111,7 @@
         if known is None or known.started_wall_ms != listed.started_wall_ms:
             known = self.upstreams[listed.upstream] = TrackedUpstream(listed)
         known.registration = listed
-        known.leaving = known.leaving or listed.leaving
+        known.leaving = known.leaving or listed.leaving or self._notices.is_leaving(known.instance)
         # A new entry shows that this instance is alive.
         known.replaced = False
 
@@ -265,18 +276,51 @@
             if each.consecutive_failures and (each.replaced or each.backoff_until_ms > now_ms)
         }
 
-    def own_leaving(self) -> dict[UpstreamId, int]:
+    def own_leaving(self, now_ms: int) -> dict[UpstreamId, int]:
         """Return the start times of the leaving upstreams, which identify the instances."""
-        return {name: each.started_wall_ms for name, each in self.upstreams.items() if each.leaving}
+        unlisted = self._notices.leaving_since(now_ms - _UNLISTED_LEAVING_MS)
+        return dict(unlisted) | {
+            name: each.started_wall_ms for name, each in self.upstreams.items() if each.leaving
+        }
 
-    def mark_leaving(self, leaving: Mapping[UpstreamId, int]) -> None:
-        """Mark upstreams as leaving that a peer reports, in case the store cannot be read here.
+    def mark_leaving(self, leaving: Mapping[UpstreamId, int], now_ms: int) -> list[InstanceId]:
+        """Mark upstreams as leaving that a peer reports, and return those that were not known.
 
-        An upstream that has restarted since is not affected.
+        Notes
+        -----
+        The list may be out of reach here, or show one of them again later. An upstream that has
+        restarted since is not affected.
         """
-        for name, started_wall_ms in leaving.items():
-            known = self.upstreams.get(name)
-            if known is not None and known.started_wall_ms == started_wall_ms:
+        instances = [InstanceId(name, started_ms) for name, started_ms in leaving.items()]
+        new = [each for each in instances if self._notices.record_leaving(each, now_ms)]
+        self._apply_leaving(instances)
+        return new
+
+    def record_notices(
+        self, instance: InstanceId, notices: AnswerNotices, now_ms: int
+    ) -> list[NoticeChange]:
+        """Record what an answer says of the instance that sent it, and return what has changed."""
+        changes = self._notices.record_answer(instance, notices, now_ms)
+        if notices.leaving:
+            self._apply_leaving([instance])
+        return changes
+
+    def is_first_invalid_notice(self, instance: InstanceId, kind: NoticeKind, now_ms: int) -> bool:
+        """Return whether this is the first invalid notice of its kind from an instance."""
+        return self._notices.is_first_invalid(instance, kind, now_ms)
+
+    def expire_notices(self, now_ms: int) -> list[NoticeChange]:
+        """Forget the notices of instances that left long ago, and return those that ended."""
+        return self._notices.expire((each.instance for each in self.upstreams.values()), now_ms)
+
+    def notice_counts(self, now_ms: int) -> dict[NoticeKind, int]:
+        """Return the number of instances with a notice of each kind."""
+        return self._notices.counts(now_ms)
+
+    def _apply_leaving(self, instances: Collection[InstanceId]) -> None:
+        for instance in instances:
+            known = self.upstreams.get(instance.upstream)
+            if known is not None and known.instance == instance:
                 known.leaving = True
 
     def versions(self, service: ServiceName) -> set[str]:
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -5,6 +5,7 @@
 
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_policy.upstreamnotices import InstanceId
 
 __all__ = [
     "FIRST_TOKEN_OVERHEAD_MS",
@@ -132,7 +133,7 @@
     """An upstream with its load and the estimates that placement uses."""
 
     registration: RegisteredUpstream
-    # According to its entry or the report of a peer.
+    # According to its entry, an answer or the report of a peer.
     leaving: bool = False
     # Another instance answered at its address.
     replaced: bool = False
@@ -163,6 +164,11 @@
         """Id of the upstream."""
         return self.registration.upstream
 
+    @property
+    def instance(self) -> InstanceId:
+        """The instance that its entry describes."""
+        return InstanceId(self.registration.upstream, self.registration.started_wall_ms)
+
     @property
     def slots(self) -> int:
         """Number of requests that it runs concurrently."""
--- a/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -117,6 +117,26 @@
             changes.append(NoticeChange(instance, NoticeKind.LIMIT, limit))
         return changes
 
+    def record_leaving(self, instance: InstanceId, now_ms: int) -> bool:
+        """Record that an instance is leaving, and return whether that was not known."""
+        known = self._known(instance, now_ms)
+        is_new = not known.leaving
+        known.leaving = True
+        return is_new
+
+    def is_leaving(self, instance: InstanceId) -> bool:
+        """Return whether an instance is leaving; it does not become ready again."""
+        known = self._instances.get(instance)
+        return known is not None and known.leaving
+
+    def leaving_since(self, listed_ms: int) -> list[InstanceId]:
+        """Return the instances that are leaving and have been listed at or after a time."""
+        return [
+            instance
+            for instance, known in self._instances.items()
+            if known.leaving and known.listed_ms >= listed_ms
+        ]
+
     def is_first_invalid(self, instance: InstanceId, kind: NoticeKind, now_ms: int) -> bool:
         """Return whether this is the first invalid value of its kind from an instance."""
         kinds = self._known(instance, now_ms).invalid_kinds
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -206,13 +206,21 @@
 def test_leaving_upstreams_reported_by_a_peer_are_not_chosen():
     """A daemon that cannot read the store would otherwise go on using draining upstreams."""
     placement = make_placement("a", "b")
-    placement.mark_leaving({"a": 1, "gone": 1})
+    placement.mark_leaving({"a": 1, "gone": 1}, 0)
     assert chosen_upstream(placement) == "b"
     # Another start time denotes an earlier instance.
-    placement.mark_leaving({"b": 0})
+    placement.mark_leaving({"b": 0}, 0)
     assert chosen_upstream(placement) == "b"
 
 
+def test_peers_are_told_of_a_leaving_upstream_for_a_minute_after_it_was_listed():
+    placement = make_placement("a", "b")
+    placement.mark_leaving({"a": 1}, 0)
+    placement.remove("a")
+    assert placement.own_leaving(60_000) == {"a": 1}
+    assert placement.own_leaving(60_001) == {}
+
+
 GATEWAYS, WORKERS = 30, 20
 STATE_INTERVAL_MS, REFRESH_MS, HOLD_MS = 500, 500, 400
 
--- a/libs/policy/tests/test_upstreamnotices.py
+++ b/libs/policy/tests/test_upstreamnotices.py
@@ -65,3 +65,12 @@
     assert table.counts(601_000)[NoticeKind.LEAVING] == 1
     table.expire([], 601_001)
     assert table.counts(601_001)[NoticeKind.LEAVING] == 0
+
+
+def test_leaving_is_final_for_an_instance_and_does_not_bind_the_next_one(table):
+    assert table.record_leaving(FIRST, 0)
+    assert not table.record_leaving(FIRST, 10)
+    assert table.is_leaving(FIRST)
+    assert not table.is_leaving(SECOND)
+    assert table.leaving_since(0) == [FIRST]
+    assert table.leaving_since(1) == []
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -129,7 +129,7 @@
     """A gateway that is behind sent requests to an upstream that its peers knew to be leaving."""
     follower = followers.upstreams
     follower._apply_page(page(("e1", entry_record(), 1)), True)
-    followers.gateway.placement.mark_leaving({"e1": 1})
+    followers.gateway.placement.mark_leaving({"e1": 1}, 0)
     follower._apply_page(page(("e1", entry_record(seq=4), 2)), False)
     assert followers.gateway.placement.choose("assistant", 1, 0) is None
     follower._apply_page(page(("e1", entry_record(born=2), 4)), False)
--- a/tests/adapter/test_leaving_answers.py
+++ b/tests/adapter/test_leaving_answers.py
@@ -42,7 +42,7 @@
         caller = harness.caller()
         caller.send(request(path, "POST", b"x"))
         ports.add(next_port(harness))
-        harness.accept().close()
+        harness.accept().send(answer(EVENT_1, Connection="close"))
     return ports
 
 
@@ -66,6 +66,8 @@
     harness.accept().send(data)
     other = name[0] + "2"
     add_upstream(harness, other)
+    # The other upstream is the worse choice.
+    harness.gateway.placement.set_peer_load("peer", {other: (1, 100_000)})
     assert ports_of_requests(harness, path) == {PORTS[other]}
 
 
@@ -171,14 +173,14 @@
     add_upstream(harness, "o1")
     harness.caller().send(request())
     harness.accept().send(answer(**headers))
-    assert not harness.gateway.placement.own_leaving()
+    assert not harness.gateway.placement.own_leaving(harness.clock.now_ms())
 
 
 def test_an_answer_of_another_instance_changes_nothing(harness):
     add_upstream(harness, "o1")
     harness.caller().send(request())
     harness.accept().send(answer(status="421 Other", **LEAVING))
-    assert not harness.gateway.placement.own_leaving()
+    assert not harness.gateway.placement.own_leaving(harness.clock.now_ms())
 
 
 def test_peers_are_told(harness):
