--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -43,7 +43,9 @@
     add_two_order_upstreams(harness)
     caller = harness.caller()
     forged = ["Tenant", "Expect-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Expect-Version"]
-    forged_headers = {f"Skylarkmoor-{name}": "forged" for name in forged} | {"Kv-From": "forged"}
+    forged += ["Server-Leaving", "Server-Limit"]
+    forged_headers = {f"Skylarkmoor-{name}": "forged" for name in forged}
+    forged_headers |= dict.fromkeys(("Kv-From", "Server-Leaving", "Server-Limit"), "forged")
     caller.send(request(**forged_headers))
     assert b"forged" not in harness.accept().received()
 
