Send nothing to an upstream that has asked for a pause with Retry-After

Cause: the Retry-After of an upstream was not read.

Change: a 503 with Retry-After pauses the instance for this gateway; the latest end holds. Placement leaves it out, a slot request names it as one to avoid, a granted slot is declined, and a connection that opens meanwhile goes back to the pool. Requests wait for the first end or are refused with it, those of a higher tier first. Slots are granted when all waiting requests are queued, so that the most urgent one gets the first.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -28,6 +28,7 @@
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.callertimeouts import (
     latest_start_ms,
+    pause_retry_after_ms,
     queue_deadline_ms,
     retry_after_ms,
     stall_timeout_ms,
@@ -209,6 +210,7 @@
             wait_ms = min(wait_ms, request.deadline_ms)
         self._deadline_ms = arrived_ms + wait_ms
         self._sends = 0
+        self._is_counted = False
         self._runs = 0
         self._excluded_upstreams: set[UpstreamId] = set()
         # Upstreams of declined grants that this gateway did not know.
@@ -271,9 +273,7 @@
             route_tier=self.route.tier,
             arrived_ms=self.arrived_ms,
             latest_start_ms=latest_start_ms(self.route, self.arrived_ms, self.prompt_tokens),
-            queue_deadline_ms=queue_deadline_ms(
-                self.route, self.arrived_ms, now_ms, self._deadline_ms, has_run=has_run
-            ),
+            queue_deadline_ms=self._queue_deadline_ms(now_ms),
             expedited=small or has_run,
         )
 
@@ -328,32 +328,49 @@
 
     def _place_request(self) -> None:
         now_ms = self._gateway.clock.now_ms()
-        if self.route.retry_safety is RetrySafety.STREAM:
+        resume_ms = self._gateway.placement.next_resume_ms(
+            self.service, now_ms, self._excluded_upstreams
+        )
+        if resume_ms is not None and resume_ms >= self._queue_deadline_ms(now_ms):
+            self._give_up_until(resume_ms)
+        elif resume_ms is not None or self.route.retry_safety is RetrySafety.STREAM:
             self._gateway.wait_for_slot(self)
-            return
-        choice = self._gateway.placement.choose(
+        else:
+            choice = self._choose(now_ms)
+            if choice is None:
+                self._give_up("no upstream of the service may take the request")
+            else:
+                self._dispatch(choice, now_ms)
+
+    def _choose(self, now_ms: int) -> UpstreamChoice | None:
+        """Return the best upstream that may be sent the request now, None if there is none."""
+        placement = self._gateway.placement
+        return placement.choose(
             self.service,
             self.prompt_tokens,
             now_ms,
-            self._excluded_upstreams,
+            self._excluded_upstreams | placement.paused(self.service, now_ms),
             version_rule=self._version_rule(),
         )
-        if choice is None:
-            self._give_up("no upstream of the service may take the request")
-            return
-        self._dispatch(choice, now_ms)
+
+    def _queue_deadline_ms(self, now_ms: int) -> int:
+        has_run = self._runs > 0
+        return queue_deadline_ms(
+            self.route, self.arrived_ms, now_ms, self._deadline_ms, has_run=has_run
+        )
 
     def _dispatch(self, choice: UpstreamChoice, now_ms: int) -> None:
         placed = self._gateway.placement.upstreams.get(choice.upstream)
         if (
             placed is None
-            or not _is_available(placed)
+            or not placed.is_available(now_ms)
             or self._version_rule() == OtherVersions(placed.registration.version)
         ):
-            self._decline(choice.upstream, placed is None)
+            self._decline(choice.upstream, placed)
             return
         self._sends += 1
-        if self._sends == 1:
+        if not self._is_counted:
+            self._is_counted = True
             self._gateway.retries.count_request(self.service, now_ms)
         self._log_choice(choice, now_ms)
         self._current = _SendAttempt(
@@ -367,8 +384,10 @@
         self._gateway.placement.record_start(choice.upstream, self.prompt_tokens)
         self._connect(self._current)
 
-    def _decline(self, upstream: UpstreamId, unknown: bool) -> None:
+    def _decline(self, upstream: UpstreamId, placed: TrackedUpstream | None) -> None:
         """Request another slot, because the upstream of the grant is unknown or unavailable."""
+        unknown = placed is None
+        is_paused = placed is not None and not placed.leaving and not placed.replaced
         _log.info(
             "declined a granted slot: upstream unknown or unavailable",
             extra={"request": self.request.request, "upstream": upstream, "unknown": unknown},
@@ -379,7 +398,8 @@
             self._gateway.read_upstreams()
             self._gateway.reactor.callLater(_UPSTREAM_REFRESH_S, self._retry_placement)
             return
-        self._excluded_upstreams.add(upstream)
+        if not is_paused:
+            self._excluded_upstreams.add(upstream)
         self._gateway.reactor.callLater(0, self._retry_placement)
 
     def _retry_placement(self) -> None:
@@ -428,16 +448,23 @@
         if self._done or self._current is not attempt:
             pool.release(connection)
             return
+        now_ms = self._gateway.clock.now_ms()
         placed = self._gateway.placement.upstreams.get(attempt.upstream)
+        connect_ms = now_ms - attempt.sent_ms
         # The pool is replaced if the upstream was started again.
-        if not _is_available(placed) or self._gateway.pool(attempt.upstream) is not pool:
+        if placed is None or placed.leaving or self._gateway.pool(attempt.upstream) is not pool:
             connection.abort()
-            connect_ms = self._gateway.clock.now_ms() - attempt.sent_ms
             self._handle_unsent(
                 attempt, f"the upstream left while connecting to it took {connect_ms} ms"
             )
-            return
-        self._transmit(attempt, connection)
+        elif not placed.is_available(now_ms):
+            pool.release(connection)
+            self._handle_unsent(
+                attempt,
+                f"the upstream asked for a pause while connecting to it took {connect_ms} ms",
+            )
+        else:
+            self._transmit(attempt, connection)
 
     def _connect_failed(self, attempt: _SendAttempt, failure: Failure) -> None:
         if self._done or self._current is not attempt:
@@ -453,9 +480,19 @@
     def _handle_unsent(self, attempt: _SendAttempt, reason: str) -> None:
         """Retry after an attempt of which no byte was sent."""
         self._release(attempt, fault=None)
-        self._excluded_upstreams.add(attempt.upstream)
+        if self._is_paused(attempt.upstream):
+            # The upstream may be chosen again later, and the attempt does not use up the sends.
+            self._sends -= 1
+        else:
+            self._excluded_upstreams.add(attempt.upstream)
         self._retry(attempt, reason, counts_against_budget=False)
 
+    def _is_paused(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream wants no request from this host for some time."""
+        now_ms = self._gateway.clock.now_ms()
+        placed = self._gateway.placement.upstreams.get(upstream)
+        return placed is not None and placed.paused_until_ms > now_ms and not placed.leaving
+
     def _transmit(self, attempt: _SendAttempt, connection: UpstreamConnection) -> None:
         remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
         if remaining_ms <= 0:
@@ -597,7 +634,8 @@
         if head.instance_replaced:
             self._gateway.placement.mark_replaced(attempt.upstream, self._gateway.clock.now_ms())
         self._release(attempt, fault=None)
-        self._excluded_upstreams.add(attempt.upstream)
+        if not self._is_paused(attempt.upstream):
+            self._excluded_upstreams.add(attempt.upstream)
         self._retry(attempt, f"the upstream refused with {head.status}", counts_against_budget=True)
 
     def response_failed(self, attempt: _SendAttempt, reason: str) -> None:
@@ -673,13 +711,7 @@
         if not self._response.can_continue:
             return False
         now_ms = self._gateway.clock.now_ms()
-        choice = self._gateway.placement.choose(
-            self.service,
-            self.prompt_tokens,
-            now_ms,
-            self._excluded_upstreams,
-            version_rule=self._version_rule(),
-        )
+        choice = self._choose(now_ms)
         return choice is not None and self._gateway.retries.try_acquire(self.service, now_ms)
 
     def _retry(self, attempt: _SendAttempt, reason: str, *, counts_against_budget: bool) -> None:
@@ -717,10 +749,22 @@
         else:
             self._refuse(reason, self.route.goal_ms)
 
+    def _give_up_until(self, resume_ms: int) -> None:
+        """End the request, because no upstream wants one from this host before `resume_ms`."""
+        reason = "no upstream of the service wants a request yet"
+        if self._response.started or self._runs > 0:
+            self._give_up(reason)
+            return
+        now_ms = self._gateway.clock.now_ms()
+        remaining_ms = self._deadline_ms - now_ms
+        self._refuse_for(reason, pause_retry_after_ms(resume_ms - now_ms, remaining_ms, self.tier))
+
     def _refuse(self, reason: str, retry_hint_ms: int | None) -> None:
         """Respond that the request was not executed, with a time for the next try."""
         remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
-        retry_ms = retry_after_ms(retry_hint_ms, remaining_ms)
+        self._refuse_for(reason, retry_after_ms(retry_hint_ms, remaining_ms))
+
+    def _refuse_for(self, reason: str, retry_ms: int) -> None:
         self._send_error(503, reason, [(b"Retry-After", f"{retry_ms / 1000:.3f}".encode())])
         self._end(Outcome.REFUSED, reason, status=503, retry_after_ms=retry_ms)
 
@@ -852,11 +896,6 @@
         self._gateway.exchange_finished(self, outcome)
 
 
-def _is_available(upstream: TrackedUpstream | None) -> bool:
-    """Return whether an upstream may be sent requests."""
-    return upstream is not None and not upstream.leaving and not upstream.replaced
-
-
 class _ExchangeReader:
     """Forwards the events of one attempt's response to its exchange."""
 
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -51,6 +51,8 @@
     group: SlotGroup
     requested_from: HostId | None = None
     requested_ms: int = 0
+    # Upstreams that wanted no request from this host when the slot was requested.
+    paused: frozenset[UpstreamId] = frozenset()
 
 
 class SlotCoordinator:
@@ -146,16 +148,22 @@
         """Time out waits, and repeat slot requests that are overdue or whose dispatcher changed."""
         now_ms = self._clock.now_ms()
         owners: dict[SlotGroup, HostId] = {}
+        # Grants follow when all requests are queued, so that the most urgent one gets the first.
+        self._offering = True
         for number, wait in list(self._waits.items()):
             if wait.group not in owners:
                 owners[wait.group] = self.dispatcher_of(wait.group)
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self.withdraw(number)
                 wait.client.wait_timed_out()
-            elif wait.requested_from != owners[wait.group]:
+            elif (
+                wait.requested_from != owners[wait.group]
+                or self._placement.paused(wait.group.service, now_ms) != wait.paused
+            ):
                 self._request_slot(number, wait)
             elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
                 self._request_from_less_loaded_group(number, wait)
+        self._offering = False
         self.grant_free_slots()
 
     def grant_free_slots(self) -> None:
@@ -254,8 +262,11 @@
             self._cancel_slot_request(number, wait)
         now_ms = self._clock.now_ms()
         wait.requested_from, wait.requested_ms = owner, now_ms
+        wait.paused = self._placement.paused(wait.group.service, now_ms)
+        avoid = wait.waiting.item.exclude | wait.paused
         if owner == self._host:
-            self._dispatcher.enqueue(wait.waiting)
+            need = replace(wait.waiting.item, exclude=avoid)
+            self._dispatcher.enqueue(replace(wait.waiting, item=need))
             if self._offering:
                 self._later(self.grant_free_slots)
             else:
@@ -277,7 +288,7 @@
                 waiting.queue_deadline_ms - now_ms,
                 waiting.item.output_tokens,
                 waiting.item.deadline_ms - now_ms,
-                tuple(waiting.item.exclude),
+                tuple(avoid),
                 wait.group.number,
                 wait.group.count,
                 *_version_fields(waiting.item.version_rule),
--- a/libs/policy/src/skylarkmoor_policy/callertimeouts.py
+++ b/libs/policy/src/skylarkmoor_policy/callertimeouts.py
@@ -5,6 +5,7 @@
 __all__ = [
     "latest_start_ms",
     "patience_ms",
+    "pause_retry_after_ms",
     "queue_deadline_ms",
     "retry_after_ms",
     "stall_timeout_ms",
@@ -34,6 +35,9 @@
 _MIN_RETRY_AFTER_MS = 100
 # Callers honour a Retry-After of up to a third of their remaining time.
 _RETRY_AFTER_FRACTION = 0.3
+# Callers of a lower tier return this much later for each tier, so that those of a higher one find
+# the first free slots.
+_TIER_RETURN_STEP_MS = 50
 
 
 def patience_ms(route: Route) -> int:
@@ -85,6 +89,22 @@
     )
 
 
+def pause_retry_after_ms(ends_in_ms: int, remaining_ms: int, tier: int) -> int:
+    """Return the Retry-After of a request that no upstream of its service wants yet.
+
+    Parameters
+    ----------
+    ends_in_ms : int
+        Time until the first upstream wants requests again.
+    remaining_ms : int
+        Remaining time of the caller, which bounds the result.
+    tier : int
+        Priority tier; callers of a higher tier (0 is the highest) return first.
+    """
+    returns_in_ms = max(_MIN_RETRY_AFTER_MS, ends_in_ms) + tier * _TIER_RETURN_STEP_MS
+    return min(returns_in_ms, max(0, remaining_ms))
+
+
 def retry_after_ms(available_in_ms: int | None, remaining_ms: int) -> int:
     """Return the Retry-After of a refused request in milliseconds.
 
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -112,6 +112,7 @@
             known = self.upstreams[listed.upstream] = TrackedUpstream(listed)
         known.registration = listed
         known.leaving = known.leaving or listed.leaving or self._notices.is_leaving(known.instance)
+        known.paused_until_ms = self._notices.paused_until_ms(known.instance)
         # A new entry shows that this instance is alive.
         known.replaced = False
 
@@ -303,8 +304,37 @@
         changes = self._notices.record_answer(instance, notices, now_ms)
         if notices.leaving:
             self._apply_leaving([instance])
+        known = self._known_instance(instance)
+        if known is not None:
+            known.paused_until_ms = self._notices.paused_until_ms(instance)
         return changes
 
+    def paused(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service that want no request from this host now."""
+        return frozenset(
+            each.upstream
+            for each in self._active_upstreams(service)
+            if each.paused_until_ms > now_ms
+        )
+
+    def next_resume_ms(
+        self, service: ServiceName, now_ms: int, exclude: Collection[UpstreamId] = ()
+    ) -> int | None:
+        """Return when the first paused upstream wants requests again.
+
+        Returns
+        -------
+        int or None
+            None if an upstream may be sent requests now, or if there is none at all.
+        """
+        ends_ms = [
+            each.paused_until_ms
+            for each in self._active_upstreams(service)
+            if each.upstream not in exclude
+        ]
+        first_ms = min(ends_ms, default=0)
+        return first_ms if first_ms > now_ms else None
+
     def is_first_invalid_notice(self, instance: InstanceId, kind: NoticeKind, now_ms: int) -> bool:
         """Return whether this is the first invalid notice of its kind from an instance."""
         return self._notices.is_first_invalid(instance, kind, now_ms)
@@ -319,10 +349,14 @@
 
     def _apply_leaving(self, instances: Collection[InstanceId]) -> None:
         for instance in instances:
-            known = self.upstreams.get(instance.upstream)
-            if known is not None and known.instance == instance:
+            known = self._known_instance(instance)
+            if known is not None:
                 known.leaving = True
 
+    def _known_instance(self, instance: InstanceId) -> TrackedUpstream | None:
+        known = self.upstreams.get(instance.upstream)
+        return known if known is not None and known.instance == instance else None
+
     def versions(self, service: ServiceName) -> set[str]:
         """Return the versions of the upstreams of a service that are in use."""
         return {each.registration.version for each in self._active_upstreams(service)}
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -137,6 +137,8 @@
     leaving: bool = False
     # Another instance answered at its address.
     replaced: bool = False
+    # Until when it wants no request from this host, as it has answered.
+    paused_until_ms: int = 0
     own_load: Load = field(default_factory=Load)
     peer_loads: dict[HostId, Load] = field(default_factory=dict)
     peers_running: int = 0
@@ -179,6 +181,10 @@
         """Start time of the instance in epoch milliseconds."""
         return self.registration.started_wall_ms
 
+    def is_available(self, now_ms: int) -> bool:
+        """Return whether this host may send it requests."""
+        return not self.leaving and not self.replaced and self.paused_until_ms <= now_ms
+
     def running(self) -> int:
         """Return the number of requests of all daemons that run or queue here."""
         return self.own_load.running + self.peers_running
--- a/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -137,6 +137,11 @@
             if known.leaving and known.listed_ms >= listed_ms
         ]
 
+    def paused_until_ms(self, instance: InstanceId) -> int:
+        """Return until when an instance wants no request from this host."""
+        known = self._instances.get(instance)
+        return 0 if known is None else known.paused_until_ms
+
     def is_first_invalid(self, instance: InstanceId, kind: NoticeKind, now_ms: int) -> bool:
         """Return whether this is the first invalid value of its kind from an instance."""
         kinds = self._known(instance, now_ms).invalid_kinds
--- a/tests/adapter/test_leaving_answers.py
+++ b/tests/adapter/test_leaving_answers.py
@@ -3,8 +3,7 @@
 import pytest
 
 from adapter_harness import answer, chunk, request, stream_head
-from skylarkmoor_core.messages import GatewayState
-from skylarkmoor_policy.placement import UpstreamChoice
+from skylarkmoor_core.messages import GatewayState, SlotGrant
 
 EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
 LEAVING = {"Server_Leaving": "1"}
@@ -98,7 +97,8 @@
     leave(harness, "e1", "/answer/1")
     harness.caller().send(request("/answer/1", "POST", b"x"))
     exchange = next(iter(harness.gateway._exchanges.values()))
-    exchange.slot_granted(UpstreamChoice("e1", 0.0, 0, 2), harness.clock.now_ms())
+    grant = SlotGrant(exchange.wait_number, "e1", 1)
+    harness.gateway.fleet._on_message("peer", 1, grant)
     harness.advance(100)
     assert harness.pending_connections() == 0
 
