Keep to the limit that an upstream names, over all gateways

Callers saw nothing; an upstream in need that had named a limit of 2.1 a second got 20 requests in 4 s (LIMIT).

Cause: what an upstream says of itself in an answer was not read, and the limit is a sum over gateways, which none of them can keep by itself.

Change: a limited instance gets a request only with a permit, which the dispatcher of its slot group issues with the slot. Permits come from a token bucket that starts empty; all gateways follow how many permits the others have issued. Limits are passed on with the time at which the head of the answer arrived. Requests of plain services wait for a grant as well while one of their upstreams is limited. A process that was paused reads old answers first; they count as old as its last tick.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -41,6 +41,8 @@
     "Heartbeat",
     "HostState",
     "Message",
+    "NamedLimit",
+    "NamedLimits",
     "OutcomeAnswer",
     "OutcomeQuery",
     "PartTrial",
@@ -271,6 +273,8 @@
     departed: dict[UpstreamId, tuple[int, int]] = {}
     # Era, offset and version of the configuration in force; None without one.
     in_force: tuple[int, int, int] | None = None
+    # Monotonic time of the sender when it sent the state; 0 if it does not tell.
+    sent_ms: int = 0
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
@@ -350,6 +354,8 @@
     ticket: int
     upstream: UpstreamId
     grant: int
+    # Whether the upstream has named a limit, and the grant is within it.
+    under_limit: bool = False
 
 
 class CrashedRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -393,6 +399,33 @@
     trials: tuple[PartTrial, ...] = ()
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The limit that an instance of an upstream has named in an answer.
+
+    Attributes
+    ----------
+    limit_per_s : float or None
+        Requests per second from all gateways together; None if the answer named no limit.
+    heard_ms : int
+        Monotonic time of the sender when the head of the answer arrived.
+    issued : int
+        Permits that the sender has issued for it; it does not fall while the limit lasts.
+    """
+
+    upstream: UpstreamId
+    started_wall_ms: int
+    limit_per_s: float | None
+    heard_ms: int
+    issued: int
+
+
+class NamedLimits(_Message, frozen=True, tag="l"):
+    """Limits of upstreams as the sender knows them."""
+
+    sent_ms: int
+    limits: tuple[NamedLimit, ...]
+
+
 Message = (
     Heartbeat
     | Gossip
@@ -415,6 +448,7 @@
     | SlotGrant
     | SlotLoads
     | CrashEvidence
+    | NamedLimits
 )
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -154,6 +154,8 @@
     connection: UpstreamConnection | None = None
     has_data: bool = False
     predicted_ms: float = 0.0
+    # Whether a permit was used up, as the upstream has named a limit.
+    under_limit: bool = False
     # Of a stream, only complete events count as data.
     last_data_ms: int = 0
     head_ms: int = 0
@@ -324,6 +326,12 @@
         if self._runs:
             self._give_up("no other upstream had a free slot in time")
             return
+        if self.route.retry_safety is not RetrySafety.STREAM:
+            now_ms = self._gateway.clock.now_ms()
+            choice = self._choose(now_ms, self._gateway.placement.limited(self.service))
+            if choice is not None:
+                self._dispatch(choice, now_ms)
+                return
         self._refuse("all slots of the service are taken", None)
 
     def _place_request(self) -> None:
@@ -333,7 +341,7 @@
         )
         if resume_ms is not None and resume_ms >= self._queue_deadline_ms(now_ms):
             self._give_up_until(resume_ms)
-        elif resume_ms is not None or self.route.retry_safety is RetrySafety.STREAM:
+        elif resume_ms is not None or self._needs_slot():
             self._gateway.wait_for_slot(self)
         else:
             choice = self._choose(now_ms)
@@ -342,14 +350,26 @@
             else:
                 self._dispatch(choice, now_ms)
 
-    def _choose(self, now_ms: int) -> UpstreamChoice | None:
+    def _needs_slot(self) -> bool:
+        """Return whether a dispatcher has to grant a slot for the request.
+
+        Notes
+        -----
+        Plain services need none, unless the dispatcher has to count for a limit.
+        """
+        is_stream = self.route.retry_safety is RetrySafety.STREAM
+        return is_stream or bool(self._gateway.placement.limited(self.service))
+
+    def _choose(
+        self, now_ms: int, exclude: frozenset[UpstreamId] = frozenset()
+    ) -> UpstreamChoice | None:
         """Return the best upstream that may be sent the request now, None if there is none."""
         placement = self._gateway.placement
         return placement.choose(
             self.service,
             self.prompt_tokens,
             now_ms,
-            self._excluded_upstreams | placement.paused(self.service, now_ms),
+            self._excluded_upstreams | exclude | placement.paused(self.service, now_ms),
             version_rule=self._version_rule(),
         )
 
@@ -363,7 +383,7 @@
         placed = self._gateway.placement.upstreams.get(choice.upstream)
         if (
             placed is None
-            or not placed.is_available(now_ms)
+            or not _may_send(placed, now_ms, choice.under_limit)
             or self._version_rule() == OtherVersions(placed.registration.version)
         ):
             self._decline(choice.upstream, placed)
@@ -381,13 +401,15 @@
             placed.prefill_tokens(),
         )
         self._current.predicted_ms = choice.predicted_first_token_ms
+        self._current.under_limit = choice.under_limit
         self._gateway.placement.record_start(choice.upstream, self.prompt_tokens)
         self._connect(self._current)
 
     def _decline(self, upstream: UpstreamId, placed: TrackedUpstream | None) -> None:
         """Request another slot, because the upstream of the grant is unknown or unavailable."""
         unknown = placed is None
-        is_paused = placed is not None and not placed.leaving and not placed.replaced
+        # The upstream may be chosen again after its pause, or with a permit.
+        is_deferred = placed is not None and not placed.leaving and not placed.replaced
         _log.info(
             "declined a granted slot: upstream unknown or unavailable",
             extra={"request": self.request.request, "upstream": upstream, "unknown": unknown},
@@ -398,7 +420,7 @@
             self._gateway.read_upstreams()
             self._gateway.reactor.callLater(_UPSTREAM_REFRESH_S, self._retry_placement)
             return
-        if not is_paused:
+        if not is_deferred:
             self._excluded_upstreams.add(upstream)
         self._gateway.reactor.callLater(0, self._retry_placement)
 
@@ -457,11 +479,12 @@
             self._handle_unsent(
                 attempt, f"the upstream left while connecting to it took {connect_ms} ms"
             )
-        elif not placed.is_available(now_ms):
+        elif not _may_send(placed, now_ms, attempt.under_limit):
             pool.release(connection)
             self._handle_unsent(
                 attempt,
-                f"the upstream asked for a pause while connecting to it took {connect_ms} ms",
+                "the upstream asked for a pause or named a limit while connecting to it took"
+                f" {connect_ms} ms",
             )
         else:
             self._transmit(attempt, connection)
@@ -480,18 +503,23 @@
     def _handle_unsent(self, attempt: _SendAttempt, reason: str) -> None:
         """Retry after an attempt of which no byte was sent."""
         self._release(attempt, fault=None)
-        if self._is_paused(attempt.upstream):
+        if self._is_deferred(attempt):
             # The upstream may be chosen again later, and the attempt does not use up the sends.
             self._sends -= 1
         else:
             self._excluded_upstreams.add(attempt.upstream)
         self._retry(attempt, reason, counts_against_budget=False)
 
-    def _is_paused(self, upstream: UpstreamId) -> bool:
-        """Return whether an upstream wants no request from this host for some time."""
+    def _is_deferred(self, attempt: _SendAttempt) -> bool:
+        """Return whether the upstream may be sent the request only later, or with a permit."""
         now_ms = self._gateway.clock.now_ms()
-        placed = self._gateway.placement.upstreams.get(upstream)
-        return placed is not None and placed.paused_until_ms > now_ms and not placed.leaving
+        placed = self._gateway.placement.upstreams.get(attempt.upstream)
+        return (
+            placed is not None
+            and not placed.leaving
+            and not placed.replaced
+            and not _may_send(placed, now_ms, attempt.under_limit)
+        )
 
     def _transmit(self, attempt: _SendAttempt, connection: UpstreamConnection) -> None:
         remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
@@ -634,7 +662,7 @@
         if head.instance_replaced:
             self._gateway.placement.mark_replaced(attempt.upstream, self._gateway.clock.now_ms())
         self._release(attempt, fault=None)
-        if not self._is_paused(attempt.upstream):
+        if not self._is_deferred(attempt):
             self._excluded_upstreams.add(attempt.upstream)
         self._retry(attempt, f"the upstream refused with {head.status}", counts_against_budget=True)
 
@@ -808,7 +836,7 @@
             now_ms - attempt.sent_ms,
             attempt.queued_prefill_tokens,
         )
-        if self.route.retry_safety is RetrySafety.STREAM:
+        if self._needs_slot():
             self._gateway.load_changed(attempt.upstream)
         if self._first_byte_ms is None:
             self._first_byte_ms = now_ms - self.arrived_ms
@@ -835,7 +863,7 @@
         self._gateway.placement.record_end(
             attempt.upstream, unread_tokens, held_ms=held_ms, fault=fault
         )
-        if self.route.retry_safety is RetrySafety.STREAM:
+        if self._needs_slot():
             self._gateway.load_changed(attempt.upstream)
 
     def _count_for_version(self, attempt: _SendAttempt, fault: bool | None) -> None:
@@ -896,6 +924,11 @@
         self._gateway.exchange_finished(self, outcome)
 
 
+def _may_send(upstream: TrackedUpstream, now_ms: int, under_limit: bool) -> bool:
+    """Return whether an upstream may be sent a request, given whether a permit was used up."""
+    return upstream.is_available(now_ms) and (under_limit or upstream.limit_per_s is None)
+
+
 class _ExchangeReader:
     """Forwards the events of one attempt's response to its exchange."""
 
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -1,6 +1,6 @@
 """State exchange between gateways: membership, loads, quotas and retry budgets."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from msgspec import structs
@@ -18,6 +18,8 @@
     GatewayState,
     Gossip,
     Message,
+    NamedLimit,
+    NamedLimits,
     RelayedState,
     SlotGrant,
     SlotLoads,
@@ -36,10 +38,12 @@
     FleetRetryBudget,
     PeerCounters,
 )
+from skylarkmoor_policy.peerclocks import PeerClocks
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.recordage import RecordAge, VersionHistory
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.staterelay import RELAY_SILENT_MS, StateRelay
+from skylarkmoor_policy.upstreamnotices import InstanceId
 from skylarkmoor_process.peers import Peers
 
 __all__ = ["Fleet"]
@@ -72,6 +76,14 @@
 _CRASH_SEND_DELAY_MS = 4
 # A peer is asked for its newer configuration if the log has not shown it within this time.
 _CONFIGURATION_QUERY_DELAY_MS = 500
+# Changes of the limits that upstreams name are sent together after this time.
+_LIMIT_SEND_DELAY_MS = 4
+# Interval at which a dispatcher reports the permits that it has issued since.
+_PERMIT_REPORT_MS = 300
+# After a longer time without a tick this process was paused, and peers may have replaced it.
+_MAX_TICK_GAP_MS = 1_000
+# After a longer time without a tick, what is read may have arrived well before.
+_MAX_READ_DELAY_MS = 250
 _NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
@@ -171,9 +183,17 @@
             self.live_hosts,
             self._is_responsive,
             lambda callback: later(0, callback),
+            self._tell_limit,
         )
+        self._clocks = PeerClocks()
+        self._changed_limits: set[InstanceId] = set()
+        self._permits_reported_ms = 0
+        self._reported_permits: dict[InstanceId, int] = {}
+        self._last_tick_ms: int | None = None
         self._pending_load_reports: set[SlotGroup] = set()
-        self._counts = {kind: PeerCounters() for kind in ("admitted", "requests", "repeats")}
+        self._counts = {
+            kind: PeerCounters() for kind in ("admitted", "requests", "repeats", "permits")
+        }
         self._transport = Peers(host, incarnation, self._on_message)
         self._peer_states: dict[HostId, _Peer] = {}
         # Last addresses of peers that were removed.
@@ -296,6 +316,12 @@
     def tick(self) -> None:
         """Broadcast this gateway's state when it is due, and detect silent peers."""
         now_ms = self._clock.now_ms()
+        if self._last_tick_ms is not None and now_ms - self._last_tick_ms > _MAX_TICK_GAP_MS:
+            self._placement.permits.reset(now_ms)
+        self._last_tick_ms = now_ms
+        if now_ms - self._permits_reported_ms >= _PERMIT_REPORT_MS:
+            self._permits_reported_ms = now_ms
+            self._report_permits()
         interval_ms = self.interval_ms()
         since_ms = now_ms - self._last_sent_ms
         if since_ms >= interval_ms:
@@ -359,6 +385,82 @@
         if self._crash_evidence.merge(evidence, now_ms):
             self._transport.send(sender, self._crash_evidence.export(now_ms, only_own=True))
 
+    def arrival_ms(self) -> int:
+        """Return since when what is read now may have been there.
+
+        Notes
+        -----
+        A process that was paused reads first what has arrived meanwhile, and would take the
+        limits that old answers name, or do not name, for the latest ones.
+        """
+        now_ms = self._clock.now_ms()
+        if self._last_tick_ms is None or now_ms - self._last_tick_ms <= _MAX_READ_DELAY_MS:
+            return now_ms
+        return self._last_tick_ms
+
+    def limit_changed(self, instance: InstanceId) -> None:
+        """Tell all peers soon that an answer has changed the limit of an instance."""
+        if not self._changed_limits:
+            self._later(_LIMIT_SEND_DELAY_MS, self._send_changed_limits)
+        self._changed_limits.add(instance)
+
+    def _send_changed_limits(self) -> None:
+        changed, self._changed_limits = self._changed_limits, set()
+        self._transport.broadcast(self._named_limits(changed))
+
+    def _tell_limit(self, peer: HostId, upstream: UpstreamId) -> None:
+        """Tell a dispatcher of a limit, as it has granted a slot without regard to it."""
+        known = self._placement.upstreams.get(upstream)
+        if known is not None:
+            self._transport.send(peer, self._named_limits([known.instance]))
+
+    def _report_permits(self) -> None:
+        """Tell all peers how many permits this dispatcher has issued."""
+        issued = dict(self._placement.permits.issued)
+        changed = [each for each, count in issued.items() if count != self._reported(each)]
+        self._reported_permits = issued
+        if changed:
+            self._transport.broadcast(self._named_limits(changed))
+
+    def _reported(self, instance: InstanceId) -> int:
+        return self._reported_permits.get(instance, 0)
+
+    def _named_limits(self, instances: Iterable[InstanceId]) -> NamedLimits:
+        limits = []
+        for instance in instances:
+            limit_per_s, heard_ms = self._placement.limit(instance)
+            if heard_ms is not None:
+                issued = self._placement.permits.issued.get(instance, 0)
+                limits.append(NamedLimit(*instance, limit_per_s, heard_ms, issued))
+        return NamedLimits(self._clock.now_ms(), tuple(limits))
+
+    def _handle_limits(
+        self, sender: HostId, incarnation: Incarnation, message: NamedLimits
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        self._clocks.observe(sender, incarnation, message.sent_ms, now_ms)
+        newer_here = []
+        for limit in message.limits:
+            instance = InstanceId(limit.upstream, limit.started_wall_ms)
+            heard_ms = self._clocks.local_ms(sender, limit.heard_ms, now_ms)
+            if self._placement.record_peer_limit(instance, limit.limit_per_s, heard_ms, now_ms):
+                _log.info(
+                    "a peer has heard the limit of an upstream",
+                    extra={
+                        "peer": sender,
+                        "upstream": limit.upstream,
+                        "limit_per_s": limit.limit_per_s,
+                        "age_ms": now_ms - heard_ms,
+                    },
+                )
+            elif self._placement.limit(instance)[0] != limit.limit_per_s:
+                newer_here.append(instance)
+            key = f"{instance.upstream}/{instance.started_wall_ms}"
+            issued = self._counts["permits"].increments(sender, incarnation, {key: limit.issued})
+            self._placement.permits.remove(instance, issued.get(key, 0))
+        if newer_here:
+            self._transport.send(sender, self._named_limits(newer_here))
+
     def close(self) -> None:
         """Close all connections to peers."""
         self._transport.close()
@@ -405,7 +507,10 @@
         self._last_state, self._last_sent_ms = state, now_ms
         self._sequence += 1
         numbered = structs.replace(
-            state, failure_domain=self._failure_domain, sequence=self._sequence
+            state,
+            failure_domain=self._failure_domain,
+            sequence=self._sequence,
+            sent_ms=now_ms,
         )
         own = RelayedState(self._host, self._incarnation, numbered)
         self._relay.collect(own, own_domain=True)
@@ -504,10 +609,13 @@
         peer_count = sum(not peer.leaving for peer in self._peer_states.values())
         self._quotas.set_reachable_fraction((1 + heard) / (1 + peer_count))
         self._retries.set_fleet_state(1 + peer_count, heard == peer_count)
+        reachable_fraction = (1 + heard) / (1 + peer_count)
+        self._placement.permits.set_reachable_fraction(reachable_fraction, self._clock.now_ms())
 
     def _remove_peer(self, host: HostId) -> None:
         self._expired_peers[host] = str(self._peer_states.pop(host).address)
         self._load_sequences.pop(host, None)
+        self._clocks.forget(host)
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
         self.slot_coordinator.forget(host)
@@ -546,6 +654,8 @@
                 self.on_facts(facts)
             case CrashEvidence():
                 self._handle_crash_evidence(sender, message)
+            case NamedLimits():
+                self._handle_limits(sender, incarnation, message)
             case _:
                 _log.warning("unexpected message type from a peer", extra={"peer": sender})
 
@@ -592,9 +702,14 @@
             if self._crash_evidence.has_crashes():
                 # It has started, and knows nothing of the crashes before.
                 self._transport.send(sender, self._crash_evidence.export(self._clock.now_ms()))
+            limited = self._placement.limited_instances()
+            if limited:
+                self._transport.send(sender, self._named_limits(limited))
             peer.incarnation = incarnation
             self._load_sequences.pop(sender, None)
         peer.last_heard_ms = self._clock.now_ms()
+        if state.sent_ms:
+            self._clocks.observe(sender, incarnation, state.sent_ms, peer.last_heard_ms)
         # A state that came through relays may be older than the load reports of its sender.
         newer = [
             group
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -50,6 +50,7 @@
     AnswerNotices,
     InstanceId,
     NoticeChange,
+    NoticeKind,
 )
 from skylarkmoor_policy.versionrules import VersionRule
 from skylarkmoor_process.tasks import Tasks
@@ -430,8 +431,11 @@
         """Record what the answer to a request says of the instance that sent it."""
         now_ms = self.clock.now_ms()
         request = exchange.request.request
-        for change in self.placement.record_notices(instance, notices, now_ms):
+        arrived_ms = self.fleet.arrival_ms()
+        for change in self.placement.record_notices(instance, notices, arrived_ms, now_ms):
             self._log_notice(change, request)
+            if change.kind is NoticeKind.LIMIT:
+                self.fleet.limit_changed(instance)
         for kind, value in notices.invalid:
             if self.placement.is_first_invalid_notice(instance, kind, now_ms):
                 _log.warning(
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -74,6 +74,8 @@
         Returns whether a gateway that reports at the shorter interval has done so in time.
     later : callable
         Schedules a function for the next reactor iteration.
+    tell_limit : callable
+        Tells a dispatcher of the limit of an upstream, which it does not know.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         live_hosts: Callable[[], list[HostId]],
         is_responsive: Callable[[HostId], bool],
         later: Callable[[Callable[[], None]], None],
+        tell_limit: Callable[[HostId, UpstreamId], None],
     ) -> None:
         # Number of the last grant received from each dispatcher.
         self.last_grants: dict[HostId, int] = {}
@@ -95,6 +98,7 @@
         self._live_hosts = live_hosts
         self._is_responsive = is_responsive
         self._later = later
+        self._tell_limit = tell_limit
         self._dispatcher = Dispatcher(placement)
         self._waits: dict[int, _Wait] = {}
         self._wait_numbers = itertools.count(1)
@@ -172,11 +176,27 @@
             return
         self._offering = True
         try:
-            for offer in self._dispatcher.offers(self._clock.now_ms()):
+            exclude = self._limited_elsewhere()
+            for offer in self._dispatcher.offers(self._clock.now_ms(), exclude):
                 self._grant(offer)
         finally:
             self._offering = False
 
+    def _limited_elsewhere(self) -> frozenset[UpstreamId]:
+        """Return the upstreams with a limit whose group another gateway dispatches.
+
+        Notes
+        -----
+        While gateways have read different lists of upstreams, they may request slots of one
+        upstream from several dispatchers.
+        """
+        upstreams = [each.upstream for each in self._placement.limited_instances()]
+        return frozenset(each for each in upstreams if not self._is_dispatcher_of(each))
+
+    def _is_dispatcher_of(self, upstream: UpstreamId) -> bool:
+        group = self._placement.group_of(upstream)
+        return group is not None and self.dispatcher_of(group) == self._host
+
     def handle_slot_request(self, sender: HostId, request: SlotRequest) -> None:
         """Queue a slot request of a peer."""
         now_ms = self._clock.now_ms()
@@ -210,13 +230,19 @@
     def handle_slot_grant(self, sender: HostId, grant: SlotGrant) -> bool:
         """Accept a grant of a dispatcher; return False if the request no longer waits for it."""
         self.last_grants[sender] = grant.grant
-        wait = self._waits.pop(grant.ticket, None)
+        wait = self._waits.get(grant.ticket)
         if wait is None:
             return False
+        known = self._placement.upstreams.get(grant.upstream)
+        if known is not None and known.limit_per_s is not None and not grant.under_limit:
+            self._tell_limit(sender, grant.upstream)
+            self._request_slot(grant.ticket, wait)
+            return False
+        del self._waits[grant.ticket]
         if wait.requested_from not in (None, sender):
             # The request was sent to another dispatcher in the meantime.
             self._cancel_slot_request(grant.ticket, wait)
-        self._start(wait, grant.upstream)
+        self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
     def forget(self, host: HostId) -> None:
@@ -299,14 +325,15 @@
         if offer.ticket.host == self._host:
             wait = self._waits.pop(offer.ticket.number, None)
             if wait is not None:
-                self._start(wait, offer.upstream)
+                self._start(wait, offer.upstream, under_limit=offer.under_limit)
             return
         number = next(self._grant_numbers)
         host = offer.ticket.host
         self._placement.grant_to_peer(host, offer.upstream, offer.prompt_tokens, number)
-        self._send(host, SlotGrant(offer.ticket.number, offer.upstream, number))
+        grant = SlotGrant(offer.ticket.number, offer.upstream, number, offer.under_limit)
+        self._send(host, grant)
 
-    def _start(self, wait: _Wait, upstream: UpstreamId) -> None:
+    def _start(self, wait: _Wait, upstream: UpstreamId, *, under_limit: bool = False) -> None:
         placed = self._placement.upstreams.get(upstream)
         start_ms = (
             0.0
@@ -315,7 +342,7 @@
         )
         running = 0 if placed is None else placed.running()
         slots = 0 if placed is None else placed.slots
-        choice = UpstreamChoice(upstream, start_ms, running, slots)
+        choice = UpstreamChoice(upstream, start_ms, running, slots, under_limit)
         wait.client.slot_granted(choice, self._clock.now_ms())
 
 
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -63,6 +63,7 @@
             lambda: list(self.live),
             lambda host: True,
             lambda call: call(),
+            lambda dispatcher, upstream: None,
         )
 
     def wait(self, queue_deadline_ms=2_000):
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -60,6 +60,8 @@
     ticket: Ticket
     upstream: UpstreamId
     prompt_tokens: int
+    # Whether the upstream has named a limit, and a permit was used up.
+    under_limit: bool = False
 
 
 class Dispatcher:
@@ -98,8 +100,16 @@
         for ticket in [each for each in self._needs if each.host == host]:
             self.cancel(ticket)
 
-    def offers(self, now_ms: int) -> Iterator[SlotOffer]:
-        """Yield offers until no queued request fits a free slot; expired requests are removed."""
+    def offers(
+        self, now_ms: int, exclude: frozenset[UpstreamId] = frozenset()
+    ) -> Iterator[SlotOffer]:
+        """Yield offers until no queued request fits a free slot; expired requests are removed.
+
+        Parameters
+        ----------
+        exclude : frozenset of UpstreamId
+            Upstreams with a limit for which another daemon issues the permits.
+        """
         for group, queue in self._queues.items():
             for need in queue.expired(now_ms):
                 self._needs.pop(need.ticket, None)
@@ -116,7 +126,7 @@
                     group.service,
                     need.prompt_tokens,
                     now_ms,
-                    need.exclude,
+                    need.exclude | exclude,
                     only_with_capacity=True,
                     max_event_gap_ms=need.max_event_gap_ms,
                     output_tokens=need.output_tokens,
@@ -130,4 +140,5 @@
                         break
                     continue
                 self.cancel(need.ticket)
-                yield SlotOffer(need.ticket, choice.upstream, need.prompt_tokens)
+                under_limit = self._placement.issue_permit(choice.upstream, now_ms)
+                yield SlotOffer(need.ticket, choice.upstream, need.prompt_tokens, under_limit)
--- /dev/null
+++ b/libs/policy/src/skylarkmoor_policy/peerclocks.py
@@ -0,0 +1,36 @@
+"""Converts times of the monotonic clocks of peers, which have no common origin."""
+
+from skylarkmoor_core.ids import HostId, Incarnation
+
+__all__ = ["PeerClocks"]
+
+
+class PeerClocks:
+    """Offsets between the clock of this daemon and those of its peers.
+
+    Notes
+    -----
+    The offset of a peer is the least difference between the time at which a message was received
+    and the time at which it was sent. It includes the shortest delay, so that a message that was
+    held up does not make what it tells look newer.
+    """
+
+    def __init__(self) -> None:
+        self._offsets_ms: dict[HostId, tuple[Incarnation, int]] = {}
+
+    def observe(self, peer: HostId, incarnation: Incarnation, sent_ms: int, now_ms: int) -> None:
+        """Take the times of a message into account; a new incarnation may have a new clock."""
+        known = self._offsets_ms.get(peer)
+        offset_ms = now_ms - sent_ms
+        if known is not None and known[0] == incarnation:
+            offset_ms = min(offset_ms, known[1])
+        self._offsets_ms[peer] = (incarnation, offset_ms)
+
+    def local_ms(self, peer: HostId, peer_ms: int, now_ms: int) -> int:
+        """Return a time of a peer's clock on the clock of this daemon, `now_ms` at the latest."""
+        known = self._offsets_ms.get(peer)
+        return now_ms if known is None else min(now_ms, peer_ms + known[1])
+
+    def forget(self, peer: HostId) -> None:
+        """Forget the clock of a peer."""
+        self._offsets_ms.pop(peer, None)
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -23,6 +23,7 @@
     NoticeKind,
     NoticeTable,
 )
+from skylarkmoor_policy.upstreampermits import PermitTable
 from skylarkmoor_policy.versionrules import PreferVersion, VersionRule, matches
 
 __all__ = ["Placement", "UpstreamChoice"]
@@ -68,12 +69,19 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamChoice:
-    """The chosen upstream with the predicted time to first token and its load."""
+    """The chosen upstream with the predicted time to first token and its load.
+
+    Attributes
+    ----------
+    under_limit : bool
+        Whether the upstream has named a limit, and a permit was used up for the request.
+    """
 
     upstream: UpstreamId
     predicted_first_token_ms: float
     running: int
     slots: int
+    under_limit: bool = False
 
 
 class Placement:
@@ -89,6 +97,7 @@
         self._rng = rng
         self.upstreams: dict[UpstreamId, TrackedUpstream] = {}
         self._notices = NoticeTable()
+        self.permits = PermitTable()
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -113,6 +122,7 @@
         known.registration = listed
         known.leaving = known.leaving or listed.leaving or self._notices.is_leaving(known.instance)
         known.paused_until_ms = self._notices.paused_until_ms(known.instance)
+        known.limit_per_s, _ = self._notices.limit(known.instance)
         # A new entry shows that this instance is alive.
         known.replaced = False
 
@@ -242,7 +252,7 @@
                 continue
             number = each.id_hash % count
             running, slots = loads[number]
-            loads[number] = (running + each.running(), slots + each.slots)
+            loads[number] = (running + each.running(), slots + each.usable_slots)
         return loads
 
     def group_of(self, upstream: UpstreamId) -> SlotGroup | None:
@@ -298,17 +308,62 @@
         return new
 
     def record_notices(
-        self, instance: InstanceId, notices: AnswerNotices, now_ms: int
+        self, instance: InstanceId, notices: AnswerNotices, arrived_ms: int, now_ms: int
     ) -> list[NoticeChange]:
-        """Record what an answer says of the instance that sent it, and return what has changed."""
-        changes = self._notices.record_answer(instance, notices, now_ms)
+        """Record what an answer says of the instance that sent it, and return what has changed.
+
+        Parameters
+        ----------
+        arrived_ms : int
+            When the head of the answer arrived, before `now_ms` if it was read late.
+        """
+        changes = self._notices.record_answer(instance, notices, arrived_ms, now_ms)
         if notices.leaving:
             self._apply_leaving([instance])
         known = self._known_instance(instance)
         if known is not None:
             known.paused_until_ms = self._notices.paused_until_ms(instance)
+        if any(change.kind is NoticeKind.LIMIT for change in changes):
+            self._apply_limit(instance, now_ms)
         return changes
 
+    def record_peer_limit(
+        self, instance: InstanceId, limit_per_s: float | None, heard_ms: int, now_ms: int
+    ) -> bool:
+        """Record the limit that a peer has heard, and return whether it changes the known one."""
+        is_changed = self._notices.record_limit(instance, limit_per_s, heard_ms, now_ms)
+        if is_changed:
+            self._apply_limit(instance, now_ms)
+        return is_changed
+
+    def limit(self, instance: InstanceId) -> tuple[float | None, int | None]:
+        """Return the limit of an instance and when it was heard; both may be None."""
+        return self._notices.limit(instance)
+
+    def limited_instances(self) -> list[InstanceId]:
+        """Return the instances that have named a limit, listed or not."""
+        return self._notices.limited()
+
+    def limited(self, service: ServiceName) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service that have named a limit."""
+        return frozenset(
+            each.upstream
+            for each in self._active_upstreams(service)
+            if each.limit_per_s is not None
+        )
+
+    def issue_permit(self, upstream: UpstreamId, now_ms: int) -> bool:
+        """Use up a permit for a request, and return whether the upstream has named a limit."""
+        known = self.upstreams.get(upstream)
+        return known is not None and self.permits.issue(known.instance, now_ms)
+
+    def _apply_limit(self, instance: InstanceId, now_ms: int) -> None:
+        limit_per_s, _ = self._notices.limit(instance)
+        self.permits.set_limit(instance, limit_per_s, now_ms)
+        known = self._known_instance(instance)
+        if known is not None:
+            known.limit_per_s = limit_per_s
+
     def paused(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
         """Return the upstreams of a service that want no request from this host now."""
         return frozenset(
@@ -341,7 +396,10 @@
 
     def expire_notices(self, now_ms: int) -> list[NoticeChange]:
         """Forget the notices of instances that left long ago, and return those that ended."""
-        return self._notices.expire((each.instance for each in self.upstreams.values()), now_ms)
+        listed = (each.instance for each in self.upstreams.values())
+        changes = self._notices.expire(listed, now_ms)
+        self.permits.keep(self._notices.limited())
+        return changes
 
     def notice_counts(self, now_ms: int) -> dict[NoticeKind, int]:
         """Return the number of instances with a notice of each kind."""
@@ -387,7 +445,13 @@
 
     def has_capacity(self, group: SlotGroup, now_ms: int) -> bool:
         """Return whether any usable upstream of a group can accept a request."""
-        return any(each.has_capacity() for each in self.usable(group.service, now_ms, group))
+        return any(
+            self._can_take(each, now_ms) for each in self.usable(group.service, now_ms, group)
+        )
+
+    def _can_take(self, upstream: TrackedUpstream, now_ms: int) -> bool:
+        """Return whether an upstream has a free slot, and a permit if it has named a limit."""
+        return upstream.has_capacity() and self.permits.may_issue(upstream.instance, now_ms)
 
     def choose(
         self,
@@ -431,7 +495,7 @@
             if each.upstream not in exclude
         ]
         if only_with_capacity:
-            candidates = [each for each in candidates if each.has_capacity()]
+            candidates = [each for each in candidates if self._can_take(each, now_ms)]
         if not candidates and isinstance(version_rule, PreferVersion):
             return self.choose(
                 service,
@@ -616,7 +680,8 @@
             if start_ms + stream_ms > remaining_ms:
                 cost_ms += _DEADLINE_MISS_PENALTY_MS
         # Concurrent requests slow down decoding, and more so on a slow engine.
-        return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / max(1, upstream.slots)
+        slots = max(1, upstream.usable_slots)
+        return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / slots
 
 
 def _is_replaced(
--- a/libs/policy/src/skylarkmoor_policy/ratelimits.py
+++ b/libs/policy/src/skylarkmoor_policy/ratelimits.py
@@ -45,9 +45,21 @@
         self._tokens -= tokens
         return True
 
-    def remove(self, tokens: float) -> None:
-        """Remove tokens that have been spent already; the number may become negative."""
-        self._tokens -= tokens
+    def has(self, now_ms: int, tokens: float = 1) -> bool:
+        """Return whether there are enough tokens."""
+        self._accrue(now_ms)
+        return self._tokens >= tokens
+
+    def remove(self, tokens: float, at_least: float | None = None) -> None:
+        """Remove tokens that have been spent already; the number may become negative.
+
+        Parameters
+        ----------
+        at_least : float, optional
+            Number below which it does not fall.
+        """
+        left = self._tokens - tokens
+        self._tokens = left if at_least is None else min(self._tokens, max(left, at_least))
 
     def scale(self, fraction: float) -> None:
         """Multiply a positive number of tokens by `fraction`; a negative number stays."""
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from math import ceil
 
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
@@ -139,6 +140,8 @@
     replaced: bool = False
     # Until when it wants no request from this host, as it has answered.
     paused_until_ms: int = 0
+    # Requests per second that it accepts from all daemons together; None for no limit.
+    limit_per_s: float | None = None
     own_load: Load = field(default_factory=Load)
     peer_loads: dict[HostId, Load] = field(default_factory=dict)
     peers_running: int = 0
@@ -181,6 +184,13 @@
         """Start time of the instance in epoch milliseconds."""
         return self.registration.started_wall_ms
 
+    @property
+    def usable_slots(self) -> int:
+        """Number of requests that run concurrently if it gets as many as its limit allows."""
+        if self.limit_per_s is None:
+            return self.slots
+        return max(1, min(self.slots, ceil(self.limit_per_s * self.slot_hold_ms / 1_000)))
+
     def is_available(self, now_ms: int) -> bool:
         """Return whether this host may send it requests."""
         return not self.leaving and not self.replaced and self.paused_until_ms <= now_ms
@@ -199,8 +209,8 @@
 
     def predicted_first_token_ms(self, prompt_tokens: int) -> float:
         """Return the predicted time to first token of a new request."""
-        excess = self.running() + 1 - self.slots
-        queued_ms = max(0, excess) * self.slot_hold_ms / max(1, self.slots)
+        excess = self.running() + 1 - self.usable_slots
+        queued_ms = max(0, excess) * self.slot_hold_ms / max(1, self.usable_slots)
         prefill_ms = (self.prefill_tokens() + prompt_tokens) / self.tokens_per_ms
         return FIRST_TOKEN_OVERHEAD_MS + queued_ms + prefill_ms
 
--- a/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -74,6 +74,9 @@
     # Until when it wants no request from this host.
     paused_until_ms: int = 0
     max_requests_per_s: float | None = None
+    # When the head of the answer arrived that was the last one to say so, at any host; None if no
+    # answer is known.
+    limit_heard_ms: int | None = None
     invalid_kinds: set[NoticeKind] = field(default_factory=set)
 
 
@@ -90,14 +93,14 @@
         self._instances: dict[InstanceId, _InstanceNotices] = {}
 
     def record_answer(
-        self, instance: InstanceId, notices: AnswerNotices, now_ms: int
+        self, instance: InstanceId, notices: AnswerNotices, arrived_ms: int, now_ms: int
     ) -> list[NoticeChange]:
         """Record what an answer says, and return what has changed.
 
         Parameters
         ----------
-        now_ms : int
-            Time at which the head of the answer arrived.
+        arrived_ms : int
+            When the head of the answer arrived, before `now_ms` if it was read late.
         """
         known = self._known(instance, now_ms)
         changes = []
@@ -105,18 +108,54 @@
             known.leaving = True
             changes.append(NoticeChange(instance, NoticeKind.LEAVING, 1))
         if notices.retry_after_ms is not None:
-            until_ms = now_ms + notices.retry_after_ms
+            until_ms = arrived_ms + notices.retry_after_ms
             if known.paused_until_ms <= now_ms < until_ms:
                 value = float(notices.retry_after_ms)
                 changes.append(NoticeChange(instance, NoticeKind.RETRY_AFTER, value))
             known.paused_until_ms = max(known.paused_until_ms, until_ms)
         limit = notices.max_requests_per_s
         has_limit = NoticeKind.LIMIT not in {kind for kind, _ in notices.invalid}
-        if has_limit and limit != known.max_requests_per_s:
-            known.max_requests_per_s = limit
+        if has_limit and self.record_limit(instance, limit, arrived_ms, now_ms):
             changes.append(NoticeChange(instance, NoticeKind.LIMIT, limit))
         return changes
 
+    def record_limit(
+        self, instance: InstanceId, limit_per_s: float | None, heard_ms: int, now_ms: int
+    ) -> bool:
+        """Record the limit that an answer named, unless a later one is known.
+
+        Parameters
+        ----------
+        limit_per_s : float or None
+            Requests per second; None if the answer named no limit.
+        heard_ms : int
+            When the head of the answer arrived, here or at a peer.
+
+        Returns
+        -------
+        bool
+            Whether the limit has changed.
+        """
+        known = self._known(instance, now_ms)
+        if known.limit_heard_ms is not None and heard_ms < known.limit_heard_ms:
+            return False
+        is_changed = limit_per_s != known.max_requests_per_s
+        known.max_requests_per_s, known.limit_heard_ms = limit_per_s, heard_ms
+        return is_changed
+
+    def limit(self, instance: InstanceId) -> tuple[float | None, int | None]:
+        """Return the limit of an instance and when it was heard; both may be None."""
+        known = self._instances.get(instance)
+        return (None, None) if known is None else (known.max_requests_per_s, known.limit_heard_ms)
+
+    def limited(self) -> list[InstanceId]:
+        """Return the instances that have named a limit."""
+        return [
+            instance
+            for instance, known in self._instances.items()
+            if known.max_requests_per_s is not None
+        ]
+
     def record_leaving(self, instance: InstanceId, now_ms: int) -> bool:
         """Record that an instance is leaving, and return whether that was not known."""
         known = self._known(instance, now_ms)
--- a/libs/policy/tests/test_upstreamnotices.py
+++ b/libs/policy/tests/test_upstreamnotices.py
@@ -20,26 +20,26 @@
 
 def test_each_notice_is_reported_once_until_it_changes(table):
     notices = AnswerNotices(leaving=True, retry_after_ms=500, max_requests_per_s=2.0)
-    assert [(each.kind, each.value) for each in table.record_answer(FIRST, notices, 0)] == [
+    assert [(each.kind, each.value) for each in table.record_answer(FIRST, notices, 0, 0)] == [
         (NoticeKind.LEAVING, 1),
         (NoticeKind.RETRY_AFTER, 500),
         (NoticeKind.LIMIT, 2.0),
     ]
-    assert table.record_answer(FIRST, notices, 10) == []
+    assert table.record_answer(FIRST, notices, 10, 10) == []
     assert table.counts(10) == dict.fromkeys(NoticeKind, 1)
 
 
 def test_an_answer_without_the_header_ends_a_limit_but_not_the_leaving(table):
-    table.record_answer(FIRST, AnswerNotices(leaving=True, max_requests_per_s=2.0), 0)
+    table.record_answer(FIRST, AnswerNotices(leaving=True, max_requests_per_s=2.0), 0, 0)
     change = NoticeChange(FIRST, NoticeKind.LIMIT, None)
-    assert table.record_answer(FIRST, AnswerNotices(), 10) == [change]
+    assert table.record_answer(FIRST, AnswerNotices(), 10, 10) == [change]
     assert table.counts(10)[NoticeKind.LEAVING] == 1
 
 
 def test_an_invalid_limit_changes_nothing(table):
-    table.record_answer(FIRST, AnswerNotices(max_requests_per_s=2.0), 0)
+    table.record_answer(FIRST, AnswerNotices(max_requests_per_s=2.0), 0, 0)
     invalid = AnswerNotices(invalid=((NoticeKind.LIMIT, "few"),))
-    assert table.record_answer(FIRST, invalid, 10) == []
+    assert table.record_answer(FIRST, invalid, 10, 10) == []
     assert table.counts(10)[NoticeKind.LIMIT] == 1
 
 
@@ -51,15 +51,15 @@
 
 
 def test_the_end_of_a_pause_is_reported_once(table):
-    table.record_answer(FIRST, AnswerNotices(retry_after_ms=500), 0)
-    table.record_answer(FIRST, AnswerNotices(retry_after_ms=100), 10)
+    table.record_answer(FIRST, AnswerNotices(retry_after_ms=500), 0, 0)
+    table.record_answer(FIRST, AnswerNotices(retry_after_ms=100), 10, 10)
     assert table.expire([FIRST], 499) == []
     assert table.expire([FIRST], 500) == [NoticeChange(FIRST, NoticeKind.RETRY_AFTER, None)]
     assert table.expire([FIRST], 501) == []
 
 
 def test_an_instance_is_forgotten_ten_minutes_after_it_was_listed_last(table):
-    table.record_answer(FIRST, AnswerNotices(leaving=True), 0)
+    table.record_answer(FIRST, AnswerNotices(leaving=True), 0, 0)
     table.expire([FIRST], 1_000)
     table.expire([], 601_000)
     assert table.counts(601_000)[NoticeKind.LEAVING] == 1
@@ -74,3 +74,9 @@
     assert not table.is_leaving(SECOND)
     assert table.leaving_since(0) == [FIRST]
     assert table.leaving_since(1) == []
+
+
+def test_an_answer_that_was_read_late_does_not_replace_a_later_limit(table):
+    table.record_limit(FIRST, 2.0, 500, 500)
+    assert table.record_answer(FIRST, AnswerNotices(), 400, 1_000) == []
+    assert table.limit(FIRST) == (2.0, 500)
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -16,8 +16,8 @@
     """Return a function that makes gateways, whose sockets are closed after the test."""
     made = []
 
-    def make():
-        made.append(_make_harness())
+    def make(host="host-1", clock=None):
+        made.append(_make_harness(host, clock))
         return made[-1]
 
     yield make
@@ -25,7 +25,7 @@
         each.gateway.fleet.close()
 
 
-def _make_harness():
+def _make_harness(host, clock):
     # Imported here, because importing klein installs the default reactor.
     from twisted.internet.testing import MemoryReactorClock
 
@@ -38,13 +38,13 @@
     from skylarkmoor_gateway.settings import GatewaySettings
 
     reactor = MemoryReactorClock()
-    clock = ManualClock(now_ms=1_000)
+    clock = clock or ManualClock(now_ms=1_000)
     address = Address("127.0.0.1", 0)
     gateway = Gateway(
-        GatewaySettings("host-1", address, address, address, retry_slack=50),
+        GatewaySettings(host, address, address, address, retry_slack=50),
         reactor,
         clock,
-        random.Random(1),
+        random.Random(int(host.rpartition("-")[2])),
         HeaderCodec(),
     )
     gateway.set_table(decode_configuration(CONFIG), CONFIG)
--- /dev/null
+++ b/tests/adapter_fleet.py
@@ -0,0 +1,219 @@
+"""Several gateways in one process, whose network, callers and upstreams a seed decides."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from adapter_harness import Harness, Upstream, answer, chunk, request, stream_head
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_core.ids import HostId
+from skylarkmoor_core.messages import Envelope, Message, decode_envelope, encode_envelope
+from skylarkmoor_core.settings import Address
+
+STEP_MS = 25
+_MAINTENANCE_MS = 500
+EVENT = b"id: 1\ndata: a\n\n"
+
+
+class FleetTransport:
+    """Stands in for the sockets of a gateway, and passes its messages to the network."""
+
+    def __init__(self, host: HostId, network: "FleetNetwork") -> None:
+        self.host = host
+        self.network = network
+        self.peers: set[HostId] = set()
+
+    def set_peers(self, addresses: Mapping[HostId, Address]) -> None:
+        """Replace the known peers."""
+        self.peers = set(addresses)
+
+    def send(self, to: HostId, message: Message) -> None:
+        """Send a message to a peer."""
+        if to in self.peers:
+            self.network.send(self.host, to, message)
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to all peers."""
+        self.multicast(sorted(self.peers), message)
+
+    def multicast(self, hosts: Iterable[HostId], message: Message) -> None:
+        """Send a message to some of the peers."""
+        for host in hosts:
+            self.send(host, message)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+@dataclass(repr=False)
+class ModelUpstream:
+    """An upstream that runs every request, names its limit in each answer and records arrivals."""
+
+    name: str
+    service: str
+    port: int
+    limit_per_s: float | None = None
+    run_ms: int = 100
+    # Time and gateway of each request.
+    arrivals: list[tuple[int, HostId]] = field(default_factory=list)
+    # Time of each change of the limit, and the new one.
+    limits: list[tuple[int, float | None]] = field(default_factory=list)
+
+    def set_limit(self, now_ms: int, limit_per_s: float | None) -> None:
+        """Name another limit from now on."""
+        self.limit_per_s = limit_per_s
+        self.limits.append((now_ms, limit_per_s))
+
+
+@dataclass(repr=False)
+class FleetMember:
+    """A gateway of the fleet with its connections to upstreams."""
+
+    host: HostId
+    harness: Harness
+    incarnation: int
+    connections: list[tuple[ModelUpstream, Upstream]] = field(default_factory=list)
+    answers: list[tuple[int, Upstream, bytes]] = field(default_factory=list)
+    paused: bool = False
+    # Time by which the timers of a paused gateway are late.
+    late_ms: int = 0
+    held_messages: list[Envelope] = field(default_factory=list)
+
+
+class FleetNetwork:
+    """A fleet of gateways before model upstreams, advanced in steps of their tick.
+
+    Parameters
+    ----------
+    make_harness : callable
+        Makes a gateway for a host and a clock.
+    rng : random.Random
+        Decides delays, callers and requests.
+    """
+
+    def __init__(
+        self,
+        make_harness: Callable[..., Harness],
+        rng: random.Random,
+        upstreams: list[ModelUpstream],
+    ) -> None:
+        self.clock = ManualClock(now_ms=1_000)
+        self.upstreams = upstreams
+        self.members: dict[HostId, FleetMember] = {}
+        # Hosts whose messages to and from peers are lost.
+        self.cut: set[HostId] = set()
+        self._make_harness = make_harness
+        self._rng = rng
+        self._messages: list[tuple[int, HostId, bytes]] = []
+        self._requests = 0
+
+    def start(self, host: HostId) -> None:
+        """Start a gateway, or start it again."""
+        harness = self._make_harness(host, self.clock)
+        harness.gateway.fleet.close()
+        now_ms = self.clock.now_ms()
+        member = FleetMember(host, harness, now_ms)
+        fleet = harness.gateway.fleet
+        fleet._transport = FleetTransport(host, self)
+        fleet._address = f"127.0.0.1:{7600 + int(host.rpartition('-')[2])}"
+        fleet._incarnation = now_ms
+        for peer in self.members.values():
+            if peer.host != host:
+                fleet.add_peer(peer.host, Address("127.0.0.1", 7600))
+                peer.harness.gateway.fleet.add_peer(host, Address("127.0.0.1", 7600))
+        for upstream in self.upstreams:
+            harness.add_upstream(upstream.name, upstream.service, upstream.port, slots=8)
+        self.members[host] = member
+
+    def kill(self, host: HostId) -> None:
+        """End a gateway at once."""
+        del self.members[host]
+
+    def resume(self, host: HostId) -> None:
+        """Let a paused gateway go on with what has arrived meanwhile."""
+        member = self.members[host]
+        member.paused = False
+        member.harness.reactor.advance(member.late_ms / 1_000)
+        member.late_ms = 0
+        held, member.held_messages = member.held_messages, []
+        for envelope in held:
+            self._deliver(member, envelope)
+
+    def send(self, sender: HostId, to: HostId, message: Message) -> None:
+        """Pass a message on after a delay."""
+        if not {sender, to} & self.cut and sender in self.members:
+            envelope = Envelope(sender, self.members[sender].incarnation, message)
+            delay_ms = self._rng.choice((1, 2, 5, 30))
+            self._messages.append((self.clock.now_ms() + delay_ms, to, encode_envelope(envelope)))
+
+    def ask(self, path: str, host: HostId | None = None) -> Any:
+        """Send a request to a gateway that answers, drawn at random unless it is given."""
+        answering = [each.host for each in self.members.values() if not each.paused]
+        if not answering:
+            return None
+        self._requests += 1
+        name = f"n{self._requests}"
+        caller = self.members[host or self._rng.choice(sorted(answering))].harness.caller()
+        headers = {"Skylarkmoor_Request_Id": name, "Skylarkmoor_Deadline_Ms": "12000"}
+        caller.send(request(path, "POST", name.encode(), **headers))
+        return caller
+
+    def advance(self) -> None:
+        """Advance the clock by a step, and all gateways that are not paused."""
+        self.clock.advance(STEP_MS)
+        now_ms = self.clock.now_ms()
+        due = [each for each in self._messages if each[0] <= now_ms]
+        self._messages = [each for each in self._messages if each[0] > now_ms]
+        for _, to, data in sorted(due, key=lambda each: each[0]):
+            member = self.members.get(to)
+            if member is None:
+                continue
+            envelope = decode_envelope(data)
+            if member.paused:
+                member.held_messages.append(envelope)
+            else:
+                self._deliver(member, envelope)
+        for member in list(self.members.values()):
+            if member.paused:
+                member.late_ms += STEP_MS
+            else:
+                self._advance_member(member, now_ms)
+
+    def _deliver(self, member: FleetMember, envelope: Envelope) -> None:
+        member.harness.gateway.fleet._on_message(
+            envelope.sender, envelope.incarnation, envelope.message
+        )
+
+    def _advance_member(self, member: FleetMember, now_ms: int) -> None:
+        harness = member.harness
+        harness.reactor.advance(STEP_MS / 1_000)
+        self._serve(member, now_ms)
+        for _, connection, data in [each for each in member.answers if each[0] <= now_ms]:
+            connection.send(data)
+        member.answers = [each for each in member.answers if each[0] > now_ms]
+        harness.gateway._tick()
+        if now_ms % _MAINTENANCE_MS < STEP_MS:
+            harness.gateway._maintain()
+        self._serve(member, now_ms)
+
+    def _serve(self, member: FleetMember, now_ms: int) -> None:
+        """Have the upstreams read what the gateway has sent, and prepare their answers."""
+        harness = member.harness
+        by_port = {each.port: each for each in self.upstreams}
+        while harness.pending_connections():
+            port = harness.reactor.tcpClients[harness.next_connection][1]
+            member.connections.append((by_port[port], harness.accept()))
+        for upstream, connection in member.connections:
+            data = connection.received()
+            if not data:
+                continue
+            upstream.arrivals.append((now_ms, member.host))
+            name = data.partition(b"Skylarkmoor-Request-Id: ")[2].partition(b"\r\n")[0]
+            headers = {"Skylarkmoor_Request_Id": name.decode()}
+            if upstream.limit_per_s is not None:
+                headers["Server_Limit"] = str(upstream.limit_per_s)
+            is_stream = b" /answer/" in data.partition(b"\r\n")[0]
+            body = stream_head(**headers) + chunk(EVENT) + chunk(b"")
+            response = body if is_stream else answer(**headers)
+            member.answers.append((now_ms + upstream.run_ms, connection, response))
