Believe an answer on a kept connection only if it names the request

Callers were told 503 'not run' for an order that the upstream may have been running (REFUSED): an upstream wrote an earlier refusal once more, without an id, right after the next request had been sent on the kept connection.

Cause: an answer without an id was taken for that of the request in progress, on any connection.

Change: only the first answer on a connection may lack the id. Any other is a failed attempt, which promises nothing: 502 for an order, a retry for what may run again. This holds for all statuses, as a success without an id could be another request's answer as well (MIXED).

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -556,7 +556,9 @@
         attempt.head = head
         attempt.head_ms = self._gateway.clock.now_ms()
         connection = attempt.connection
-        if head.request is not None and head.request != self.request.request:
+        # An upstream may write an earlier answer once more on a connection that is in use again.
+        is_first_answer = connection is None or connection.sent == 1
+        if head.request != self.request.request and not (head.request is None and is_first_answer):
             self._fail_attempt(attempt, f"the answer names the request {head.request!r}")
             return
         # An answer with this status comes from another instance, which has the address now.
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -53,6 +53,8 @@
         self._pool = pool
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._reader: ResponseReader | None = None
+        # Requests that were sent on the connection.
+        self.sent = 0
         self.idle_since_ms = 0
         self.idle_limit_ms = _DEFAULT_IDLE_MS
         self._open = False
@@ -72,6 +74,7 @@
     ) -> None:
         """Send a request; the reader is told of its end or its failure exactly once."""
         self._reader = reader
+        self.sent += 1
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head) or b""
         if body:
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -146,6 +146,47 @@
     assert caller.received().startswith(b"HTTP/1.1 200 ")
 
 
+@pytest.mark.parametrize(
+    "late",
+    [
+        answer(status="503 Full", Skylarkmoor_Request_Id="", Skylarkmoor_Not_Executed="1"),
+        answer(status="429 Full", Skylarkmoor_Request_Id="", Skylarkmoor_Not_Executed="1"),
+        answer(status="421 Other", Skylarkmoor_Request_Id=""),
+        answer(status="500 Error", Skylarkmoor_Request_Id=""),
+        answer(b"not yours", Skylarkmoor_Request_Id=""),
+    ],
+)
+@pytest.mark.parametrize("path", ["/order/2", "/stock/2"])
+def test_an_answer_without_an_id_on_a_kept_connection_may_be_an_earlier_one(harness, path, late):
+    """A refusal that was written again was believed of an order that was running (REFUSED)."""
+    add_two_order_upstreams(harness)
+    harness.caller().send(request("/order/1", "POST", b"x"))
+    upstream = harness.accept()
+    upstream.send(answer())
+    caller = harness.caller()
+    caller.send(request(path, "POST", b"y", Skylarkmoor_Request_Id="r2"))
+    assert path.encode() in upstream.received()
+    upstream.send(late)
+    assert upstream.transport.aborted
+    if path == "/stock/2":
+        # An idempotent request may run again.
+        harness.accept().send(answer(b"done", Skylarkmoor_Request_Id="r2"))
+        assert caller.received().endswith(b"done")
+    else:
+        assert harness.pending_connections() == 0
+        assert caller.received().startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_refusal_without_an_id_on_a_new_connection_is_believed(harness):
+    add_two_order_upstreams(harness)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    refusal = answer(status="503 Full", Skylarkmoor_Request_Id="", Skylarkmoor_Not_Executed="1")
+    harness.accept().send(refusal)
+    harness.accept().send(answer())
+    assert caller.received().startswith(b"HTTP/1.1 200 ")
+
+
 def test_a_503_carries_retry_after(harness):
     caller = harness.caller()
     caller.send(request("/order/1", "POST", b"x"))
