Refuse a port of many digits as an invalid address

Cause: int() raises ValueError for a number of more than 4,300 digits, which is no SettingsError, so that one odd address of a peer in the store ended the task that exchanges the addresses. A port of other digits than 0 to 9 was accepted.

Change: a port has one to five digits.

--- a/libs/core/src/skylarkmoor_core/settings.py
+++ b/libs/core/src/skylarkmoor_core/settings.py
@@ -1,6 +1,7 @@
 """Settings from flags and environment variables, validated together at startup."""
 
 import ipaddress
+import re
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
@@ -10,6 +11,7 @@
 
 ENV_PREFIX = "SKYLARKMOOR"
 _MAX_PORT = 65_535
+_PORT = re.compile("[0-9]{1,5}")
 
 T = TypeVar("T")
 
@@ -57,7 +59,7 @@
         ipaddress.ip_address(host)
     except ValueError as error:
         raise SettingsError(f"{text!r} does not start with an IP address") from error
-    if not port.isdecimal() or int(port) > _MAX_PORT:
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
         raise SettingsError(f"{text!r} does not end with a port from 0 to {_MAX_PORT}")
     return Address(host, int(port))
 
--- a/libs/core/tests/test_settings.py
+++ b/libs/core/tests/test_settings.py
@@ -51,3 +51,10 @@
 
     with pytest.raises(KeyError):
         collect_faults([("--host", failing_check)])
+
+
+@pytest.mark.parametrize("port", ["9" * 5_000, "000080", "٣"])
+def test_a_port_has_at_most_five_digits(port):
+    """A longer one raised ValueError, which ended the exchange of peer addresses."""
+    with pytest.raises(SettingsError):
+        parse_address(f"10.0.0.1:{port}")
