--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -326,3 +326,10 @@
     followers.store.newest_answers = [page(("rollout/assistant", status_record(), 3))]
     run_reporter_once(followers, reporter)
     assert only_canary(followers).stop_reason is None
+
+
+@pytest.mark.parametrize("name", [" e1", "e\n1", "\x00"])
+def test_an_entry_whose_id_cannot_be_sent_is_ignored(followers, name):
+    """A request to it was never sent, no other upstream was tried, and the caller got 502."""
+    followers.upstreams._apply_page(page((name, entry_record(), 1)), True)
+    assert upstream_ids(followers) == []
--- a/tests/adapter/test_odd_documents.py
+++ b/tests/adapter/test_odd_documents.py
@@ -13,6 +13,7 @@
     decode_rollout_order,
     decode_rollout_status,
     decode_upstream_entry,
+    is_valid_upstream_id,
 )
 from skylarkmoor_core.errors import DocumentError, SettingsError
 from skylarkmoor_core.logposition import LogPosition
@@ -85,11 +86,11 @@
 
 @seed(30)
 @settings(max_examples=300, deadline=None, suppress_health_check=list(HealthCheck))
-@given(entry=odd(ENTRY), name=st.just("o1"))
+@given(entry=odd(ENTRY), name=st.one_of(st.just("o1"), st.sampled_from(TEXTS), st.text(max_size=9)))
 def test_an_odd_entry_stops_nothing(make_harness, entry, name):
     decoded = decode(decode_upstream_entry, encode(entry))
     harness = make_harness()
-    if decoded is not None:
+    if decoded is not None and is_valid_upstream_id(name):
         assert 0 < decoded.slots <= 100_000
         port = decoded.endpoint.port
         values = {
@@ -156,6 +157,16 @@
         parse_address(f"10.0.0.1:{port}")
 
 
+@pytest.mark.parametrize("name", ["", " a", "a ", "a\nb", "\x00", "\x7f", "a" * 1_001])
+def test_ids_that_cannot_be_sent_in_a_header_are_refused(name):
+    assert not is_valid_upstream_id(name)
+
+
+@pytest.mark.parametrize("name", ["i-7f3a91c2", "a b", "é"])
+def test_other_ids_are_valid(name):
+    assert is_valid_upstream_id(name)
+
+
 @pytest.mark.parametrize("overrides", [{"born": 2**63}, {"born": -1}, {"slots": 100_001}])
 def test_numbers_of_an_entry_have_ranges(overrides):
     with pytest.raises(DocumentError):
