--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -328,6 +328,16 @@
     assert only_canary(followers).stop_reason is None
 
 
+def test_an_invalid_entry_is_logged_once(followers, caplog):
+    """Each read of the newest records brought the line again."""
+    follower = followers.upstreams
+    for _ in range(3):
+        follower._apply_page(page(("x", b"\x00", 2)), True)
+    follower._apply_page(page(("x", b"\x00", 3)), True)
+    lines = [each for each in caplog.records if "invalid upstream entry" in each.getMessage()]
+    assert len(lines) == 2
+
+
 @pytest.mark.parametrize("name", [" e1", "e\n1", "\x00"])
 def test_an_entry_whose_id_cannot_be_sent_is_ignored(followers, name):
     """A request to it was never sent, no other upstream was tried, and the caller got 502."""
