Bound the numbers of named limits, and look for them only where there are some

Cause: a time or a limit out of range in a message of a peer would have been passed on, or would have stopped the encoding of the next report. Each tick looked for paused upstreams once for each waiting request, and each load report for limited ones.

Change: limits and times of messages between gateways have ranges. The table of notices knows whether there is any limit or pause, and looks up a service once a tick. Their log lines tell the age; the gauges count listed instances only.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -1,6 +1,7 @@
 """Messages that daemons or gateways exchange with their peers, and their encoding."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -58,6 +59,11 @@
 ]
 
 
+# Times on a monotonic clock, whose differences fit into messages as well.
+_Time = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+
+
 class HostState(Enum):
     """Lifecycle state of an entry host; within an incarnation its value only increases."""
 
@@ -274,7 +280,7 @@
     # Era, offset and version of the configuration in force; None without one.
     in_force: tuple[int, int, int] | None = None
     # Monotonic time of the sender when it sent the state; 0 if it does not tell.
-    sent_ms: int = 0
+    sent_ms: _Time = 0
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
@@ -414,15 +420,15 @@
 
     upstream: UpstreamId
     started_wall_ms: int
-    limit_per_s: float | None
-    heard_ms: int
+    limit_per_s: _Rate | None
+    heard_ms: _Time
     issued: int
 
 
 class NamedLimits(_Message, frozen=True, tag="l"):
     """Limits of upstreams as the sender knows them."""
 
-    sent_ms: int
+    sent_ms: _Time
     limits: tuple[NamedLimit, ...]
 
 
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -32,6 +32,8 @@
     Heartbeat,
     HostState,
     Message,
+    NamedLimit,
+    NamedLimits,
     OutcomeAnswer,
     OutcomeQuery,
     PartTrial,
@@ -67,6 +69,7 @@
     SlotRequest(3, "assistant", 0, 1, False, 900, 400, 5, 300, 1500, 80, 9000, ("gpu-1",)),
     SlotWithdrawal(3),
     SlotGrant(3, "gpu-1", 17),
+    NamedLimits(90, (NamedLimit("gpu-1", 17, 2.5, 80, 4), NamedLimit("gpu-2", 18, None, 85, 0))),
     CrashEvidence(
         (CrashReport("gpu-1", 7, 20, (CrashedRequest("r1", True, (2**64 - 1,)),)),),
         {5: 900},
@@ -132,3 +135,18 @@
 def test_demand_of_earlier_version_decodes_with_zero_pressure():
     data = msgspec.msgpack.encode(["nadi-1", 5, ["q", "gpu-1", 3, [1], [2]]])
     assert decode_envelope(data).message == Demand("gpu-1", 3, (1,), (2,), 0)
+
+
+@pytest.mark.parametrize("limit", [float("nan"), float("inf"), -1.0])
+def test_a_limit_out_of_range_is_refused(limit):
+    named = NamedLimit("u1", 1, limit, 0, 0)
+    data = encode_envelope(Envelope("h", 1, NamedLimits(0, (named,))))
+    with pytest.raises(MessageError):
+        decode_envelope(data)
+
+
+@pytest.mark.parametrize("time_ms", [2**60, -(2**60)])
+def test_a_time_out_of_range_is_refused(time_ms):
+    data = encode_envelope(Envelope("h", 1, NamedLimits(time_ms, ())))
+    with pytest.raises(MessageError):
+        decode_envelope(data)
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -433,7 +433,7 @@
         request = exchange.request.request
         arrived_ms = self.fleet.arrival_ms()
         for change in self.placement.record_notices(instance, notices, arrived_ms, now_ms):
-            self._log_notice(change, request)
+            self._log_notice(change, request, age_ms=now_ms - arrived_ms)
             if change.kind is NoticeKind.LIMIT:
                 self.fleet.limit_changed(instance)
         for kind, value in notices.invalid:
@@ -448,7 +448,9 @@
                     },
                 )
 
-    def _log_notice(self, change: NoticeChange, request: RequestId | None = None) -> None:
+    def _log_notice(
+        self, change: NoticeChange, request: RequestId | None = None, *, age_ms: int = 0
+    ) -> None:
         """Log that a notice of an upstream began, changed or ended, and count it."""
         state = "ended" if change.value is None else "heard"
         self.metrics.notice(change.kind.value, state)
@@ -459,6 +461,7 @@
                 "started_wall_ms": change.instance.started_wall_ms,
                 "notice": change.kind.value,
                 "value": change.value,
+                "age_ms": age_ms,
                 "request": request,
             },
         )
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -152,17 +152,20 @@
         """Time out waits, and repeat slot requests that are overdue or whose dispatcher changed."""
         now_ms = self._clock.now_ms()
         owners: dict[SlotGroup, HostId] = {}
+        paused: dict[ServiceName, frozenset[UpstreamId]] = {}
         # Grants follow when all requests are queued, so that the most urgent one gets the first.
         self._offering = True
         for number, wait in list(self._waits.items()):
             if wait.group not in owners:
                 owners[wait.group] = self.dispatcher_of(wait.group)
+                service = wait.group.service
+                paused[service] = self._placement.paused(service, now_ms)
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self.withdraw(number)
                 wait.client.wait_timed_out()
             elif (
                 wait.requested_from != owners[wait.group]
-                or self._placement.paused(wait.group.service, now_ms) != wait.paused
+                or wait.paused != paused[wait.group.service]
             ):
                 self._request_slot(number, wait)
             elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
@@ -190,7 +193,7 @@
         While gateways have read different lists of upstreams, they may request slots of one
         upstream from several dispatchers.
         """
-        upstreams = [each.upstream for each in self._placement.limited_instances()]
+        upstreams = {each.upstream for each in self._placement.limited_instances()}
         return frozenset(each for each in upstreams if not self._is_dispatcher_of(each))
 
     def _is_dispatcher_of(self, upstream: UpstreamId) -> bool:
--- a/libs/policy/src/skylarkmoor_policy/peerclocks.py
+++ b/libs/policy/src/skylarkmoor_policy/peerclocks.py
@@ -27,9 +27,9 @@
         self._offsets_ms[peer] = (incarnation, offset_ms)
 
     def local_ms(self, peer: HostId, peer_ms: int, now_ms: int) -> int:
-        """Return a time of a peer's clock on the clock of this daemon, `now_ms` at the latest."""
+        """Return a time of a peer's clock on the clock of this daemon, from 0 to `now_ms`."""
         known = self._offsets_ms.get(peer)
-        return now_ms if known is None else min(now_ms, peer_ms + known[1])
+        return now_ms if known is None else max(0, min(now_ms, peer_ms + known[1]))
 
     def forget(self, peer: HostId) -> None:
         """Forget the clock of a peer."""
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -340,12 +340,14 @@
         """Return the limit of an instance and when it was heard; both may be None."""
         return self._notices.limit(instance)
 
-    def limited_instances(self) -> list[InstanceId]:
+    def limited_instances(self) -> frozenset[InstanceId]:
         """Return the instances that have named a limit, listed or not."""
         return self._notices.limited()
 
     def limited(self, service: ServiceName) -> frozenset[UpstreamId]:
         """Return the upstreams of a service that have named a limit."""
+        if not self._notices.has_limits():
+            return _NO_UPSTREAMS
         return frozenset(
             each.upstream
             for each in self._active_upstreams(service)
@@ -366,6 +368,8 @@
 
     def paused(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
         """Return the upstreams of a service that want no request from this host now."""
+        if not self._notices.has_pauses(now_ms):
+            return _NO_UPSTREAMS
         return frozenset(
             each.upstream
             for each in self._active_upstreams(service)
@@ -382,6 +386,8 @@
         int or None
             None if an upstream may be sent requests now, or if there is none at all.
         """
+        if not self._notices.has_pauses(now_ms):
+            return None
         ends_ms = [
             each.paused_until_ms
             for each in self._active_upstreams(service)
--- a/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -91,6 +91,10 @@
 
     def __init__(self) -> None:
         self._instances: dict[InstanceId, _InstanceNotices] = {}
+        self._limited: set[InstanceId] = set()
+        # When the last pause ends, and when the instances were listed last.
+        self._last_pause_end_ms = 0
+        self._listed_ms = 0
 
     def record_answer(
         self, instance: InstanceId, notices: AnswerNotices, arrived_ms: int, now_ms: int
@@ -113,6 +117,7 @@
                 value = float(notices.retry_after_ms)
                 changes.append(NoticeChange(instance, NoticeKind.RETRY_AFTER, value))
             known.paused_until_ms = max(known.paused_until_ms, until_ms)
+            self._last_pause_end_ms = max(self._last_pause_end_ms, until_ms)
         limit = notices.max_requests_per_s
         has_limit = NoticeKind.LIMIT not in {kind for kind, _ in notices.invalid}
         if has_limit and self.record_limit(instance, limit, arrived_ms, now_ms):
@@ -141,6 +146,10 @@
             return False
         is_changed = limit_per_s != known.max_requests_per_s
         known.max_requests_per_s, known.limit_heard_ms = limit_per_s, heard_ms
+        if limit_per_s is None:
+            self._limited.discard(instance)
+        else:
+            self._limited.add(instance)
         return is_changed
 
     def limit(self, instance: InstanceId) -> tuple[float | None, int | None]:
@@ -148,13 +157,17 @@
         known = self._instances.get(instance)
         return (None, None) if known is None else (known.max_requests_per_s, known.limit_heard_ms)
 
-    def limited(self) -> list[InstanceId]:
+    def limited(self) -> frozenset[InstanceId]:
         """Return the instances that have named a limit."""
-        return [
-            instance
-            for instance, known in self._instances.items()
-            if known.max_requests_per_s is not None
-        ]
+        return frozenset(self._limited)
+
+    def has_limits(self) -> bool:
+        """Return whether any instance has named a limit."""
+        return bool(self._limited)
+
+    def has_pauses(self, now_ms: int) -> bool:
+        """Return whether any instance wants no request from this host now."""
+        return self._last_pause_end_ms > now_ms
 
     def record_leaving(self, instance: InstanceId, now_ms: int) -> bool:
         """Record that an instance is leaving, and return whether that was not known."""
@@ -190,6 +203,7 @@
 
     def expire(self, listed: Iterable[InstanceId], now_ms: int) -> list[NoticeChange]:
         """Forget instances that have not been listed for long, and return the pauses that ended."""
+        self._listed_ms = now_ms
         for instance in listed:
             if instance in self._instances:
                 self._instances[instance].listed_ms = now_ms
@@ -200,11 +214,12 @@
                 changes.append(NoticeChange(instance, NoticeKind.RETRY_AFTER, None))
             if now_ms - known.listed_ms > _MAX_UNLISTED_MS:
                 del self._instances[instance]
+                self._limited.discard(instance)
         return changes
 
     def counts(self, now_ms: int) -> dict[NoticeKind, int]:
-        """Return the number of instances with a notice of each kind."""
-        notices = self._instances.values()
+        """Return the number of instances that are listed, with a notice of each kind."""
+        notices = [each for each in self._instances.values() if each.listed_ms >= self._listed_ms]
         return {
             NoticeKind.LEAVING: sum(each.leaving for each in notices),
             NoticeKind.RETRY_AFTER: sum(each.paused_until_ms > now_ms for each in notices),
@@ -212,4 +227,7 @@
         }
 
     def _known(self, instance: InstanceId, now_ms: int) -> _InstanceNotices:
-        return self._instances.setdefault(instance, _InstanceNotices(now_ms))
+        known = self._instances.get(instance)
+        if known is None:
+            known = self._instances[instance] = _InstanceNotices(now_ms)
+        return known
--- a/libs/policy/tests/test_upstreamnotices.py
+++ b/libs/policy/tests/test_upstreamnotices.py
@@ -62,9 +62,9 @@
     table.record_answer(FIRST, AnswerNotices(leaving=True), 0, 0)
     table.expire([FIRST], 1_000)
     table.expire([], 601_000)
-    assert table.counts(601_000)[NoticeKind.LEAVING] == 1
+    assert table.is_leaving(FIRST)
     table.expire([], 601_001)
-    assert table.counts(601_001)[NoticeKind.LEAVING] == 0
+    assert not table.is_leaving(FIRST)
 
 
 def test_leaving_is_final_for_an_instance_and_does_not_bind_the_next_one(table):
@@ -80,3 +80,10 @@
     table.record_limit(FIRST, 2.0, 500, 500)
     assert table.record_answer(FIRST, AnswerNotices(), 400, 1_000) == []
     assert table.limit(FIRST) == (2.0, 500)
+
+
+def test_only_instances_that_are_listed_are_counted(table):
+    table.record_leaving(FIRST, 0)
+    table.record_leaving(SECOND, 0)
+    table.expire([SECOND], 10)
+    assert table.counts(10)[NoticeKind.LEAVING] == 1
