--- a/tests/adapter/test_gateway_process.py
+++ b/tests/adapter/test_gateway_process.py
@@ -1,27 +1,19 @@
 """Runs a gateway as a process between callers, upstreams and a store on loopback sockets."""
 
-import json
-import os
 import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
-from contextlib import closing, suppress
+from contextlib import closing
 from http.client import HTTPConnection, IncompleteRead
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from urllib.parse import parse_qs, urlsplit
 
 import pytest
 
 from adapter_harness import CONFIG, answer, request
-from adapter_store import StoreModel, configuration_record, entry_record
+from adapter_processes import WAIT_S, GatewayProcess, StoreServer
+from adapter_store import configuration_record, entry_record
 
 EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
-WAIT_S = 20
-# Two offsets, without records after them.
-EMPTY_PAGE_BYTES = 16
 
 
 class Upstream(threading.Thread):
@@ -53,73 +45,6 @@
                     self.may_close.wait(WAIT_S)
 
 
-class StoreServer:
-    """Serves a store model; while it is away, it closes connections without an answer."""
-
-    def __init__(self):
-        self.model = StoreModel()
-        self.is_away = False
-        self.lock = threading.Lock()
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), store_handler(self))
-        self.server.daemon_threads = True
-        self.address = f"127.0.0.1:{self.server.server_address[1]}"
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-
-    def write(self, topic, key, value):
-        with self.lock:
-            self.model.write(topic, key, value)
-
-    def restore(self, older):
-        """Be away for a moment, and come back from a copy."""
-        self.is_away = True
-        time.sleep(0.3)
-        with self.lock:
-            self.model.restore(older)
-        self.is_away = False
-
-    def close(self):
-        self.server.shutdown()
-        self.server.server_close()
-
-
-def store_handler(store):
-    """Return a request handler for the calls of the store."""
-
-    class Handler(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def log_message(self, *args):
-            pass
-
-        def handle_call(self):
-            body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
-            url = urlsplit(self.path)
-            query = {name: values[0] for name, values in parse_qs(url.query).items()}
-            wait_until = time.monotonic() + min(1.0, int(query.get("wait_ms", "0")) / 1_000)
-            while True:
-                if store.is_away:
-                    self.close_connection = True
-                    return
-                with store.lock:
-                    response = store.model.respond(self.command, url.path, query, body)
-                has_records = len(response.body) > EMPTY_PAGE_BYTES
-                if self.command != "GET" or has_records or time.monotonic() >= wait_until:
-                    break
-                time.sleep(0.02)
-            # The gateway ends while its last read waits.
-            with suppress(BrokenPipeError, ConnectionResetError):
-                self.send_response(response.status)
-                for name, value in response.headers.items():
-                    self.send_header(name, value)
-                self.send_header("Content-Length", str(len(response.body)))
-                self.end_headers()
-                self.wfile.write(response.body)
-
-        do_GET = do_POST = handle_call  # noqa: N815
-
-    return Handler
-
-
 @pytest.fixture
 def engines():
     upstreams = [Upstream() for _ in range(2)]
@@ -150,56 +75,9 @@
         entry = entry_record(address=f"127.0.0.1:{engine.port}", slots=2, seq=1)
         store.write("keyed.servers", f"e{number}", entry)
     store.write("keyed.op", "config", CONFIG)
-    ports = free_ports(3)
-    settings = {
-        "node": "front-1",
-        "ip": "127.0.0.1",
-        "listen": {"front": f"127.0.0.1:{ports[0]}", "ready": f"127.0.0.1:{ports[1]}"},
-        "port_range": [ports[2], ports[2]],
-        "platform": {"address": store.address},
-        "bootstrap": True,
-    }
-    path = tmp_path / "node.yaml"
-    path.write_text(json.dumps(settings))
-    process = subprocess.Popen(
-        [sys.executable, "-m", "skylarkmoor_adapter.main"],
-        env=os.environ | {"SKYLARKMOOR_SETTINGS": str(path)},
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-    )
-    try:
-        wait_until_ready(process, ports[1], ("e0", "e1"))
-        yield process, ports[0]
-    finally:
-        process.send_signal(signal.SIGKILL)
-        process.communicate()
-
-
-def free_ports(count):
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in listeners]
-    for each in listeners:
-        each.close()
-    return ports
-
-
-def wait_until_ready(process, port, upstreams):
-    """Read the log until the upstreams are known and the gateway is ready."""
-    seen = set()
-    timer = threading.Timer(WAIT_S, process.kill)
-    timer.start()
-    for line in process.stdout:
-        record = json.loads(line)
-        if record["message"] == "gateway: upstream changed":
-            seen.add(record["upstream"])
-        if record["message"] == "gateway: ready":
-            seen.add("ready")
-        if seen >= {*upstreams, "ready"}:
-            timer.cancel()
-            # Keeps the pipe from filling up.
-            threading.Thread(target=process.stdout.read, daemon=True).start()
-            return
-    raise AssertionError("the gateway ended before it was ready")
+    gateway = GatewayProcess(tmp_path, "front-1", store, ("e0", "e1"))
+    yield gateway.process, gateway.port
+    gateway.end()
 
 
 def ask(port, path):
--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -3,15 +3,10 @@
 import pytest
 
 from adapter_harness import answer, chunk, request, stream_head
+from limit_windows import WINDOW_MS, allowed
 from skylarkmoor_core.messages import GatewayState, NamedLimit, NamedLimits, SlotGrant
 
 EVENT_1 = b"id: 1\ndata: a\n\n"
-WINDOW_MS = 4_000
-
-
-def allowed(limit_per_s):
-    """Return how many requests may reach an upstream in a window."""
-    return 1.5 * limit_per_s * WINDOW_MS / 1_000 + 5
 
 
 class LimitedUpstream:
--- a/tests/adapter/test_named_limits_fleet.py
+++ b/tests/adapter/test_named_limits_fleet.py
@@ -2,52 +2,19 @@
 
 import os
 import random
-from bisect import bisect_left
 
 import pytest
 
+import limit_windows
 from adapter_fleet import STEP_MS, FleetNetwork, ModelUpstream
 
-WINDOW_MS = 4_000
-# From this time after the first answer with a limit on, the limit has to be kept.
-CONTACT_MS = 3_000
-# An answer counts as known from this time after it was passed on.
-HEARD_MS = 500
 HOSTS = [f"host-{number}" for number in range(1, 7)]
 SEEDS = range(int(os.environ.get("SKYLARKMOOR_TEST_SEEDS", "6")))
 DURATION_MS = 24_000
 
 
-def allowed(limit_per_s):
-    """Return how many requests may reach an upstream in a window."""
-    return 1.5 * limit_per_s * WINDOW_MS / 1_000 + 5
-
-
-def limit_of_window(upstream, start_ms):
-    """Return the highest limit that was named for a window, None if it was not limited."""
-    named = [(time_ms, limit) for time_ms, limit in upstream.limits if limit is not None]
-    if not named or start_ms < named[0][0] + CONTACT_MS:
-        return None
-    before = [limit for time_ms, limit in upstream.limits if time_ms <= start_ms - HEARD_MS]
-    during = [
-        limit
-        for time_ms, limit in upstream.limits
-        if start_ms - HEARD_MS < time_ms < start_ms + WINDOW_MS
-    ]
-    limits = [*before[-1:], *during]
-    return None if None in limits else max(limits)
-
-
 def excess(upstream):
-    """Return by how much the requests of any window exceed what is allowed, 0 if none does."""
-    times_ms = sorted(time_ms for time_ms, _ in upstream.arrivals)
-    worst = 0.0
-    for number, start_ms in enumerate(times_ms):
-        limit = limit_of_window(upstream, start_ms)
-        if limit is not None:
-            count = bisect_left(times_ms, start_ms + WINDOW_MS) - number
-            worst = max(worst, count - allowed(limit))
-    return worst
+    return limit_windows.excess([time_ms for time_ms, _ in upstream.arrivals], upstream.limits)
 
 
 def make_network(make_harness, seed, upstreams, hosts=HOSTS):
