Test that no other status is added to a stream that is resumed

Cause: other operators found the text of an error in the middle of a stream.

Change: a test with five statuses, two bodies, with and without signature.

Measured: the 20 cases pass without a change of the code; such a stream is broken off.

--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -406,6 +406,27 @@
     assert harness.pending_connections() == 0
 
 
+@pytest.mark.parametrize("status", ["204 None", "206 Part", "302 Found", "400 Bad", "404 No"])
+@pytest.mark.parametrize("seal", ["seal", ""])
+@pytest.mark.parametrize("body", [EVENT_2, b"HTTP/1.1 500 Error\r\n\r\nno draft"])
+def test_a_stream_that_is_resumed_with_another_status_is_broken_off(harness, status, seal, body):
+    """The text of an error in the middle of a stream would look like a part of it."""
+    add_two_engines(harness)
+    caller = harness.caller()
+    caller.send(request("/brief/1", "POST", b"x", Skylarkmoor_Deadline_Ms="15000"))
+    first = harness.accept()
+    first.send(stream_head() + chunk(EVENT_1))
+    first.close(reset=True)
+    if status.startswith("204"):
+        body = b""
+    second = harness.accept()
+    second.send(answer(body, status, Skylarkmoor_Response_Seal=seal))
+    received = caller.received()
+    assert received.count(b"HTTP/1.1") == 1
+    assert received.endswith(chunk(EVENT_1))
+    assert caller.transport.aborted
+
+
 def test_an_error_body_is_not_appended_to_a_resumed_stream(harness):
     add_two_engines(harness)
     caller = harness.caller()
