Take deeply nested answers of upstreams for errors of the upstream

Cause: msgspec raises RecursionError, which is no DecodeError, for a field that is nested too deeply. In the daemon, such a load report was logged as an unexpected error at each poll and the upstream never counted as stalled; a service document and a settings file were refused with a traceback.

--- a/libs/core/src/skylarkmoor_core/document.py
+++ b/libs/core/src/skylarkmoor_core/document.py
@@ -164,7 +164,7 @@
     """
     try:
         document = msgspec.json.decode(data, type=ServiceDocument)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise DocumentError(f"$: {error}") from error
     validate_document(document)
     return document
--- a/libs/daemon/src/skylarkmoor_daemon/streams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/streams.py
@@ -313,7 +313,7 @@
             return False
         try:
             line = msgspec.json.decode(data, type=_StreamLine)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             _log.warning(
                 "stream line from an upstream cannot be decoded",
                 extra=_log_fields(attempt.dispatch, error),
--- a/libs/daemon/src/skylarkmoor_daemon/upstreams.py
+++ b/libs/daemon/src/skylarkmoor_daemon/upstreams.py
@@ -418,7 +418,7 @@
         )
         try:
             decoded = msgspec.json.decode(answer, type=_CallResponse)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise UpstreamBroken(
                 f"{self.upstream}: invalid response to a call: {error}", sent=True
             ) from error
@@ -439,7 +439,7 @@
         answer = await self._get_body("/report")
         try:
             report = msgspec.json.decode(answer, type=UpstreamReport)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise UpstreamBroken(
                 f"{self.upstream}: invalid load report: {error}", sent=True
             ) from error
@@ -469,7 +469,7 @@
         answer = await self._get_body(f"/events?from={first}")
         try:
             return msgspec.json.decode(answer, type=CacheEvents)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise UpstreamBroken(
                 f"{self.upstream}: invalid cache events: {error}", sent=True
             ) from error
--- a/libs/daemon/tests/test_upstreams.py
+++ b/libs/daemon/tests/test_upstreams.py
@@ -186,3 +186,13 @@
     client = fake_upstream(_http_response(409, {"error": "old"})).client()
     answer = await client.order(OrderKind.LOAD, VersionId("v2"), Offset(3))
     assert answer is OrderAnswer.STALE_TOKEN
+
+
+@pytest.mark.parametrize("path", ["report", "events"])
+@pytest_twisted.ensureDeferred
+async def test_a_very_deeply_nested_answer_is_an_error_of_the_upstream(fake_upstream, path):
+    """It raised RecursionError, and an upstream that sent it never counted as stalled."""
+    body = b'{"new":' + b"[" * 100_000
+    client = fake_upstream(_http_response(200, body)).client()
+    with pytest.raises(UpstreamError):
+        await (client.report() if path == "report" else client.events(0))
