Name paused and limited upstreams in the line of a refused request

Cause: the line said only that all slots are taken, also where upstreams had asked for a pause or had named a limit.

Change: `refused` has the lists `paused` and `limited` of the service.

Measured: the new test passes; 21 tests of paused upstreams.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -796,7 +796,15 @@
 
     def _refuse_for(self, reason: str, retry_ms: int) -> None:
         self._send_error(503, reason, [(b"Retry-After", f"{retry_ms / 1000:.3f}".encode())])
-        self._end(Outcome.REFUSED, reason, status=503, retry_after_ms=retry_ms)
+        placement = self._gateway.placement
+        self._end(
+            Outcome.REFUSED,
+            reason,
+            status=503,
+            retry_after_ms=retry_ms,
+            paused=sorted(placement.paused(self.service, self._gateway.clock.now_ms())),
+            limited=sorted(placement.limited(self.service)),
+        )
 
     def _fail(self, status: int, reason: str) -> None:
         """Respond with an error; the request may have been executed."""
--- a/tests/adapter/test_paused_upstreams.py
+++ b/tests/adapter/test_paused_upstreams.py
@@ -176,6 +176,16 @@
     assert harness.pending_connections() == 0
 
 
+def test_the_line_of_a_refused_request_names_paused_and_limited_upstreams(harness, caplog):
+    pause(harness, "o1")
+    add_upstream(harness, "o2")
+    send(harness)
+    refused = refusal("3", 1, Server_Limit="0")
+    harness.accept().send(refused)
+    *_, line = [each for each in caplog.records if each.getMessage() == "request: refused"]
+    assert (line.paused, line.limited) == (["o1", "o2"], ["o2"])
+
+
 def test_callers_of_higher_tiers_are_told_to_return_first(harness):
     pause(harness, "e1", "6", "/answer/1")
     times_s = [
