Log that a peer knows of a leaving upstream only if it was not known here

Cause: after each entry that says so, every gateway logged the first state of a peer that names the upstream.

Measured: the new test passes.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -721,7 +721,7 @@
         new_leaving = self._placement.mark_leaving(state.leaving_upstreams, peer.last_heard_ms)
         for instance in new_leaving:
             _log.info(
-                "a peer has heard that an upstream is leaving",
+                "a peer knows that an upstream is leaving",
                 extra={
                     "peer": sender,
                     "upstream": instance.upstream,
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -302,9 +302,14 @@
         The list may be out of reach here, or show one of them again later. An upstream that has
         restarted since is not affected.
         """
-        instances = [InstanceId(name, started_ms) for name, started_ms in leaving.items()]
-        new = [each for each in instances if self._notices.record_leaving(each, now_ms)]
-        self._apply_leaving(instances)
+        new = []
+        for instance in (InstanceId(name, started_ms) for name, started_ms in leaving.items()):
+            known = self._known_instance(instance)
+            was_leaving = known is not None and known.leaving
+            if self._notices.record_leaving(instance, now_ms) and not was_leaving:
+                new.append(instance)
+            if known is not None:
+                known.leaving = True
         return new
 
     def record_notices(
@@ -318,10 +323,9 @@
             When the head of the answer arrived, before `now_ms` if it was read late.
         """
         changes = self._notices.record_answer(instance, notices, arrived_ms, now_ms)
-        if notices.leaving:
-            self._apply_leaving([instance])
         known = self._known_instance(instance)
         if known is not None:
+            known.leaving = known.leaving or notices.leaving
             known.paused_until_ms = self._notices.paused_until_ms(instance)
         if any(change.kind is NoticeKind.LIMIT for change in changes):
             self._apply_limit(instance, now_ms)
@@ -411,12 +415,6 @@
         """Return the number of instances with a notice of each kind."""
         return self._notices.counts(now_ms)
 
-    def _apply_leaving(self, instances: Collection[InstanceId]) -> None:
-        for instance in instances:
-            known = self._known_instance(instance)
-            if known is not None:
-                known.leaving = True
-
     def _known_instance(self, instance: InstanceId) -> TrackedUpstream | None:
         known = self.upstreams.get(instance.upstream)
         return known if known is not None and known.instance == instance else None
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -213,6 +213,13 @@
     assert chosen_upstream(placement) == "b"
 
 
+def test_only_an_instance_that_was_not_known_to_leave_is_new():
+    placement = make_placement("a", "b")
+    placement.upstreams["a"].leaving = True
+    assert placement.mark_leaving({"a": 1, "b": 1, "c": 1}, 0) == [("b", 1), ("c", 1)]
+    assert placement.mark_leaving({"a": 1, "b": 1, "c": 1}, 0) == []
+
+
 def test_peers_are_told_of_a_leaving_upstream_for_a_minute_after_it_was_listed():
     placement = make_placement("a", "b")
     placement.mark_leaving({"a": 1}, 0)
