Go on granting slots after an error in the check of the waits

Cause: the check marks the coordinator as granting, so that grants follow when all requests are queued; an error of one request would have left the mark.

Change: the mark is taken back in any case; the check is a method of its own.

Measured: the new test failed before and passes now; the tests of the slot coordinator, pauses and limits pass.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -212,6 +212,7 @@
             wait_ms = min(wait_ms, request.deadline_ms)
         self._deadline_ms = arrived_ms + wait_ms
         self._sends = 0
+        # Whether the retry budget counts the request.
         self._is_counted = False
         self._runs = 0
         self._excluded_upstreams: set[UpstreamId] = set()
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -150,28 +150,29 @@
 
     def tick(self) -> None:
         """Time out waits, and repeat slot requests that are overdue or whose dispatcher changed."""
-        now_ms = self._clock.now_ms()
-        owners: dict[SlotGroup, HostId] = {}
-        paused: dict[ServiceName, frozenset[UpstreamId]] = {}
         # Grants follow when all requests are queued, so that the most urgent one gets the first.
         self._offering = True
+        try:
+            self._check_waits(self._clock.now_ms())
+        finally:
+            self._offering = False
+        self.grant_free_slots()
+
+    def _check_waits(self, now_ms: int) -> None:
+        owners: dict[SlotGroup, HostId] = {}
+        paused: dict[ServiceName, frozenset[UpstreamId]] = {}
         for number, wait in list(self._waits.items()):
+            service = wait.group.service
             if wait.group not in owners:
                 owners[wait.group] = self.dispatcher_of(wait.group)
-                service = wait.group.service
                 paused[service] = self._placement.paused(service, now_ms)
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self.withdraw(number)
                 wait.client.wait_timed_out()
-            elif (
-                wait.requested_from != owners[wait.group]
-                or wait.paused != paused[wait.group.service]
-            ):
+            elif wait.requested_from != owners[wait.group] or wait.paused != paused[service]:
                 self._request_slot(number, wait)
             elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
                 self._request_from_less_loaded_group(number, wait)
-        self._offering = False
-        self.grant_free_slots()
 
     def grant_free_slots(self) -> None:
         """Grant free slots to queued slot requests."""
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -240,3 +240,18 @@
     four_groups.queue.clear()
     node.slot_coordinator.handle_slot_grant("host-gone", SlotGrant(number, "engine-1", 1))
     assert four_groups.queue == [(NON_OWNER, OWNER, SlotWithdrawal(number))]
+
+
+def test_an_error_in_the_check_of_the_waits_does_not_stop_the_grants(network):
+    node = network.nodes[OWNER]
+    for _ in range(2):
+        node.wait()
+    failing, _ = node.wait(queue_deadline_ms=100)
+    failing.wait_timed_out = lambda: 1 / 0
+    client, _ = node.wait()
+    network.clock.advance(100)
+    with pytest.raises(ZeroDivisionError):
+        node.slot_coordinator.tick()
+    node.placement.record_end("engine", 0, held_ms=None, fault=None)
+    node.slot_coordinator.tick()
+    assert client.upstreams == ["engine"]
