--- a/tests/adapter/test_leaving_answers.py
+++ b/tests/adapter/test_leaving_answers.py
@@ -17,7 +17,7 @@
 
 
 def leave(harness, name, path="/stock/1"):
-    """Have the only upstream of a service answer a request, and say that it leaves."""
+    """Have the only upstream of a service say that it leaves, and return its kept connection."""
     add_upstream(harness, name)
     caller = harness.caller()
     caller.send(request(path, "POST", b"x"))
@@ -27,6 +27,8 @@
     if name.startswith("e"):
         upstream.send(chunk(b""))
     assert caller.received().startswith(b"HTTP/1.1 200 ")
+    upstream.received()
+    return upstream
 
 
 def next_port(harness):
@@ -94,13 +96,14 @@
 
 def test_a_granted_slot_is_declined(harness):
     """The dispatcher on another gateway has not heard of it yet."""
-    leave(harness, "e1", "/answer/1")
+    kept = leave(harness, "e1", "/answer/1")
     harness.caller().send(request("/answer/1", "POST", b"x"))
     exchange = next(iter(harness.gateway._exchanges.values()))
     grant = SlotGrant(exchange.wait_number, "e1", 1)
     harness.gateway.fleet._on_message("peer", 1, grant)
     harness.advance(100)
     assert harness.pending_connections() == 0
+    assert kept.received() == b""
 
 
 def test_a_retry_goes_elsewhere(harness):
