--- /dev/null
+++ b/tests/adapter/test_configuration_age.py
@@ -0,0 +1,123 @@
+"""Guards against gateways that take silence of the store for "nothing new" (CONFIG)."""
+
+import random
+
+import pytest
+
+from adapter_fleet import STEP_MS, FleetNetwork
+from adapter_harness import request
+from adapter_store import StoreModel, configuration_record
+from silent_store import SilentStore
+
+# Time after its confirmation by which a configuration has to be in force.
+CONFIGURATION_APPLY_MS = 2_000
+NEW_ROUTE = {
+    "name": "added",
+    "host": "a.example",
+    "path_prefix": "/added/",
+    "kind": "safe",
+    "timeout_ms": 800,
+    "goal_ms": 100,
+    "priority": 2,
+    "service": "orders",
+    "max_attempts": 1,
+}
+
+
+class StoreFleet:
+    """A simulated fleet whose gateways follow one store over connections of their own."""
+
+    def __init__(self, make_harness, seed, hosts):
+        from skylarkmoor_adapter.followers import ConfigurationFollower, UpstreamFollower
+
+        self.model = StoreModel()
+        self.model.write("keyed.op", "config", configuration_record(10))
+        self.rng = random.Random(seed)
+        self.network = FleetNetwork(make_harness, self.rng, [])
+        self.stores = {}
+        for number in range(1, hosts + 1):
+            host = f"host-{number}"
+            self.network.start(host)
+            harness = self.network.members[host].harness
+            gateway = harness.gateway
+            store = SilentStore(self.model, harness.reactor, harness.clock)
+            self.stores[host] = store
+            follower = ConfigurationFollower(store, gateway, gateway.tasks, harness.clock)
+            gateway.tasks.spawn(follower.run())
+            if hasattr(follower, "renew"):
+                gateway.tasks.spawn(follower.renew())
+            upstreams = UpstreamFollower(store, gateway, gateway.tasks, harness.clock, 2_000)
+            gateway.tasks.spawn(upstreams.run())
+
+    @property
+    def gateways(self):
+        return [each.harness.gateway for each in self.network.members.values()]
+
+    def run(self, duration_ms):
+        for _ in range(duration_ms // STEP_MS):
+            self.network.advance()
+
+    def silence(self):
+        for store in self.stores.values():
+            store.silence()
+
+    def publish(self, version):
+        self.model.write("keyed.op", "config", configuration_record(version, NEW_ROUTE))
+
+    def versions(self):
+        return {each.table.version for each in self.gateways}
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 9])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_configuration_is_in_force_in_time_after_connections_went_silent(
+    make_harness, hosts, seed
+):
+    """Hosts waited 9.5 s for an answer on connections that had gone silent."""
+    fleet = StoreFleet(make_harness, seed, hosts)
+    fleet.run(4_000 + fleet.rng.randrange(0, 9_000, STEP_MS))
+    assert fleet.versions() == {10}
+    fleet.silence()
+    fleet.run(fleet.rng.randrange(0, 500, STEP_MS))
+    fleet.publish(11)
+    fleet.run(CONFIGURATION_APPLY_MS)
+    assert fleet.versions() == {11}
+
+
+def test_a_change_is_in_force_in_time_at_a_host_whose_connections_alone_went_silent(make_harness):
+    fleet = StoreFleet(make_harness, 1, 3)
+    fleet.run(5_000)
+    fleet.stores["host-2"].silence()
+    fleet.publish(11)
+    fleet.run(CONFIGURATION_APPLY_MS)
+    assert fleet.versions() == {11}
+
+
+@pytest.mark.parametrize(
+    "changes, status",
+    [({"path": "/unknown/1"}, b"404"), ({"Authorization": "Token unknown"}, b"401")],
+)
+def test_what_is_unknown_is_not_denied_while_the_configuration_may_be_old(
+    make_harness, changes, status
+):
+    """Valid API keys were refused by a table that was seconds old."""
+    fleet = StoreFleet(make_harness, 1, 2)
+    fleet.run(3_000)
+    harness = fleet.network.members["host-1"].harness
+
+    def ask():
+        caller = harness.caller()
+        caller.send(request(**changes))
+        fleet.run(1_000)
+        return caller.received().split(b" ", 2)[1]
+
+    assert ask() == status
+    for store in fleet.stores.values():
+        store.silence()
+        store.is_away = True
+    fleet.run(3_000)
+    assert ask() == b"503"
+    for store in fleet.stores.values():
+        store.is_away = False
+    fleet.run(3_000)
+    assert ask() == status
