--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -29,6 +29,7 @@
 )
 from skylarkmoor_core.settings import Address, parse_address
 from skylarkmoor_gateway.slotcoordinator import SlotCoordinator
+from skylarkmoor_policy.configurationage import ConfigurationAge
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
 from skylarkmoor_policy.fleetlimits import (
@@ -127,6 +128,8 @@
         Failure domain of this host; empty if it is not known.
     crash_evidence : CrashEvidenceTable, optional
         Evidence about parts of prompts that crash upstreams, which the gateways share.
+    max_configuration_age_ms : int
+        Age up to which the configuration counts as the newest.
     """
 
     def __init__(
@@ -143,6 +146,7 @@
         later: Callable[[int, Callable[[], None]], None],
         failure_domain: FailureDomain = _NO_DOMAIN,
         crash_evidence: CrashEvidenceTable | None = None,
+        max_configuration_age_ms: int = 1_000,
     ) -> None:
         # Position of the last record of the operator that was read.
         self.configuration = BEFORE_ALL
@@ -151,6 +155,7 @@
         self.upstreams_read = BEFORE_ALL
         # Version and position of the configuration in force, and its record for peers that lack it.
         self.versions = VersionHistory()
+        self.configuration_age = ConfigurationAge(max_configuration_age_ms)
         self._configuration_data = b""
         # Since when a peer has had a newer one; None if none has.
         self._behind_since_ms: int | None = None
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -152,6 +152,7 @@
             lambda delay_ms, function: reactor.callLater(delay_ms / 1000, function),
             settings.failure_domain,
             self.crash_evidence,
+            settings.max_configuration_age_ms,
         )
         self.crash_examiner = CrashExaminer(
             clock, self.placement, self.crash_evidence, self.pool, self.fleet.send_crash_evidence
@@ -482,9 +483,11 @@
 
     def decision_context(self) -> dict[str, object]:
         """Return version and age of the data that decisions are based on, as log fields."""
+        now_ms = self.clock.now_ms()
         return {
             "configuration": -1 if self._table is None else self._table.version,
-            "upstreams_age_ms": self.clock.now_ms() - self.upstreams_read_ms,
+            "configuration_age_ms": self.fleet.configuration_age.age_ms(now_ms),
+            "upstreams_age_ms": now_ms - self.upstreams_read_ms,
             "peers": self.fleet.active_peer_count(),
             "peers_age_ms": self.fleet.oldest_peer_state_ms(),
         }
@@ -606,6 +609,7 @@
         self.metrics.state(
             held=len(self._exchanges),
             version=-1 if self._table is None else self._table.version,
+            configuration_age_ms=self.fleet.configuration_age.age_ms(now_ms),
             upstreams=usable,
             peers=self.fleet.active_peer_count(),
             blocked_parts=len(self.crash_evidence.suspicions()),
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -32,6 +32,9 @@
         self._duration = self._histogram("request_ms", "Arrival to end.")
         self._held = self._gauge("held_requests", "Requests that wait or run.")
         self._version = self._gauge("configuration_version", "Version in force.")
+        self._configuration_age_ms = self._gauge(
+            "configuration_age_ms", "Time since the version in force was confirmed as the newest."
+        )
         self._upstreams = self._gauge("usable_upstreams", "Upstreams that may get work.")
         self._peers = self._gauge("heard_peers", "Other daemons heard within the last second.")
         self._blocked_parts = self._gauge(
@@ -86,6 +89,7 @@
         *,
         held: int,
         version: int,
+        configuration_age_ms: int | None,
         upstreams: int,
         peers: int,
         blocked_parts: int,
@@ -94,6 +98,8 @@
         """Set the gauges."""
         self._held.set({}, held)
         self._version.set({}, version)
+        if configuration_age_ms is not None:
+            self._configuration_age_ms.set({}, configuration_age_ms)
         self._upstreams.set({}, upstreams)
         self._peers.set({}, peers)
         self._blocked_parts.set({}, blocked_parts)
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -22,6 +22,8 @@
         Retry budget of the whole fleet.
     limit_window_ms, limit_overshoot_fraction, limit_slack_units
         Window of the customers' limits, and the tolerated overshoot per window.
+    max_configuration_age_ms : int
+        Time since its last confirmation up to which the configuration counts as the newest.
     grace_ms : int
         Time between SIGTERM and SIGKILL at shutdown.
     is_first_fleet_start : bool
@@ -44,6 +46,7 @@
     limit_overshoot_fraction: float = 0.0
     limit_slack_units: float = 0
     grace_ms: int = 8_000
+    max_configuration_age_ms: int = 1_000
     is_first_fleet_start: bool = True
     max_canary_share: float = 0.1
     failure_domain: FailureDomain = FailureDomain("")
--- a/tests/adapter/test_configuration_age.py
+++ b/tests/adapter/test_configuration_age.py
@@ -94,7 +94,7 @@
 
 
 @pytest.mark.parametrize(
-    "changes, status",
+    ("changes", "status"),
     [({"path": "/unknown/1"}, b"404"), ({"Authorization": "Token unknown"}, b"401")],
 )
 def test_what_is_unknown_is_not_denied_while_the_configuration_may_be_old(
