--- a/libs/clients/src/skylarkmoor_clients/endpoints.py
+++ b/libs/clients/src/skylarkmoor_clients/endpoints.py
@@ -2,16 +2,38 @@
 
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.web.client import URI
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer  # type: ignore[import-untyped]
 
+from skylarkmoor_core.tcpoptions import configure_socket
+
 __all__ = ["AddressEndpointFactory"]
 
 _CONNECT_TIMEOUT_S = 30.0
 
 
+@implementer(IStreamClientEndpoint)
+class _ConfiguredEndpoint:
+    """Connects like another endpoint, and detects dead connections."""
+
+    def __init__(self, endpoint: Any) -> None:
+        self.endpoint = endpoint
+
+    def connect(self, factory: Any) -> "Deferred[Any]":
+        """Open a connection; called by Twisted."""
+        connecting: Deferred[Any] = self.endpoint.connect(factory)
+        return connecting.addCallback(_configure)
+
+
+def _configure(protocol: Any) -> Any:
+    configure_socket(protocol.transport)
+    return protocol
+
+
 @implementer(IAgentEndpointFactory)
 class AddressEndpointFactory:
     """Makes the endpoints of a Twisted `Agent` for URLs that hold an IP address.
@@ -33,11 +55,8 @@
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
 
-    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint | TCP6ClientEndpoint:  # noqa: N802
+    def endpointForURI(self, uri: URI) -> _ConfiguredEndpoint:  # noqa: N802
         """Return the endpoint for the address and port of a URL."""
         host = uri.host.decode("ascii")
         make: Any = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        endpoint: TCP4ClientEndpoint | TCP6ClientEndpoint = make(
-            self._reactor, host, uri.port, self._connect_timeout_s
-        )
-        return endpoint
+        return _ConfiguredEndpoint(make(self._reactor, host, uri.port, self._connect_timeout_s))
--- a/libs/clients/src/skylarkmoor_clients/httpclient.py
+++ b/libs/clients/src/skylarkmoor_clients/httpclient.py
@@ -16,7 +16,7 @@
 from skylarkmoor_core.errors import PlatformError, SettingsError
 from skylarkmoor_core.settings import parse_address
 
-__all__ = ["Answer", "AnswerTooLarge", "PlatformHttp", "parse_base_url"]
+__all__ = ["Answer", "AnswerTooLarge", "NoAnswer", "PlatformHttp", "parse_base_url"]
 
 T = TypeVar("T")
 
@@ -29,6 +29,10 @@
     """The response body exceeds the size limit of the caller."""
 
 
+class NoAnswer(PlatformError):
+    """No complete response has arrived; the request may have taken effect."""
+
+
 class Answer:
     """An HTTP response whose body has been read completely."""
 
@@ -97,6 +101,7 @@
     def __init__(self, base_url: str) -> None:
         self.base_url = parse_base_url(base_url)
         self._client: HTTPClient | None = None
+        self._unpooled_client: HTTPClient | None = None
         self._pool: HTTPConnectionPool | None = None
 
     async def request(
@@ -108,6 +113,7 @@
         max_bytes: int,
         params: Mapping[str, str] | None = None,
         body: bytes | None = None,
+        new_connection: bool = False,
     ) -> Answer:
         """Send a request and return the complete response.
 
@@ -119,12 +125,15 @@
             Maximum size of the response body.
         body : bytes, optional
             JSON request body.
+        new_connection : bool
+            Whether to open a connection for this request only, because a kept one may have gone
+            silent.
 
         Raises
         ------
         AnswerTooLarge
             If the body is longer than `max_bytes`.
-        PlatformError
+        NoAnswer
             If no complete response arrives in time. The request may have taken effect.
 
         Notes
@@ -143,7 +152,7 @@
             chunks.append(chunk)
 
         async def send_and_receive() -> Answer:
-            response = await self._send(method, path, params, body)
+            response = await self._send(method, path, params, body, new_connection)
             await _receive_body(response, keep)
             return Answer(response.code, response.headers, b"".join(chunks))
 
@@ -151,7 +160,7 @@
 
         def report_timeout(result: Any, _: float) -> Any:
             if isinstance(result, Failure):
-                raise PlatformError(f"{what}: no complete answer within {timeout_ms} ms")
+                raise NoAnswer(f"{what}: no complete answer within {timeout_ms} ms")
             return result
 
         call = Deferred.fromCoroutine(send_and_receive())
@@ -210,24 +219,36 @@
             if idle_timer.active():
                 idle_timer.cancel()
 
+    def drop_connections(self) -> None:
+        """Begin to close the idle connections; the next requests open new ones."""
+        if self._pool is not None:
+            self._pool.closeCachedConnections()  # type: ignore[no-untyped-call]
+
     async def close(self) -> None:
         """Close idle connections."""
         if self._pool is not None:
             await self._pool.closeCachedConnections()  # type: ignore[no-untyped-call]
 
     def _send(
-        self, method: str, path: str, params: Mapping[str, str] | None, body: bytes | None
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str] | None,
+        body: bytes | None,
+        new_connection: bool = False,
     ) -> "Deferred[Any]":
-        if self._client is None:
+        if self._client is None or self._unpooled_client is None:
             self._pool = HTTPConnectionPool(_reactor())  # type: ignore[no-untyped-call]
             self._pool.cachedConnectionTimeout = _IDLE_CONNECTION_TIMEOUT_S
             make_agent: Any = Agent.usingEndpointFactory
-            agent = make_agent(_reactor(), AddressEndpointFactory(_reactor()), self._pool)
-            self._client = HTTPClient(agent)
+            endpoints = AddressEndpointFactory(_reactor())
+            self._client = HTTPClient(make_agent(_reactor(), endpoints, self._pool))
+            self._unpooled_client = HTTPClient(make_agent(_reactor(), endpoints))
+        client = self._unpooled_client if new_connection else self._client
         producer: Any = None
         if body is not None:
             producer = FileBodyProducer(BytesIO(body))  # type: ignore[no-untyped-call]
-        return self._client.request(
+        return client.request(
             method,
             f"{self.base_url}{path}",
             params=dict(params or {}),
@@ -253,7 +274,7 @@
         raise
     except Exception as error:
         # The reactor and the HTTP client raise many unrelated exception types for a failed request.
-        raise PlatformError(f"{what}: no answer: {_describe_cause(error)}") from error
+        raise NoAnswer(f"{what}: no answer: {_describe_cause(error)}") from error
 
 
 def _describe_cause(error: Exception) -> str:
--- a/libs/clients/tests/test_endpoints.py
+++ b/libs/clients/tests/test_endpoints.py
@@ -42,4 +42,4 @@
     from skylarkmoor_clients.endpoints import AddressEndpointFactory
 
     made = AddressEndpointFactory(reactor).endpointForURI(URI.fromBytes(url))
-    assert type(made).__name__ == endpoint
+    assert type(made.endpoint).__name__ == endpoint
--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -296,6 +296,23 @@
     data: bytes
 
 
+class ConfigurationConfirmed(_Message, frozen=True, tag="n"):
+    """Tells up to where the sender has read the configuration, and when that was the end.
+
+    Attributes
+    ----------
+    era, offset : int
+        Position of the last record that it has read.
+    confirmed_ms, sent_ms : int
+        Monotonic times of the sender: when its read began, and when it sent this.
+    """
+
+    era: int
+    offset: int
+    confirmed_ms: _Time
+    sent_ms: _Time
+
+
 class RelayedState(msgspec.Struct, frozen=True, array_like=True):
     """The state of a gateway as a relay passes it on."""
 
@@ -448,6 +465,7 @@
     | GatewayState
     | ConfigurationQuery
     | ConfigurationCopy
+    | ConfigurationConfirmed
     | StateBundle
     | SlotRequest
     | SlotWithdrawal
--- a/libs/gateway/src/skylarkmoor_gateway/tcpoptions.py
+++ b/libs/core/src/skylarkmoor_core/tcpoptions.py
@@ -1,4 +1,4 @@
-"""TCP options of all connections of the gateway."""
+"""TCP options of the connections to callers, upstreams, peers and the platform."""
 
 import socket
 import struct
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -14,6 +14,7 @@
     ClaimRequest,
     ClaimResult,
     ClaimStatus,
+    ConfigurationConfirmed,
     ConfigurationCopy,
     ConfigurationQuery,
     CrashedRequest,
@@ -69,6 +70,7 @@
     SlotRequest(3, "assistant", 0, 1, False, 900, 400, 5, 300, 1500, 80, 9000, ("gpu-1",)),
     SlotWithdrawal(3),
     SlotGrant(3, "gpu-1", 17),
+    ConfigurationConfirmed(1, 7, 80, 90),
     NamedLimits(90, (NamedLimit("gpu-1", 17, 2.5, 80, 4), NamedLimit("gpu-2", 18, None, 85, 0))),
     CrashEvidence(
         (CrashReport("gpu-1", 7, 20, (CrashedRequest("r1", True, (2**64 - 1,)),)),),
--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -7,8 +7,8 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from skylarkmoor_core.tcpoptions import configure_socket, reset_on_close
 from skylarkmoor_gateway.messages import Headers
-from skylarkmoor_gateway.tcpoptions import configure_socket, reset_on_close
 from skylarkmoor_policy.routetable import CallerLimits
 
 __all__ = ["CallerConnection", "CallerConnectionFactory", "RequestHandler"]
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -7,10 +7,12 @@
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.errors import SettingsError
+from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.logposition import BEFORE_ALL, LogPosition
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
+    ConfigurationConfirmed,
     ConfigurationCopy,
     ConfigurationQuery,
     CrashEvidence,
@@ -285,6 +287,42 @@
         self._configuration_data = data
         self._behind_since_ms = None
 
+    def confirm_configuration(self, began_ms: int) -> None:
+        """Record that a read that began at a time has shown all records, and tell the group."""
+        self.configuration_age.confirm(began_ms)
+        position = self.configuration
+        self._transport.multicast(
+            [host for host in self._configuration_group() if host != self._host],
+            ConfigurationConfirmed(position.era, position.offset, began_ms, self._clock.now_ms()),
+        )
+
+    def configuration_rank(self) -> int:
+        """Return how many live gateways are to confirm the configuration before this one."""
+        order = rendezvous_order("configuration", self._configuration_group())
+        return order.index(self._host) if self._host in order else len(order)
+
+    def _configuration_group(self) -> list[HostId]:
+        """Return the live gateways that confirm the configuration for each other."""
+        hosts = self.live_hosts()
+        if len(self._peer_states) < _MIN_RELAY_PEERS:
+            return hosts
+        return [
+            host
+            for host in hosts
+            if host == self._host or self._peer_states[host].failure_domain == self._failure_domain
+        ]
+
+    def _handle_confirmation(
+        self, sender: HostId, incarnation: Incarnation, message: ConfigurationConfirmed
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        self._clocks.observe(sender, incarnation, message.sent_ms, now_ms)
+        if LogPosition(message.era, message.offset) > self.configuration:
+            self._on_newer()
+        else:
+            confirmed_ms = self._clocks.local_ms(sender, message.confirmed_ms, now_ms)
+            self.configuration_age.confirm(confirmed_ms)
+
     def _in_force(self) -> tuple[int, int, int] | None:
         """Return era, offset and version of the configuration in force, None without one."""
         position, version = self.versions.position, self.versions.version
@@ -647,6 +685,8 @@
                     self._transport.send(sender, copy)
             case ConfigurationCopy():
                 self.on_configuration(message)
+            case ConfigurationConfirmed():
+                self._handle_confirmation(sender, incarnation, message)
             case SlotRequest():
                 self.slot_coordinator.handle_slot_request(sender, message)
             case SlotWithdrawal():
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -78,6 +78,11 @@
 # Retry-After for a request that is blocked, for about a minute, because it crashed several
 # upstreams.
 _BLOCKED_RETRY_MS = 2_000
+# Time for which a request that the configuration does not allow waits for the confirmation that the
+# configuration is the newest one. Normally there is one every few hundred milliseconds.
+_CONFIRMATION_WAIT_MS = 500
+# Retry-After if there is none in that time.
+_NO_CONFIRMATION_RETRY_MS = 1_000
 # Length of a header value in a log line.
 _MAX_LOGGED_CHARACTERS = 100
 
@@ -166,6 +171,8 @@
         self._pools: dict[UpstreamId, UpstreamPool] = {}
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, Exchange] = {}
+        # Requests that may be allowed by a newer configuration, with the time of their arrival.
+        self._unconfirmed: dict[CallerConnection, tuple[h11.Request, bytes, int]] = {}
         self._ports: list[Any] = []
         self._route_costs = RouteCosts()
 
@@ -284,6 +291,7 @@
     def caller_disconnected(self, caller: CallerConnection) -> None:
         """Unregister a closed connection of a caller and cancel its request."""
         self._callers.discard(caller)
+        self._unconfirmed.pop(caller, None)
         exchange = self._exchanges.get(caller)
         if exchange is not None:
             exchange.caller_disconnected()
@@ -307,11 +315,17 @@
             self._refuse(caller, request, 503, "no configuration yet", _NO_TABLE_RETRY_MS)
             return
         route = table.route(request.host, request.target.decode("latin-1"))
+        customer = None if request.api_key is None else table.customer(request.api_key)
+        is_denied = route is None or (
+            customer is None and table.requires_api_keys and not route.public
+        )
+        if is_denied and not self.fleet.configuration_age.is_current(self.clock.now_ms()):
+            self._unconfirmed[caller] = (head, body, self.clock.now_ms())
+            return
         if route is None:
             self._refuse(caller, request, 404, "no route matches")
             return
-        customer = None if request.api_key is None else table.customer(request.api_key)
-        if customer is None and table.requires_api_keys and not route.public:
+        if is_denied:
             self._refuse(caller, request, 401, "the API key is not known")
             return
         if self.crash_counts.is_blocked(self._fingerprint(request)):
@@ -326,6 +340,20 @@
             return
         self._admit(caller, request, route, customer)
 
+    def _handle_unconfirmed(self, now_ms: int) -> None:
+        """Handle the requests again that wait for a confirmed configuration, or refuse them."""
+        is_current = self.fleet.configuration_age.is_current(now_ms)
+        for caller, (head, body, arrived_ms) in list(self._unconfirmed.items()):
+            if is_current:
+                del self._unconfirmed[caller]
+                self.handle(caller, head, body)
+            elif now_ms - arrived_ms >= _CONFIRMATION_WAIT_MS:
+                del self._unconfirmed[caller]
+                headers = list(head.headers.raw_items())
+                request = self.codec.decode_request(head.method, head.target, headers, body)
+                reason = "unknown to the configuration, which may be outdated"
+                self._refuse(caller, request, 503, reason, _NO_CONFIRMATION_RETRY_MS)
+
     def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
         """Return the connection pool of an upstream, None if the upstream is unknown."""
         return self._pools.get(upstream)
@@ -571,6 +599,8 @@
         self.fleet.tick()
         self.fleet.slot_coordinator.tick()
         now_ms = self.clock.now_ms()
+        if self._unconfirmed:
+            self._handle_unconfirmed(now_ms)
         if now_ms - self._stalls_checked_ms >= _STALL_CHECK_MS:
             self._stalls_checked_ms = now_ms
             for exchange in list(self._exchanges.values()):
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -11,8 +11,8 @@
 from twisted.python.failure import Failure
 
 from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.tcpoptions import configure_socket
 from skylarkmoor_gateway.messages import Headers
-from skylarkmoor_gateway.tcpoptions import configure_socket
 
 __all__ = ["ResponseReader", "UpstreamConnection", "UpstreamPool"]
 
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+# For tests in which nothing confirms the configuration.
+ONE_DAY_MS = 86_400_000
+
 
 @pytest.fixture
 def harness(make_harness):
@@ -16,8 +19,8 @@
     """Return a function that makes gateways, whose sockets are closed after the test."""
     made = []
 
-    def make(host="host-1", clock=None):
-        made.append(_make_harness(host, clock))
+    def make(host="host-1", clock=None, max_configuration_age_ms=ONE_DAY_MS):
+        made.append(_make_harness(host, clock, max_configuration_age_ms))
         return made[-1]
 
     yield make
@@ -25,7 +28,7 @@
         each.gateway.fleet.close()
 
 
-def _make_harness(host, clock):
+def _make_harness(host, clock, max_configuration_age_ms):
     # Imported here, because importing klein installs the default reactor.
     from twisted.internet.testing import MemoryReactorClock
 
@@ -41,11 +44,19 @@
     clock = clock or ManualClock(now_ms=1_000)
     address = Address("127.0.0.1", 0)
     gateway = Gateway(
-        GatewaySettings(host, address, address, address, retry_slack=50),
+        GatewaySettings(
+            host,
+            address,
+            address,
+            address,
+            retry_slack=50,
+            max_configuration_age_ms=max_configuration_age_ms,
+        ),
         reactor,
         clock,
         random.Random(int(host.rpartition("-")[2])),
         HeaderCodec(),
     )
     gateway.set_table(decode_configuration(CONFIG), CONFIG)
+    gateway.fleet.configuration_age.confirm(clock.now_ms())
     return Harness(gateway, reactor, clock)
--- a/tests/adapter/test_configuration_age.py
+++ b/tests/adapter/test_configuration_age.py
@@ -1,16 +1,19 @@
 """Guards against gateways that take silence of the store for "nothing new" (CONFIG)."""
 
 import random
+from functools import partial
 
 import pytest
 
 from adapter_fleet import STEP_MS, FleetNetwork
 from adapter_harness import request
-from adapter_store import StoreModel, configuration_record
+from adapter_store import StoreModel, configuration_record, entry_record
 from silent_store import SilentStore
 
 # Time after its confirmation by which a configuration has to be in force.
 CONFIGURATION_APPLY_MS = 2_000
+# Time after its entry says so within which an upstream has to be known to be leaving.
+DRAIN_MS = 2_000
 NEW_ROUTE = {
     "name": "added",
     "host": "a.example",
@@ -33,6 +36,7 @@
         self.model = StoreModel()
         self.model.write("keyed.op", "config", configuration_record(10))
         self.rng = random.Random(seed)
+        make_harness = partial(make_harness, max_configuration_age_ms=CONFIGURATION_APPLY_MS // 2)
         self.network = FleetNetwork(make_harness, self.rng, [])
         self.stores = {}
         for number in range(1, hosts + 1):
@@ -44,8 +48,7 @@
             self.stores[host] = store
             follower = ConfigurationFollower(store, gateway, gateway.tasks, harness.clock)
             gateway.tasks.spawn(follower.run())
-            if hasattr(follower, "renew"):
-                gateway.tasks.spawn(follower.renew())
+            gateway.tasks.spawn(follower.renew())
             upstreams = UpstreamFollower(store, gateway, gateway.tasks, harness.clock, 2_000)
             gateway.tasks.spawn(upstreams.run())
 
@@ -93,6 +96,21 @@
     assert fleet.versions() == {11}
 
 
+@pytest.mark.parametrize("hosts", [1, 2, 9])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_leaving_upstream_is_known_in_time_after_connections_went_silent(
+    make_harness, hosts, seed
+):
+    """The list of upstreams was read for 1.5 s on connections that had gone silent."""
+    fleet = StoreFleet(make_harness, seed, hosts)
+    fleet.model.write("keyed.servers", "e1", entry_record())
+    fleet.run(4_000 + fleet.rng.randrange(0, 9_000, STEP_MS))
+    fleet.silence()
+    fleet.model.write("keyed.servers", "e1", entry_record(state="draining", seq=2))
+    fleet.run(DRAIN_MS)
+    assert [each.placement.upstreams["e1"].leaving for each in fleet.gateways] == [True] * hosts
+
+
 @pytest.mark.parametrize(
     ("changes", "status"),
     [({"path": "/unknown/1"}, b"404"), ({"Authorization": "Token unknown"}, b"401")],
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -24,14 +24,15 @@
 
     def __init__(self):
         self.on_restored = []
+        self.on_silence = []
         self.newest_answers = []
         self.read_answers = []
         self.appended = []
 
-    async def newest(self, topic):
+    async def newest(self, topic, *, new_connection=False):
         return self._next_answer(self.newest_answers)
 
-    async def read(self, topic, from_offset, wait_ms=0):
+    async def read(self, topic, from_offset, wait_ms=0, *, new_connection=False, timeout_ms=1_500):
         return self._next_answer(self.read_answers)
 
     async def append(self, topic, key, value):
@@ -241,7 +242,7 @@
     configuration = followers.configuration
     run_to_completion(configuration._reader.next(0))
 
-    def stop_and_fail(topic, from_offset, wait_ms=0):
+    def stop_and_fail(topic, from_offset, wait_ms=0, **kwargs):
         followers.gateway.tasks.stop()
         raise PlatformError("cancelled")
 
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -33,7 +33,9 @@
         self.is_away = False
         self.delayed = None
 
-    async def request(self, method, path, *, params, body=None, timeout_ms, max_bytes):
+    async def request(
+        self, method, path, *, params, body=None, timeout_ms, max_bytes, new_connection=False
+    ):
         if self.is_away:
             raise PlatformError("the store is away")
         response = self.model.respond(method, path, params, body or b"")
--- a/tests/silent_store.py
+++ b/tests/silent_store.py
@@ -7,7 +7,7 @@
 
 from adapter_store import StoreModel
 from skylarkmoor_adapter.store import KeyedRecord, StorePage
-from skylarkmoor_core.errors import PlatformError
+from skylarkmoor_clients.httpclient import NoAnswer
 
 __all__ = ["SilentStore", "Channel"]
 
@@ -21,8 +21,9 @@
 class Channel:
     """A connection to the store; a silent one stays open and carries nothing any more."""
 
+    # Whether it is used again after a call.
+    kept: bool = True
     silent: bool = False
-    busy: bool = False
 
 
 @dataclass
@@ -49,6 +50,7 @@
 
     def __init__(self, model: StoreModel, reactor: Any, clock: Any) -> None:
         self.on_restored: list[Any] = []
+        self.on_silence: list[Any] = []
         self.model = model
         self.calls = 0
         # Whether new connections stay without an answer as well.
@@ -100,7 +102,7 @@
         if self._idle and not new_connection:
             channel = self._idle.pop()
         else:
-            channel = Channel()
+            channel = Channel(kept=not new_connection)
             self._channels.add(channel)
         now_ms = self._clock.now_ms()
         timeout_at_ms = now_ms + (timeout_ms or CALL_TIMEOUT_MS) + wait_ms
@@ -117,11 +119,17 @@
         silent = call.channel.silent or self.is_away
         if silent and now_ms >= call.timeout_at_ms:
             self._channels.discard(call.channel)
-            call.done.errback(PlatformError("no complete answer in time"))
+            call.done.errback(NoAnswer("no complete answer in time"))
+            self.drop_connections()
+            for callback in self.on_silence:
+                callback()
             return
         page = self._page(call)
         if not silent and (page.records or now_ms >= call.wait_until_ms):
-            self._idle.append(call.channel)
+            if call.channel.kept:
+                self._idle.append(call.channel)
+            else:
+                self._channels.discard(call.channel)
             call.done.callback(page)
             return
         self._reactor.callLater(_POLL_MS / 1_000, lambda: self._advance(call))
