--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -3,9 +3,20 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
-from adapter_harness import Harness, Upstream, answer, chunk, request, stream_head
+from twisted.internet.error import ConnectionRefusedError, TimeoutError
+
+from adapter_harness import (
+    Harness,
+    PendingConnection,
+    Upstream,
+    answer,
+    chunk,
+    request,
+    stream_head,
+)
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.ids import HostId
 from skylarkmoor_core.messages import Envelope, Message, decode_envelope, encode_envelope
@@ -13,9 +24,24 @@
 
 STEP_MS = 25
 _MAINTENANCE_MS = 500
+# When the kernel gives up a connection on which nothing is acknowledged.
+_DEAD_CONNECTION_MS = 4_000
 EVENT = b"id: 1\ndata: a\n\n"
 
 
+class CutKind(Enum):
+    """What happens to connections of a host that loses its path to an upstream."""
+
+    # Nothing passes, in neither direction; new connections time out.
+    SILENT = "silent"
+    # Open connections are reset, new ones refused.
+    RESET = "reset"
+    # Requests arrive, but no answer comes back; new connections time out.
+    ONE_WAY = "one way"
+    # Open connections work on, new ones are refused.
+    KEPT = "kept"
+
+
 class FleetTransport:
     """Stands in for the sockets of a gateway, and passes its messages to the network."""
 
@@ -74,7 +100,9 @@
     harness: Harness
     incarnation: int
     connections: list[tuple[ModelUpstream, Upstream]] = field(default_factory=list)
-    answers: list[tuple[int, Upstream, bytes]] = field(default_factory=list)
+    answers: list[tuple[int, ModelUpstream, Upstream, bytes]] = field(default_factory=list)
+    # Connections that wait to be accepted, with the time at which they were begun.
+    pending: list[tuple[int, PendingConnection]] = field(default_factory=list)
     paused: bool = False
     # Time by which the timers of a paused gateway are late.
     late_ms: int = 0
@@ -103,6 +131,8 @@
         self.members: dict[HostId, FleetMember] = {}
         # Hosts whose messages to and from peers are lost.
         self.cut: set[HostId] = set()
+        # Kind and beginning of each lost path from a host to an upstream.
+        self.lost_paths: dict[tuple[HostId, str], tuple[CutKind, int]] = {}
         self._make_harness = make_harness
         self._rng = rng
         self._messages: list[tuple[int, HostId, bytes]] = []
@@ -126,6 +156,27 @@
             harness.add_upstream(upstream.name, upstream.service, upstream.port, slots=8)
         self.members[host] = member
 
+    def lose_path(self, host: HostId, upstream: ModelUpstream, kind: CutKind) -> None:
+        """Let a host lose its path to an upstream."""
+        self.lost_paths[host, upstream.name] = (kind, self.clock.now_ms())
+        if kind is CutKind.RESET:
+            self._reset_connections(self.members[host], upstream)
+
+    def regain_path(self, host: HostId, upstream: ModelUpstream) -> None:
+        """Let a host regain its path to an upstream."""
+        self.lost_paths.pop((host, upstream.name), None)
+
+    def _reset_connections(self, member: FleetMember, upstream: ModelUpstream) -> None:
+        lost = [each for each in member.connections if each[0] is upstream]
+        member.connections = [each for each in member.connections if each[0] is not upstream]
+        member.answers = [each for each in member.answers if each[1] is not upstream]
+        for _, connection in lost:
+            connection.close(reset=True)
+
+    def _lost_kind(self, host: HostId, upstream: ModelUpstream) -> CutKind | None:
+        lost = self.lost_paths.get((host, upstream.name))
+        return None if lost is None else lost[0]
+
     def kill(self, host: HostId) -> None:
         """End a gateway at once."""
         del self.members[host]
@@ -189,9 +240,12 @@
         harness = member.harness
         harness.reactor.advance(STEP_MS / 1_000)
         self._serve(member, now_ms)
-        for _, connection, data in [each for each in member.answers if each[0] <= now_ms]:
+        due = [
+            each for each in member.answers if each[0] <= now_ms and self._passes(member, each[1])
+        ]
+        member.answers = [each for each in member.answers if each not in due]
+        for _, _, connection, data in due:
             connection.send(data)
-        member.answers = [each for each in member.answers if each[0] > now_ms]
         harness.gateway._tick()
         if now_ms % _MAINTENANCE_MS < STEP_MS:
             harness.gateway._maintain()
@@ -200,11 +254,15 @@
     def _serve(self, member: FleetMember, now_ms: int) -> None:
         """Have the upstreams read what the gateway has sent, and prepare their answers."""
         harness = member.harness
-        by_port = {each.port: each for each in self.upstreams}
         while harness.pending_connections():
-            port = harness.reactor.tcpClients[harness.next_connection][1]
-            member.connections.append((by_port[port], harness.accept()))
-        for upstream, connection in member.connections:
+            member.pending.append((now_ms, harness.take_connection()))
+        self._drop_dead_connections(member, now_ms)
+        pending, member.pending = member.pending, []
+        for begun_ms, connection in pending:
+            self._connect(member, begun_ms, connection, now_ms)
+        for upstream, connection in list(member.connections):
+            if self._lost_kind(member.host, upstream) is CutKind.SILENT:
+                continue
             data = connection.received()
             if not data:
                 continue
@@ -216,4 +274,32 @@
             is_stream = b" /answer/" in data.partition(b"\r\n")[0]
             body = stream_head(**headers) + chunk(EVENT) + chunk(b"")
             response = body if is_stream else answer(**headers)
-            member.answers.append((now_ms + upstream.run_ms, connection, response))
+            member.answers.append((now_ms + upstream.run_ms, upstream, connection, response))
+
+    def _passes(self, member: FleetMember, upstream: ModelUpstream) -> bool:
+        """Return whether answers of an upstream reach a gateway."""
+        return self._lost_kind(member.host, upstream) in (None, CutKind.KEPT)
+
+    def _connect(
+        self, member: FleetMember, begun_ms: int, connection: PendingConnection, now_ms: int
+    ) -> None:
+        """Accept a connection, let it fail, or leave it pending."""
+        upstream = next(each for each in self.upstreams if each.port == connection.address[1])
+        match self._lost_kind(member.host, upstream):
+            case None:
+                member.connections.append((upstream, connection.accept()))
+            case CutKind.RESET | CutKind.KEPT:
+                connection.fail(ConnectionRefusedError())
+            case CutKind.SILENT | CutKind.ONE_WAY:
+                if now_ms - begun_ms >= connection.timeout_s * 1_000:
+                    connection.fail(TimeoutError())
+                else:
+                    member.pending.append((begun_ms, connection))
+
+    def _drop_dead_connections(self, member: FleetMember, now_ms: int) -> None:
+        for upstream in self.upstreams:
+            lost = self.lost_paths.get((member.host, upstream.name))
+            if lost is None or lost[0] not in (CutKind.SILENT, CutKind.ONE_WAY):
+                continue
+            if now_ms - lost[1] >= _DEAD_CONNECTION_MS:
+                self._reset_connections(member, upstream)
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -112,6 +112,26 @@
         self.protocol.connectionLost(Failure(reason))
 
 
+@dataclass
+class PendingConnection:
+    """A connection of the gateway that is neither accepted nor refused yet."""
+
+    address: tuple[str, int]
+    factory: Any
+    timeout_s: float
+
+    def accept(self) -> Upstream:
+        """Accept the connection."""
+        protocol = self.factory.buildProtocol(None)
+        transport = RecordingTransport()
+        protocol.makeConnection(transport)
+        return Upstream(protocol, transport)
+
+    def fail(self, error: Exception) -> None:
+        """Let the connection fail."""
+        self.factory.clientConnectionFailed(None, Failure(error))
+
+
 @dataclass
 class Harness:
     """A gateway with its clock and reactor, and the connections that it opens."""
@@ -135,18 +155,17 @@
 
     def accept(self) -> Upstream:
         """Accept the gateway's next connection to an upstream."""
-        _, _, factory, _, _ = self.reactor.tcpClients[self.next_connection]
-        self.next_connection += 1
-        protocol = factory.buildProtocol(None)
-        transport = RecordingTransport()
-        protocol.makeConnection(transport)
-        return Upstream(protocol, transport)
+        return self.take_connection().accept()
 
     def refuse(self) -> None:
         """Refuse the gateway's next connection to an upstream."""
-        _, _, factory, _, _ = self.reactor.tcpClients[self.next_connection]
+        self.take_connection().fail(ConnectionRefusedError())
+
+    def take_connection(self) -> "PendingConnection":
+        """Return the gateway's next connection, to be accepted or refused later."""
+        address, port, factory, timeout_s, _ = self.reactor.tcpClients[self.next_connection]
         self.next_connection += 1
-        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        return PendingConnection((address, port), factory, timeout_s)
 
     def pending_connections(self) -> int:
         """Return how many connections to upstreams are neither accepted nor refused yet."""
