--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -281,6 +281,11 @@
     in_force: tuple[int, int, int] | None = None
     # Monotonic time of the sender when it sent the state; 0 if it does not tell.
     sent_ms: _Time = 0
+    # Where the sender accepts connections to be passed on to upstreams; empty if it does not.
+    relay_address: str = ""
+    # Connections that it passes on, and upstreams that it does not reach itself.
+    relayed: int = 0
+    unreachable: tuple[UpstreamId, ...] = ()
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
--- a/libs/gateway/src/skylarkmoor_gateway/crashexaminer.py
+++ b/libs/gateway/src/skylarkmoor_gateway/crashexaminer.py
@@ -10,6 +10,7 @@
 from skylarkmoor_core.ids import UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import CrashedRequest
+from skylarkmoor_gateway.tunnels import TunnelRefused
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
 from skylarkmoor_policy.placement import Placement
@@ -23,6 +24,8 @@
 class _Examination:
     requests: list[CrashedRequest] = field(default_factory=list)
     callbacks: list[Callable[[], None]] = field(default_factory=list)
+    # Whether the first connection has failed.
+    is_second: bool = False
 
 
 class CrashExaminer:
@@ -44,7 +47,8 @@
     Notes
     -----
     A broken connection alone does not show a crash: the network may reset it, and a faulty upstream
-    breaks off single answers. A new connection that opens is kept for the next request.
+    breaks off single answers. A new connection that opens is kept for the next request. If none
+    opens from here, a peer is asked, because this host may have lost its path to the upstream.
     """
 
     def __init__(
@@ -89,9 +93,12 @@
             examination.callbacks.append(done)
             return
         self._examinations[key] = _Examination([request], [done])
+        self._connect(key, pool)
+
+    def _connect(self, key: tuple[UpstreamId, int], pool: UpstreamPool) -> None:
         pool.connect().addCallbacks(
             lambda connection: self._connected(key, pool, connection),
-            lambda failure: self._not_connected(key, failure),
+            lambda failure: self._not_connected(key, pool, failure),
         )
 
     def _connected(
@@ -105,13 +112,27 @@
         for done in examination.callbacks:
             done()
 
-    def _not_connected(self, key: tuple[UpstreamId, int], failure: Failure) -> None:
-        examination = self._examinations.pop(key)
+    def _not_connected(
+        self, key: tuple[UpstreamId, int], pool: UpstreamPool, failure: Failure
+    ) -> None:
+        examination = self._examinations[key]
+        # After a failure it may be one through a peer.
+        other = self._pool(key[0])
+        if other is not None and other is not pool and not examination.is_second:
+            examination.is_second = True
+            self._connect(key, other)
+            return
+        del self._examinations[key]
+        if examination.is_second and not isinstance(failure.value, TunnelRefused):
+            # Neither the upstream nor a peer is reached, which tells nothing of the upstream.
+            for done in examination.callbacks:
+                done()
+            return
         upstream, started_wall_ms = key
         now_ms = self._clock.now_ms()
         self._placement.back_off(upstream, now_ms)
         requests = examination.requests
-        if not isinstance(failure.value, RefusedError):
+        if not _is_refused_by_upstream(failure.value):
             # The path to the upstream may be cut, which says less about the requests.
             requests = [CrashedRequest(each.request, False, each.parts) for each in requests]
         self._evidence.record_crash(upstream, started_wall_ms, requests, now_ms)
@@ -128,3 +149,9 @@
         self._on_crash()
         for done in examination.callbacks:
             done()
+
+
+def _is_refused_by_upstream(error: BaseException | None) -> bool:
+    if isinstance(error, TunnelRefused):
+        return error.by_upstream
+    return isinstance(error, RefusedError)
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -1,7 +1,8 @@
 """Processing of one request: placement, attempts, retries and the response to the caller."""
 
 import logging
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
 
@@ -25,6 +26,7 @@
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.responses import CallerResponse
 from skylarkmoor_gateway.slotcoordinator import SlotClient
+from skylarkmoor_gateway.tunnels import TunnelRefused
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.callertimeouts import (
     latest_start_ms,
@@ -37,6 +39,7 @@
 from skylarkmoor_policy.eventstream import EventTooLarge
 from skylarkmoor_policy.fleetlimits import FleetRetryBudget
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
+from skylarkmoor_policy.reachability import SILENCE_MS, DirectPath, Path, PeerPath
 from skylarkmoor_policy.routetable import CustomerPolicy, RetrySafety, Route
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.trackedupstream import TrackedUpstream
@@ -67,6 +70,8 @@
 _SAMPLE_EVENTS = 8
 # Minimum time before the deadline for another attempt.
 _MIN_REMAINING_MS = 30
+# Peers through which a request is sent if the first of them has no connection to the upstream.
+_MAX_PEERS = 2
 # Placeholder that `SlotCoordinator.wait` replaces.
 _NO_TICKET = Ticket(HostId(""), 0)
 
@@ -94,8 +99,20 @@
     retries: FleetRetryBudget
     crash_examiner: CrashExaminer
 
-    def pool(self, upstream: UpstreamId) -> UpstreamPool | None:
-        """Return the connection pool of an upstream, None if the upstream is unknown."""
+    def pool(self, upstream: UpstreamId, peer: HostId | None = None) -> UpstreamPool | None:
+        """Return the connections to an upstream, direct or through a peer; None if unknown."""
+
+    def path(self, upstream: UpstreamId, exclude: Collection[HostId] = ()) -> Path:
+        """Return the path on which a request is to be sent to an upstream."""
+
+    def peer_failed(self, peer: HostId, upstream: UpstreamId | None = None) -> None:
+        """Record that a peer could not be reached, or could not reach an upstream."""
+
+    def is_path_lost(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream is not reached from here although a peer reaches it."""
+
+    def is_cut_off(self, service: ServiceName) -> bool:
+        """Return whether no upstream of a service has sent anything here lately."""
 
     def wait_for_slot(self, exchange: "Exchange") -> None:
         """Queue a request until an upstream slot is granted."""
@@ -152,6 +169,9 @@
     sent_ms: int
     queued_prefill_tokens: int
     connection: UpstreamConnection | None = None
+    # Through which the connection goes, None for a direct one, and all that have been tried.
+    peer: HostId | None = None
+    tried_peers: set[HostId] = field(default_factory=set)
     has_data: bool = False
     predicted_ms: float = 0.0
     # Whether a permit was used up, as the upstream has named a limit.
@@ -298,11 +318,29 @@
         if not self.route.idempotent:
             return
         silent_ms = now_ms - max(attempt.sent_ms, attempt.last_data_ms)
-        if silent_ms < stall_timeout_ms(self.route, attempt.predicted_ms):
+        if silent_ms < stall_timeout_ms(self.route, attempt.predicted_ms) and not (
+            silent_ms > SILENCE_MS and self._is_lost(attempt)
+        ):
             return
         if self._runs < self.route.max_upstreams and self._sends < _MAX_SENDS:
             self._fail_attempt(attempt, f"the upstream was silent for {silent_ms} ms")
 
+    def awaited_upstream(self, now_ms: int) -> UpstreamId | None:
+        """Return the upstream that is silent although it has been sent the request directly."""
+        attempt = self._current
+        if attempt is None or attempt.connection is None or attempt.peer is not None:
+            return None
+        silent_ms = now_ms - max(attempt.sent_ms, attempt.last_data_ms)
+        return attempt.upstream if silent_ms > SILENCE_MS else None
+
+    def _is_lost(self, attempt: _SendAttempt) -> bool:
+        """Return whether the path of an attempt is down, and not only that of new connections."""
+        return (
+            attempt.peer is None
+            and self._gateway.is_path_lost(attempt.upstream)
+            and self._gateway.is_cut_off(self.service)
+        )
+
     def _version_rule(self) -> VersionRule | None:
         return self._gateway.version_rule(self, is_retry=self._sends > 0)
 
@@ -452,7 +490,13 @@
         )
 
     def _connect(self, attempt: _SendAttempt) -> None:
-        pool = self._gateway.pool(attempt.upstream)
+        match self._gateway.path(attempt.upstream, attempt.tried_peers):
+            case PeerPath(host=host):
+                attempt.peer = host
+                self._log_peer(attempt)
+            case DirectPath():
+                attempt.peer = None
+        pool = self._gateway.pool(attempt.upstream, attempt.peer)
         if pool is None:
             self._handle_unsent(attempt, "the upstream is gone")
             return
@@ -465,6 +509,18 @@
             lambda failure: self._connect_failed(attempt, failure),
         )
 
+    def _log_peer(self, attempt: _SendAttempt) -> None:
+        self._gateway.metrics.sent_through_peer(self.service)
+        _log.info(
+            "sending request through a peer: the upstream is not reached from here",
+            extra={
+                "request": self.request.request,
+                "upstream": attempt.upstream,
+                "peer": attempt.peer,
+                "tried": sorted(attempt.tried_peers),
+            },
+        )
+
     def _connected(
         self, attempt: _SendAttempt, pool: UpstreamPool, connection: UpstreamConnection
     ) -> None:
@@ -475,7 +531,8 @@
         placed = self._gateway.placement.upstreams.get(attempt.upstream)
         connect_ms = now_ms - attempt.sent_ms
         # The pool is replaced if the upstream was started again.
-        if placed is None or placed.leaving or self._gateway.pool(attempt.upstream) is not pool:
+        current_pool = self._gateway.pool(attempt.upstream, attempt.peer)
+        if placed is None or placed.leaving or current_pool is not pool:
             connection.abort()
             self._handle_unsent(
                 attempt, f"the upstream left while connecting to it took {connect_ms} ms"
@@ -498,7 +555,18 @@
                 "unexpected error while connecting to upstream",
                 extra={"error": failure.getErrorMessage()},
             )
-        self._gateway.placement.back_off(attempt.upstream, self._gateway.clock.now_ms())
+        is_refused = isinstance(failure.value, TunnelRefused)
+        if attempt.peer is not None:
+            attempt.tried_peers.add(attempt.peer)
+            self._gateway.peer_failed(attempt.peer, attempt.upstream if is_refused else None)
+        if len(attempt.tried_peers) < _MAX_PEERS:
+            path = self._gateway.path(attempt.upstream, attempt.tried_peers)
+            if isinstance(path, PeerPath):
+                self._connect(attempt)
+                return
+        # That a peer is not reached tells nothing of the upstream.
+        if attempt.peer is None or is_refused:
+            self._gateway.placement.back_off(attempt.upstream, self._gateway.clock.now_ms())
         self._handle_unsent(attempt, f"connecting failed: {failure.getErrorMessage()}")
 
     def _handle_unsent(self, attempt: _SendAttempt, reason: str) -> None:
@@ -567,7 +635,7 @@
             instance = InstanceId(attempt.upstream, attempt.started_wall_ms)
             self._gateway.answer_notices(self, instance, head.notices)
         if head.keep_alive_ms is not None and connection is not None:
-            pool = self._gateway.pool(attempt.upstream)
+            pool = self._gateway.pool(attempt.upstream, attempt.peer)
             if pool is not None:
                 pool.set_keep_alive(connection, head.keep_alive_ms)
         if 200 <= status < 300 and not head.has_signature:
@@ -700,9 +768,12 @@
     def _end_failed(self, attempt: _SendAttempt) -> None:
         if attempt.connection is not None:
             attempt.connection.abort()
-        self._release(attempt, fault=True)
+        # The failure of a lost path, or of a peer, says nothing of the upstream.
+        is_rated = attempt.peer is None and not self._gateway.is_path_lost(attempt.upstream)
+        self._release(attempt, fault=True if is_rated else None)
         self._excluded_upstreams.add(attempt.upstream)
-        self._gateway.upstream_crashed(self)
+        if is_rated:
+            self._gateway.upstream_crashed(self)
         self._response.discard_partial()
 
     def _retry_or_fail(self, attempt: _SendAttempt, reason: str) -> None:
@@ -728,7 +799,7 @@
 
     def _put_back(self, attempt: _SendAttempt, connection: UpstreamConnection) -> None:
         """Return a connection on which nothing was sent to its pool."""
-        pool = self._gateway.pool(attempt.upstream)
+        pool = self._gateway.pool(attempt.upstream, attempt.peer)
         if pool is None:
             connection.abort()
         else:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -1,5 +1,6 @@
 """State exchange between gateways: membership, loads, quotas and retry budgets."""
 
+import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -43,6 +44,7 @@
 )
 from skylarkmoor_policy.peerclocks import PeerClocks
 from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.reachability import Reachability, RelayPeer
 from skylarkmoor_policy.recordage import RecordAge, VersionHistory
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.staterelay import RELAY_SILENT_MS, StateRelay
@@ -132,6 +134,8 @@
         Evidence about parts of prompts that crash upstreams, which the gateways share.
     max_configuration_age_ms : int
         Age up to which the configuration counts as the newest.
+    reachability : Reachability, optional
+        Paths to the upstreams, which the gateways tell each other.
     """
 
     def __init__(
@@ -149,6 +153,7 @@
         failure_domain: FailureDomain = _NO_DOMAIN,
         crash_evidence: CrashEvidenceTable | None = None,
         max_configuration_age_ms: int = 1_000,
+        reachability: Reachability | None = None,
     ) -> None:
         # Position of the last record of the operator that was read.
         self.configuration = BEFORE_ALL
@@ -164,6 +169,10 @@
         # Called with the configuration of a peer.
         self.on_configuration: Callable[[ConfigurationCopy], None] = _ignore
         self.draining = False
+        # Where this gateway accepts connections of peers to be passed on, and how many there are.
+        self.relay_address = ""
+        self.relayed: Callable[[], int] = lambda: 0
+        self._reachability = reachability or Reachability(failure_domain, random.Random())
         # Start time and last sequence number of upstreams that have left, for peers that may not
         # know it. The function is called with those of a peer.
         self.departed: dict[UpstreamId, tuple[int, int]] = {}
@@ -540,6 +549,9 @@
             upstreams_era=self.upstreams_changed.era,
             departed=self.departed,
             in_force=self._in_force(),
+            relay_address=self.relay_address,
+            relayed=self.relayed(),
+            unreachable=self._reachability.unreachable(),
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -639,6 +651,7 @@
                 peer.unreachable = True
                 self._placement.forget_peer(host)
                 self.slot_coordinator.forget(host)
+                self._reachability.set_peer(host, None)
                 _log.warning(
                     "peer timed out",
                     extra={"peer": host, "age_ms": age_ms, "leaving": peer.leaving},
@@ -659,6 +672,7 @@
         self._expired_peers[host] = str(self._peer_states.pop(host).address)
         self._load_sequences.pop(host, None)
         self._clocks.forget(host)
+        self._reachability.set_peer(host, None)
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
         self.slot_coordinator.forget(host)
@@ -752,6 +766,7 @@
                 self._transport.send(sender, self._named_limits(limited))
             peer.incarnation = incarnation
             self._load_sequences.pop(sender, None)
+        self._update_relay(sender, state)
         peer.last_heard_ms = self._clock.now_ms()
         if state.sent_ms:
             self._clocks.observe(sender, incarnation, state.sent_ms, peer.last_heard_ms)
@@ -789,6 +804,24 @@
         self.slot_coordinator.grant_free_slots()
         return True
 
+    def _update_relay(self, sender: HostId, state: GatewayState) -> None:
+        """Note whether a peer accepts connections to be passed on, and what it reaches."""
+        if state.leaving or not state.relay_address:
+            self._reachability.set_peer(sender, None)
+            return
+        try:
+            address = parse_address(state.relay_address)
+        except SettingsError as error:
+            _log.warning(
+                "state report of a peer has an invalid relay address",
+                extra={"peer": sender, "error": str(error)},
+            )
+            return
+        unreachable = frozenset(state.unreachable)
+        self._reachability.set_peer(
+            sender, RelayPeer(address, state.failure_domain, unreachable, state.relayed)
+        )
+
     def _add_peer_counts(
         self, sender: HostId, incarnation: Incarnation, state: GatewayState
     ) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -37,6 +37,13 @@
         )
         self._upstreams = self._gauge("usable_upstreams", "Upstreams that may get work.")
         self._peers = self._gauge("heard_peers", "Other daemons heard within the last second.")
+        self._sent_through_peers = self._counter(
+            "sent_through_peers_total", "Attempts that were sent through a peer, by service."
+        )
+        self._unreachable = self._gauge(
+            "unreachable_upstreams", "Upstreams to which no connection can be made from here."
+        )
+        self._tunnels = self._gauge("tunnels", "Connections passed on for peers.")
         self._blocked_parts = self._gauge(
             "blocked_prompt_parts", "Parts of prompts that are blocked after crashes."
         )
@@ -80,6 +87,10 @@
         """Count a notice of an upstream that was heard or has ended."""
         self._notices.inc({"notice": kind, "state": state})
 
+    def sent_through_peer(self, service: str) -> None:
+        """Count an attempt that is sent through a peer."""
+        self._sent_through_peers.inc({"service": service})
+
     def upstreams_with_notice(self, kind: str, count: int) -> None:
         """Set the number of instances with a notice of a kind."""
         self._noticed_upstreams.set({"notice": kind}, count)
@@ -92,6 +103,8 @@
         configuration_age_ms: int | None,
         upstreams: int,
         peers: int,
+        unreachable_upstreams: int,
+        tunnels: int,
         blocked_parts: int,
         dropped_lines: int,
     ) -> None:
@@ -102,6 +115,8 @@
             self._configuration_age_ms.set({}, configuration_age_ms)
         self._upstreams.set({}, upstreams)
         self._peers.set({}, peers)
+        self._unreachable.set({}, unreachable_upstreams)
+        self._tunnels.set({}, tunnels)
         self._blocked_parts.set({}, blocked_parts)
         self._dropped_lines.set({}, dropped_lines)
 
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -14,6 +14,8 @@
 
     Attributes
     ----------
+    relay_address : Address or None
+        Listen address for connections of peers that are passed on to upstreams; None for none.
     caller_address, ready_address, peer_address : Address
         Listen addresses for callers, load balancer health checks and peers.
     metrics_address : Address or None
@@ -39,6 +41,7 @@
     ready_address: Address
     peer_address: Address
     metrics_address: Address | None = None
+    relay_address: Address | None = None
     retry_ratio: float = 0.2
     retry_window_ms: int = 10_000
     retry_slack: float = 10
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -13,12 +13,10 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.tcpoptions import configure_socket
 from skylarkmoor_gateway.messages import Headers
+from skylarkmoor_gateway.tunnels import CONNECT_TIMEOUT_S
 
-__all__ = ["ResponseReader", "UpstreamConnection", "UpstreamPool"]
+__all__ = ["PathObserver", "ResponseReader", "UpstreamConnection", "UpstreamPool"]
 
-# Connecting normally takes a few milliseconds. An upstream whose full accept queue drops the SYN is
-# not worth a longer wait.
-_CONNECT_TIMEOUT_S = 1.0
 # For upstreams without a keep-alive header, which close idle connections after a few seconds.
 _DEFAULT_IDLE_MS = 4_000
 # Fraction of the upstream's keep-alive time for which an idle connection is reused, so that no
@@ -46,6 +44,19 @@
         """Process a connection failure before the response was complete."""
 
 
+class PathObserver(Interface):
+    """Is told what the direct connections to an upstream show of the path to it."""
+
+    def connected(self) -> None:
+        """Record that a connection was made."""
+
+    def failed(self, reason: str) -> None:
+        """Record that a connection could not be made."""
+
+    def heard(self) -> None:
+        """Record that the upstream has sent something."""
+
+
 class UpstreamConnection(Protocol):
     """A connection to an upstream, without pipelining."""
 
@@ -84,6 +95,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes; called by Twisted."""
+        self._pool.heard()
         if self._reader is None:
             # Unsolicited bytes; the connection cannot be reused.
             self.abort()
@@ -199,16 +211,28 @@
         Time source.
     address : tuple of (str, int)
         Host and port of the upstream.
+    observer : PathObserver, optional
+        Told of the connections, if they are direct ones.
+    endpoint : endpoint, optional
+        What makes the connections; by default they are made to the address itself.
     """
 
-    def __init__(self, reactor: Any, clock: Clock, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        address: tuple[str, int],
+        observer: PathObserver | None = None,
+        endpoint: Any = None,
+    ) -> None:
         self.address = address
         self.connections_opened = 0
         self._reactor = reactor
         self._clock = clock
         self._idle: list[UpstreamConnection] = []
-        self._endpoint: Any = TCP4ClientEndpoint(
-            reactor, address[0], address[1], timeout=_CONNECT_TIMEOUT_S
+        self._observer = observer
+        self._endpoint: Any = endpoint or TCP4ClientEndpoint(
+            reactor, address[0], address[1], timeout=CONNECT_TIMEOUT_S
         )
 
     def acquire(self, max_idle_ms: int | None = None) -> UpstreamConnection | None:
@@ -236,7 +260,22 @@
         """Open a new connection; the deferred fails with the connection error."""
         self.connections_opened += 1
         connecting: Deferred[UpstreamConnection] = self._endpoint.connect(_UpstreamFactory(self))
-        return connecting
+        return connecting.addCallbacks(self._connected, self._not_connected)
+
+    def _connected(self, connection: UpstreamConnection) -> UpstreamConnection:
+        if self._observer is not None:
+            self._observer.connected()
+        return connection
+
+    def _not_connected(self, failure: Failure) -> Failure:
+        if self._observer is not None:
+            self._observer.failed(failure.getErrorMessage())
+        return failure
+
+    def heard(self) -> None:
+        """Record that the upstream has sent something."""
+        if self._observer is not None:
+            self._observer.heard()
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after a complete response."""
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -419,6 +419,10 @@
         known = self.upstreams.get(instance.upstream)
         return known if known is not None and known.instance == instance else None
 
+    def upstreams_of(self, service: ServiceName) -> list[UpstreamId]:
+        """Return the upstreams of a service that are in use."""
+        return [each.upstream for each in self._active_upstreams(service)]
+
     def versions(self, service: ServiceName) -> set[str]:
         """Return the versions of the upstreams of a service that are in use."""
         return {each.registration.version for each in self._active_upstreams(service)}
--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -6,11 +6,13 @@
 from enum import Enum
 from typing import Any
 
-from twisted.internet.error import ConnectionRefusedError, TimeoutError
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError, TimeoutError
+from twisted.python.failure import Failure
 
 from adapter_harness import (
     Harness,
     PendingConnection,
+    RecordingTransport,
     Upstream,
     answer,
     chunk,
@@ -24,6 +26,9 @@
 
 STEP_MS = 25
 _MAINTENANCE_MS = 500
+RELAY_IP = "127.0.0.2"
+# The number of the host is added.
+RELAY_PORT = 7_600
 # When the kernel gives up a connection on which nothing is acknowledged.
 _DEAD_CONNECTION_MS = 4_000
 EVENT = b"id: 1\ndata: a\n\n"
@@ -99,6 +104,8 @@
     host: HostId
     harness: Harness
     incarnation: int
+    # Connections to peers that pass them on, with the ends of these peers.
+    tunnels: list[tuple[Upstream, HostId, Any]] = field(default_factory=list)
     connections: list[tuple[ModelUpstream, Upstream]] = field(default_factory=list)
     answers: list[tuple[int, ModelUpstream, Upstream, bytes]] = field(default_factory=list)
     # Connections that wait to be accepted, with the time at which they were begun.
@@ -148,6 +155,7 @@
         fleet._transport = FleetTransport(host, self)
         fleet._address = f"127.0.0.1:{7600 + int(host.rpartition('-')[2])}"
         fleet._incarnation = now_ms
+        fleet.relay_address = f"{RELAY_IP}:{RELAY_PORT + int(host.rpartition('-')[2])}"
         for peer in self.members.values():
             if peer.host != host:
                 fleet.add_peer(peer.host, Address("127.0.0.1", 7600))
@@ -256,6 +264,7 @@
         harness = member.harness
         while harness.pending_connections():
             member.pending.append((now_ms, harness.take_connection()))
+        self._pass_on(member)
         self._drop_dead_connections(member, now_ms)
         pending, member.pending = member.pending, []
         for begun_ms, connection in pending:
@@ -284,6 +293,9 @@
         self, member: FleetMember, begun_ms: int, connection: PendingConnection, now_ms: int
     ) -> None:
         """Accept a connection, let it fail, or leave it pending."""
+        if connection.address[0] == RELAY_IP:
+            self._connect_to_peer(member, connection)
+            return
         upstream = next(each for each in self.upstreams if each.port == connection.address[1])
         match self._lost_kind(member.host, upstream):
             case None:
@@ -296,6 +308,37 @@
                 else:
                     member.pending.append((begun_ms, connection))
 
+    def _connect_to_peer(self, member: FleetMember, connection: PendingConnection) -> None:
+        host = HostId(f"host-{connection.address[1] - RELAY_PORT}")
+        peer = self.members.get(host)
+        if peer is None or {host, member.host} & self.cut:
+            connection.fail(ConnectionRefusedError())
+            return
+        end = peer.harness.gateway.tunnels.buildProtocol(None)
+        end.makeConnection(RecordingTransport())
+        member.tunnels.append((connection.accept(), host, end))
+
+    def _pass_on(self, member: FleetMember) -> None:
+        """Carry bytes between both ends of the tunnels of a gateway, and their closes."""
+        open_tunnels, member.tunnels = member.tunnels, []
+        for near, host, end in open_tunnels:
+            if host not in self.members:
+                near.close(reset=True)
+                continue
+            data = near.received()
+            if data:
+                end.dataReceived(data)
+            data = end.transport.value()
+            end.transport.clear()
+            if data and not near.transport.disconnecting:
+                near.send(data)
+            if near.transport.disconnecting:
+                end.connectionLost(Failure(ConnectionLost()))
+            elif end.transport.disconnecting:
+                near.close(reset=end.transport.aborted)
+            else:
+                member.tunnels.append((near, host, end))
+
     def _drop_dead_connections(self, member: FleetMember, now_ms: int) -> None:
         for upstream in self.upstreams:
             lost = self.lost_paths.get((member.host, upstream.name))
