--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -79,18 +79,45 @@
 
 @dataclass(repr=False)
 class ModelUpstream:
-    """An upstream that runs every request, names its limit in each answer and records arrivals."""
+    """An upstream that names its limits in each answer, and records arrivals and refusals.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that run at once.
+    room : int or None
+        Requests that may wait beside them; those beyond are refused. None for no bound.
+    brittle_per_s : float or None
+        Refusals a second that it bears, which it names; None if it names none.
+    """
 
     name: str
     service: str
     port: int
     limit_per_s: float | None = None
     run_ms: int = 100
+    slots: int = 8
+    room: int | None = None
+    brittle_per_s: float | None = None
+    # When the requests in progress end, and when requests were refused.
+    ends_ms: list[int] = field(default_factory=list)
+    refused_ms: list[int] = field(default_factory=list)
     # Time and gateway of each request.
     arrivals: list[tuple[int, HostId]] = field(default_factory=list)
     # Time of each change of the limit, and the new one.
     limits: list[tuple[int, float | None]] = field(default_factory=list)
 
+    def begin(self, now_ms: int) -> int | None:
+        """Return when a request that arrives now ends, None if there is no room for it."""
+        self.ends_ms = sorted(each for each in self.ends_ms if each > now_ms)
+        waiting = len(self.ends_ms) - self.slots
+        if self.room is not None and waiting >= self.room:
+            self.refused_ms.append(now_ms)
+            return None
+        starts_ms = now_ms if self.room is None or waiting < 0 else self.ends_ms[waiting]
+        self.ends_ms.append(starts_ms + self.run_ms)
+        return starts_ms + self.run_ms
+
     def set_limit(self, now_ms: int, limit_per_s: float | None) -> None:
         """Name another limit from now on."""
         self.limit_per_s = limit_per_s
@@ -161,7 +188,9 @@
                 fleet.add_peer(peer.host, Address("127.0.0.1", 7600))
                 peer.harness.gateway.fleet.add_peer(host, Address("127.0.0.1", 7600))
         for upstream in self.upstreams:
-            harness.add_upstream(upstream.name, upstream.service, upstream.port, slots=8)
+            harness.add_upstream(
+                upstream.name, upstream.service, upstream.port, slots=upstream.slots
+            )
         self.members[host] = member
 
     def lose_path(self, host: HostId, upstream: ModelUpstream, kind: CutKind) -> None:
@@ -280,10 +309,18 @@
             headers = {"Skylarkmoor_Request_Id": name.decode()}
             if upstream.limit_per_s is not None:
                 headers["Server_Limit"] = str(upstream.limit_per_s)
+            if upstream.brittle_per_s is not None:
+                headers["Server_Brittle"] = str(upstream.brittle_per_s)
+            ends_ms = upstream.begin(now_ms)
+            if ends_ms is None:
+                headers["Skylarkmoor_Not_Executed"] = "1"
+                response = answer(b"full", "503 Full", **headers)
+                member.answers.append((now_ms, upstream, connection, response))
+                continue
             is_stream = b" /answer/" in data.partition(b"\r\n")[0]
             body = stream_head(**headers) + chunk(EVENT) + chunk(b"")
             response = body if is_stream else answer(**headers)
-            member.answers.append((now_ms + upstream.run_ms, upstream, connection, response))
+            member.answers.append((ends_ms, upstream, connection, response))
 
     def _passes(self, member: FleetMember, upstream: ModelUpstream) -> bool:
         """Return whether answers of an upstream reach a gateway."""
