--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -438,6 +438,10 @@
         Monotonic time of the sender when the head of the answer arrived.
     issued : int
         Permits that the sender has issued for it; it does not fall while the limit lasts.
+    max_refusals_per_s : float or None
+        Refusals per second that it bears; None if the answer named no bound.
+    refused : int
+        Refusals that the sender was given since then; it does not fall while the bound lasts.
     """
 
     upstream: UpstreamId
@@ -445,6 +449,8 @@
     limit_per_s: _Rate | None
     heard_ms: _Time
     issued: int
+    max_refusals_per_s: _Rate | None = None
+    refused: int = 0
 
 
 class NamedLimits(_Message, frozen=True, tag="l"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -148,6 +148,9 @@
     ) -> None:
         """Record what the answer to a request says of the instance that sent it."""
 
+    def upstream_refused(self, instance: InstanceId) -> None:
+        """Record that an upstream has refused a request without executing it."""
+
     def request_sent(self, exchange: "Exchange", version: str) -> None:
         """Record that a request is sent to an upstream of a version."""
 
@@ -367,7 +370,7 @@
             return
         if self.route.retry_safety is not RetrySafety.STREAM:
             now_ms = self._gateway.clock.now_ms()
-            choice = self._choose(now_ms, self._gateway.placement.limited(self.service))
+            choice = self._choose(now_ms, self._gateway.placement.guarded(self.service))
             if choice is not None:
                 self._dispatch(choice, now_ms)
                 return
@@ -397,7 +400,7 @@
         Plain services need none, unless the dispatcher has to count for a limit.
         """
         is_stream = self.route.retry_safety is RetrySafety.STREAM
-        return is_stream or bool(self._gateway.placement.limited(self.service))
+        return is_stream or bool(self._gateway.placement.guarded(self.service))
 
     def _choose(
         self, now_ms: int, exclude: frozenset[UpstreamId] = frozenset()
@@ -732,6 +735,9 @@
         self._runs -= 1
         if head.instance_replaced:
             self._gateway.placement.mark_replaced(attempt.upstream, self._gateway.clock.now_ms())
+        else:
+            instance = InstanceId(attempt.upstream, attempt.started_wall_ms)
+            self._gateway.upstream_refused(instance)
         self._release(attempt, fault=None)
         if not self._is_deferred(attempt):
             self._excluded_upstreams.add(attempt.upstream)
@@ -875,7 +881,7 @@
             status=503,
             retry_after_ms=retry_ms,
             paused=sorted(placement.paused(self.service, self._gateway.clock.now_ms())),
-            limited=sorted(placement.limited(self.service)),
+            limited=sorted(placement.guarded(self.service)),
         )
 
     def _fail(self, status: int, reason: str) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -208,7 +208,8 @@
         self._last_tick_ms: int | None = None
         self._pending_load_reports: set[SlotGroup] = set()
         self._counts = {
-            kind: PeerCounters() for kind in ("admitted", "requests", "repeats", "permits")
+            kind: PeerCounters()
+            for kind in ("admitted", "requests", "repeats", "permits", "refusals")
         }
         self._transport = Peers(host, incarnation, self._on_message)
         self._peer_states: dict[HostId, _Peer] = {}
@@ -451,7 +452,7 @@
         return self._last_tick_ms
 
     def limit_changed(self, instance: InstanceId) -> None:
-        """Tell all peers soon that an answer has changed the limit of an instance."""
+        """Tell all peers soon that an answer concerns the limits of an instance."""
         if not self._changed_limits:
             self._later(_LIMIT_SEND_DELAY_MS, self._send_changed_limits)
         self._changed_limits.add(instance)
@@ -483,7 +484,16 @@
             limit_per_s, heard_ms = self._placement.limit(instance)
             if heard_ms is not None:
                 issued = self._placement.permits.issued.get(instance, 0)
-                limits.append(NamedLimit(*instance, limit_per_s, heard_ms, issued))
+                limits.append(
+                    NamedLimit(
+                        *instance,
+                        limit_per_s,
+                        heard_ms,
+                        issued,
+                        self._placement.max_refusals_per_s(instance),
+                        self._placement.windows.refused.get(instance, 0),
+                    )
+                )
         return NamedLimits(self._clock.now_ms(), tuple(limits))
 
     def _handle_limits(
@@ -495,21 +505,29 @@
         for limit in message.limits:
             instance = InstanceId(limit.upstream, limit.started_wall_ms)
             heard_ms = self._clocks.local_ms(sender, limit.heard_ms, now_ms)
-            if self._placement.record_peer_limit(instance, limit.limit_per_s, heard_ms, now_ms):
+            if self._placement.record_peer_limit(
+                instance, limit.limit_per_s, heard_ms, now_ms, limit.max_refusals_per_s
+            ):
                 _log.info(
                     "a peer has heard the limit of an upstream",
                     extra={
                         "peer": sender,
                         "upstream": limit.upstream,
                         "limit_per_s": limit.limit_per_s,
+                        "max_refusals_per_s": limit.max_refusals_per_s,
                         "age_ms": now_ms - heard_ms,
                     },
                 )
-            elif self._placement.limit(instance)[0] != limit.limit_per_s:
+            elif (
+                self._placement.limit(instance)[0] != limit.limit_per_s
+                or self._placement.max_refusals_per_s(instance) != limit.max_refusals_per_s
+            ):
                 newer_here.append(instance)
             key = f"{instance.upstream}/{instance.started_wall_ms}"
             issued = self._counts["permits"].increments(sender, incarnation, {key: limit.issued})
             self._placement.permits.remove(instance, issued.get(key, 0))
+            refused = self._counts["refusals"].increments(sender, incarnation, {key: limit.refused})
+            self._placement.record_peer_refusals(instance, refused.get(key, 0), now_ms)
         if newer_here:
             self._transport.send(sender, self._named_limits(newer_here))
 
@@ -667,6 +685,7 @@
         self._retries.set_fleet_state(1 + peer_count, heard == peer_count)
         reachable_fraction = (1 + heard) / (1 + peer_count)
         self._placement.permits.set_reachable_fraction(reachable_fraction, self._clock.now_ms())
+        self._placement.windows.set_reachable_fraction(reachable_fraction)
 
     def _remove_peer(self, host: HostId) -> None:
         self._expired_peers[host] = str(self._peer_states.pop(host).address)
@@ -761,7 +780,7 @@
             if self._crash_evidence.has_crashes():
                 # It has started, and knows nothing of the crashes before.
                 self._transport.send(sender, self._crash_evidence.export(self._clock.now_ms()))
-            limited = self._placement.limited_instances()
+            limited = self._placement.guarded_instances()
             if limited:
                 self._transport.send(sender, self._named_limits(limited))
             peer.incarnation = incarnation
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -645,7 +645,7 @@
         arrived_ms = self.fleet.arrival_ms()
         for change in self.placement.record_notices(instance, notices, arrived_ms, now_ms):
             self._log_notice(change, request, age_ms=now_ms - arrived_ms)
-            if change.kind is NoticeKind.LIMIT:
+            if change.kind in (NoticeKind.LIMIT, NoticeKind.BRITTLE):
                 self.fleet.limit_changed(instance)
         for kind, value in notices.invalid:
             if self.placement.is_first_invalid_notice(instance, kind, now_ms):
@@ -659,6 +659,12 @@
                     },
                 )
 
+    def upstream_refused(self, instance: InstanceId) -> None:
+        """Record that an upstream has refused a request without executing it."""
+        if self.placement.record_refusal(instance, self.clock.now_ms()):
+            _log.info("a brittle upstream refused a request", extra={"upstream": instance.upstream})
+            self.fleet.limit_changed(instance)
+
     def _log_notice(
         self, change: NoticeChange, request: RequestId | None = None, *, age_ms: int = 0
     ) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -194,7 +194,7 @@
         While gateways have read different lists of upstreams, they may request slots of one
         upstream from several dispatchers.
         """
-        upstreams = {each.upstream for each in self._placement.limited_instances()}
+        upstreams = {each.upstream for each in self._placement.guarded_instances()}
         return frozenset(each for each in upstreams if not self._is_dispatcher_of(each))
 
     def _is_dispatcher_of(self, upstream: UpstreamId) -> bool:
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
 from skylarkmoor_policy.slotgroups import SlotGroup, group_count, less_loaded_group
 from skylarkmoor_policy.trackedupstream import (
     FIRST_TOKEN_OVERHEAD_MS,
@@ -98,6 +99,7 @@
         self.upstreams: dict[UpstreamId, TrackedUpstream] = {}
         self._notices = NoticeTable()
         self.permits = PermitTable()
+        self.windows = ConcurrencyWindows()
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -327,15 +329,22 @@
         if known is not None:
             known.leaving = known.leaving or notices.leaving
             known.paused_until_ms = self._notices.paused_until_ms(instance)
-        if any(change.kind is NoticeKind.LIMIT for change in changes):
+        if any(change.kind in (NoticeKind.LIMIT, NoticeKind.BRITTLE) for change in changes):
             self._apply_limit(instance, now_ms)
         return changes
 
     def record_peer_limit(
-        self, instance: InstanceId, limit_per_s: float | None, heard_ms: int, now_ms: int
+        self,
+        instance: InstanceId,
+        limit_per_s: float | None,
+        heard_ms: int,
+        now_ms: int,
+        max_refusals_per_s: float | None = None,
     ) -> bool:
-        """Record the limit that a peer has heard, and return whether it changes the known one."""
-        is_changed = self._notices.record_limit(instance, limit_per_s, heard_ms, now_ms)
+        """Record the limits that a peer has heard, and return whether they are new."""
+        is_changed = self._notices.record_limit(
+            instance, limit_per_s, heard_ms, now_ms, max_refusals_per_s
+        )
         if is_changed:
             self._apply_limit(instance, now_ms)
         return is_changed
@@ -348,16 +357,34 @@
         """Return the instances that have named a limit, listed or not."""
         return self._notices.limited()
 
-    def limited(self, service: ServiceName) -> frozenset[UpstreamId]:
-        """Return the upstreams of a service that have named a limit."""
+    def max_refusals_per_s(self, instance: InstanceId) -> float | None:
+        """Return the refusals per second that an instance bears, None for any number."""
+        return self._notices.max_refusals_per_s(instance)
+
+    def guarded_instances(self) -> frozenset[InstanceId]:
+        """Return the instances, listed or not, that only a dispatcher may have requests sent to."""
+        return self._notices.limited() | self._notices.brittle()
+
+    def guarded(self, service: ServiceName) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service that have named a limit or are brittle."""
         if not self._notices.has_limits():
             return _NO_UPSTREAMS
         return frozenset(
             each.upstream
             for each in self._active_upstreams(service)
-            if each.limit_per_s is not None
+            if each.limit_per_s is not None or self.windows.is_brittle(each.instance)
         )
 
+    def record_refusal(self, instance: InstanceId, now_ms: int) -> bool:
+        """Record a refusal of an instance, and return whether peers are to be told."""
+        known = self._known_instance(instance)
+        return self.windows.record_refusal(instance, _running(known), now_ms)
+
+    def record_peer_refusals(self, instance: InstanceId, count: int, now_ms: int) -> None:
+        """Record refusals that a peer was given."""
+        known = self._known_instance(instance)
+        self.windows.record_peer_refusals(instance, count, _running(known), now_ms)
+
     def issue_permit(self, upstream: UpstreamId, now_ms: int) -> bool:
         """Use up a permit for a request, and return whether the upstream has named a limit."""
         known = self.upstreams.get(upstream)
@@ -369,6 +396,11 @@
         known = self._known_instance(instance)
         if known is not None:
             known.limit_per_s = limit_per_s
+            self._apply_brittle(known, now_ms)
+
+    def _apply_brittle(self, upstream: TrackedUpstream, now_ms: int) -> None:
+        max_refusals_per_s = self._notices.max_refusals_per_s(upstream.instance)
+        self.windows.set_brittle(upstream.instance, max_refusals_per_s, upstream.slots, now_ms)
 
     def paused(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
         """Return the upstreams of a service that want no request from this host now."""
@@ -409,6 +441,11 @@
         listed = (each.instance for each in self.upstreams.values())
         changes = self._notices.expire(listed, now_ms)
         self.permits.keep(self._notices.limited())
+        self.windows.keep(self._notices.brittle())
+        for each in self.upstreams.values():
+            # A peer may have told of an instance before its entry was read.
+            if each.instance in self._notices.brittle():
+                self._apply_brittle(each, now_ms)
         return changes
 
     def notice_counts(self, now_ms: int) -> dict[NoticeKind, int]:
@@ -458,8 +495,12 @@
         )
 
     def _can_take(self, upstream: TrackedUpstream, now_ms: int) -> bool:
-        """Return whether an upstream has a free slot, and a permit if it has named a limit."""
-        return upstream.has_capacity() and self.permits.may_issue(upstream.instance, now_ms)
+        """Return whether an upstream has a free slot, and whether its limits allow a request."""
+        return (
+            upstream.has_capacity()
+            and self.windows.may_send(upstream.instance, upstream.running(), now_ms)
+            and self.permits.may_issue(upstream.instance, now_ms)
+        )
 
     def choose(
         self,
@@ -692,6 +733,10 @@
         return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / slots
 
 
+def _running(upstream: TrackedUpstream | None) -> int:
+    return 0 if upstream is None else upstream.running()
+
+
 def _is_replaced(
     upstream: TrackedUpstream, group: SlotGroup | None, keep: Collection[SlotGroup]
 ) -> bool:
--- a/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -27,6 +27,7 @@
     LEAVING = "leaving"
     RETRY_AFTER = "retry after"
     LIMIT = "limit"
+    BRITTLE = "brittle"
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +42,8 @@
         Time in which it wants no request from this host; None if the answer gives none.
     max_requests_per_s : float or None
         Requests per second that it accepts from all hosts together; None for no limit.
+    max_refusals_per_s : float or None
+        Refusals per second, to all hosts together, that it bears; None for any number.
     invalid : tuple of (NoticeKind, str)
         Values that cannot be read. They change nothing.
     """
@@ -48,6 +51,7 @@
     leaving: bool = False
     retry_after_ms: int | None = None
     max_requests_per_s: float | None = None
+    max_refusals_per_s: float | None = None
     invalid: tuple[tuple[NoticeKind, str], ...] = ()
 
 
@@ -59,7 +63,7 @@
     ----------
     value : float or None
         1 for an instance that is leaving, else the milliseconds until it wants requests again, or
-        its limit in requests per second; None at the end of the notice.
+        its limit in requests or refusals per second; None at the end of the notice.
     """
 
     instance: InstanceId
@@ -74,6 +78,7 @@
     # Until when it wants no request from this host.
     paused_until_ms: int = 0
     max_requests_per_s: float | None = None
+    max_refusals_per_s: float | None = None
     # When the head of the answer arrived that was the last one to say so, at any host; None if no
     # answer is known.
     limit_heard_ms: int | None = None
@@ -92,6 +97,7 @@
     def __init__(self) -> None:
         self._instances: dict[InstanceId, _InstanceNotices] = {}
         self._limited: set[InstanceId] = set()
+        self._brittle: set[InstanceId] = set()
         # When the last pause ends, and when the instances were listed last.
         self._last_pause_end_ms = 0
         self._listed_ms = 0
@@ -118,16 +124,29 @@
                 changes.append(NoticeChange(instance, NoticeKind.RETRY_AFTER, value))
             known.paused_until_ms = max(known.paused_until_ms, until_ms)
             self._last_pause_end_ms = max(self._last_pause_end_ms, until_ms)
-        limit = notices.max_requests_per_s
-        has_limit = NoticeKind.LIMIT not in {kind for kind, _ in notices.invalid}
-        if has_limit and self.record_limit(instance, limit, arrived_ms, now_ms):
-            changes.append(NoticeChange(instance, NoticeKind.LIMIT, limit))
+        invalid = {kind for kind, _ in notices.invalid}
+        if invalid & {NoticeKind.LIMIT, NoticeKind.BRITTLE}:
+            return changes
+        before = (known.max_requests_per_s, known.max_refusals_per_s)
+        limits = (notices.max_requests_per_s, notices.max_refusals_per_s)
+        if self.record_limit(instance, limits[0], arrived_ms, now_ms, limits[1]):
+            kinds = (NoticeKind.LIMIT, NoticeKind.BRITTLE)
+            changes += [
+                NoticeChange(instance, kind, value)
+                for kind, value, old_value in zip(kinds, limits, before, strict=True)
+                if value != old_value
+            ]
         return changes
 
     def record_limit(
-        self, instance: InstanceId, limit_per_s: float | None, heard_ms: int, now_ms: int
+        self,
+        instance: InstanceId,
+        limit_per_s: float | None,
+        heard_ms: int,
+        now_ms: int,
+        max_refusals_per_s: float | None = None,
     ) -> bool:
-        """Record the limit that an answer named, unless a later one is known.
+        """Record the limits that an answer named, unless a later one is known.
 
         Parameters
         ----------
@@ -135,17 +154,25 @@
             Requests per second; None if the answer named no limit.
         heard_ms : int
             When the head of the answer arrived, here or at a peer.
+        max_refusals_per_s : float or None
+            Refusals per second that the upstream bears; None if the answer named no bound.
 
         Returns
         -------
         bool
-            Whether the limit has changed.
+            Whether a limit has changed.
         """
         known = self._known(instance, now_ms)
         if known.limit_heard_ms is not None and heard_ms < known.limit_heard_ms:
             return False
-        is_changed = limit_per_s != known.max_requests_per_s
-        known.max_requests_per_s, known.limit_heard_ms = limit_per_s, heard_ms
+        limits = (limit_per_s, max_refusals_per_s)
+        is_changed = limits != (known.max_requests_per_s, known.max_refusals_per_s)
+        known.max_requests_per_s, known.max_refusals_per_s = limits
+        known.limit_heard_ms = heard_ms
+        if max_refusals_per_s is None:
+            self._brittle.discard(instance)
+        else:
+            self._brittle.add(instance)
         if limit_per_s is None:
             self._limited.discard(instance)
         else:
@@ -157,13 +184,22 @@
         known = self._instances.get(instance)
         return (None, None) if known is None else (known.max_requests_per_s, known.limit_heard_ms)
 
+    def max_refusals_per_s(self, instance: InstanceId) -> float | None:
+        """Return the refusals per second that an instance bears, None for any number."""
+        known = self._instances.get(instance)
+        return None if known is None else known.max_refusals_per_s
+
+    def brittle(self) -> frozenset[InstanceId]:
+        """Return the instances that bear few refusals."""
+        return frozenset(self._brittle)
+
     def limited(self) -> frozenset[InstanceId]:
         """Return the instances that have named a limit."""
         return frozenset(self._limited)
 
     def has_limits(self) -> bool:
-        """Return whether any instance has named a limit."""
-        return bool(self._limited)
+        """Return whether any instance has named a limit or is brittle."""
+        return bool(self._limited or self._brittle)
 
     def has_pauses(self, now_ms: int) -> bool:
         """Return whether any instance wants no request from this host now."""
@@ -215,6 +251,7 @@
             if now_ms - known.listed_ms > _MAX_UNLISTED_MS:
                 del self._instances[instance]
                 self._limited.discard(instance)
+                self._brittle.discard(instance)
         return changes
 
     def counts(self, now_ms: int) -> dict[NoticeKind, int]:
@@ -224,6 +261,7 @@
             NoticeKind.LEAVING: sum(each.leaving for each in notices),
             NoticeKind.RETRY_AFTER: sum(each.paused_until_ms > now_ms for each in notices),
             NoticeKind.LIMIT: sum(each.max_requests_per_s is not None for each in notices),
+            NoticeKind.BRITTLE: sum(each.max_refusals_per_s is not None for each in notices),
         }
 
     def _known(self, instance: InstanceId, now_ms: int) -> _InstanceNotices:
