--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -274,6 +274,24 @@
         if not self._done:
             self._end(Outcome.ABANDONED, "the caller closed the connection")
 
+    def end_before_exit(self) -> None:
+        """End the request because the process is about to end.
+
+        Notes
+        -----
+        The upstream's connection is closed first, so that the upstream cancels the request.
+        """
+        if self._done:
+            return
+        reason = "the gateway ends before the request does"
+        self._cancel_current()
+        if self._response.started:
+            self._abort(reason)
+        elif self._runs > 0:
+            self._fail(504, reason)
+        else:
+            self._refuse(reason, 0)
+
     def waiting(self, small: bool) -> QueuedRequest[SlotRequirements]:
         """Return the entry of this request for the slot queue.
 
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -395,7 +395,7 @@
             if is_current:
                 del self._unconfirmed[caller]
                 self.handle(caller, head, body)
-            elif now_ms - arrived_ms >= _CONFIRMATION_WAIT_MS:
+            elif now_ms - arrived_ms >= _CONFIRMATION_WAIT_MS or self.draining():
                 del self._unconfirmed[caller]
                 headers = list(head.headers.raw_items())
                 request = self.codec.decode_request(head.method, head.target, headers, body)
@@ -807,12 +807,28 @@
     def _finish_draining(self, elapsed_ms: int) -> None:
         for caller in list(self._callers):
             caller.close_if_idle()
+        if elapsed_ms >= self._settings.grace_ms - _KILL_MARGIN_MS:
+            self._end_requests()
         held = len(self._exchanges) + sum(caller.busy for caller in self._callers)
         held += len(self.tunnels.open_tunnels)
         # Keeps the gateway running until the load balancer has removed it.
         waiting = held or int(elapsed_ms < _BALANCER_DELAY_MS)
         self._apply(self._lifecycle.update_outstanding_work(OutstandingWork(waiting=waiting)))
 
+    def _end_requests(self) -> None:
+        """Answer all requests that are still held, as the process is about to be killed."""
+        if self._exchanges:
+            _log.warning(
+                "ending requests before the process is killed",
+                extra={
+                    "held": len(self._exchanges),
+                    "requests": [e.request.request for e in self._exchanges.values()],
+                },
+            )
+        for exchange in list(self._exchanges.values()):
+            exchange.end_before_exit()
+        self.tunnels.close()
+
     def _maintain(self) -> None:
         if self.log_stream is not None:
             self.log_stream.flush()
