--- /dev/null
+++ b/libs/gateway/tests/test_tunnels.py
@@ -0,0 +1,222 @@
+"""Guards against tunnels that lose bytes, hide a reset or connect to what is no upstream."""
+
+import pytest
+import pytest_twisted
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectionDone
+from twisted.internet.protocol import Factory, Protocol
+
+from skylarkmoor_core.settings import Address
+
+WAIT_S = 10
+BIG = b"x" * 2_000_000
+
+
+class Recorder(Protocol):
+    """Records what arrives, and fires when the connection has ended."""
+
+    def __init__(self):
+        self.received = bytearray()
+        self.expected = 0
+        self.arrived = Deferred()
+        self.ended = Deferred()
+
+    def dataReceived(self, data):  # noqa: N802
+        self.received += data
+        if self.expected and len(self.received) >= self.expected and not self.arrived.called:
+            self.arrived.callback(None)
+
+    def connectionLost(self, reason):  # noqa: N802
+        self.ended.callback(reason.value)
+
+    def expect(self, count):
+        """Return a deferred that fires when `count` bytes have arrived."""
+        from twisted.internet import reactor
+
+        self.expected = count
+        if len(self.received) >= count and not self.arrived.called:
+            self.arrived.callback(None)
+        return self.arrived.addTimeout(WAIT_S, reactor)
+
+
+class RecorderFactory(Factory):
+    noisy = False
+
+    def __init__(self):
+        self.made = []
+        self.next_one = Deferred()
+
+    def buildProtocol(self, addr):  # noqa: N802
+        protocol = Recorder()
+        self.made.append(protocol)
+        if not self.next_one.called:
+            self.next_one.callback(protocol)
+        return protocol
+
+
+class Relay:
+    """An upstream, and a peer that passes connections on to it."""
+
+    def __init__(self):
+        from twisted.internet import reactor
+
+        from skylarkmoor_gateway.tunnels import TunnelServerFactory
+
+        self.reactor = reactor
+        self.upstream = RecorderFactory()
+        self.refusal = None
+        self.connected, self.failed = [], []
+        self.server = TunnelServerFactory(
+            reactor,
+            lambda upstream, address: self.refusal,
+            self.connected.append,
+            lambda upstream, reason: self.failed.append(upstream),
+        )
+        self.upstream_port = reactor.listenTCP(0, self.upstream, interface="127.0.0.1")
+        self.relay_port = reactor.listenTCP(0, self.server, interface="127.0.0.1")
+
+    def connect(self, port=None):
+        from skylarkmoor_gateway.tunnels import TunnelEndpoint
+
+        target = ("127.0.0.1", port or self.upstream_port.getHost().port)
+        peer = Address("127.0.0.1", self.relay_port.getHost().port)
+        endpoint = TunnelEndpoint(self.reactor, peer, "u1", target)
+        return endpoint.connect(RecorderFactory()).addTimeout(WAIT_S, self.reactor)
+
+    async def connect_both(self):
+        near = await self.connect()
+        far = await self.upstream.next_one
+        return near, far
+
+
+@pytest.fixture
+def relay():
+    made = Relay()
+    yield made
+    made.server.close()
+    for port in (made.relay_port, made.upstream_port):
+        pytest_twisted.blockon(port.stopListening())
+
+
+@pytest_twisted.ensureDeferred
+async def test_bytes_pass_in_both_directions(relay):
+    near, far = await relay.connect_both()
+    near.transport.write(BIG)
+    await far.expect(len(BIG))
+    far.transport.write(BIG[::-1])
+    await near.expect(len(BIG))
+    assert far.received == near.received == BIG
+    assert relay.connected == ["u1"]
+    near.transport.loseConnection()
+    await far.ended.addTimeout(WAIT_S, relay.reactor)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_orderly_close_of_the_upstream_stays_one_and_loses_nothing(relay):
+    near, far = await relay.connect_both()
+    far.transport.write(BIG)
+    far.transport.loseConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert isinstance(reason, ConnectionDone)
+    assert near.received == BIG
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_reset_of_the_upstream_stays_a_reset(relay):
+    """An answer without a length would look complete."""
+    near, far = await relay.connect_both()
+    far.transport.write(b"half of an answer")
+    await near.expect(17)
+    far.transport.abortConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not isinstance(reason, ConnectionDone)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_reset_of_the_gateway_reaches_the_upstream(relay):
+    """The upstream would work on for a caller that has left."""
+    near, far = await relay.connect_both()
+    near.transport.abortConnection()
+    reason = await far.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not isinstance(reason, ConnectionDone)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_refusal_by_the_upstream_is_told_from_one_by_the_peer(relay):
+    from skylarkmoor_gateway.tunnels import TunnelRefused
+
+    unused = relay.reactor.listenTCP(0, RecorderFactory(), interface="127.0.0.1")
+    port = unused.getHost().port
+    await unused.stopListening()
+    with pytest.raises(TunnelRefused) as refused:
+        await relay.connect(port)
+    assert refused.value.by_upstream
+    assert relay.failed == ["u1"]
+    relay.refusal = "it is leaving"
+    with pytest.raises(TunnelRefused) as refused:
+        await relay.connect()
+    assert not refused.value.by_upstream
+    assert relay.upstream.made == []
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_peer_that_is_gone_is_told_from_a_refusal(relay):
+    from skylarkmoor_gateway.tunnels import TunnelEndpoint, TunnelRefused
+
+    unused = relay.reactor.listenTCP(0, RecorderFactory(), interface="127.0.0.1")
+    peer = Address("127.0.0.1", unused.getHost().port)
+    await unused.stopListening()
+    endpoint = TunnelEndpoint(relay.reactor, peer, "u1", ("127.0.0.1", 1))
+    with pytest.raises(ConnectError) as failure:
+        await endpoint.connect(RecorderFactory())
+    assert not isinstance(failure.value, TunnelRefused)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"CONNECT nowhere HTTP/1.1\r\nHost: a\r\nSkylarkmoor-Upstream: u1\r\n\r\n",
+        b"CONNECT 127.0.0.1:80 HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"\x00\xff\r\n\r\n",
+    ],
+)
+@pytest_twisted.ensureDeferred
+async def test_what_is_no_request_for_a_tunnel_is_refused(relay, data):
+    from twisted.internet.endpoints import TCP4ClientEndpoint
+
+    endpoint = TCP4ClientEndpoint(relay.reactor, "127.0.0.1", relay.relay_port.getHost().port)
+    client = await endpoint.connect(RecorderFactory())
+    client.transport.write(data)
+    await client.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not client.received or client.received.startswith(b"HTTP/1.1 400 ")
+    assert relay.upstream.made == []
+    assert not relay.server.open_tunnels
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_upstream_that_sends_without_end_to_a_slow_gateway_is_paused(relay):
+    """The peer would buffer the whole answer."""
+    near, far = await relay.connect_both()
+    near.transport.pauseProducing()
+    sent = 0
+
+    class Producer:
+        paused = Deferred()
+
+        def resumeProducing(self):  # noqa: N802
+            nonlocal sent
+            if sent < 400 * len(BIG):
+                sent += len(BIG)
+                far.transport.write(BIG)
+
+        def stopProducing(self):  # noqa: N802
+            pass
+
+    far.transport.registerProducer(Producer(), False)
+    from twisted.internet.task import deferLater
+
+    await deferLater(relay.reactor, 1.0, lambda: None)
+    assert sent < 100 * len(BIG)
+    near.transport.abortConnection()
+    await far.ended.addTimeout(WAIT_S, relay.reactor)
--- a/tests/adapter/test_answer_ends.py
+++ b/tests/adapter/test_answer_ends.py
@@ -339,3 +339,60 @@
     upstream.send(chunk(body) if framing == "chunks" else body)
     end(upstream)
     assert looks_complete(caller) is complete
+
+
+SECOND_HEADS = {
+    "length": answer(b"", Content_Length=str(len(EVENT_2))),
+    "chunks": stream_head(),
+    "close": answer(b"", Content_Length=""),
+}
+
+
+@pytest.mark.parametrize("framing", SECOND_HEADS)
+@pytest.mark.parametrize("end", [close, reset], ids=["close", "reset"])
+def test_a_resumed_stream_whose_second_head_is_cut_does_not_look_complete(
+    make_harness, framing, end
+):
+    """A worker that stopped in the middle of a head made a short answer look whole."""
+    head = SECOND_HEADS[framing]
+    for length in range(len(head)):
+        harness = make_harness()
+        harness.add_upstream("e1", "assistant", 1)
+        harness.add_upstream("e2", "assistant", 2)
+        caller = harness.caller()
+        caller.send(request("/brief/1", Skylarkmoor_Deadline_Ms="9000"))
+        first = harness.accept()
+        first.send(stream_head() + chunk(EVENT_1))
+        first.close(reset=True)
+        second = harness.accept()
+        second.send(head[:length])
+        end(second)
+        received = caller.received()
+        assert caller.transport.aborted, length
+        assert EVENT_1 in received, length
+        assert not received.endswith(chunk(b"")), length
+        harness.gateway.fleet.close()
+
+
+@pytest.mark.parametrize("informational", [b"100 Continue", b"102 Processing", b"103 Early Hints"])
+@pytest.mark.parametrize("count", [1, 3])
+def test_an_informational_head_is_no_answer(engines, informational, count):
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    upstream = engines.accept()
+    upstream.send(b"HTTP/1.1 %s\r\nLink: x\r\n\r\n" % informational * count)
+    assert caller.received() == b""
+    upstream.send(stream_head() + chunk(EVENT_1) + chunk(b""))
+    received = caller.received()
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.endswith(chunk(EVENT_1) + chunk(b""))
+
+
+@pytest.mark.parametrize("end", [close, reset], ids=["close", "reset"])
+def test_an_informational_head_alone_is_no_answer(engines, end):
+    caller = engines.caller()
+    caller.send(request("/answer/1", Skylarkmoor_Deadline_Ms="9000"))
+    upstream = engines.accept()
+    upstream.send(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+    end(upstream)
+    assert caller.received().startswith(b"HTTP/1.1 502 ")
