--- a/tests/adapter/test_cut_off_gateways.py
+++ b/tests/adapter/test_cut_off_gateways.py
@@ -56,6 +56,15 @@
     def regain(self):
         self.network.lost_paths.clear()
 
+    def orders_that_arrived(self):
+        return [name for u in self.upstreams if u.service == "orders" for name in u.names]
+
+    def connections(self):
+        return sum(
+            member.harness.next_connection + member.harness.pending_connections()
+            for member in self.network.members.values()
+        )
+
     def served_fraction(self, hosts, from_ms, to_ms):
         answers = [
             caller.transport.value()
@@ -99,3 +108,105 @@
             u.upstream for u in placement.upstreams.values() if u.backoff_until_ms > now_ms
         ] == []
         assert max(u.fault_rate for u in placement.upstreams.values()) < 0.2
+
+
+def test_requests_go_directly_again_when_the_paths_are_back(make_harness):
+    fleet = CutFleet(make_harness, 4)
+    fleet.run(2_000)
+    fleet.lose(HOSTS[:3], CutKind.SILENT)
+    fleet.run(4_000)
+    members = fleet.network.members
+    assert any(members[host].tunnels for host in HOSTS[:3])
+    fleet.regain()
+    fleet.run(2_000)
+    for host in HOSTS:
+        gateway = members[host].harness.gateway
+        assert gateway.reachability.unreachable() == ()
+    counts = {host: len(members[host].tunnels) for host in HOSTS}
+    fleet.run(2_000)
+    assert all(len(members[host].tunnels) <= counts[host] for host in HOSTS)
+    began_ms = fleet.network.clock.now_ms()
+    fleet.run(2_000)
+    fleet.run(1_000)
+    assert fleet.served_fraction(HOSTS, began_ms, began_ms + 2_000) == 1
+
+
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.name)
+def test_no_storm_of_connections_when_no_gateway_reaches_a_service(make_harness, kind):
+    """Gateways must not pass requests on to each other that none of them can send."""
+    fleet = CutFleet(make_harness, 5)
+    fleet.run(3_000)
+    orders = [each for each in fleet.upstreams if each.service == "orders"]
+    fleet.lose(HOSTS, kind, orders)
+    fleet.run(2_000)
+    before, requests = fleet.connections(), len(fleet.tries)
+    fleet.run(4_000)
+    # A request is sent four times at most, and paths are tried again once a second.
+    probes = 4 * len(HOSTS) * len(orders)
+    assert fleet.connections() - before <= 4 * (len(fleet.tries) - requests) + probes
+    fleet.regain()
+    fleet.run(2_000)
+    began_ms = fleet.network.clock.now_ms()
+    fleet.run(2_000)
+    fleet.run(1_000)
+    assert fleet.served_fraction(HOSTS, began_ms, began_ms + 2_000) >= 0.95
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_order_is_sent_twice_while_paths_and_gateways_come_and_go(make_harness, seed):
+    """Cuts of all kinds that move and overlap, partly one service or a few upstreams, and kills."""
+    fleet = CutFleet(make_harness, 100 + seed)
+    rng = random.Random(seed)
+    fleet.run(2_000)
+    for _ in range(8):
+        hosts = rng.sample(sorted(fleet.network.members), rng.randint(1, 4))
+        upstreams = rng.sample(fleet.upstreams, rng.randint(2, len(fleet.upstreams)))
+        fleet.lose(hosts, rng.choice(list(CutKind)), upstreams)
+        fleet.run(rng.randrange(300, 2_000, STEP_MS))
+        victim = rng.choice(HOSTS)
+        if rng.random() < 0.5 and victim in fleet.network.members:
+            fleet.network.kill(victim)
+            fleet.run(500)
+            fleet.network.start(victim)
+        if rng.random() < 0.5:
+            fleet.regain()
+            fleet.run(rng.randrange(300, 2_000, STEP_MS))
+    names = fleet.orders_that_arrived()
+    paths = {f"n{number}": caller for number, (_, _, caller) in enumerate(fleet.tries, 1)}
+    orders = [name for name in names if paths[name].asked_path == "/order/1"]
+    assert len(orders) >= 50
+    assert len(set(orders)) == len(orders)
+
+
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.name)
+def test_callers_are_served_when_their_gateway_reaches_a_few_upstreams_only(make_harness, kind):
+    fleet = CutFleet(make_harness, 6)
+    fleet.run(3_000)
+    lost = [each for each in fleet.upstreams if each.name not in ("e1", "o11")]
+    fleet.lose(HOSTS[:3], kind, lost)
+    fleet.run(3_000)
+    began_ms = fleet.network.clock.now_ms()
+    fleet.run(4_000)
+    fleet.run(1_000)
+    window = (began_ms, began_ms + 4_000)
+    served = fleet.served_fraction(HOSTS[:3], *window)
+    assert served >= LEAST_SERVED_RATIO * fleet.served_fraction(HOSTS[3:], *window)
+
+
+def test_a_caller_that_leaves_ends_its_request_at_the_upstream_also_through_a_peer(make_harness):
+    fleet = CutFleet(make_harness, 7)
+    fleet.run(2_000)
+    fleet.lose(HOSTS[:1], CutKind.RESET)
+    fleet.run(1_000)
+    for upstream in fleet.upstreams:
+        upstream.run_ms = 5_000
+    caller = fleet.network.ask("/answer/1", HOSTS[0])
+    name = f"n{fleet.network._requests}"
+    fleet.run(200)
+    (upstream,) = [each for each in fleet.upstreams if name in each.names]
+    before = sum(not each.transport.disconnecting for _, each in upstream.running)
+    caller.disconnect()
+    for _ in range(8):
+        fleet.network.advance()
+    after = sum(not each.transport.disconnecting for _, each in upstream.running)
+    assert after == before - 1
--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -106,6 +106,8 @@
     arrivals: list[tuple[int, HostId]] = field(default_factory=list)
     # Time of each change of the limit, and the new one.
     limits: list[tuple[int, float | None]] = field(default_factory=list)
+    # Id of each request that arrived.
+    names: list[str] = field(default_factory=list)
 
     def begin(self, now_ms: int, connection: Upstream) -> int | None:
         """Return when a request that arrives now ends, None if there is no room for it.
@@ -252,6 +254,7 @@
         name = f"n{self._requests}"
         caller = self.members[host or self._rng.choice(sorted(answering))].harness.caller()
         headers = {"Skylarkmoor_Request_Id": name, "Skylarkmoor_Deadline_Ms": "12000"}
+        caller.asked_path = path
         caller.send(request(path, "POST", name.encode(), **headers))
         return caller
 
@@ -315,6 +318,7 @@
             upstream.arrivals.append((now_ms, member.host))
             name = data.partition(b"Skylarkmoor-Request-Id: ")[2].partition(b"\r\n")[0]
             headers = {"Skylarkmoor_Request_Id": name.decode()}
+            upstream.names.append(name.decode())
             if upstream.limit_per_s is not None:
                 headers["Server_Limit"] = str(upstream.limit_per_s)
             if upstream.brittle_per_s is not None:
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -73,6 +73,8 @@
 
     connection: CallerConnection
     transport: RecordingTransport
+    # Path of the request, if a test keeps it.
+    asked_path: str = ""
 
     def send(self, data: bytes) -> None:
         """Send bytes to the gateway."""
