--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -1,7 +1,6 @@
 """Processing of one request: placement, attempts, retries and the response to the caller."""
 
 import logging
-from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -24,6 +23,7 @@
     ResponseHead,
 )
 from skylarkmoor_gateway.metrics import GatewayMetrics
+from skylarkmoor_gateway.paths import UpstreamPaths
 from skylarkmoor_gateway.responses import CallerResponse
 from skylarkmoor_gateway.slotcoordinator import SlotClient
 from skylarkmoor_gateway.tunnels import TunnelRefused
@@ -39,7 +39,7 @@
 from skylarkmoor_policy.eventstream import EventTooLarge
 from skylarkmoor_policy.fleetlimits import FleetRetryBudget
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
-from skylarkmoor_policy.reachability import SILENCE_MS, DirectPath, Path, PeerPath
+from skylarkmoor_policy.reachability import SILENCE_MS, DirectPath, PeerPath
 from skylarkmoor_policy.routetable import CustomerPolicy, RetrySafety, Route
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.trackedupstream import TrackedUpstream
@@ -98,21 +98,7 @@
     placement: Placement
     retries: FleetRetryBudget
     crash_examiner: CrashExaminer
-
-    def pool(self, upstream: UpstreamId, peer: HostId | None = None) -> UpstreamPool | None:
-        """Return the connections to an upstream, direct or through a peer; None if unknown."""
-
-    def path(self, upstream: UpstreamId, exclude: Collection[HostId] = ()) -> Path:
-        """Return the path on which a request is to be sent to an upstream."""
-
-    def peer_failed(self, peer: HostId, upstream: UpstreamId | None = None) -> None:
-        """Record that a peer could not be reached, or could not reach an upstream."""
-
-    def is_path_lost(self, upstream: UpstreamId) -> bool:
-        """Return whether an upstream is not reached from here although a peer reaches it."""
-
-    def is_cut_off(self, service: ServiceName) -> bool:
-        """Return whether no upstream of a service has sent anything here lately."""
+    paths: UpstreamPaths
 
     def wait_for_slot(self, exchange: "Exchange") -> None:
         """Queue a request until an upstream slot is granted."""
@@ -358,8 +344,8 @@
         """Return whether the path of an attempt is down, and not only that of new connections."""
         return (
             attempt.peer is None
-            and self._gateway.is_path_lost(attempt.upstream)
-            and self._gateway.is_cut_off(self.service)
+            and self._gateway.paths.is_lost(attempt.upstream)
+            and self._gateway.paths.is_silent(self.service)
         )
 
     def _version_rule(self) -> VersionRule | None:
@@ -511,13 +497,13 @@
         )
 
     def _connect(self, attempt: _SendAttempt) -> None:
-        match self._gateway.path(attempt.upstream, attempt.tried_peers):
+        match self._gateway.paths.path(attempt.upstream, attempt.tried_peers):
             case PeerPath(host=host):
                 attempt.peer = host
                 self._log_peer(attempt)
             case DirectPath():
                 attempt.peer = None
-        pool = self._gateway.pool(attempt.upstream, attempt.peer)
+        pool = self._gateway.paths.pool(attempt.upstream, attempt.peer)
         if pool is None:
             self._handle_unsent(attempt, "the upstream is gone")
             return
@@ -552,7 +538,7 @@
         placed = self._gateway.placement.upstreams.get(attempt.upstream)
         connect_ms = now_ms - attempt.sent_ms
         # The pool is replaced if the upstream was started again.
-        current_pool = self._gateway.pool(attempt.upstream, attempt.peer)
+        current_pool = self._gateway.paths.pool(attempt.upstream, attempt.peer)
         if placed is None or placed.leaving or current_pool is not pool:
             connection.abort()
             self._handle_unsent(
@@ -579,9 +565,9 @@
         is_refused = isinstance(failure.value, TunnelRefused)
         if attempt.peer is not None:
             attempt.tried_peers.add(attempt.peer)
-            self._gateway.peer_failed(attempt.peer, attempt.upstream if is_refused else None)
+            self._gateway.paths.peer_failed(attempt.peer, attempt.upstream if is_refused else None)
         if len(attempt.tried_peers) < _MAX_PEERS:
-            path = self._gateway.path(attempt.upstream, attempt.tried_peers)
+            path = self._gateway.paths.path(attempt.upstream, attempt.tried_peers)
             if isinstance(path, PeerPath):
                 self._connect(attempt)
                 return
@@ -656,7 +642,7 @@
             instance = InstanceId(attempt.upstream, attempt.started_wall_ms)
             self._gateway.answer_notices(self, instance, head.notices)
         if head.keep_alive_ms is not None and connection is not None:
-            pool = self._gateway.pool(attempt.upstream, attempt.peer)
+            pool = self._gateway.paths.pool(attempt.upstream, attempt.peer)
             if pool is not None:
                 pool.set_keep_alive(connection, head.keep_alive_ms)
         if 200 <= status < 300 and not head.has_signature:
@@ -793,7 +779,7 @@
         if attempt.connection is not None:
             attempt.connection.abort()
         # The failure of a lost path, or of a peer, says nothing of the upstream.
-        is_rated = attempt.peer is None and not self._gateway.is_path_lost(attempt.upstream)
+        is_rated = attempt.peer is None and not self._gateway.paths.is_lost(attempt.upstream)
         self._release(attempt, fault=True if is_rated else None)
         self._excluded_upstreams.add(attempt.upstream)
         if is_rated:
@@ -823,7 +809,7 @@
 
     def _put_back(self, attempt: _SendAttempt, connection: UpstreamConnection) -> None:
         """Return a connection on which nothing was sent to its pool."""
-        pool = self._gateway.pool(attempt.upstream, attempt.peer)
+        pool = self._gateway.paths.pool(attempt.upstream, attempt.peer)
         if pool is None:
             connection.abort()
         else:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -1,8 +1,7 @@
 """The gateway: validates, admits and forwards requests, and manages its own lifecycle."""
 
 import random
-from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import h11
@@ -12,7 +11,6 @@
 from skylarkmoor_core.hashing import fingerprint
 from skylarkmoor_core.ids import (
     Fingerprint,
-    HostId,
     Incarnation,
     RequestId,
     ServiceName,
@@ -28,9 +26,8 @@
 from skylarkmoor_gateway.fleet import Fleet
 from skylarkmoor_gateway.messages import Codec, Headers, IncomingRequest
 from skylarkmoor_gateway.metrics import GatewayMetrics
+from skylarkmoor_gateway.paths import UpstreamPaths
 from skylarkmoor_gateway.settings import GatewaySettings
-from skylarkmoor_gateway.tunnels import TunnelEndpoint, TunnelServerFactory
-from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.callertimeouts import retry_after_ms
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
 from skylarkmoor_policy.crashcounts import CrashCounts
@@ -47,7 +44,6 @@
     ReportReady,
 )
 from skylarkmoor_policy.placement import Placement
-from skylarkmoor_policy.reachability import DirectPath, Path, PeerPath, Reachability
 from skylarkmoor_policy.routecosts import RouteCosts
 from skylarkmoor_policy.routetable import CallerLimits, CustomerPolicy, Route, RouteTable
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream
@@ -94,23 +90,6 @@
 _log = part_logger("gateway")
 
 
-@dataclass(frozen=True, slots=True)
-class _PathObserver:
-    """Tells the gateway what the direct connections to an upstream show of its path."""
-
-    gateway: "Gateway"
-    upstream: UpstreamId
-
-    def connected(self) -> None:
-        self.gateway._path_connected(self.upstream)
-
-    def failed(self, reason: str) -> None:
-        self.gateway._path_failed(self.upstream, reason)
-
-    def heard(self) -> None:
-        self.gateway._path_heard(self.upstream)
-
-
 class Gateway:
     """A gateway with its connections, its peers and its placement of requests.
 
@@ -163,12 +142,7 @@
         self.log_stream: BoundedStream | None = None
         self.tasks = Tasks(reactor)
         self._settings = settings
-        self.reachability = Reachability(settings.failure_domain, rng)
-        self.tunnels = TunnelServerFactory(
-            reactor, self._tunnel_refusal, self._path_connected, self._path_failed
-        )
-        # Services of which no upstream is reached from here, although peers reach some.
-        self._services_cut_off: set[ServiceName] = set()
+        self.paths = UpstreamPaths(reactor, clock, rng, self.placement, settings.failure_domain)
         incarnation = Incarnation(clock.wall_ms())
         self.canaries = CanaryTable(settings.host, incarnation, settings.max_canary_share)
         self._canaries_checked_ms = 0
@@ -186,14 +160,14 @@
             settings.failure_domain,
             self.crash_evidence,
             settings.max_configuration_age_ms,
-            self.reachability,
+            self.paths.reachability,
         )
-        self.fleet.relayed = lambda: len(self.tunnels.open_tunnels)
+        self.fleet.relayed = lambda: len(self.paths.tunnels.open_tunnels)
         self.crash_examiner = CrashExaminer(
             clock,
             self.placement,
             self.crash_evidence,
-            self._pool_for_examination,
+            self.paths.working_pool,
             self.fleet.send_crash_evidence,
         )
         self.fleet.on_facts = lambda facts: self.canaries.apply_facts(facts, clock.now_ms())
@@ -202,9 +176,6 @@
         self._drain_started_ms: int | None = None
         self._stalls_checked_ms = 0
         self._table: RouteTable | None = None
-        self._pools: dict[UpstreamId, UpstreamPool] = {}
-        # Connections through peers.
-        self._peer_pools: dict[tuple[UpstreamId, HostId], UpstreamPool] = {}
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, Exchange] = {}
         # Requests that may be allowed by a newer configuration, with the time of their arrival.
@@ -233,7 +204,7 @@
             self._listen(settings.metrics_address, site)
         self._listen(settings.caller_address, CallerConnectionFactory(self, self.reactor))
         if settings.relay_address is not None:
-            self._listen(settings.relay_address, self.tunnels)
+            self._listen(settings.relay_address, self.paths.tunnels)
             self.fleet.relay_address = str(settings.relay_address)
         self.tasks.reschedule(_TICK_MS, self._tick)
         self.tasks.every(_MAINTENANCE_MS, self._maintain)
@@ -278,27 +249,13 @@
                 },
             )
         self.placement.set_upstream(listed)
-        pool = self._pools.get(name)
-        if pool is None or pool.address != listed.address or started_again:
-            if pool is not None:
-                pool.close()
-            self._forget_paths(name)
-            observer = _PathObserver(self, name)
-            self._pools[name] = UpstreamPool(self.reactor, self.clock, listed.address, observer)
+        self.paths.set_upstream(name, listed.address, started_again=started_again)
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Remove an upstream that has left; requests in progress there continue."""
         _log.info("upstream removed", extra={"upstream": upstream})
         self.placement.remove(upstream)
-        pool = self._pools.pop(upstream, None)
-        if pool is not None:
-            pool.close()
-        self._forget_paths(upstream)
-
-    def _forget_paths(self, upstream: UpstreamId) -> None:
-        self.reachability.forget(upstream)
-        for key in [each for each in self._peer_pools if each[0] == upstream]:
-            self._peer_pools.pop(key).close()
+        self.paths.remove_upstream(upstream)
 
     def drain(self) -> None:
         """Report not ready, finish the requests in progress and exit."""
@@ -315,9 +272,7 @@
             caller.close_now()
         self.tasks.stop()
         self.fleet.close()
-        for pool in (*self._pools.values(), *self._peer_pools.values()):
-            pool.close()
-        self.tunnels.close()
+        self.paths.close()
         _log.info("stopped")
 
     def is_ready(self) -> bool:
@@ -402,144 +357,6 @@
                 reason = "unknown to the configuration, which may be outdated"
                 self._refuse(caller, request, 503, reason, _NO_CONFIRMATION_RETRY_MS)
 
-    def pool(self, upstream: UpstreamId, peer: HostId | None = None) -> UpstreamPool | None:
-        """Return the connections to an upstream, direct or through a peer; None if unknown."""
-        direct = self._pools.get(upstream)
-        if peer is None or direct is None:
-            return direct
-        known = self._peer_pools.get((upstream, peer))
-        if known is not None:
-            return known
-        address = self.reachability.peer_address(peer)
-        if address is None:
-            return None
-        endpoint = TunnelEndpoint(self.reactor, address, upstream, direct.address)
-        pool = UpstreamPool(self.reactor, self.clock, direct.address, endpoint=endpoint)
-        self._peer_pools[upstream, peer] = pool
-        return pool
-
-    def path(self, upstream: UpstreamId, exclude: Collection[HostId] = ()) -> Path:
-        """Return the path on which a request is to be sent to an upstream."""
-        return self.reachability.path(upstream, self.clock.now_ms(), exclude)
-
-    def peer_failed(self, peer: HostId, upstream: UpstreamId | None = None) -> None:
-        """Record that a peer could not be reached, or could not reach an upstream."""
-        self.reachability.peer_failed(peer, self.clock.now_ms(), upstream)
-
-    def is_path_lost(self, upstream: UpstreamId) -> bool:
-        """Return whether an upstream is not reached from here although a peer reaches it."""
-        return self.reachability.is_path_lost(upstream, self.clock.now_ms())
-
-    def is_cut_off(self, service: ServiceName) -> bool:
-        """Return whether no upstream of a service has sent anything here lately."""
-        upstreams = self.placement.upstreams_of(service)
-        return self.reachability.is_silent(upstreams, self.clock.now_ms())
-
-    def _pool_for_examination(self, upstream: UpstreamId) -> UpstreamPool | None:
-        """Return the connections that tell whether an upstream still runs."""
-        match self.path(upstream):
-            case PeerPath(host=host):
-                return self.pool(upstream, host)
-            case DirectPath():
-                return self.pool(upstream)
-
-    def _tunnel_refusal(self, upstream: UpstreamId, address: Address) -> str | None:
-        """Return why no connection of a peer is passed on to an upstream, None if it may be."""
-        known = self.placement.upstreams.get(upstream)
-        if known is None or known.registration.address != (address.host, address.port):
-            return "the upstream is unknown or has another address"
-        if known.leaving or known.replaced:
-            return "the upstream is leaving or was replaced"
-        if self.reachability.is_down(upstream):
-            return "the upstream is not reached from here either"
-        return None
-
-    def _path_connected(self, upstream: UpstreamId) -> None:
-        if self.reachability.connected(upstream, self.clock.now_ms()):
-            _log.info("path to an upstream is up again", extra={"upstream": upstream})
-
-    def _path_failed(self, upstream: UpstreamId, reason: str) -> None:
-        now_ms = self.clock.now_ms()
-        if not self.reachability.failed(upstream, now_ms):
-            return
-        _log.warning(
-            "path to an upstream is down",
-            extra={
-                "upstream": upstream,
-                "why": reason,
-                "reached_by_peers": self.reachability.is_path_lost(upstream, now_ms),
-            },
-        )
-        pool = self._pools.get(upstream)
-        if pool is not None:
-            pool.close()
-        self._probe_silent_services(now_ms)
-
-    def _path_heard(self, upstream: UpstreamId) -> None:
-        self.reachability.heard(upstream, self.clock.now_ms())
-
-    def _probe_silent_services(self, now_ms: int) -> None:
-        """Try the paths to all upstreams of services that have sent nothing lately."""
-        if not self.reachability.has_peers():
-            return
-        for service in {each.registration.service for each in self.placement.upstreams.values()}:
-            upstreams = self.placement.upstreams_of(service)
-            if self.reachability.is_silent(upstreams, now_ms):
-                for upstream in self.reachability.suspects(upstreams, now_ms):
-                    self._probe(upstream)
-
-    def _check_paths(self, now_ms: int) -> None:
-        """Try the paths that are down, and those on which answers are awaited in vain.
-
-        Notes
-        -----
-        Without peers that could be asked, the requests themselves are sufficient.
-        """
-        if not self.reachability.has_peers():
-            return
-        for upstream in self.reachability.due_probes(now_ms):
-            self._probe(upstream)
-        awaited: dict[ServiceName, set[UpstreamId]] = {}
-        for exchange in self._exchanges.values():
-            silent_upstream = exchange.awaited_upstream(now_ms)
-            if silent_upstream is not None:
-                awaited.setdefault(exchange.service, set()).add(silent_upstream)
-        for service, silent_upstreams in awaited.items():
-            if self.is_cut_off(service):
-                for upstream in self.reachability.suspects(sorted(silent_upstreams), now_ms):
-                    self._probe(upstream)
-
-    def _probe(self, upstream: UpstreamId) -> None:
-        """Connect to an upstream to find out whether it is reached; the connection is kept."""
-        pool = self._pools.get(upstream)
-        if pool is None:
-            return
-
-        def keep(connection: UpstreamConnection) -> None:
-            if self._pools.get(upstream) is pool:
-                pool.release(connection)
-            else:
-                connection.abort()
-
-        # The observer of the pool has recorded a failure.
-        pool.connect().addCallbacks(keep, lambda failure: None)
-
-    def _check_services_cut_off(self, now_ms: int) -> None:
-        """Log when this gateway begins or ceases to depend on peers for a whole service."""
-        for service in {each.registration.service for each in self.placement.upstreams.values()}:
-            upstreams = self.placement.upstreams_of(service)
-            lost = [each for each in upstreams if self.reachability.is_path_lost(each, now_ms)]
-            is_cut_off = bool(lost) and all(map(self.reachability.is_down, upstreams))
-            if is_cut_off and service not in self._services_cut_off:
-                self._services_cut_off.add(service)
-                _log.warning(
-                    "cut off from a service; sending through peers",
-                    extra={"service": service, "upstreams": len(upstreams), "lost": len(lost)},
-                )
-            elif service in self._services_cut_off and len(lost) < len(upstreams):
-                self._services_cut_off.discard(service)
-                _log.info("no longer cut off from a service", extra={"service": service})
-
     def wait_for_slot(self, exchange: Exchange) -> None:
         """Queue a request until an upstream slot is granted."""
         small = self._route_costs.observe_and_classify(
@@ -791,7 +608,7 @@
             self._handle_unconfirmed(now_ms)
         if now_ms - self._stalls_checked_ms >= _STALL_CHECK_MS:
             self._stalls_checked_ms = now_ms
-            self._check_paths(now_ms)
+            self.paths.check(self._awaited_upstreams(now_ms))
             for exchange in list(self._exchanges.values()):
                 exchange.check_stall(now_ms)
         if self._drain_started_ms is not None:
@@ -800,6 +617,15 @@
         is_large_fleet = self.fleet.interval_ms() >= 10 * _IDLE_TICK_MS
         return _IDLE_TICK_MS if is_idle and is_large_fleet else _TICK_MS
 
+    def _awaited_upstreams(self, now_ms: int) -> dict[ServiceName, set[UpstreamId]]:
+        """Return the upstreams that are silent although they have been sent requests."""
+        awaited: dict[ServiceName, set[UpstreamId]] = {}
+        for exchange in self._exchanges.values():
+            upstream = exchange.awaited_upstream(now_ms)
+            if upstream is not None:
+                awaited.setdefault(exchange.service, set()).add(upstream)
+        return awaited
+
     def slot_requests(self) -> int:
         """Return the slot requests of this gateway and those that it dispatches."""
         return self.fleet.slot_coordinator.waiting() + self.fleet.slot_coordinator.queued()
@@ -810,7 +636,7 @@
         if elapsed_ms >= self._settings.grace_ms - _KILL_MARGIN_MS:
             self._end_requests()
         held = len(self._exchanges) + sum(caller.busy for caller in self._callers)
-        held += len(self.tunnels.open_tunnels)
+        held += len(self.paths.tunnels.open_tunnels)
         # Keeps the gateway running until the load balancer has removed it.
         waiting = held or int(elapsed_ms < _BALANCER_DELAY_MS)
         self._apply(self._lifecycle.update_outstanding_work(OutstandingWork(waiting=waiting)))
@@ -827,20 +653,14 @@
             )
         for exchange in list(self._exchanges.values()):
             exchange.end_before_exit()
-        self.tunnels.close()
+        self.paths.tunnels.close()
 
     def _maintain(self) -> None:
         if self.log_stream is not None:
             self.log_stream.flush()
         self.placement.refresh(self.clock.now_ms())
-        for pool in self._pools.values():
-            pool.close_expired()
-        for (upstream, peer), pool in list(self._peer_pools.items()):
-            pool.close_expired()
-            if not self.reachability.has_peer(peer):
-                self._peer_pools.pop((upstream, peer)).close()
+        self.paths.maintain()
         now_ms = self.clock.now_ms()
-        self._check_services_cut_off(now_ms)
         for change in self.placement.expire_notices(now_ms):
             self._log_notice(change)
         if now_ms - self._canaries_checked_ms >= self.fleet.interval_ms():
@@ -853,8 +673,8 @@
             configuration_age_ms=self.fleet.configuration_age.age_ms(now_ms),
             upstreams=usable,
             peers=self.fleet.active_peer_count(),
-            unreachable_upstreams=len(self.reachability.unreachable()),
-            tunnels=len(self.tunnels.open_tunnels),
+            unreachable_upstreams=len(self.paths.reachability.unreachable()),
+            tunnels=len(self.paths.tunnels.open_tunnels),
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
--- a/tests/adapter/test_cut_off_gateways.py
+++ b/tests/adapter/test_cut_off_gateways.py
@@ -121,7 +121,7 @@
     fleet.run(2_000)
     for host in HOSTS:
         gateway = members[host].harness.gateway
-        assert gateway.reachability.unreachable() == ()
+        assert gateway.paths.reachability.unreachable() == ()
     counts = {host: len(members[host].tunnels) for host in HOSTS}
     fleet.run(2_000)
     assert all(len(members[host].tunnels) <= counts[host] for host in HOSTS)
--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -363,7 +363,7 @@
         if peer is None or {host, member.host} & self.cut:
             connection.fail(ConnectionRefusedError())
             return
-        end = peer.harness.gateway.tunnels.buildProtocol(None)
+        end = peer.harness.gateway.paths.tunnels.buildProtocol(None)
         end.makeConnection(RecordingTransport())
         member.tunnels.append((connection.accept(), host, end))
 
