--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -70,7 +70,7 @@
 _SAMPLE_EVENTS = 8
 # Minimum time before the deadline for another attempt.
 _MIN_REMAINING_MS = 30
-# Peers through which a request is sent if the first of them has no connection to the upstream.
+# Peers that are tried for an attempt.
 _MAX_PEERS = 2
 # Placeholder that `SlotCoordinator.wait` replaces.
 _NO_TICKET = Ticket(HostId(""), 0)
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -306,6 +306,11 @@
 
     def handle(self, caller: CallerConnection, head: h11.Request, body: bytes) -> None:
         """Check a complete request, then place or refuse it."""
+        self._handle(caller, head, body, self.clock.now_ms())
+
+    def _handle(
+        self, caller: CallerConnection, head: h11.Request, body: bytes, arrived_ms: int
+    ) -> None:
         headers = list(head.headers.raw_items())
         try:
             request = self.codec.decode_request(head.method, head.target, headers, body)
@@ -323,7 +328,7 @@
             customer is None and table.requires_api_keys and not route.public
         )
         if is_denied and not self.fleet.configuration_age.is_current(self.clock.now_ms()):
-            self._unconfirmed[caller] = (head, body, self.clock.now_ms())
+            self._unconfirmed[caller] = (head, body, arrived_ms)
             return
         if route is None:
             self._refuse(caller, request, 404, "no route matches")
@@ -341,7 +346,7 @@
             remaining_ms = min(route.timeout_ms, request.deadline_ms or route.timeout_ms)
             self._refuse(caller, request, 503, reason, retry_after_ms(blocked_ms, remaining_ms))
             return
-        self._admit(caller, request, route, customer)
+        self._admit(caller, request, route, customer, arrived_ms)
 
     def _handle_unconfirmed(self, now_ms: int) -> None:
         """Handle the requests again that wait for a confirmed configuration, or refuse them."""
@@ -349,7 +354,7 @@
         for caller, (head, body, arrived_ms) in list(self._unconfirmed.items()):
             if is_current:
                 del self._unconfirmed[caller]
-                self.handle(caller, head, body)
+                self._handle(caller, head, body, arrived_ms)
             elif now_ms - arrived_ms >= _CONFIRMATION_WAIT_MS or self.draining():
                 del self._unconfirmed[caller]
                 headers = list(head.headers.raw_items())
@@ -535,6 +540,7 @@
         request: IncomingRequest,
         route: Route,
         customer: CustomerPolicy | None,
+        arrived_ms: int,
     ) -> None:
         now_ms = self.clock.now_ms()
         if self._cannot_finish(route, now_ms):
@@ -546,7 +552,7 @@
                 reason = f"the limit of customer {customer.name!r} is used up"
                 self._refuse(caller, request, 429, reason, wait_ms)
                 return
-        exchange = Exchange(self, caller, request, route, customer, now_ms)
+        exchange = Exchange(self, caller, request, route, customer, arrived_ms)
         self._exchanges[caller] = exchange
         exchange.start()
 
--- a/tests/adapter/test_configuration_age.py
+++ b/tests/adapter/test_configuration_age.py
@@ -9,6 +9,7 @@
 from adapter_harness import request
 from adapter_store import StoreModel, configuration_record, entry_record
 from silent_store import SilentStore
+from skylarkmoor_adapter.records import decode_configuration
 
 # Time after its confirmation by which a configuration has to be in force.
 CONFIGURATION_APPLY_MS = 2_000
@@ -111,6 +112,22 @@
     assert [each.placement.upstreams["e1"].leaving for each in fleet.gateways] == [True] * hosts
 
 
+def test_the_time_that_a_request_has_waited_for_a_confirmation_counts(make_harness):
+    """Its upstream was given more time than its caller had left."""
+    harness = make_harness(max_configuration_age_ms=1_000)
+    gateway = harness.gateway
+    harness.add_upstream("o1", "orders", 81)
+    harness.advance(2_000)
+    caller = harness.caller()
+    caller.send(request("/added/1", Skylarkmoor_Deadline_Ms="700"))
+    harness.advance(400)
+    record = configuration_record(11, NEW_ROUTE)
+    gateway.set_table(decode_configuration(record), record)
+    gateway.fleet.configuration_age.confirm(harness.clock.now_ms())
+    harness.advance(25)
+    assert b"Skylarkmoor-Deadline-Ms: 275\r\n" in harness.accept().received()
+
+
 @pytest.mark.parametrize(
     ("changes", "status"),
     [({"path": "/unknown/1"}, b"404"), ({"Authorization": "Token unknown"}, b"401")],
