--- a/tests/adapter/test_configuration_age.py
+++ b/tests/adapter/test_configuration_age.py
@@ -4,12 +4,17 @@
 from functools import partial
 
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
 
 from adapter_fleet import STEP_MS, FleetNetwork
 from adapter_harness import request
 from adapter_store import StoreModel, configuration_record, entry_record
 from silent_store import SilentStore
 from skylarkmoor_adapter.records import decode_configuration
+from skylarkmoor_adapter.store import Store
+from skylarkmoor_clients.httpclient import Answer, NoAnswer
+from skylarkmoor_core.settings import Address
 
 # Time after its confirmation by which a configuration has to be in force.
 CONFIGURATION_APPLY_MS = 2_000
@@ -156,3 +161,50 @@
         store.is_away = False
     fleet.run(3_000)
     assert ask() == status
+
+
+class SilentHttp:
+    """Passes calls to a store model; while it is silent, they end with their timeout."""
+
+    def __init__(self, model, reactor):
+        self.model = model
+        self.reactor = reactor
+        self.is_silent = False
+
+    def drop_connections(self):
+        pass
+
+    async def request(
+        self, method, path, *, params, body=None, timeout_ms, max_bytes, new_connection=False
+    ):
+        done = Deferred()
+        wait_ms = timeout_ms if self.is_silent else int(params.get("wait_ms", 0))
+        self.reactor.callLater(wait_ms / 1_000, lambda: done.called or done.callback(None))
+        await done
+        if self.is_silent:
+            raise NoAnswer("no complete answer in time")
+        response = self.model.respond(method, path, params, body or b"")
+        headers = Headers({name: [value] for name, value in response.headers.items()})
+        return Answer(response.status, headers, response.body)
+
+
+def test_a_waiting_read_without_an_answer_is_an_outage(harness, caplog):
+    """It was taken for one that was begun anew, so that the log told nothing of the outage."""
+    from skylarkmoor_adapter.followers import ConfigurationFollower
+
+    model = StoreModel()
+    model.write("keyed.op", "config", configuration_record(10))
+    store = Store(Address("127.0.0.1", 1))
+    http = store._http = SilentHttp(model, harness.reactor)
+    gateway = harness.gateway
+    follower = ConfigurationFollower(store, gateway, gateway.tasks, harness.clock)
+    gateway.tasks.spawn(follower.run())
+    harness.advance(1_000)
+    assert gateway.table.version == 10
+    http.is_silent = True
+    harness.advance(20_000)
+    assert "store is unreachable" in caplog.text
+    http.is_silent = False
+    model.write("keyed.op", "config", configuration_record(11))
+    harness.advance(12_000)
+    assert gateway.table.version == 11
