--- a/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreamnotices.py
@@ -125,12 +125,16 @@
             known.paused_until_ms = max(known.paused_until_ms, until_ms)
             self._last_pause_end_ms = max(self._last_pause_end_ms, until_ms)
         invalid = {kind for kind, _ in notices.invalid}
-        if invalid & {NoticeKind.LIMIT, NoticeKind.BRITTLE}:
+        kinds = (NoticeKind.LIMIT, NoticeKind.BRITTLE)
+        if invalid.issuperset(kinds):
             return changes
         before = (known.max_requests_per_s, known.max_refusals_per_s)
-        limits = (notices.max_requests_per_s, notices.max_refusals_per_s)
+        named = (notices.max_requests_per_s, notices.max_refusals_per_s)
+        limits = [
+            old_value if kind in invalid else value
+            for kind, value, old_value in zip(kinds, named, before, strict=True)
+        ]
         if self.record_limit(instance, limits[0], arrived_ms, now_ms, limits[1]):
-            kinds = (NoticeKind.LIMIT, NoticeKind.BRITTLE)
             changes += [
                 NoticeChange(instance, kind, value)
                 for kind, value, old_value in zip(kinds, limits, before, strict=True)
--- a/libs/policy/tests/test_upstreamnotices.py
+++ b/libs/policy/tests/test_upstreamnotices.py
@@ -90,3 +90,19 @@
     table.record_leaving(SECOND, 0)
     table.expire([SECOND], 10)
     assert table.counts(10)[NoticeKind.LEAVING] == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "limits"), [(NoticeKind.BRITTLE, (4.0, 1.0)), (NoticeKind.LIMIT, (2.0, 5.0))]
+)
+def test_an_invalid_limit_leaves_the_other_one_readable(table, kind, limits):
+    """An upstream that named one limit well and another badly got requests without any."""
+    first = AnswerNotices(max_requests_per_s=2.0, max_refusals_per_s=1.0)
+    table.record_answer(FIRST, first, 0, 0)
+    values = {
+        NoticeKind.BRITTLE: {"max_requests_per_s": 4.0},
+        NoticeKind.LIMIT: {"max_refusals_per_s": 5.0},
+    }
+    notices = AnswerNotices(invalid=((kind, "x"),), **values[kind])
+    table.record_answer(FIRST, notices, 10, 10)
+    assert (table.limit(FIRST)[0], table.max_refusals_per_s(FIRST)) == limits
