--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -96,6 +96,14 @@
     ({"Server-Limit": "1e3"}, AnswerNotices(invalid=((NoticeKind.LIMIT, "1e3"),))),
     ({"Server-Limit": "nan"}, AnswerNotices(invalid=((NoticeKind.LIMIT, "nan"),))),
     ({"Server-Limit": "9" * 400}, AnswerNotices(invalid=((NoticeKind.LIMIT, "9" * 400),))),
+    ({"Server-Brittle": "1.5"}, AnswerNotices(max_refusals_per_s=1.5)),
+    ({"skylarkmoor-server-brittle": "0"}, AnswerNotices(max_refusals_per_s=0.0)),
+    ({"Server-Brittle": "few"}, AnswerNotices(invalid=((NoticeKind.BRITTLE, "few"),))),
+    ({"Server-Brittle": "-2"}, AnswerNotices(invalid=((NoticeKind.BRITTLE, "-2"),))),
+    (
+        {"Server-Limit": "3", "Server-Brittle": "2"},
+        AnswerNotices(max_requests_per_s=3.0, max_refusals_per_s=2.0),
+    ),
     ({"Retry-After": "0.25"}, AnswerNotices(retry_after_ms=250)),
     ({"Retry-After": "999999999"}, AnswerNotices(retry_after_ms=3_600_000)),
     (
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -32,6 +32,22 @@
     assert settings.max_drain_delay_ms == 3_000
 
 
+@pytest.mark.parametrize(
+    ("ports", "relay"), [("7600, 7615", "10.1.0.25:7601"), ("7600, 7600", "None")]
+)
+def test_connections_are_passed_on_at_the_second_free_port_if_there_is_one(tmp_path, ports, relay):
+    path = write_settings(tmp_path)
+    path.write_text(path.read_text().replace("7600, 7615", ports))
+    assert str(read_settings(path).gateway.relay_address) == relay
+
+
+@pytest.mark.parametrize(("bound", "age_ms"), [("", 1_000), ("config_apply_ms: 7000,", 3_500)])
+def test_the_configuration_may_be_half_as_old_as_the_time_to_apply_it(tmp_path, bound, age_ms):
+    path = write_settings(tmp_path)
+    path.write_text(path.read_text().replace("drain_ms", f"{bound} drain_ms"))
+    assert read_settings(path).gateway.max_configuration_age_ms == age_ms
+
+
 def test_all_invalid_addresses_are_reported_together(tmp_path):
     with pytest.raises(ExceptionGroup) as caught:
         read_settings(write_settings(tmp_path, front="here", store="there"))
