--- a/review/common.py
+++ b/review/common.py
@@ -524,10 +524,14 @@
 class Client:
     """A client's connection to a gateway."""
 
-    def __init__(self, case, gateway, timeout_s=20.0):
+    def __init__(self, case, gateway, timeout_s=20.0, receive_bytes=None):
         self.case = case
         self.gateway = gateway
-        self.socket = socket.create_connection((gateway.ip, case.base_port), timeout_s)
+        self.socket = socket.socket()
+        self.socket.settimeout(timeout_s)
+        if receive_bytes is not None:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        self.socket.connect((gateway.ip, case.base_port))
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.stream = self.socket.makefile("rb", buffering=65536)
 
@@ -656,7 +660,10 @@
 
 def free_base_port(ips):
     """Return the first of 20 ports in a row that are free on all addresses."""
-    for base in range(18200, 28000, 40):
+    bases = list(range(18200, 28000, 40))
+    # Cases that run side by side begin at different ports.
+    begin = os.getpid() % len(bases)
+    for base in bases[begin:] + bases[:begin]:
         try:
             for ip in ips:
                 for port in range(base, base + 20):
