--- a/review/1/case.py
+++ b/review/1/case.py
@@ -64,7 +64,7 @@
 def play(case):
     case.store.write("keyed.op", "config", configuration(7, ROUTES))
     case.server("orders-1", "orders", run=answer_without_length)
-    case.start_gateways(3)
+    case.start_gateways(7)
     for number in range(TRIES):
         answer, peer = ask_through_peer(case, f"r{number}")
         if peer is not None:
