--- a/review/common.py
+++ b/review/common.py
@@ -392,7 +392,8 @@
 def answer_plain(server, connection, request):
     """Answer with a short body."""
     body = f"{server.name} did {request['path']}".encode()
-    connection.sendall(server.answer_head(request, Content_Length=len(body)) + body)
+    head = server.answer_head(request, Content_Length=len(body))
+    connection.sendall(head if request["method"] == "HEAD" else head + body)
     return True
 
 
@@ -547,6 +548,7 @@
             values["Content-Length"] = str(len(body))
         lines = "".join(f"{key}: {value}\r\n" for key, value in values.items())
         self.case.record.write(f"client sends {name}: {method} {path} to {self.gateway.name}")
+        self.method = method
         self.began = time.monotonic()
         self.socket.sendall(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
 
@@ -559,7 +561,10 @@
                 answer.error = "closed"
             else:
                 answer.status, answer.headers = int(head[0].split(" ")[1]), head[1]
-                self._read_body(answer, on_data)
+                if self.method == "HEAD":
+                    answer.complete = True
+                else:
+                    self._read_body(answer, on_data)
         except (OSError, ValueError) as error:
             answer.error = f"{type(error).__name__}: {error}"
         answer.took_s = time.monotonic() - self.began
