--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,171 +1,170 @@
-"""A server in trouble sends bytes that are no answer, in small chunks and without end."""
+"""A gateway is killed and starts again while its requests wait for slots at another gateway."""
 
-import socket
+import signal
 import sys
 import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from common import Client, configuration, main, route
-
-ORDER_TIMEOUT_MS = 800
-# What the rule allows in addition.
-LATE_MS = 500
-ORDER_DEADLINE_S = 1.5
-ROUTES = [
-    route("order", "/order/", "unsafe", "orders", timeout_ms=ORDER_TIMEOUT_MS),
-    route(
-        "answer",
-        "/answer/",
+from common import ROOT, CannotRun, Client, configuration, main, route
+
+sys.path.append(str(ROOT / "target/deps"))
+from skylarkmoor_core.hashing import rendezvous_order
+
+ENGINE_SLOTS = 2
+# A gateway lets one more request wait at an engine than it has slots.
+CAPACITY = ENGINE_SLOTS + 1
+WAITING = 4
+GATEWAYS = 7
+TRIES = 12
+MEET_S = 1.5
+
+
+def stream_route(name, prefix, service):
+    return route(
+        name,
+        prefix,
         "stream",
-        "llm",
-        timeout_ms=12000,
-        goal_ms=400,
+        service,
+        timeout_ms=15000,
+        goal_ms=2000,
         gap_target_ms=400,
+        priority=0,
         sticky=True,
-    ),
-]
-# A client abandons a stream after this time without an event: the longest of 2 s, four times the
-# objective and eight times the pause.
-PATIENCE_S = 3.2
-# About what one machine of the site gets.
-STREAMS_PER_S = 4
-ORDERS_PER_S = 12
-CALM_S = 2.0
-TROUBLE_S = 10.0
-READY_S = 1.0
-EVENTS = [b"id: %d\ndata: word\n\n" % number for number in range(1, 50)]
-EVENT_S = 0.015
-CHUNKS = b"1\r\nx\r\n" * 10_000
-
-
-def answer_stream(server, connection, request):
-    """Answer with events."""
-    size = sum(map(len, EVENTS))
-    connection.sendall(
-        server.answer_head(request, Content_Type="text/event-stream", Content_Length=size)
     )
-    for event in EVENTS:
-        time.sleep(EVENT_S)
-        connection.sendall(event)
-    return True
 
 
-def answer_without_end(server, connection, request):
-    """Answer with small chunks of bytes that are no event, until the gateway closes."""
-    if not server.case.in_trouble:
-        return answer_stream(server, connection, request)
-    sent = 0
-    try:
-        connection.sendall(
-            server.answer_head(
-                request, Content_Type="text/event-stream", Transfer_Encoding="chunked"
-            )
-        )
-        while not server.case.ended.is_set():
-            connection.sendall(CHUNKS)
-            sent += len(CHUNKS)
-    finally:
-        server.case.record.write(f"server {server.name} has written {sent} bytes to {request['id']}")
+def answer_when_released(server, connection, request):
+    """Answer with one event, those that fill the engine only when they are released."""
+    gate = server.case.gates.get(request["id"])
+    if gate is not None:
+        gate.wait(20)
+    body = f"id: 1\ndata: {server.service} for {request['path']}\n\n".encode()
+    head = server.answer_head(request, Content_Type="text/event-stream", Content_Length=len(body))
+    connection.sendall(head + body)
+    return True
 
 
-def ask_stream(case, front, name):
-    """Read a stream and abandon it after the longest time without an event."""
-    client = Client(case, front, timeout_s=PATIENCE_S)
-    client.send(
-        name,
-        "POST",
-        f"/answer/{name}",
-        body=b"text",
-        deadline_ms=12000,
-        Skylarkmoor_Model="m",
-        Skylarkmoor_Token_Counts="628,294",
-        Skylarkmoor_Prompt_Prefix=f"5c1e07a2:60,{name.encode().hex()}:568",
-    )
-    last_event_s = time.monotonic()
-    read, tail = 0, b""
-    why = "closed"
-    try:
-        while True:
-            left_s = last_event_s + PATIENCE_S - time.monotonic()
-            if left_s <= 0:
-                why = "abandoned"
-                break
-            client.socket.settimeout(left_s)
-            data = client.socket.recv(65536)
-            if not data:
-                break
-            read += len(data)
-            if b"\n\n" in tail + data:
-                last_event_s = time.monotonic()
-            tail = (tail + data)[-200:]
-            if b"id: 49" in tail or tail.endswith(b"0\r\n\r\n"):
-                why = "whole"
-                break
-    except socket.timeout:
-        why = "abandoned"
-    except OSError as error:
-        why = str(error)
-    took_s = time.monotonic() - client.began
-    case.record.write(f"client ends {name}: {read} bytes, {why}, {took_s:.3f} s")
-    client.close()
-
-
-def ask_order(case, front, name, took_s):
-    """Send an order and note how long it was without an answer."""
-    client = Client(case, front, timeout_s=ORDER_DEADLINE_S)
-    client.send(name, "POST", f"/order/{name}", body=b"3 boxes")
-    answer = client.receive(name)
-    took_s[name] = answer.took_s if answer.status else max(answer.took_s, ORDER_DEADLINE_S)
-    client.close()
-
-
-def ask_ready(case, front):
-    """Ask the ready address like the platform."""
-    while not case.ended.is_set():
-        began = time.monotonic()
-        is_ready = front.is_ready()
-        took_s = time.monotonic() - began
-        case.record.write(f"{front.name} is {'' if is_ready else 'not '}ready, {took_s:.3f} s")
-        case.ended.wait(READY_S)
+class Stream(threading.Thread):
+    """A client that asks for one stream."""
+
+    def __init__(self, case, gateway, name, path):
+        super().__init__(daemon=True)
+        self.client = Client(case, gateway)
+        self.name = name
+        self.answer = None
+        self.client.send(
+            name,
+            "POST",
+            path + name,
+            body=b"text",
+            deadline_ms=15000,
+            Skylarkmoor_Model="m",
+            Skylarkmoor_Token_Counts="100,6",
+        )
+        self.start()
+
+    def run(self):
+        self.answer = self.client.receive(self.name)
+        self.client.close()
+
+
+def has_run(case, name):
+    return any(run["id"] == name for server in case.servers for run in server.runs)
+
+
+def wait_until(condition, wait_s):
+    until = time.monotonic() + wait_s
+    while not condition() and time.monotonic() < until:
+        time.sleep(0.005)
+    return condition()
+
+
+def has_heard(front, gateways):
+    """Return whether a gateway has logged that it hears others."""
+    heard = {each.get("peer") for each in front.lines() if "is responding" in each["message"]}
+    return {each.name for each in gateways} <= heard
+
+
+def choose_services(hosts):
+    """Return two services whose slots different gateways grant, and a third gateway."""
+    for number in range(1, 100):
+        services = ("llm", f"draft-{number}")
+        granting = [rendezvous_order(each, hosts)[0] for each in services]
+        if granting[0] != granting[1]:
+            return services, granting, [each for each in hosts if each not in granting][0]
+    raise CannotRun("no names of services found")
+
+
+def fill(case, gateway, service, path, tag):
+    """Take all places of a service's engine and return the names of the requests."""
+    names = [f"{tag}-fill-{service}-{number}" for number in range(CAPACITY)]
+    for name in names:
+        case.gates[name] = threading.Event()
+        Stream(case, gateway, name, path)
+    if not wait_until(lambda: all(has_run(case, name) for name in names), 5):
+        raise CannotRun(f"the engine of {service} was not filled")
+    return names
+
+
+def play_once(case, tag, services, granting, front):
+    """Let requests wait, kill their gateway, and let others wait at its next process."""
+    names = {}
+    for service, path in zip(services, case.paths, strict=True):
+        names[service] = fill(case, granting[0], service, path, tag)
+    time.sleep(0.3)
+    for number in range(WAITING):
+        Stream(case, front, f"{tag}-brief-{number}", case.paths[0])
+    time.sleep(0.1)
+    if case.trouble:
+        front.send_signal(signal.SIGKILL)
+        front.process.wait()
+        front.start()
+        if not wait_until(front.is_ready, 10):
+            raise CannotRun("the gateway did not start again")
+        case.record.write(f"{front.name} is ready again")
+        # The process learns from its peers which engines are full.
+        wait_until(lambda: has_heard(front, granting), MEET_S)
+    second = [
+        Stream(case, front, f"{tag}-draft-{number}", case.paths[1]) for number in range(WAITING)
+    ]
+    time.sleep(0.1)
+    for name in names[services[0]]:
+        case.gates[name].set()
+    time.sleep(1.0)
+    for name in names[services[1]]:
+        case.gates[name].set()
+    for each in second:
+        each.join()
+    time.sleep(1.0)
 
 
 def play(case):
-    case.in_trouble = False
-    case.store.write("keyed.op", "config", configuration(7, ROUTES))
-    case.server("llm-1", "llm", run=answer_without_end)
-    case.server("llm-2", "llm", run=answer_stream)
-    case.server("orders-1", "orders")
-    front, _ = case.start_gateways(2)
-    threading.Thread(target=ask_ready, args=(case, front), daemon=True).start()
-    took_s = {}
-    threads = []
-    for number in range(int((CALM_S + TROUBLE_S) * ORDERS_PER_S)):
-        if number == int(CALM_S * ORDERS_PER_S) and case.trouble:
-            case.record.write("server llm-1 is in trouble from now on")
-            case.in_trouble = True
-        if number % (ORDERS_PER_S // STREAMS_PER_S) == 0:
-            threads.append(threading.Thread(target=ask_stream, args=(case, front, f"s{number:03}")))
-            threads[-1].start()
-        threads.append(
-            threading.Thread(target=ask_order, args=(case, front, f"r{number:03}", took_s))
-        )
-        threads[-1].start()
-        time.sleep(1 / ORDERS_PER_S)
-    for thread in threads:
-        thread.join()
-    unanswered = [each for each in took_s.values() if each * 1000 > ORDER_TIMEOUT_MS]
-    late = [each for each in unanswered if each * 1000 > ORDER_TIMEOUT_MS + LATE_MS]
-    case.record.write(
-        f"of {len(took_s)} orders, {len(unanswered)} had no answer at {ORDER_TIMEOUT_MS} ms,"
-        f" {len(late)} of these none {LATE_MS} ms later"
-    )
-    if len(unanswered) >= 10 and len(late) > len(unanswered) / 2:
-        return [
-            f"CONFIG: {len(late)} of {len(unanswered)} requests that had no answer at their route's"
-            f" timeout had none {LATE_MS} ms later"
+    hosts = [f"front-{number}" for number in range(2, 2 + GATEWAYS)]
+    services, granting, name = choose_services(hosts)
+    case.record.write(f"{granting[0]} grants the slots of {services[0]}, {granting[1]} of {services[1]}")
+    case.gates = {}
+    case.paths = ("/brief/", "/draft/")
+    routes = [stream_route(p.strip("/"), p, s) for p, s in zip(case.paths, services, strict=True)]
+    services_field = [{"name": each, "engine": {"slots": ENGINE_SLOTS}} for each in services]
+    case.store.write("keyed.op", "config", configuration(7, routes, services=services_field))
+    for service in services:
+        case.server(f"{service}-a", service, run=answer_when_released, slots=ENGINE_SLOTS)
+    by_name = {each.name: each for each in case.start_gateways(GATEWAYS)}
+    allowed = dict(zip(case.paths, services, strict=True))
+    for number in range(TRIES):
+        play_once(case, f"t{number}", services, [by_name[each] for each in granting], by_name[name])
+        found = [
+            f"ROUTE: {server.name} of service {server.service} has run {run['id']} ({run['path']}),"
+            f" whose route goes to service {allowed[path]} in every configuration"
+            for server in case.servers
+            for run in server.runs
+            for path in case.paths
+            if run["path"].startswith(path) and server.service != allowed[path]
         ]
+        if found:
+            return found
     return []
 
 
