--- a/review/common.py
+++ b/review/common.py
@@ -65,11 +65,14 @@
 
     def write(self, text):
         with self._lock:
-            self._file.write(f"{time.monotonic() - self._began:8.3f} s  {text}\n")
-            self._file.flush()
+            # Threads of stand-ins may outlast the case.
+            if not self._file.closed:
+                self._file.write(f"{time.monotonic() - self._began:8.3f} s  {text}\n")
+                self._file.flush()
 
     def close(self):
-        self._file.close()
+        with self._lock:
+            self._file.close()
 
 
 def route(name, prefix, kind, service, **fields):
