--- a/review/common.py
+++ b/review/common.py
@@ -518,6 +518,8 @@
         self.complete = False
         self.error = ""
         self.took_s = 0.0
+        # Monotonic time at which the answer or its channel ended.
+        self.ended_s = 0.0
 
     def __str__(self):
         ending = "complete" if self.complete else f"cut ({self.error})"
@@ -570,7 +572,8 @@
                     self._read_body(answer, on_data)
         except (OSError, ValueError) as error:
             answer.error = f"{type(error).__name__}: {error}"
-        answer.took_s = time.monotonic() - self.began
+        answer.ended_s = time.monotonic()
+        answer.took_s = answer.ended_s - self.began
         self.case.record.write(f"client gets {name}: {answer}")
         return answer
 
