Send the bytes of a tunnel in frames, so that its close is no end of an answer

Cause: the kernel closes the tunnel of a killed peer in order, and an orderly close ends an answer without a length. No upstream had stated that end.

Change: the upstream's bytes are framed, an empty frame says that the upstream has closed, and a tunnel that is closed without one is lost. Both sides announce frames in a header. At a relay of an older build no close ends an answer; tunnels of older gateways are reset when the process of the relay ends. A relay resets its connection to the upstream when its gateway ends in whatever way.

--- a/libs/core/src/skylarkmoor_core/tcpoptions.py
+++ b/libs/core/src/skylarkmoor_core/tcpoptions.py
@@ -4,7 +4,7 @@
 import struct
 from typing import Any
 
-__all__ = ["configure_socket", "reset_on_close"]
+__all__ = ["close_when_written", "configure_socket", "reset_on_close"]
 
 # A dead connection is detected after 2 + 2 * 1 seconds, within the shortest caller timeout of 5 s.
 _KEEPALIVE_IDLE_S = 2
@@ -32,3 +32,34 @@
     """Choose whether a connection is reset when it is closed, also if the process is killed."""
     linger = struct.pack("ii", int(enabled), 0)
     transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def close_when_written(transport: Any) -> None:
+    """Close a connection orderly, but only once the kernel has all bytes that were written to it.
+
+    Notes
+    -----
+    For connections with `reset_on_close`. If the process is killed before, they are reset, so
+    that what the other side has read does not look complete.
+    """
+    transport.registerProducer(_OrderlyCloser(transport), False)
+    transport.loseConnection()
+
+
+class _OrderlyCloser:
+    """A pull producer, which the transport asks for more when its buffer is empty."""
+
+    def __init__(self, transport: Any) -> None:
+        self._transport = transport
+        self._is_registered = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Let the transport close; called by Twisted at the registration too."""
+        if not self._is_registered:
+            self._is_registered = True
+            return
+        reset_on_close(self._transport, False)
+        self._transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the connection was lost."""
--- a/libs/gateway/src/skylarkmoor_gateway/tunnels.py
+++ b/libs/gateway/src/skylarkmoor_gateway/tunnels.py
@@ -4,24 +4,33 @@
 passes bytes on and decides nothing: admission, slots, retries and the reading of answers stay with
 the gateway that has the caller. It connects to listed upstreams only, so that a connection passes
 one peer at most.
+
+An upstream may end an answer by closing its connection. The kernel of a peer closes a tunnel in the
+same way when the peer is killed, so the bytes of the upstream are sent in frames, each after its
+length in four bytes, and an empty frame says that the upstream has closed. Both sides announce in
+a header that they use frames. A side of an older build does not: its tunnel passes the bytes as
+they are, a gateway then takes no close for the end of an answer, and a peer has the kernel reset
+the tunnel if its process ends.
 """
 
+import struct
 from collections.abc import Callable
 from typing import Any
 
 import h11
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectError, ConnectionDone
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
 from twisted.internet.error import ConnectionRefusedError as RefusedError
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
 from skylarkmoor_core.errors import SettingsError
 from skylarkmoor_core.ids import UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.settings import Address, parse_address
-from skylarkmoor_core.tcpoptions import configure_socket
+from skylarkmoor_core.tcpoptions import close_when_written, configure_socket, reset_on_close
 
 __all__ = ["CONNECT_TIMEOUT_S", "TunnelEndpoint", "TunnelRefused", "TunnelServerFactory"]
 
@@ -36,6 +45,12 @@
 # Each uses two of the file descriptors of the process.
 _MAX_TUNNELS = 1_000
 _UPSTREAM_HEADER = b"skylarkmoor-upstream"
+# Set by both sides if the bytes of the upstream are sent in frames.
+_FRAMES_HEADER = (b"skylarkmoor-tunnel-frames", b"1")
+# A frame holds what one read of the socket returns, which is at most 64 KiB.
+_MAX_FRAME_BYTES = 1_048_576
+_FRAME_LENGTH = struct.Struct("!I")
+_END_FRAME = _FRAME_LENGTH.pack(0)
 _BAD_REQUEST = 400
 _UNKNOWN_UPSTREAM = 404
 # The upstream has refused the connection.
@@ -121,6 +136,9 @@
         self._target = f"{address[0]}:{address[1]}".encode()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._inner: Any = None
+        # None if the bytes of the upstream arrive as they are.
+        self._frames: _FrameReader | None = None
+        self._is_ended = False
         self._timer: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -128,7 +146,11 @@
         head = h11.Request(
             method=b"CONNECT",
             target=self._target,
-            headers=[(b"Host", self._target), (_UPSTREAM_HEADER, self._upstream.encode())],
+            headers=[
+                (b"Host", self._target),
+                (_UPSTREAM_HEADER, self._upstream.encode()),
+                _FRAMES_HEADER,
+            ],
         )
         data = (self._http.send(head) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
         self._transport.write(data)
@@ -136,7 +158,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self._inner is not None:
-            self._inner.dataReceived(data)
+            self._pass_on(data)
             return
         if self.done.called:
             return
@@ -153,20 +175,44 @@
             return
         self._timer.cancel()
         self._inner = self._factory.buildProtocol(None)
+        if _FRAMES_HEADER in event.headers:
+            self._frames = _FrameReader(self._inner.dataReceived, self._upstream_closed)
         self._inner.makeConnection(self.transport)
         self.done.callback(self._inner)
         early = self._http.trailing_data[0]
         if early:
-            self._inner.dataReceived(early)
+            self._pass_on(early)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         if self._inner is not None:
-            self._inner.connectionLost(reason)
+            if isinstance(reason.value, ConnectionDone):
+                # The peer has closed, which says nothing of the upstream.
+                reason = Failure(ConnectionLost("the tunnel was closed"))  # type: ignore[no-untyped-call]
+            self._end(reason)
         elif not self.done.called:
             self._timer.cancel()
             error = ConnectError(string=reason.getErrorMessage())  # type: ignore[no-untyped-call]
             self.done.errback(Failure(error))  # type: ignore[no-untyped-call]
 
+    def _pass_on(self, data: bytes) -> None:
+        if self._is_ended:
+            return
+        if self._frames is None:
+            self._inner.dataReceived(data)
+            return
+        self._frames.dataReceived(data)  # type: ignore[no-untyped-call]
+        if self._frames.is_invalid:
+            self._transport.abortConnection()
+
+    def _upstream_closed(self) -> None:
+        self._end(connectionDone)
+        self._transport.abortConnection()
+
+    def _end(self, reason: Failure) -> None:
+        if not self._is_ended:
+            self._is_ended = True
+            self._inner.connectionLost(reason)
+
     def _fail(self, status: int) -> None:
         if self._timer.active():
             self._timer.cancel()
@@ -179,6 +225,38 @@
         return self.transport
 
 
+class _FrameReader(Int32StringReceiver):
+    """Reads the frames of a tunnel.
+
+    Attributes
+    ----------
+    is_invalid : bool
+        Whether the peer has announced a frame that is too long.
+    """
+
+    MAX_LENGTH = _MAX_FRAME_BYTES
+
+    def __init__(self, on_data: Callable[[bytes], None], on_end: Callable[[], None]) -> None:
+        self.is_invalid = False
+        self._on_data = on_data
+        self._on_end = on_end
+        self._is_ended = False
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Pass a frame on; called by Twisted."""
+        if self._is_ended:
+            return
+        if string:
+            self._on_data(string)
+        else:
+            self._is_ended = True
+            self._on_end()
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Record that the tunnel cannot be read; called by Twisted."""
+        self.is_invalid = True
+
+
 class TunnelServerFactory(Factory):
     """Accepts tunnels of peers.
 
@@ -233,6 +311,7 @@
         self._far: _FarEnd | None = None
         self._is_asked = False
         self._is_closed = False
+        self._has_frames = False
         self._timer: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -263,16 +342,27 @@
             self._timer.cancel()
         self._factory.open_tunnels.discard(self)
         if self._far is not None:
-            _close_other(self._far.transport, reason)
+            # However the peer has ended, it does not wait for the answer any more.
+            self._far.abort()
 
     def write(self, data: bytes) -> None:
         """Pass bytes of the upstream on."""
+        if self._has_frames:
+            self._transport.write(_FRAME_LENGTH.pack(len(data)))
         self._transport.write(data)
 
     def far_end_lost(self, reason: Failure) -> None:
-        """Close the connection of the peer in the way in which the upstream's was closed."""
-        if not self._is_closed:
-            _close_other(self.transport, reason)
+        """Tell the peer in which way the upstream's connection was closed."""
+        if self._is_closed:
+            return
+        self._transport.unregisterProducer()
+        if not isinstance(reason.value, ConnectionDone):
+            self._transport.abortConnection()
+        elif self._has_frames:
+            self._transport.write(_END_FRAME)
+            self._transport.loseConnection()
+        else:
+            close_when_written(self._transport)
 
     def _handle(self, request: h11.Request) -> None:
         names = [value for name, value in request.headers if name == _UPSTREAM_HEADER]
@@ -293,6 +383,7 @@
             _log.info("refused a tunnel", extra={"upstream": upstream, "why": reason})
             self._refuse(_UNKNOWN_UPSTREAM)
             return
+        self._has_frames = _FRAMES_HEADER in request.headers
         endpoint: Any = TCP4ClientEndpoint(
             self._factory.reactor, address.host, address.port, timeout=CONNECT_TIMEOUT_S
         )
@@ -309,7 +400,11 @@
             far_transport.abortConnection()
             return
         self._factory.accepted += 1
-        self._transport.write(self._http.send(h11.Response(status_code=200, headers=[])) or b"")
+        headers = [_FRAMES_HEADER] if self._has_frames else []
+        head = h11.Response(status_code=200, headers=headers)
+        self._transport.write(self._http.send(head) or b"")
+        if not self._has_frames:
+            reset_on_close(self.transport, True)
         self._far = far
         far_transport.registerProducer(self.transport, True)
         self._transport.registerProducer(far_transport, True)
@@ -349,14 +444,13 @@
 
     def write(self, data: bytes) -> None:
         """Pass bytes of the peer on."""
-        transport: Any = self.transport
-        transport.write(data)
+        self._transport.write(data)
 
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._transport.unregisterProducer()
+        self._transport.abortConnection()
 
-def _close_other(transport: Any, reason: Failure) -> None:
-    """Close one side of a tunnel as the other side was closed, orderly or by a reset."""
-    transport.unregisterProducer()
-    if isinstance(reason.value, ConnectionDone):
-        transport.loseConnection()
-    else:
-        transport.abortConnection()
+    @property
+    def _transport(self) -> Any:
+        return self.transport
--- a/libs/gateway/tests/test_tunnels.py
+++ b/libs/gateway/tests/test_tunnels.py
@@ -1,5 +1,8 @@
 """Guards against tunnels that lose bytes, hide a reset or connect to what is no upstream."""
 
+import socket
+import struct
+
 import pytest
 import pytest_twisted
 from twisted.internet.defer import Deferred
@@ -10,6 +13,8 @@
 
 WAIT_S = 10
 BIG = b"x" * 2_000_000
+# What accepts a tunnel whose bytes are passed on as they are.
+RAW_HEAD = b"HTTP/1.1 200 \r\n\r\n"
 
 
 class Recorder(Protocol):
@@ -220,3 +225,117 @@
     assert sent < 100 * len(BIG)
     near.transport.abortConnection()
     await far.ended.addTimeout(WAIT_S, relay.reactor)
+
+
+def request_for(port, *headers):
+    """Return a request for a tunnel to a port, as a gateway of an older build sends it."""
+    lines = (b"Host: a", b"Skylarkmoor-Upstream: u1", *headers)
+    return b"CONNECT 127.0.0.1:%d HTTP/1.1\r\n%s\r\n\r\n" % (port, b"\r\n".join(lines))
+
+
+async def older_gateway(relay):
+    """Return both ends of a tunnel that a gateway of an older build has asked for."""
+    from twisted.internet.endpoints import TCP4ClientEndpoint
+
+    endpoint = TCP4ClientEndpoint(relay.reactor, "127.0.0.1", relay.relay_port.getHost().port)
+    near = await endpoint.connect(RecorderFactory())
+    near.transport.write(request_for(relay.upstream_port.getHost().port))
+    far = await relay.upstream.next_one
+    await near.expect(len(RAW_HEAD))
+    return near, far
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_death_of_a_relay_is_no_end_of_an_answer(relay):
+    """The kernel closes the sockets of a killed process as if the upstream had finished."""
+    near, far = await relay.connect_both()
+    far.transport.write(b"half of an answer")
+    await near.expect(17)
+    (tunnel,) = relay.server.open_tunnels
+    tunnel.transport.loseConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not isinstance(reason, ConnectionDone)
+    assert near.received == b"half of an answer"
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_upstream_that_closes_at_once_ends_its_answer(relay):
+    near, far = await relay.connect_both()
+    far.transport.loseConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert isinstance(reason, ConnectionDone)
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_death_of_a_gateway_cancels_its_request_at_the_upstream(relay):
+    """Its tunnel is closed by the kernel; a request that was cut must not look complete."""
+    near, far = await relay.connect_both()
+    near.transport.write(b"half of a request")
+    await far.expect(17)
+    near.transport.loseConnection()
+    reason = await far.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not isinstance(reason, ConnectionDone)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_relay_of_an_older_build_cannot_end_an_answer(relay):
+    """Its tunnels end in the same way whether the upstream or the relay has ended."""
+    from skylarkmoor_gateway.tunnels import TunnelEndpoint
+
+    older = RecorderFactory()
+    port = relay.reactor.listenTCP(0, older, interface="127.0.0.1")
+    peer = Address("127.0.0.1", port.getHost().port)
+    connecting = TunnelEndpoint(relay.reactor, peer, "u1", ("127.0.0.1", 1)).connect(
+        RecorderFactory()
+    )
+    server = await older.next_one
+    await server.expect(1)
+    server.transport.write(RAW_HEAD + b"early ")
+    near = await connecting
+    server.transport.write(b"bytes")
+    server.transport.loseConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert near.received == b"early bytes"
+    assert not isinstance(reason, ConnectionDone)
+    await port.stopListening()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_gateway_of_an_older_build_gets_the_bytes_as_they_are(relay):
+    near, far = await older_gateway(relay)
+    far.transport.write(BIG)
+    far.transport.loseConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert near.received == RAW_HEAD + BIG
+    assert isinstance(reason, ConnectionDone)
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_death_of_a_relay_resets_the_tunnels_of_older_gateways(relay):
+    """They take an orderly close for the end of an answer."""
+    near, far = await older_gateway(relay)
+    far.transport.write(b"half of an answer")
+    near.arrived = Deferred()
+    await near.expect(len(RAW_HEAD) + 17)
+    (tunnel,) = relay.server.open_tunnels
+    # Closes the socket as the kernel does when the process is killed, without a shutdown.
+    tunnel.transport._shouldShutdown = False
+    tunnel.transport.loseConnection()
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not isinstance(reason, ConnectionDone)
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_death_of_a_relay_resets_an_end_that_an_older_gateway_has_not_read(relay):
+    """The rest of an answer is still in the relay when the upstream has closed."""
+    near, far = await older_gateway(relay)
+    near.transport.pauseProducing()
+    far.transport.write(BIG * 10)
+    far.transport.loseConnection()
+    from twisted.internet.task import deferLater
+
+    await deferLater(relay.reactor, 0.5, lambda: None)
+    (tunnel,) = relay.server.open_tunnels
+    linger = tunnel.transport.getHandle().getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+    assert struct.unpack("ii", linger) == (1, 0)
+    near.transport.abortConnection()
--- a/tests/adapter/test_cut_off_gateways.py
+++ b/tests/adapter/test_cut_off_gateways.py
@@ -210,3 +210,23 @@
         fleet.network.advance()
     after = sum(not each.transport.disconnecting for _, each in upstream.running)
     assert after == before - 1
+
+
+@pytest.mark.parametrize("kind", [CutKind.SILENT, CutKind.RESET], ids=lambda kind: kind.name)
+def test_streams_do_not_look_complete_when_the_relay_of_their_gateway_dies(make_harness, kind):
+    """All streams of a gateway through that relay ended at once, as complete (ORDER)."""
+    fleet = CutFleet(make_harness, 8)
+    fleet.run(2_000)
+    fleet.lose(HOSTS[:1], kind)
+    fleet.run(2_000)
+    for upstream in fleet.upstreams:
+        upstream.has_open_streams, upstream.slots = True, 40
+    callers = [fleet.network.ask("/answer/1", HOSTS[0]) for _ in range(8)]
+    for _ in range(8):
+        fleet.network.advance()
+    began = [each for each in callers if b"data: a" in each.transport.value()]
+    assert len(began) >= 5
+    for host in {relay for _, relay, _ in fleet.network.members[HOSTS[0]].tunnels}:
+        fleet.network.kill(host)
+    fleet.network.advance()
+    assert [each for each in began if not each.transport.aborted] == []
--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -99,6 +99,8 @@
     slots: int = 8
     room: int | None = None
     brittle_per_s: float | None = None
+    # Whether streams have no length and go on after their first event.
+    has_open_streams: bool = False
     # End and connection of the requests in progress, and when requests were refused.
     running: list[tuple[int, Upstream]] = field(default_factory=list)
     refused_ms: list[int] = field(default_factory=list)
@@ -330,6 +332,10 @@
                 member.answers.append((now_ms, upstream, connection, response))
                 continue
             is_stream = b" /answer/" in data.partition(b"\r\n")[0]
+            if is_stream and upstream.has_open_streams:
+                response = answer(b"", Content_Length="", **headers) + EVENT
+                member.answers.append((now_ms, upstream, connection, response))
+                continue
             body = stream_head(**headers) + chunk(EVENT) + chunk(b"")
             response = body if is_stream else answer(**headers)
             member.answers.append((ends_ms, upstream, connection, response))
@@ -372,7 +378,8 @@
         open_tunnels, member.tunnels = member.tunnels, []
         for near, host, end in open_tunnels:
             if host not in self.members:
-                near.close(reset=True)
+                # The kernel closes the sockets of a process that was killed.
+                near.close(reset=end.transport.resets_on_close)
                 continue
             data = near.received()
             if data:
