Reset the connection of an HTTP/1.0 caller until the kernel has all bytes

Callers of HTTP/1.0 would have taken an answer for complete whose last bytes were still in the gateway when it was killed: the reset on close was taken back when the last bytes were written to the transport. It is taken back now when the transport has passed them on.

The new test failed before, with the upstream's answer in chunks and without a length; the others of test_answer_ends pass as before.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from skylarkmoor_core.tcpoptions import configure_socket, reset_on_close
+from skylarkmoor_core.tcpoptions import close_when_written, configure_socket, reset_on_close
 from skylarkmoor_gateway.messages import Headers
 from skylarkmoor_policy.routetable import CallerLimits
 
@@ -152,8 +152,6 @@
     def end_response(self) -> None:
         """Complete the response, then read the next request or close the connection."""
         self._send(h11.EndOfMessage())
-        if self._close_delimited and not self._closing:
-            reset_on_close(self.transport, False)
         self._finish_response()
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
@@ -314,7 +312,10 @@
         if abort:
             self._transport.abortConnection()
             return
-        self._transport.loseConnection()
+        if self._close_delimited:
+            close_when_written(self._transport)
+        else:
+            self._transport.loseConnection()
         # A caller that does not read would otherwise keep the connection open indefinitely.
         self._reactor.callLater(_CLOSE_TIMEOUT_S, self._abort_if_open)
 
--- a/tests/adapter/test_answer_ends.py
+++ b/tests/adapter/test_answer_ends.py
@@ -199,6 +199,22 @@
     assert not caller.transport.aborted
 
 
+@pytest.mark.parametrize(("framing", "end"), [("chunks", last_chunk), ("close", close)])
+def test_an_answer_without_chunks_resets_the_connection_until_it_is_sent(engines, framing, end):
+    """A kill cut the last bytes for a slow caller of HTTP/1.0, and the rest looked complete."""
+    caller = engines.caller()
+    caller.send(http_1_0(request("/answer/1", Skylarkmoor_Deadline_Ms="9000")))
+    upstream = engines.accept()
+    upstream.send(HEADS[framing])
+    upstream.send(chunk(EVENT_1) if framing == "chunks" else EVENT_1)
+    caller.transport.has_unsent = True
+    end(upstream)
+    assert caller.transport.disconnecting
+    assert caller.transport.resets_on_close
+    caller.transport.send_rest()
+    assert not caller.transport.resets_on_close
+
+
 @pytest.mark.parametrize(("framing", "body", "end"), BROKEN_OFF)
 def test_a_caller_without_chunks_sees_that_a_stream_is_broken_off(engines, framing, body, end):
     caller = engines.caller()
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -34,11 +34,18 @@
 
 
 class RecordingTransport(StringTransport):
-    """A transport that records aborts and accepts socket options."""
+    """A transport that records aborts and accepts socket options.
+
+    Attributes
+    ----------
+    has_unsent : bool
+        Whether the kernel has not taken all bytes that were written.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.aborted = False
+        self.has_unsent = False
         self.options: dict[tuple[int, int], Any] = {}
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
@@ -61,6 +68,24 @@
         linger = self.options.get((socket.SOL_SOCKET, socket.SO_LINGER), bytes(8))
         return struct.unpack("ii", linger) == (1, 0)
 
+    def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
+        """Register a producer; a pull producer is asked for bytes at once."""
+        super().registerProducer(producer, streaming)
+        if not streaming:
+            producer.resumeProducing()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection when all bytes were sent."""
+        super().loseConnection()
+        if not self.has_unsent:
+            self.send_rest()
+
+    def send_rest(self) -> None:
+        """Let the kernel take all bytes, and ask a pull producer for more."""
+        self.has_unsent = False
+        if self.producer is not None and not self.streaming:
+            self.producer.resumeProducing()
+
     def abortConnection(self) -> None:  # noqa: N802
         """Record a reset."""
         self.aborted = True
