Name slot requests and grants by the process that has made them

Cause: both processes counted their slot requests from 1. The dispatcher granted a request of the killed process, and the next one took the grant for its own request of that number; no check compared the service of the upstream with that of the route. In the same way dispatchers that had started again took their first grants for reported.

Change: numbers begin at the start time of the process, grants name the process that has asked, a dispatcher forgets what an earlier process of a host has asked for, and a request is sent only to an upstream of its service and of an allowed version. Older builds return the numbers as they are.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -377,13 +377,20 @@
 
 
 class SlotGrant(_Message, frozen=True, tag="y"):
-    """Grants a slot to a waiting request; a dispatcher numbers its grants."""
+    """Grants a slot to a waiting request; a dispatcher numbers its grants.
+
+    Attributes
+    ----------
+    incarnation : Incarnation
+        Process that has asked for the slot; 0 if the sender does not tell.
+    """
 
     ticket: int
     upstream: UpstreamId
     grant: int
     # Whether the upstream has named a limit, and the grant is within it.
     under_limit: bool = False
+    incarnation: Incarnation = Incarnation(0)
 
 
 class CrashedRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -430,7 +430,7 @@
         if (
             placed is None
             or not _may_send(placed, now_ms, choice.under_limit)
-            or self._version_rule() == OtherVersions(placed.registration.version)
+            or not self._is_allowed(placed)
         ):
             self._decline(choice.upstream, placed)
             return
@@ -451,14 +451,37 @@
         self._gateway.placement.record_start(choice.upstream, self.prompt_tokens)
         self._connect(self._current)
 
+    def _is_allowed(self, upstream: TrackedUpstream) -> bool:
+        """Return whether the route may send the request to the service and version of an upstream.
+
+        Notes
+        -----
+        Checked right before sending, whoever has chosen the upstream: a peer may have read another
+        list of upstreams, or mean another request.
+        """
+        listed = upstream.registration
+        return listed.service == self.service and self._version_rule() != OtherVersions(
+            listed.version
+        )
+
     def _decline(self, upstream: UpstreamId, placed: TrackedUpstream | None) -> None:
         """Request another slot, because the upstream of the grant is unknown or unavailable."""
         unknown = placed is None
         # The upstream may be chosen again after its pause, or with a permit.
-        is_deferred = placed is not None and not placed.leaving and not placed.replaced
+        is_deferred = (
+            placed is not None
+            and not placed.leaving
+            and not placed.replaced
+            and placed.registration.service == self.service
+        )
         _log.info(
-            "declined a granted slot: upstream unknown or unavailable",
-            extra={"request": self.request.request, "upstream": upstream, "unknown": unknown},
+            "declined a granted slot: upstream unknown, unavailable or not allowed",
+            extra={
+                "request": self.request.request,
+                "upstream": upstream,
+                "unknown": unknown,
+                "service": None if placed is None else placed.registration.service,
+            },
         )
         if unknown and upstream not in self._unknown_upstreams:
             # The dispatcher may have read a newer list of upstreams than this gateway.
@@ -544,6 +567,16 @@
             self._handle_unsent(
                 attempt, f"the upstream left while connecting to it took {connect_ms} ms"
             )
+        elif (placed.registration.service, placed.registration.version) != (
+            self.service,
+            attempt.version,
+        ):
+            pool.release(connection)
+            self._handle_unsent(
+                attempt,
+                "the upstream changed its service or version while connecting to it took"
+                f" {connect_ms} ms",
+            )
         elif not _may_send(placed, now_ms, attempt.under_limit):
             pool.release(connection)
             self._handle_unsent(
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -193,6 +193,7 @@
         self._crash_send_pending = False
         self.slot_coordinator = SlotCoordinator(
             host,
+            incarnation,
             clock,
             placement,
             self._send_slots,
@@ -213,6 +214,8 @@
         }
         self._transport = Peers(host, incarnation, self._on_message)
         self._peer_states: dict[HostId, _Peer] = {}
+        # Incarnation of the last process heard on each host.
+        self._processes: dict[HostId, Incarnation] = {}
         # Last addresses of peers that were removed.
         self._expired_peers: dict[HostId, str] = {}
         self._address = ""
@@ -701,7 +704,19 @@
         self._transport.set_peers({host: peer.address for host, peer in self._peer_states.items()})
         self._update_fleet_share()
 
+    def _observe_process(self, host: HostId, incarnation: Incarnation) -> None:
+        """Forget what an earlier process on a host has asked for and was granted."""
+        known = self._processes.get(host)
+        if known is not None and incarnation <= known:
+            return
+        self._processes[host] = incarnation
+        if known is not None:
+            _log.info("peer was replaced", extra={"peer": host, "incarnation": incarnation})
+            self._placement.forget_peer(host)
+            self.slot_coordinator.forget(host)
+
     def _on_message(self, sender: HostId, incarnation: Incarnation, message: Message) -> None:
+        self._observe_process(sender, incarnation)
         match message:
             case GatewayState():
                 if self._handle_state(sender, incarnation, message):
@@ -721,9 +736,9 @@
             case ConfigurationConfirmed():
                 self._handle_confirmation(sender, incarnation, message)
             case SlotRequest():
-                self.slot_coordinator.handle_slot_request(sender, message)
+                self.slot_coordinator.handle_slot_request(sender, incarnation, message)
             case SlotWithdrawal():
-                self.slot_coordinator.handle_slot_withdrawal(sender, message)
+                self.slot_coordinator.handle_slot_withdrawal(sender, incarnation, message)
             case SlotGrant():
                 self.slot_coordinator.handle_slot_grant(sender, message)
             case SlotLoads():
@@ -744,7 +759,8 @@
             _log.info("ignored a load report of an unknown peer", extra={"peer": sender})
             return
         group = SlotGroup(message.service, message.group, message.groups)
-        self._placement.set_peer_load(sender, message.loads, message.taken, group)
+        taken = self.slot_coordinator.own_grant(message.taken)
+        self._placement.set_peer_load(sender, message.loads, taken, group)
         if message.sequence:
             self._load_sequences.setdefault(sender, {})[group] = message.sequence
         self.slot_coordinator.grant_free_slots()
@@ -757,6 +773,7 @@
             return False
         if state.sequence and not self._relay.accept(sender, incarnation, state.sequence):
             return False
+        self._observe_process(sender, incarnation)
         known_peer = self._peer_states.get(sender)
         if known_peer is None or str(known_peer.address) != state.address:
             try:
@@ -795,7 +812,7 @@
             for group, sequence in self._load_sequences.get(sender, {}).items()
             if sequence >= state.sequence > 0
         ]
-        taken = state.taken.get(self._host, 0)
+        taken = self.slot_coordinator.own_grant(state.taken.get(self._host, 0))
         self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
         new_leaving = self._placement.mark_leaving(state.leaving_upstreams, peer.last_heard_ms)
         for instance in new_leaving:
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -6,14 +6,15 @@
 do not assign the same free slot twice. A gateway without reachable peers dispatches for itself.
 """
 
-import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.hashing import rendezvous_order
-from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
+from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
+from skylarkmoor_core.processnumbers import ProcessNumbers
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotOffer, SlotRequirements, Ticket
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.slotgroups import SlotGroup
@@ -29,6 +30,8 @@
 # A slot request or its grant may be lost with a connection. Repeating the request is idempotent.
 _REQUEST_RETRY_MS = 500
 
+_log = part_logger("slots")
+
 
 class SlotClient:
     """A request that waits for a slot; implemented by the exchange."""
@@ -62,6 +65,8 @@
     ----------
     host : HostId
         Host ID of this gateway.
+    incarnation : Incarnation
+        Start time of this process.
     clock : Clock
         Time source.
     placement : Placement
@@ -81,6 +86,7 @@
     def __init__(
         self,
         host: HostId,
+        incarnation: Incarnation,
         clock: Clock,
         placement: Placement,
         send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant], None],
@@ -92,6 +98,7 @@
         # Number of the last grant received from each dispatcher.
         self.last_grants: dict[HostId, int] = {}
         self._host = host
+        self._incarnation = incarnation
         self._clock = clock
         self._placement = placement
         self._send = send
@@ -101,8 +108,8 @@
         self._tell_limit = tell_limit
         self._dispatcher = Dispatcher(placement)
         self._waits: dict[int, _Wait] = {}
-        self._wait_numbers = itertools.count(1)
-        self._grant_numbers = itertools.count(1)
+        self._wait_numbers = ProcessNumbers(incarnation)
+        self._grant_numbers = ProcessNumbers(incarnation)
         self._offering = False
         # Cache: the first hosts in rendezvous order by group key, valid for `_ranked_hosts`.
         self._candidates: dict[str, list[HostId]] = {}
@@ -134,9 +141,9 @@
 
     def wait(self, client: SlotClient, waiting: QueuedRequest[SlotRequirements]) -> int:
         """Request a slot and return the ticket number of the wait."""
-        number = next(self._wait_numbers)
+        number = self._wait_numbers.draw()
         group = self._placement.less_loaded_group(client.service, waiting.item.version_rule)
-        need = replace(waiting.item, ticket=Ticket(self._host, number), group=group)
+        need = replace(waiting.item, ticket=self._own_ticket(number), group=group)
         wait = _Wait(client, replace(waiting, item=need), group)
         self._waits[number] = wait
         self._request_slot(number, wait)
@@ -201,11 +208,13 @@
         group = self._placement.group_of(upstream)
         return group is not None and self.dispatcher_of(group) == self._host
 
-    def handle_slot_request(self, sender: HostId, request: SlotRequest) -> None:
+    def handle_slot_request(
+        self, sender: HostId, incarnation: Incarnation, request: SlotRequest
+    ) -> None:
         """Queue a slot request of a peer."""
         now_ms = self._clock.now_ms()
         need = SlotRequirements(
-            Ticket(sender, request.ticket),
+            Ticket(sender, request.ticket, incarnation),
             SlotGroup(request.service, request.group, request.groups),
             request.prompt_tokens,
             request.max_gap_ms,
@@ -227,13 +236,21 @@
         )
         self.grant_free_slots()
 
-    def handle_slot_withdrawal(self, sender: HostId, withdrawal: SlotWithdrawal) -> None:
+    def handle_slot_withdrawal(
+        self, sender: HostId, incarnation: Incarnation, withdrawal: SlotWithdrawal
+    ) -> None:
         """Remove a slot request of a peer from the queue."""
-        self._dispatcher.cancel(Ticket(sender, withdrawal.ticket))
+        self._dispatcher.cancel(Ticket(sender, withdrawal.ticket, incarnation))
 
     def handle_slot_grant(self, sender: HostId, grant: SlotGrant) -> bool:
         """Accept a grant of a dispatcher; return False if the request no longer waits for it."""
         self.last_grants[sender] = grant.grant
+        if grant.incarnation not in (0, self._incarnation):
+            _log.info(
+                "ignored a grant for an earlier process",
+                extra={"peer": sender, "incarnation": grant.incarnation},
+            )
+            return False
         wait = self._waits.get(grant.ticket)
         if wait is None:
             return False
@@ -249,8 +266,17 @@
         self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
+    def own_grant(self, number: int) -> int:
+        """Return the number of a grant that a peer has accepted, 0 if this process has not made it.
+
+        Notes
+        -----
+        A peer names the last grant of an earlier process until it has one of this process.
+        """
+        return number if self._grant_numbers.includes(number) else 0
+
     def forget(self, host: HostId) -> None:
-        """Remove the slot requests of a peer that left or became unreachable."""
+        """Remove the slot requests of a peer that left, was replaced or became unreachable."""
         self._dispatcher.remove_host(host)
         self.last_grants.pop(host, None)
 
@@ -262,6 +288,9 @@
         """Return the number of slot requests that this gateway dispatches."""
         return len(self._dispatcher)
 
+    def _own_ticket(self, number: int) -> Ticket:
+        return Ticket(self._host, number, self._incarnation)
+
     def _ranked_candidates(self, group: SlotGroup) -> list[HostId]:
         hosts = self._live_hosts()
         if hosts != self._ranked_hosts:
@@ -274,7 +303,7 @@
 
     def _cancel_slot_request(self, number: int, wait: _Wait) -> None:
         if wait.requested_from == self._host:
-            self._dispatcher.cancel(Ticket(self._host, number))
+            self._dispatcher.cancel(self._own_ticket(number))
         elif wait.requested_from is not None:
             self._send(wait.requested_from, SlotWithdrawal(number))
 
@@ -331,10 +360,16 @@
             if wait is not None:
                 self._start(wait, offer.upstream, under_limit=offer.under_limit)
             return
-        number = next(self._grant_numbers)
+        number = self._grant_numbers.draw()
         host = offer.ticket.host
         self._placement.grant_to_peer(host, offer.upstream, offer.prompt_tokens, number)
-        grant = SlotGrant(offer.ticket.number, offer.upstream, number, offer.under_limit)
+        grant = SlotGrant(
+            offer.ticket.number,
+            offer.upstream,
+            number,
+            offer.under_limit,
+            offer.ticket.incarnation,
+        )
         self._send(host, grant)
 
     def _start(self, wait: _Wait, upstream: UpstreamId, *, under_limit: bool = False) -> None:
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from msgspec import structs
 
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.hashing import rendezvous_order
@@ -12,7 +13,9 @@
     CrashEvidence,
     CrashReport,
     GatewayState,
+    SlotGrant,
     SlotLoads,
+    SlotRequest,
 )
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway.fleet import Fleet
@@ -323,3 +326,37 @@
     assert "gone" not in fleet._peer_states
     fleet.add_listed_peer("gone", Address("10.0.0.4", 7600))
     assert "gone" in fleet._peer_states
+
+
+def test_slot_requests_and_grants_of_a_replaced_process_are_dropped(fleet, monkeypatch):
+    """Its host got grants for them, which the next process used for its own requests."""
+    sent = []
+    monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append(message))
+    receive_state(fleet)
+    slot_request = SlotRequest(1, "assistant", 0, 0, False, 100, 0, 0, 400, 2_000, 10, 10_000)
+    for ticket in range(1, 6):
+        fleet._on_message("peer", 1, structs.replace(slot_request, ticket=ticket))
+    assert len([each for each in sent if isinstance(each, SlotGrant)]) == 3
+    assert fleet.slot_coordinator.queued() == 2
+    assert fleet._placement.upstreams["engine"].running() == 3
+    receive_state(fleet, incarnation=2)
+    assert fleet.slot_coordinator.queued() == 0
+    assert fleet._placement.upstreams["engine"].running() == 0
+
+
+@pytest.mark.parametrize("through", ["state", "loads"])
+def test_grants_to_a_peer_count_while_it_names_those_of_an_earlier_dispatcher(
+    fleet, monkeypatch, through
+):
+    """The slots of the first grants after a start were granted once more."""
+    monkeypatch.setattr(fleet._transport, "send", lambda to, message: None)
+    receive_state(fleet)
+    fleet._on_message(
+        "peer", 1, SlotRequest(1, "assistant", 0, 0, False, 100, 0, 0, 400, 2_000, 10, 10_000)
+    )
+    assert fleet._placement.upstreams["engine"].running() == 1
+    if through == "state":
+        receive_state(fleet, taken={"me": 500})
+    else:
+        fleet._on_message("peer", 1, SlotLoads("assistant", 0, 1, {}, taken=500))
+    assert fleet._placement.upstreams["engine"].running() == 1
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -39,9 +39,10 @@
 class Node:
     """One gateway's slot coordinator, connected to a simulated network."""
 
-    def __init__(self, network, host, slots, engines):
+    def __init__(self, network, host, slots, engines, incarnation=0):
         self.network = network
         self.host = host
+        self.incarnation = incarnation
         self.live = list(HOSTS)
         self.placement = Placement(random.Random(1))
         for engine in engines:
@@ -57,6 +58,7 @@
             )
         self.slot_coordinator = SlotCoordinator(
             host,
+            incarnation,
             network.clock,
             self.placement,
             lambda to, message: network.queue.append((host, to, message)),
@@ -90,11 +92,12 @@
     def deliver_next(self):
         sender, to, message = self.queue.pop(0)
         slot_coordinator = self.nodes[to].slot_coordinator
+        incarnation = self.nodes[sender].incarnation
         match message:
             case SlotRequest():
-                slot_coordinator.handle_slot_request(sender, message)
+                slot_coordinator.handle_slot_request(sender, incarnation, message)
             case SlotWithdrawal():
-                slot_coordinator.handle_slot_withdrawal(sender, message)
+                slot_coordinator.handle_slot_withdrawal(sender, incarnation, message)
             case SlotGrant():
                 slot_coordinator.handle_slot_grant(sender, message)
 
@@ -125,7 +128,8 @@
 
 def test_lost_grant_is_repeated_and_used_once(network):
     client, _ = network.nodes[NON_OWNER].wait()
-    network.nodes[OWNER].slot_coordinator.handle_slot_request(NON_OWNER, network.queue.pop(0)[2])
+    message = network.queue.pop(0)[2]
+    network.nodes[OWNER].slot_coordinator.handle_slot_request(NON_OWNER, 0, message)
     network.queue.clear()
     network.tick(500)
     network.deliver()
@@ -255,3 +259,70 @@
     node.placement.record_end("engine", 0, held_ms=None, fault=None)
     node.slot_coordinator.grant_free_slots()
     assert client.upstreams == ["engine"]
+
+
+def restart(network, host, incarnation):
+    """Replace the process of a gateway; messages that were sent to it reach the next one."""
+    network.nodes[host] = Node(network, host, 1, ("engine",), incarnation)
+    return network.nodes[host]
+
+
+def grant_to_earlier_process(network):
+    """Return the grant for a request whose process was replaced while it waited."""
+    network.nodes[NON_OWNER].wait()
+    while not isinstance(network.queue[0][2], SlotGrant):
+        network.deliver_next()
+    return network.queue.pop()[2]
+
+
+@pytest.mark.parametrize("older_build", [False, True])
+def test_grant_for_an_earlier_process_starts_no_request(network, older_build):
+    """A process that had started again sent its requests to the service of the earlier ones."""
+    grant = grant_to_earlier_process(network)
+    if older_build:
+        grant = SlotGrant(grant.ticket, grant.upstream, grant.grant)
+    node = restart(network, NON_OWNER, 1_000)
+    client, _ = node.wait()
+    assert not node.slot_coordinator.handle_slot_grant(OWNER, grant)
+    assert client.upstreams == []
+    # The dispatcher has counted the grant as load.
+    assert node.slot_coordinator.last_grants == {OWNER: grant.grant}
+
+
+def test_grant_that_names_another_process_is_ignored(network):
+    """Also if its number is one of this process, as after a clock was set back."""
+    node = network.nodes[NON_OWNER]
+    client, number = node.wait()
+    grant = SlotGrant(number, "engine", 1, incarnation=999)
+    assert not node.slot_coordinator.handle_slot_grant(OWNER, grant)
+    assert client.upstreams == []
+
+
+def test_dispatcher_names_the_process_that_has_asked(network):
+    restart(network, NON_OWNER, 1_000).wait()
+    while not isinstance(network.queue[0][2], SlotGrant):
+        network.deliver_next()
+    assert network.queue[0][2].incarnation == 1_000
+
+
+def test_withdrawal_of_another_process_removes_no_request(network):
+    node = network.nodes[NON_OWNER]
+    for _ in range(3):
+        _, number = node.wait()
+    network.deliver()
+    dispatcher = network.nodes[OWNER].slot_coordinator
+    dispatcher.handle_slot_withdrawal(NON_OWNER, 7, SlotWithdrawal(number))
+    assert dispatcher.queued() == 1
+    dispatcher.handle_slot_withdrawal(NON_OWNER, 0, SlotWithdrawal(number))
+    assert dispatcher.queued() == 0
+
+
+def test_number_of_an_earlier_dispatcher_includes_no_grant(network):
+    """A dispatcher that had started again took its grants for reported, and gave slots twice."""
+    earlier = grant_to_earlier_process(network).grant
+    node = restart(network, OWNER, 1_000)
+    network.nodes[NON_OWNER].wait()
+    network.deliver()
+    assert node.slot_coordinator.own_grant(earlier) == 0
+    newest = network.nodes[NON_OWNER].slot_coordinator.last_grants[OWNER]
+    assert node.slot_coordinator.own_grant(newest) == newest
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from skylarkmoor_core.ids import HostId, UpstreamId
+from skylarkmoor_core.ids import HostId, Incarnation, UpstreamId
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import QueuedRequest, UrgencyQueue
@@ -17,10 +17,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """Identifies a queued request by its daemon and a number that the daemon assigned."""
+    """Identifies a queued request by its daemon, a number of the daemon and its incarnation."""
 
     host: HostId
     number: int
+    incarnation: Incarnation = Incarnation(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -4,6 +4,7 @@
 
 from adapter_harness import answer, chunk, request, stream_head
 from skylarkmoor_core.logposition import LogPosition
+from skylarkmoor_core.messages import SlotGrant
 from skylarkmoor_policy.canary import RolloutOrder
 from skylarkmoor_policy.eventstream import MAX_EVENT_BYTES
 from skylarkmoor_policy.placement import UpstreamChoice
@@ -547,7 +548,7 @@
     slot_coordinator = harness.gateway.fleet.slot_coordinator
     saved = harness.gateway.placement.upstreams.pop("e1")
     caller.send(request("/answer/1", "POST", b"x"))
-    wait = slot_coordinator._waits.pop(1)
+    wait = slot_coordinator._waits.pop(min(slot_coordinator._waits))
     slot_coordinator._start(wait, "e1")
     assert read_requests
     harness.gateway.placement.upstreams["e1"] = saved
@@ -568,7 +569,7 @@
     saved = dict(harness.gateway.placement.upstreams)
     harness.gateway.placement.upstreams.clear()
     caller.send(request("/answer/1", "POST", b"x"))
-    wait = slot_coordinator._waits.pop(1)
+    wait = slot_coordinator._waits.pop(min(slot_coordinator._waits))
     slot_coordinator._dispatcher.remove_host("host-1")
     harness.gateway.placement.upstreams.update(saved)
     harness.add_upstream("e1", "assistant", 1, leaving=True)
@@ -608,15 +609,44 @@
     slot_coordinator = harness.gateway.fleet.slot_coordinator
     saved = harness.gateway.placement.upstreams.pop("e1")
     caller.send(request("/answer/1", "POST", b"x"))
-    for number in (1, 2):
+    for _ in range(2):
+        (number,) = slot_coordinator._waits
         wait = slot_coordinator._waits.pop(number)
         slot_coordinator._dispatcher.remove_host("host-1")
         slot_coordinator._start(wait, "e1")
         harness.reactor.advance(0.03)
-    assert slot_coordinator._waits[3].waiting.item.exclude == {"e1"}
+    (wait,) = slot_coordinator._waits.values()
+    assert wait.waiting.item.exclude == {"e1"}
     harness.gateway.placement.upstreams["e1"] = saved
 
 
+@pytest.mark.parametrize("path", ["/answer/1", "/brief/1"])
+def test_a_grant_of_another_service_sends_nothing_there(harness, path):
+    """A stream ran at a service to which no configuration sends it (ROUTE)."""
+    harness.add_upstream("o1", "orders", 81)
+    caller = harness.caller()
+    caller.send(request(path, "POST", b"x", Skylarkmoor_Deadline_Ms="9000"))
+    (exchange,) = harness.gateway._exchanges.values()
+    for grant in (1, 2):
+        message = SlotGrant(exchange.wait_number, "o1", grant)
+        harness.gateway.fleet._on_message("peer", 1, message)
+        harness.advance(25)
+    assert harness.pending_connections() == 0
+    harness.add_upstream("e1", "assistant", 91)
+    harness.advance(25)
+    assert b"Expect-Instance: e1" in harness.accept().received()
+
+
+def test_an_upstream_that_changes_its_service_while_connecting_gets_nothing(harness):
+    harness.add_upstream("o1", "orders", 81)
+    caller = harness.caller()
+    caller.send(request("/order/1", "POST", b"x"))
+    connection = harness.take_connection()
+    harness.add_upstream("o1", "assistant", 81)
+    assert connection.accept().received() == b""
+    assert caller.received()[9:12] in (b"502", b"503")
+
+
 def test_units_beyond_the_limit_are_refused_with_retry_after(harness):
     add_two_engines(harness)
     for number, status in ((1, None), (2, b"429")):
