Go on reading the store after an unexpected error

Seen by the users (DRAIN): one gateway sent a request to an upstream 12 s after the store had its notice, with no disturbance near it. The record does not tell why that gateway did not know.

A way that the code left open: an error other than that of a failed call ended the reader of the upstreams, or that of the configuration, until the process was replaced, after the page in question had been counted as read. A stray cancellation ended it without a line in the log.

Whether the users saw this is not known.

--- a/libs/process/src/skylarkmoor_process/tasks.py
+++ b/libs/process/src/skylarkmoor_process/tasks.py
@@ -113,7 +113,11 @@
                 platform_failing = True
                 wait_ms = max(pause_ms, _MIN_RETRY_PAUSE_MS)
             except CancelledError:
-                raise
+                if self.stopped:
+                    raise
+                # A call of the action was cancelled, and not the task.
+                _log.exception("periodic task was interrupted")
+                wait_ms = max(pause_ms, _MIN_RETRY_PAUSE_MS)
             except Exception:
                 _log.exception("periodic task failed")
                 wait_ms = max(pause_ms, _MIN_RETRY_PAUSE_MS)
--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -1,7 +1,8 @@
 """Guards against reverted configurations, removal of live upstreams and use of departed ones."""
 
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import deferLater
 
 from adapter_store import configuration_record, entry_record, order_record, status_record
 from skylarkmoor_adapter.store import KeyedRecord, RecordsDropped, StorePage
@@ -344,3 +345,61 @@
     """A request to it was never sent, no other upstream was tried, and the caller got 502."""
     followers.upstreams._apply_page(page((name, entry_record(), 1)), True)
     assert upstream_ids(followers) == []
+
+
+async def sleep(followers, delay_ms):
+    """Wait on the clock of the harness."""
+    await deferLater(followers.reactor, delay_ms / 1_000, lambda: None)
+
+
+@pytest.mark.parametrize("error", [ValueError("unexpected"), CancelledError()], ids=repr)
+def test_an_unexpected_error_does_not_end_the_reader_of_the_upstreams(
+    followers, monkeypatch, error
+):
+    """A gateway went on with an old list, and nothing in its log said so (DRAIN)."""
+    store = followers.store
+    monkeypatch.setattr(
+        followers.gateway.tasks, "sleep", lambda delay_ms: sleep(followers, delay_ms)
+    )
+    store.newest_answers = [
+        page(("e1", entry_record(seq=1), 1)),
+        page(("e1", entry_record(seq=2, state="draining"), 2)),
+    ]
+    store.read_answers = [error]
+    followers.upstreams.start()
+    assert not followers.gateway.placement.upstreams["e1"].leaving
+    followers.advance(2_500)
+    assert followers.gateway.placement.upstreams["e1"].leaving
+
+
+def test_a_record_that_cannot_be_applied_does_not_hide_the_others(followers, monkeypatch):
+    apply = followers.gateway.set_upstream
+
+    def fail_for_e1(listed):
+        if listed.upstream == "e1":
+            raise ValueError("unexpected")
+        apply(listed)
+
+    monkeypatch.setattr(followers.gateway, "set_upstream", fail_for_e1)
+    followers.upstreams._apply_page(
+        page(("e1", entry_record(seq=1), 1), ("e2", entry_record(seq=1), 2)), True
+    )
+    assert list(followers.gateway.placement.upstreams) == ["e2"]
+
+
+def test_the_age_of_the_list_counts_from_the_beginning_of_its_read(followers, monkeypatch):
+    """A list that arrives late may lack what was written meanwhile."""
+    store = followers.store
+    reads = []
+
+    async def slow_newest(topic, *, new_connection=False):
+        reads.append(followers.clock.now_ms())
+        followers.clock.advance(700)
+        return page(("e1", entry_record(seq=1), 1))
+
+    monkeypatch.setattr(store, "newest", slow_newest)
+    monkeypatch.setattr(
+        followers.gateway.tasks, "sleep", lambda delay_ms: sleep(followers, delay_ms)
+    )
+    followers.upstreams.start()
+    assert followers.gateway.decision_context()["upstreams_age_ms"] == 700
