Ignore entries of upstreams that the store writes late

The store may carry out a write seconds after a newer one. Within an era the offset alone decided, so the older entry of an upstream that was leaving, or had left, made it ready again at a gateway that had dropped it (DRAIN).

An entry of the same instance with a lower sequence number, one without the notice that the instance leaves, and one of an instance that was replaced change nothing now. A lower start time alone says nothing, as clocks are set back.

--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -99,6 +99,16 @@
     position: LogPosition
     age: EntryAge
     gone_ms: int | None = None
+    # Start times of the instances that were replaced under the id.
+    earlier_starts: frozenset[int] = frozenset()
+
+    def is_late(self, age: EntryAge) -> bool:
+        """Return whether an entry was made before this one and written after it."""
+        if age.started_wall_ms != self.age.started_wall_ms:
+            return age.started_wall_ms in self.earlier_starts
+        if self.age.leaving and not age.leaving:
+            return True
+        return 0 < age.sequence < self.age.sequence
 
 
 class EntryHistory:
@@ -135,7 +145,9 @@
 
         Notes
         -----
-        The entry of an upstream that has left brings it back only if it is newer.
+        The entry of an upstream that has left brings it back only if it is newer. Within an era a
+        write may be carried out seconds late, after a newer one. A lower start time alone does not
+        say so, as the clock of the upstream may have been set back.
         """
         known = self._entries.get(upstream)
         if self.is_passed(upstream, position):
@@ -148,7 +160,10 @@
             if age == known.age:
                 known.position = max(known.position, position)
                 return RecordAge.SAME
-        self._entries[upstream] = _KnownEntry(position, age)
+        if known is not None and known.is_late(age):
+            known.position = max(known.position, position)
+            return RecordAge.OLDER
+        self._entries[upstream] = _KnownEntry(position, age, earlier_starts=_starts(known, age))
         return RecordAge.NEWER
 
     def mark_gone(self, upstream: UpstreamId, now_ms: int) -> None:
@@ -191,6 +206,13 @@
                 del self._entries[name]
 
 
+def _starts(known: _KnownEntry | None, age: EntryAge) -> frozenset[int]:
+    """Return the start times of the instances that the one of an entry has replaced."""
+    if known is None:
+        return frozenset()
+    return (known.earlier_starts | {known.age.started_wall_ms}) - {age.started_wall_ms}
+
+
 @dataclass(slots=True)
 class _KnownOrder:
     position: LogPosition
--- a/libs/policy/tests/test_recordage.py
+++ b/libs/policy/tests/test_recordage.py
@@ -85,6 +85,45 @@
     assert history.gone_since(0) == {}
 
 
+@pytest.mark.parametrize(
+    "late",
+    [
+        # A write that was carried out after the next one.
+        EntryAge(5, 8),
+        # An instance that is leaving does not become ready again, whatever the sequence.
+        EntryAge(5, 10),
+        # The instance before the one that is leaving.
+        EntryAge(3, 20),
+    ],
+)
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_within_an_era_a_late_write_does_not_bring_back_an_upstream_that_leaves(late, is_gone):
+    """It was used again until its next entry, or until this one expired (DRAIN)."""
+    history = EntryHistory()
+    history.update("e1", LogPosition(1, 3), EntryAge(3, 20))
+    history.update("e1", LogPosition(1, 9), EntryAge(5, 9, leaving=True))
+    if is_gone:
+        history.mark_gone("e1", 1_000)
+    assert history.update("e1", LogPosition(1, 10), late) is OLDER
+    assert history.is_listed("e1") is not is_gone
+    # The position has been read, but what is known of the upstream stays.
+    assert history.is_passed("e1", LogPosition(1, 9))
+    assert history.update("e1", LogPosition(1, 11), EntryAge(6, 1)) is NEWER
+
+
+def test_a_late_write_does_not_take_back_what_a_ready_upstream_says():
+    history = EntryHistory()
+    history.update("e1", LogPosition(1, 9), EntryAge(5, 9))
+    assert history.update("e1", LogPosition(1, 10), EntryAge(5, 8)) is OLDER
+    assert history.update("e1", LogPosition(1, 11), EntryAge(5, 10)) is NEWER
+
+
+def test_an_instance_whose_clock_was_set_back_replaces_the_one_before():
+    history = EntryHistory()
+    history.update("e1", LogPosition(1, 9), EntryAge(5, 9))
+    assert history.update("e1", LogPosition(1, 10), EntryAge(4, 1)) is NEWER
+
+
 def test_within_an_era_a_silent_upstream_comes_back_with_any_entry():
     history = EntryHistory()
     history.update("e1", LogPosition(1, 9), EntryAge(5, 9))
