Tell peers of upstreams that have left without a notice

A gateway that did not read the list sent requests to an upstream for as long as that served, if its entry was only removed: peers told each other of notices, and of such departures only after a restore of the store (DRAIN).

They tell of them now from 2.5 s to 10 s after they have dropped the upstream, which is when its entry can no longer come back after an outage.

--- a/libs/policy/src/skylarkmoor_policy/recordage.py
+++ b/libs/policy/src/skylarkmoor_policy/recordage.py
@@ -170,12 +170,22 @@
         """Record that an upstream has left."""
         self._entries[upstream].gone_ms = now_ms
 
-    def gone_since(self, since_ms: int) -> dict[UpstreamId, tuple[int, int]]:
-        """Return start time and last sequence number of the upstreams that have left since."""
+    def gone_since(
+        self, since_ms: int, until_ms: int | None = None
+    ) -> dict[UpstreamId, tuple[int, int]]:
+        """Return start time and last sequence number of the upstreams that have left since.
+
+        Parameters
+        ----------
+        until_ms : int, optional
+            Leaves out those that have left later.
+        """
         return {
             name: (known.age.started_wall_ms, known.age.sequence)
             for name, known in self._entries.items()
-            if known.gone_ms is not None and known.gone_ms >= since_ms
+            if known.gone_ms is not None
+            and known.gone_ms >= since_ms
+            and (until_ms is None or known.gone_ms <= until_ms)
         }
 
     def add_gone(self, gone: Mapping[UpstreamId, tuple[int, int]], now_ms: int) -> list[UpstreamId]:
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -418,6 +418,21 @@
     assert fleet.departed == {}
 
 
+def test_peers_are_told_of_an_upstream_that_has_left_without_a_notice(two_upstreams):
+    """A gateway that did not read the list sent requests there for as long as it served (DRAIN)."""
+    two_upstreams.leave("e1")
+    two_upstreams.follow_upstreams()
+    fleet = two_upstreams.gateway.fleet
+    # An outage that this gateway has not noticed may have ended the entry.
+    assert fleet.departed == {}
+    advance(two_upstreams, 2_500)
+    two_upstreams.follow_upstreams()
+    assert fleet._state().departed == {"e1": (1, 1)}
+    advance(two_upstreams, 8_000)
+    two_upstreams.follow_upstreams()
+    assert fleet.departed == {}
+
+
 def test_offsets_of_the_copy_are_announced_with_their_era(two_upstreams):
     two_upstreams.beat("e2", 2)
     two_upstreams.follow_upstreams()
