Share the loop among connections whose bytes take long to read

Cause: all events of a read were processed in one turn of the loop, each with a call of the exchange; a read of 64 KiB has up to 10,900. Request bodies in small chunks cost minutes of processor time. The head of an answer of the store had no bound on its lines.

Change: a connection to an upstream that uses more than 5 ms of processor time in a turn takes turns with others of its kind; chunks of a turn are passed on as one; bounds on small chunks of a request, on heads before an answer and on the head of an answer of the store.

--- a/libs/clients/src/skylarkmoor_clients/endpoints.py
+++ b/libs/clients/src/skylarkmoor_clients/endpoints.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.web.client import URI
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer  # type: ignore[import-untyped]
@@ -14,6 +15,48 @@
 __all__ = ["AddressEndpointFactory"]
 
 _CONNECT_TIMEOUT_S = 30.0
+# The services send a few hundred bytes of headers. Twisted bounds each line of a head, but not
+# their number.
+_MAX_HEAD_BYTES = 262_144
+_HEAD_END = b"\r\n\r\n"
+
+
+class _BoundedHeads(ProtocolWrapper):
+    """Aborts a connection on which the head of a response does not end."""
+
+    def __init__(self, factory: Any, wrapped: Any) -> None:
+        super().__init__(factory, wrapped)
+        self._head_bytes: int | None = None
+        self._tail = b""
+
+    def write(self, data: bytes) -> None:
+        """Send a request, whose response begins with a head; called by Twisted."""
+        self._head_bytes, self._tail = 0, b""
+        super().write(data)  # type: ignore[no-untyped-call]
+
+    def writeSequence(self, data: Any) -> None:  # noqa: N802
+        """Send a request, whose response begins with a head; called by Twisted."""
+        self._head_bytes, self._tail = 0, b""
+        super().writeSequence(data)  # type: ignore[no-untyped-call]
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass bytes on while they may belong to a head of the allowed size."""
+        if self._head_bytes is not None:
+            if _HEAD_END in self._tail + data:
+                self._head_bytes = None
+            else:
+                self._head_bytes += len(data)
+                self._tail = (self._tail + data)[-len(_HEAD_END) + 1 :]
+                if self._head_bytes > _MAX_HEAD_BYTES:
+                    transport: Any = self.transport
+                    transport.abortConnection()
+                    return
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+
+class _BoundedHeadsFactory(WrappingFactory):
+    protocol = _BoundedHeads
+    noisy = False
 
 
 @implementer(IStreamClientEndpoint)
@@ -25,13 +68,14 @@
 
     def connect(self, factory: Any) -> "Deferred[Any]":
         """Open a connection; called by Twisted."""
-        connecting: Deferred[Any] = self.endpoint.connect(factory)
+        wrapping: Any = _BoundedHeadsFactory
+        connecting: Deferred[Any] = self.endpoint.connect(wrapping(factory))
         return connecting.addCallback(_configure)
 
 
-def _configure(protocol: Any) -> Any:
-    configure_socket(protocol.transport)
-    return protocol
+def _configure(wrapper: Any) -> Any:
+    configure_socket(wrapper.transport)
+    return wrapper.wrappedProtocol
 
 
 @implementer(IAgentEndpointFactory)
--- a/libs/clients/tests/test_httpclient.py
+++ b/libs/clients/tests/test_httpclient.py
@@ -67,3 +67,35 @@
     finally:
         await client.close()
         await port.stopListening()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_head_without_end_does_not_use_up_the_memory():
+    """Twisted bounds the lines of a head, but not their number."""
+    from twisted.internet import reactor
+    from twisted.internet.protocol import Factory, Protocol
+
+    sent = 0
+
+    class Server(Protocol):
+        def dataReceived(self, data):  # noqa: N802
+            self.transport.write(b"HTTP/1.1 200 OK\r\n")
+            self.transport.registerProducer(self, False)
+
+        def resumeProducing(self):  # noqa: N802
+            nonlocal sent
+            sent += 65_536
+            self.transport.write(b"Name: xxx\r\n" * 5_958)
+
+        def stopProducing(self):  # noqa: N802
+            pass
+
+    factory = Factory.forProtocol(Server)
+    factory.noisy = False
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    client = PlatformHttp(f"http://127.0.0.1:{port.getHost().port}")
+    with pytest.raises(PlatformError, match="no answer"):
+        await client.request("GET", "/", timeout_ms=5_000, max_bytes=100)
+    # What the kernel holds on both sides counts as sent.
+    assert sent < 16_000_000
+    await port.stopListening()
--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -16,6 +16,11 @@
 # Time for a caller to read the rest of a response after which a closing connection is aborted.
 _CLOSE_TIMEOUT_S = 5.0
 
+# Chunks of a request body that are accepted whatever their size, and bytes of the body for each
+# further one. A chunk costs as much to parse as a kilobyte in a larger one.
+_MAX_SMALL_CHUNKS = 1_024
+_MIN_CHUNK_BYTES = 8
+
 _REASON_PHRASES = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -68,6 +73,7 @@
         self._http: h11.Connection = self._new_http_connection()
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._chunks = 0
         self._busy = False
         self._response_started = False
         self._closing = False
@@ -215,12 +221,17 @@
                     self._reading_head = False
                     self._head = event
                     self._body = bytearray()
+                    self._chunks = 0
                     rejection = _validate_head(event, limits)
                     if rejection is not None:
                         self._reject(*rejection)
                         return
                 case h11.Data(data=data):
                     self._body += data
+                    self._chunks += 1
+                    if self._chunks > _MAX_SMALL_CHUNKS + len(self._body) // _MIN_CHUNK_BYTES:
+                        self._reject(400, f"the body has {self._chunks} chunks of a few bytes")
+                        return
                     if len(self._body) > limits.max_body_bytes:
                         self._reject(413, f"the body exceeds {limits.max_body_bytes} bytes")
                         return
--- a/libs/gateway/src/skylarkmoor_gateway/paths.py
+++ b/libs/gateway/src/skylarkmoor_gateway/paths.py
@@ -9,6 +9,7 @@
 from skylarkmoor_core.ids import FailureDomain, HostId, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.settings import Address
+from skylarkmoor_gateway.readpacing import ReadPacer
 from skylarkmoor_gateway.tunnels import TunnelEndpoint, TunnelServerFactory
 from skylarkmoor_gateway.upstreams import UpstreamConnection, UpstreamPool
 from skylarkmoor_policy.placement import Placement
@@ -73,6 +74,7 @@
             reactor, self._tunnel_refusal, self._connected, self._failed
         )
         self._reactor = reactor
+        self._pacer = ReadPacer(reactor)
         self._clock = clock
         self._placement = placement
         self._direct_pools: dict[UpstreamId, UpstreamPool] = {}
@@ -89,7 +91,7 @@
             self.remove_upstream(upstream)
             observer = _Observer(self, upstream)
             self._direct_pools[upstream] = UpstreamPool(
-                self._reactor, self._clock, address, observer
+                self._reactor, self._clock, address, observer, pacer=self._pacer
             )
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
@@ -113,7 +115,9 @@
         if address is None:
             return None
         endpoint = TunnelEndpoint(self._reactor, address, upstream, direct.address)
-        pool = UpstreamPool(self._reactor, self._clock, direct.address, endpoint=endpoint)
+        pool = UpstreamPool(
+            self._reactor, self._clock, direct.address, endpoint=endpoint, pacer=self._pacer
+        )
         self._peer_pools[upstream, peer] = pool
         return pool
 
--- a/libs/gateway/src/skylarkmoor_gateway/tunnels.py
+++ b/libs/gateway/src/skylarkmoor_gateway/tunnels.py
@@ -168,10 +168,10 @@
         except h11.RemoteProtocolError:
             self._fail(_BAD_REQUEST)
             return
-        if not isinstance(event, h11.Response):
+        if event is h11.NEED_DATA:
             return
-        if event.status_code != 200:
-            self._fail(event.status_code)
+        if not isinstance(event, h11.Response) or event.status_code != 200:
+            self._fail(getattr(event, "status_code", _BAD_REQUEST))
             return
         self._timer.cancel()
         self._inner = self._factory.buildProtocol(None)
@@ -334,6 +334,8 @@
         if isinstance(event, h11.Request) and not self._is_asked:
             self._is_asked = True
             self._timer.cancel()
+            # The peer sends nothing more before it has the answer.
+            self._transport.pauseProducing()
             self._handle(event)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
@@ -406,6 +408,7 @@
         if not self._has_frames:
             reset_on_close(self.transport, True)
         self._far = far
+        self._transport.resumeProducing()
         far_transport.registerProducer(self.transport, True)
         self._transport.registerProducer(far_transport, True)
         early = self._http.trailing_data[0]
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -13,6 +13,7 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.tcpoptions import configure_socket
 from skylarkmoor_gateway.messages import Headers
+from skylarkmoor_gateway.readpacing import PacedReader, ReadPacer
 from skylarkmoor_gateway.tunnels import CONNECT_TIMEOUT_S
 
 __all__ = ["PathObserver", "ResponseReader", "UpstreamConnection", "UpstreamPool"]
@@ -26,6 +27,8 @@
 _MAX_IDLE_CONNECTIONS = 32
 # Upstreams send a few hundred bytes of headers; a larger head indicates a faulty one.
 _MAX_HEAD_BYTES = 65_536
+# Heads before the answer, such as 100 and 103. Upstreams send one or two.
+_MAX_INFORMATIONAL_HEADS = 100
 
 
 class ResponseReader(Interface):
@@ -69,6 +72,11 @@
         self.idle_since_ms = 0
         self.idle_limit_ms = _DEFAULT_IDLE_MS
         self._open = False
+        self._is_paused_by_caller = False
+        self._informational_heads = 0
+        self._incoming = PacedReader(
+            pool.pacer, self._consume, self._pause_reading, self._resume_reading
+        )
 
     @property
     def usable(self) -> bool:
@@ -85,6 +93,7 @@
     ) -> None:
         """Send a request; the reader is told of its end or its failure exactly once."""
         self._reader = reader
+        self._informational_heads = 0
         self.sent += 1
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head) or b""
@@ -100,6 +109,13 @@
             # Unsolicited bytes; the connection cannot be reused.
             self.abort()
             return
+        self._incoming.feed(data)
+
+    def _consume(self, data: bytes) -> None:
+        if self._reader is None:
+            # The response has ended in an earlier turn.
+            self.abort()
+            return
         try:
             self._http.receive_data(data)
             self._process_events()
@@ -113,52 +129,75 @@
         if self._reader is None:
             return
         if isinstance(reason.value, ConnectionDone):
-            # Only an orderly close can end a response without a length.
-            try:
-                self._http.receive_data(b"")
-                self._process_events()
-            except h11.RemoteProtocolError as error:
-                self._fail_response(f"closed: {error}")
-                return
-            self._fail_response("closed before an answer")
+            self._incoming.end(self._closed)
         else:
             self._fail_response(f"lost: {reason.getErrorMessage()}")
 
+    def _closed(self) -> None:
+        """End the response; only an orderly close can end one without a length."""
+        try:
+            self._http.receive_data(b"")
+            self._process_events()
+        except h11.RemoteProtocolError as error:
+            self._fail_response(f"closed: {error}")
+            return
+        self._fail_response("closed before an answer")
+
     def abort(self) -> None:
         """Reset the connection and discard a response in progress without telling its reader."""
         self._reader = None
         self._open = False
+        self._incoming.reset()
         self._pool.discard(self)
         if self.transport is not None:
             self._transport.abortConnection()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Stop reading while the caller is slow; called by Twisted."""
-        if self._open:
-            self._transport.pauseProducing()
+        self._is_paused_by_caller = True
+        self._pause_reading()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume reading; called by Twisted."""
-        if self._open:
-            self._transport.resumeProducing()
+        self._is_paused_by_caller = False
+        self._resume_reading()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing; the exchange handles a closed caller connection."""
 
+    def _pause_reading(self) -> None:
+        if self._open:
+            self._transport.pauseProducing()
+
+    def _resume_reading(self) -> None:
+        if self._open and not self._is_paused_by_caller and not self._incoming.is_waiting:
+            self._transport.resumeProducing()
+
     @property
     def _transport(self) -> Any:
         return self.transport
 
     def _process_events(self) -> None:
         while self._reader is not None:
-            event = self._http.next_event()
+            data, event = self._next_events()
+            if data:
+                self._reader.response_data(data)
+            if self._reader is None:
+                return
             match event:
+                case h11.RemoteProtocolError():
+                    raise event
                 case h11.NEED_DATA | h11.PAUSED:
                     return
                 case h11.Response():
                     self._reader.response_head(event.status_code, list(event.headers.raw_items()))
-                case h11.Data(data=data):
-                    self._reader.response_data(bytes(data))
+                case h11.InformationalResponse():
+                    self._informational_heads += 1
+                    if self._informational_heads > _MAX_INFORMATIONAL_HEADS:
+                        self._fail_response(
+                            f"more than {_MAX_INFORMATIONAL_HEADS} heads came before the answer"
+                        )
+                        return
                 case h11.EndOfMessage():
                     self._complete()
                     return
@@ -166,10 +205,24 @@
                     self._fail_response("closed before an answer")
                     return
 
+    def _next_events(self) -> tuple[bytes, Any]:
+        """Return the next part of the body and what comes after it, an event or an error."""
+        parts: list[bytes] = []
+        while True:
+            event: Any
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                event = error
+            if not isinstance(event, h11.Data):
+                return b"".join(parts), event
+            parts.append(bytes(event.data))
+
     def _complete(self) -> None:
         reader, self._reader = self._reader, None
         reusable = (
             self._open
+            and not self._incoming.has_pending
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
@@ -215,6 +268,8 @@
         Told of the connections, if they are direct ones.
     endpoint : endpoint, optional
         What makes the connections; by default they are made to the address itself.
+    pacer : ReadPacer, optional
+        Gives turns to connections whose bytes take long to read.
     """
 
     def __init__(
@@ -224,8 +279,10 @@
         address: tuple[str, int],
         observer: PathObserver | None = None,
         endpoint: Any = None,
+        pacer: ReadPacer | None = None,
     ) -> None:
         self.address = address
+        self.pacer = pacer or ReadPacer(reactor)
         self.connections_opened = 0
         self._reactor = reactor
         self._clock = clock
--- a/libs/gateway/tests/test_tunnels.py
+++ b/libs/gateway/tests/test_tunnels.py
@@ -339,3 +339,22 @@
     linger = tunnel.transport.getHandle().getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
     assert struct.unpack("ii", linger) == (1, 0)
     near.transport.abortConnection()
+
+
+@pytest_twisted.ensureDeferred
+async def test_heads_before_the_answer_to_a_request_for_a_tunnel_are_refused(relay):
+    from skylarkmoor_gateway.tunnels import TunnelEndpoint
+
+    faulty = RecorderFactory()
+    port = relay.reactor.listenTCP(0, faulty, interface="127.0.0.1")
+    peer = Address("127.0.0.1", port.getHost().port)
+    connecting = TunnelEndpoint(relay.reactor, peer, "u1", ("127.0.0.1", 1)).connect(
+        RecorderFactory()
+    )
+    server = await faulty.next_one
+    await server.expect(1)
+    server.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000)
+    with pytest.raises(ConnectError):
+        await connecting
+    await server.ended.addTimeout(WAIT_S, relay.reactor)
+    await port.stopListening()
--- a/libs/policy/src/skylarkmoor_policy/eventstream.py
+++ b/libs/policy/src/skylarkmoor_policy/eventstream.py
@@ -54,13 +54,13 @@
         self.count = 0
         self.last_id: bytes | None = None
         self._hold_incomplete = hold_incomplete
-        self._held = b""
+        self._held = bytearray()
         self._start_event()
 
     @property
     def inside_event(self) -> bool:
         """Whether an event has begun and not ended."""
-        return self._has_field or self._line[:1] not in (b"", b":")
+        return self._has_field or bytes(self._line[:1]) not in (b"", b":")
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those that may be forwarded.
@@ -75,7 +75,8 @@
             return data
         complete = b""
         if end:
-            complete, self._held = self._held + data[:end], data[end:]
+            complete = bytes(self._held + data[:end])
+            self._held = bytearray(data[end:])
         else:
             self._held += data
         if len(self._held) > MAX_EVENT_BYTES:
@@ -85,19 +86,20 @@
 
     def flush(self) -> bytes:
         """Return the held bytes at the end of the stream."""
-        held, self._held = self._held, b""
+        held = bytes(self._held)
+        self._held.clear()
         return held
 
     def discard(self) -> None:
         """Discard the incomplete event of an upstream that has failed."""
-        self._held = b""
+        self._held.clear()
         self._start_event()
 
     def _start_event(self) -> None:
         self._has_field = False
         self._id: bytes | None = None
         # The line that has not ended, or its first byte if IDs are not tracked.
-        self._line = b""
+        self._line = bytearray()
         # Whether the last byte was a carriage return, which a line feed may follow.
         self._after_return = False
 
@@ -108,8 +110,8 @@
             self._after_return = data.endswith(b"\r")
         end = 0
         for match in _LINE_END.finditer(data, start):
-            line = self._line + data[start : match.start()]
-            self._line = b""
+            line = bytes(self._line) + data[start : match.start()]
+            self._line.clear()
             start = match.end()
             if not line:
                 self._end_event()
@@ -121,7 +123,7 @@
         if self._hold_incomplete:
             self._line += rest
         else:
-            self._line = self._line or rest[:1]
+            self._line = self._line or bytearray(rest[:1])
         return end
 
     def _read_field(self, line: bytes) -> None:
