--- a/tests/adapter_processes.py
+++ b/tests/adapter_processes.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections.abc import Sequence
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -23,6 +24,7 @@
 WAIT_S = 20
 # Two offsets, without records after them.
 EMPTY_PAGE_BYTES = 16
+EVENT = b"id: 1\ndata: a\n\n"
 
 
 class StoreServer:
@@ -103,6 +105,8 @@
         Whether requests are answered with 503 and not executed.
     received_s : list of float
         Monotonic times at which requests were read.
+    requests : list of (str, str)
+        Id and path of each request that was read.
     limits : list of (float, float or None)
         Time of each change of the limit, and the new one.
     """
@@ -111,6 +115,7 @@
         self.notices: dict[str, str] = {}
         self.refuses = False
         self.received_s: list[float] = []
+        self.requests: list[tuple[str, str]] = []
         self.limits: list[tuple[float, float | None]] = []
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), _noticing_handler(self))
         # Gateways are killed with connections open.
@@ -139,6 +144,7 @@
 
         def do_POST(self) -> None:  # noqa: N802
             self.rfile.read(int(self.headers.get("Content-Length", "0")))
+            upstream.requests.append((self.headers["Skylarkmoor-Request-Id"], self.path))
             upstream.received_s.append(time.monotonic())
             headers = {"Skylarkmoor_Request_Id": self.headers["Skylarkmoor-Request-Id"]}
             headers |= upstream.notices
@@ -146,7 +152,7 @@
                 refusal = {"Skylarkmoor_Not_Executed": "1"}
                 data = answer(status="503 Full", **headers, **refusal)
             else:
-                data = answer(**headers)
+                data = answer(EVENT if self.path.startswith("/answer/") else b"ok", **headers)
             with suppress(BrokenPipeError, ConnectionResetError):
                 self.wfile.write(data)
 
@@ -168,6 +174,8 @@
         Ids of the upstreams that it has to know before it counts as ready.
     ports : list of int, optional
         Ports for callers, readiness and peers; drawn if not given.
+    sources : list of Path, optional
+        Folders with the packages of another build.
     """
 
     def __init__(
@@ -177,6 +185,7 @@
         store: StoreServer,
         upstreams: tuple[str, ...],
         ports: list[int] | None = None,
+        sources: Sequence[Path] = (),
     ) -> None:
         self.host = host
         self.ports = ports or free_ports(3)
@@ -193,7 +202,11 @@
         path.write_text(json.dumps(settings))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "skylarkmoor_adapter.main"],
-            env=os.environ | {"SKYLARKMOOR_SETTINGS": str(path)},
+            env=os.environ
+            | {
+                "SKYLARKMOOR_SETTINGS": str(path),
+                "PYTHONPATH": os.pathsep.join(map(str, sources)),
+            },
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
         )
