--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -228,6 +228,7 @@
             and not self._http.trailing_data[0]
         )
         if reusable:
+            self._incoming.reset()
             self._http.start_next_cycle()
             self._pool.release(self)
         else:
--- a/libs/policy/src/skylarkmoor_policy/fleetlimits.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetlimits.py
@@ -106,7 +106,8 @@
         self._window_ms = window_ms
         self._overshoot_fraction = overshoot_fraction
         self._slack_units = slack_units
-        self._first_start = first_start
+        # Whether new buckets are full, as no earlier process can have used them up.
+        self._starts_full = first_start
         self._buckets: dict[str, TokenBucket] = {}
         # The last known limit of each customer with a bucket.
         self._customers: dict[str, CustomerPolicy] = {}
@@ -132,7 +133,7 @@
         for customer in customers:
             if customer.units_per_s > 0:
                 self._bucket(customer, now_ms)
-        self._first_start = True
+        self._starts_full = True
         self._unknown_units.clear()
 
     def set_reachable_fraction(self, fraction: float) -> None:
@@ -183,7 +184,7 @@
         if bucket is None:
             tokens = (
                 capacity
-                if self._first_start
+                if self._starts_full
                 else self._tolerance_units(customer) * _RESTART_FILL_FRACTION
             )
             bucket = self._buckets[customer.name] = TokenBucket(refill_per_s, capacity, tokens)
