Make the bucket of a customer when it is first needed

A bucket is made now with the first units that are admitted to the customer, here or at a peer, and filled as if it had existed since its limit was known.

test_peers_that_a_gateway_hears_of_at_its_start_do_not_use_up_the_limits failed before. The counts of the fleet, the limits of a configuration and the delay by relays have tests where they are wired, each of which fails without its line.

--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -360,3 +360,38 @@
     else:
         fleet._on_message("peer", 1, SlotLoads("assistant", 0, 1, {}, taken=500))
     assert fleet._placement.upstreams["engine"].running() == 1
+
+
+def test_peers_that_a_gateway_hears_of_at_its_start_do_not_use_up_the_limits(fleet):
+    """Each one that was not heard yet took a part of all buckets, which then had to be refilled."""
+    fleet._quotas.set_customers([CUSTOMER], fleet.clock.now_ms())
+    for number in range(8):
+        fleet.add_peer(f"peer-{number}", Address("10.0.0.2", 7600 + number))
+    for number in range(8):
+        receive_state(fleet, sender=f"peer-{number}", address=f"10.0.0.2:{7600 + number}")
+    fleet.clock.advance(300)
+    fleet.tick()
+    assert fleet._quotas.admit(CUSTOMER, 100, fleet.clock.now_ms()) is None
+
+
+def test_the_first_units_of_a_customer_at_a_known_peer_count(fleet):
+    """Each peer gave away the first ones, since they were taken for old ones."""
+    fleet._quotas.set_customers([CUSTOMER], fleet.clock.now_ms())
+    receive_state(fleet)
+    fleet._check_peers(fleet.clock.now_ms())
+    receive_state(fleet, admitted={"depots": 90})
+    assert fleet._quotas.admit(CUSTOMER, 11, fleet.clock.now_ms()) is not None
+    assert fleet._quotas.admit(CUSTOMER, 10, fleet.clock.now_ms()) is None
+
+
+@pytest.mark.parametrize(("peers", "is_relayed"), [(31, False), (32, True)])
+def test_limits_know_whether_relays_pass_the_counts_on(fleet, monkeypatch, peers, is_relayed):
+    """Counts that arrive later need more of the tolerance."""
+    told = []
+    monkeypatch.setattr(fleet._quotas, "set_relayed", told.append)
+    monkeypatch.setattr(fleet._transport, "multicast", lambda hosts, message: None)
+    fleet._failure_domain = "a"
+    for number in range(peers):
+        receive_state(fleet, sender=f"peer-{number}", failure_domain="a")
+    fleet.tick()
+    assert told[-1] is is_relayed
--- a/libs/policy/src/skylarkmoor_policy/fleetlimits.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetlimits.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName
 from skylarkmoor_policy.ratelimits import TokenBucket
@@ -66,6 +67,14 @@
         return increases
 
 
+@dataclass(slots=True)
+class _KnownCustomer:
+    policy: CustomerPolicy
+    # Since when its bucket is refilled, and whether it begins full.
+    since_ms: int
+    starts_full: bool
+
+
 class FleetQuotas:
     """Enforces the rate limits of customers over all daemons.
 
@@ -106,11 +115,11 @@
         self._window_ms = window_ms
         self._overshoot_fraction = overshoot_fraction
         self._slack_units = slack_units
-        # Whether new buckets are full, as no earlier process can have used them up.
+        # Whether the buckets of new customers begin full, as no earlier process can have used them.
         self._starts_full = first_start
+        self._customers: dict[str, _KnownCustomer] = {}
+        # Made when the customer is first admitted something, here or at a peer.
         self._buckets: dict[str, TokenBucket] = {}
-        # The last known limit of each customer with a bucket.
-        self._customers: dict[str, CustomerPolicy] = {}
         # Units that peers have admitted for customers that are not known here yet.
         self._unknown_units: dict[str, int] = {}
         self._reachable_fraction = 1.0
@@ -128,11 +137,13 @@
 
         Notes
         -----
-        Only the buckets of the first configuration may have been used up by earlier processes.
+        Only the limits of the first configuration may have been used up by earlier processes.
         """
         for customer in customers:
-            if customer.units_per_s > 0:
-                self._bucket(customer, now_ms)
+            self._learn(customer, now_ms)
+            units = self._unknown_units.get(customer.name, 0)
+            if units:
+                self.deduct_peer_units(customer.name, units, now_ms)
         self._starts_full = True
         self._unknown_units.clear()
 
@@ -156,8 +167,9 @@
         """
         if customer.units_per_s <= 0:
             return None
+        self._learn(customer, now_ms)
         capacity = self._bucket_capacity(customer)
-        bucket = self._bucket(customer, now_ms)
+        bucket = self._bucket(customer.name, now_ms)
         # A request larger than the bucket is admitted when the bucket is full.
         needed = min(float(units), capacity)
         if not bucket.take(now_ms, needed):
@@ -168,37 +180,49 @@
 
     def deduct_peer_units(self, customer: str, units: int, now_ms: int) -> None:
         """Deduct units that a peer has admitted."""
-        bucket = self._buckets.get(customer)
-        if bucket is None:
+        known = self._customers.get(customer)
+        if known is None:
             # The peer has read a newer configuration.
             self._unknown_units[customer] = self._unknown_units.get(customer, 0) + units
-        else:
-            bucket.accrue(now_ms)
-            bucket.remove(units)
+        elif known.policy.units_per_s > 0:
+            self._bucket(customer, now_ms).remove(units)
 
-    def _bucket(self, customer: CustomerPolicy, now_ms: int) -> TokenBucket:
-        """Return the bucket of a customer with its current limit."""
-        refill_per_s = customer.units_per_s * self._reachable_fraction
-        capacity = self._bucket_capacity(customer)
-        bucket = self._buckets.get(customer.name)
+    def _learn(self, customer: CustomerPolicy, now_ms: int) -> None:
+        known = self._customers.get(customer.name)
+        if known is None:
+            known = _KnownCustomer(customer, now_ms, self._starts_full)
+            self._customers[customer.name] = known
+        known.policy = customer
+
+    def _bucket(self, customer: str, now_ms: int) -> TokenBucket:
+        """Return the bucket of a customer with its current limit.
+
+        Notes
+        -----
+        It is not made before it is needed: a gateway that starts hears of its peers before it hears
+        them, and each one that is silent takes a part of all buckets.
+        """
+        known = self._customers[customer]
+        refill_per_s = known.policy.units_per_s * self._reachable_fraction
+        capacity = self._bucket_capacity(known.policy)
+        bucket = self._buckets.get(customer)
         if bucket is None:
             tokens = (
                 capacity
-                if self._starts_full
-                else self._tolerance_units(customer) * _RESTART_FILL_FRACTION
+                if known.starts_full
+                else self._tolerance_units(known.policy) * _RESTART_FILL_FRACTION
             )
-            bucket = self._buckets[customer.name] = TokenBucket(refill_per_s, capacity, tokens)
-            bucket.remove(self._unknown_units.pop(customer.name, 0))
+            bucket = self._buckets[customer] = TokenBucket(refill_per_s, capacity, tokens)
+            bucket.accrue(known.since_ms)
         bucket.accrue(now_ms)
         bucket.resize(refill_per_s, capacity)
-        self._customers[customer.name] = customer
         return bucket
 
     def _resize_buckets(self) -> None:
         for name, bucket in self._buckets.items():
-            customer = self._customers[name]
-            refill_per_s = customer.units_per_s * self._reachable_fraction
-            bucket.resize(refill_per_s, self._bucket_capacity(customer))
+            policy = self._customers[name].policy
+            refill_per_s = policy.units_per_s * self._reachable_fraction
+            bucket.resize(refill_per_s, self._bucket_capacity(policy))
 
     def _bucket_capacity(self, customer: CustomerPolicy) -> float:
         fraction = _RELAYED_TOLERANCE_FRACTION if self._is_relayed else _TOLERANCE_FRACTION
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -4,7 +4,7 @@
 
 from adapter_harness import answer, chunk, request, stream_head
 from skylarkmoor_core.logposition import LogPosition
-from skylarkmoor_core.messages import SlotGrant
+from skylarkmoor_core.messages import GatewayState, SlotGrant
 from skylarkmoor_policy.canary import RolloutOrder
 from skylarkmoor_policy.eventstream import MAX_EVENT_BYTES
 from skylarkmoor_policy.placement import UpstreamChoice
@@ -647,6 +647,24 @@
     assert caller.received()[9:12] in (b"502", b"503")
 
 
+@pytest.mark.parametrize(("elapsed_ms", "is_admitted"), [(0, False), (1_000, True)])
+def test_units_that_peers_admit_count_before_the_first_request_here(
+    harness, elapsed_ms, is_admitted
+):
+    """They counted for nothing; they are refilled like units that are admitted here."""
+    add_two_engines(harness)
+    fleet = harness.gateway.fleet
+    (customer,) = harness.gateway.table.customers
+    capacity = int(harness.gateway.quotas._bucket_capacity(customer))
+    for units in (0, capacity):
+        state = GatewayState("10.0.0.2:7600", False, -1, {}, {"depots": units}, {}, {})
+        fleet._on_message("peer", 1, state)
+    harness.clock.advance(elapsed_ms)
+    caller = harness.caller()
+    caller.send(request("/answer/1", "POST", b"x", Skylarkmoor_Token_Counts="100,40"))
+    assert caller.received().startswith(b"HTTP/1.1 429 ") is not is_admitted
+
+
 def test_units_beyond_the_limit_are_refused_with_retry_after(harness):
     add_two_engines(harness)
     for number, status in ((1, None), (2, b"429")):
