--- a/tests/adapter/test_followers.py
+++ b/tests/adapter/test_followers.py
@@ -1,5 +1,7 @@
 """Guards against reverted configurations, removal of live upstreams and use of departed ones."""
 
+import logging
+
 import pytest
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
@@ -403,3 +405,14 @@
     )
     followers.upstreams.start()
     assert followers.gateway.decision_context()["upstreams_age_ms"] == 700
+
+
+def test_an_entry_that_was_written_late_is_ignored_and_logged(followers, caplog):
+    """Without the line nobody sees why the entry of the store is not the one in use."""
+    caplog.set_level(logging.INFO)
+    follower = followers.upstreams
+    follower._apply_page(page(("e1", entry_record(seq=2, state="draining"), 2)), True)
+    follower._apply_page(page(("e1", entry_record(seq=1), 3)), False)
+    assert followers.gateway.placement.upstreams["e1"].leaving
+    (line,) = [each for each in caplog.records if "ignored an older entry" in each.message]
+    assert (line.upstream, line.seq, line.offset) == ("e1", 1, 3)
