--- a/tests/adapter/test_answer_ends.py
+++ b/tests/adapter/test_answer_ends.py
@@ -183,14 +183,20 @@
     return data.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n")
 
 
-@pytest.mark.parametrize(("framing", "end"), [("chunks", last_chunk), ("close", close)])
-def test_an_answer_without_chunks_resets_the_connection_until_it_is_complete(engines, framing, end):
-    """A caller of HTTP/1.0 took a stream for complete when the gateway was killed."""
+def begin_stream_over_http_1_0(engines, framing):
+    """Return a caller of HTTP/1.0 and the upstream that has sent it an event."""
     caller = engines.caller()
     caller.send(http_1_0(request("/answer/1", Skylarkmoor_Deadline_Ms="9000")))
     upstream = engines.accept()
     upstream.send(HEADS[framing])
     upstream.send(chunk(EVENT_1) if framing == "chunks" else EVENT_1)
+    return caller, upstream
+
+
+@pytest.mark.parametrize(("framing", "end"), [("chunks", last_chunk), ("close", close)])
+def test_an_answer_without_chunks_resets_the_connection_until_it_is_complete(engines, framing, end):
+    """A caller of HTTP/1.0 took a stream for complete when the gateway was killed."""
+    caller, upstream = begin_stream_over_http_1_0(engines, framing)
     assert caller.received().endswith(b"\r\n\r\n" + EVENT_1)
     assert caller.transport.resets_on_close
     end(upstream)
@@ -202,11 +208,7 @@
 @pytest.mark.parametrize(("framing", "end"), [("chunks", last_chunk), ("close", close)])
 def test_an_answer_without_chunks_resets_the_connection_until_it_is_sent(engines, framing, end):
     """A kill cut the last bytes for a slow caller of HTTP/1.0, and the rest looked complete."""
-    caller = engines.caller()
-    caller.send(http_1_0(request("/answer/1", Skylarkmoor_Deadline_Ms="9000")))
-    upstream = engines.accept()
-    upstream.send(HEADS[framing])
-    upstream.send(chunk(EVENT_1) if framing == "chunks" else EVENT_1)
+    caller, upstream = begin_stream_over_http_1_0(engines, framing)
     caller.transport.has_unsent = True
     end(upstream)
     assert caller.transport.disconnecting
