Count admitted units, and name the host that has confirmed the configuration

The hypotheses of the incident could not be told apart from logs and metrics: a refusal did not say whose read its configuration age rests on, and nothing counted what a customer is admitted at a gateway, or how old its peers' counts are.

Adds customer_units_total (by customer and result), peer_reports_age_ms and the field configuration_confirmed_by. A negative default size of requests in a configuration would have made the counter fail; such requests count nothing now.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -163,6 +163,8 @@
         # Version and position of the configuration in force, and its record for peers that lack it.
         self.versions = VersionHistory()
         self.configuration_age = ConfigurationAge(max_configuration_age_ms)
+        # Host whose read has shown most recently that the configuration is the newest one.
+        self.configuration_confirmed_by = host
         self._configuration_data = b""
         # Since when a peer has had a newer one; None if none has.
         self._behind_since_ms: int | None = None
@@ -301,9 +303,14 @@
         self._configuration_data = data
         self._behind_since_ms = None
 
+    def configuration_read(self, began_ms: int) -> None:
+        """Record that a read of this gateway that began at a time has shown all records."""
+        if self.configuration_age.confirm(began_ms):
+            self.configuration_confirmed_by = self._host
+
     def confirm_configuration(self, began_ms: int) -> None:
         """Record that a read that began at a time has shown all records, and tell the group."""
-        self.configuration_age.confirm(began_ms)
+        self.configuration_read(began_ms)
         position = self.configuration
         self._transport.multicast(
             [host for host in self._configuration_group() if host != self._host],
@@ -335,7 +342,8 @@
             self._on_newer()
         else:
             confirmed_ms = self._clocks.local_ms(sender, message.confirmed_ms, now_ms)
-            self.configuration_age.confirm(confirmed_ms)
+            if self.configuration_age.confirm(confirmed_ms):
+                self.configuration_confirmed_by = sender
 
     def _in_force(self) -> tuple[int, int, int] | None:
         """Return era, offset and version of the configuration in force, None without one."""
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -526,6 +526,7 @@
         return {
             "configuration": -1 if self._table is None else self._table.version,
             "configuration_age_ms": self.fleet.configuration_age.age_ms(now_ms),
+            "configuration_confirmed_by": self.fleet.configuration_confirmed_by,
             "upstreams_age_ms": now_ms - self.upstreams_read_ms,
             "peers": self.fleet.active_peer_count(),
             "peers_age_ms": self.fleet.oldest_peer_state_ms(),
@@ -548,7 +549,10 @@
             self._refuse(caller, request, 503, "the daemon is about to end", _DRAIN_RETRY_MS)
             return
         if customer is not None:
-            wait_ms = self.quotas.admit(customer, customer.units(request.quota_tokens), now_ms)
+            units = customer.units(request.quota_tokens)
+            wait_ms = self.quotas.admit(customer, units, now_ms)
+            result = "admitted" if wait_ms is None else "refused"
+            self.metrics.customer_units(customer.name, units, result)
             if wait_ms is not None:
                 reason = f"the limit of customer {customer.name!r} is used up"
                 self._refuse(caller, request, 429, reason, wait_ms)
@@ -680,6 +684,7 @@
             configuration_age_ms=self.fleet.configuration_age.age_ms(now_ms),
             upstreams=usable,
             peers=self.fleet.active_peer_count(),
+            peers_age_ms=self.fleet.oldest_peer_state_ms(),
             unreachable_upstreams=len(self.paths.reachability.unreachable()),
             tunnels=len(self.paths.tunnels.open_tunnels),
             blocked_parts=len(self.crash_evidence.suspicions()),
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -22,6 +22,13 @@
         self._refused = self._counter(
             "refusals_total", "Requests refused by the gateway by status."
         )
+        self._customer_units = self._counter(
+            "customer_units_total",
+            "Units of requests that a customer's limit has admitted or refused.",
+        )
+        self._reports_age_ms = self._gauge(
+            "peer_reports_age_ms", "Age of the oldest state of a peer that is not silent."
+        )
         self._platform_calls = self._counter(
             "platform_calls_total", "Calls to the platform by result."
         )
@@ -75,6 +82,10 @@
         """Count a valid request that was refused before placement."""
         self._refused.inc({"status": str(status)})
 
+    def customer_units(self, customer: str, units: int, result: str) -> None:
+        """Count the units of a request by what its customer's limit has decided."""
+        self._customer_units.add({"customer": customer, "result": result}, units)
+
     def platform_call(self, result: str) -> None:
         """Count a call to the platform by its result."""
         self._platform_calls.inc({"result": result})
@@ -103,6 +114,7 @@
         configuration_age_ms: int | None,
         upstreams: int,
         peers: int,
+        peers_age_ms: int,
         unreachable_upstreams: int,
         tunnels: int,
         blocked_parts: int,
@@ -115,6 +127,7 @@
             self._configuration_age_ms.set({}, configuration_age_ms)
         self._upstreams.set({}, upstreams)
         self._peers.set({}, peers)
+        self._reports_age_ms.set({}, peers_age_ms)
         self._unreachable.set({}, unreachable_upstreams)
         self._tunnels.set({}, tunnels)
         self._blocked_parts.set({}, blocked_parts)
--- a/libs/policy/src/skylarkmoor_policy/configurationage.py
+++ b/libs/policy/src/skylarkmoor_policy/configurationage.py
@@ -27,6 +27,7 @@
     >>> age.is_current(5_000)
     False
     >>> age.confirm(4_600)
+    True
     >>> age.age_ms(5_000), age.is_current(5_000)
     (400, True)
     >>> age.renewal_at_ms(rank=0), age.renewal_at_ms(rank=2)
@@ -37,10 +38,18 @@
         self.max_age_ms = max_age_ms
         self._confirmed_ms: int | None = None
 
-    def confirm(self, at_ms: int) -> None:
-        """Record that the configuration in force was the newest one at a time."""
-        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
-            self._confirmed_ms = at_ms
+    def confirm(self, at_ms: int) -> bool:
+        """Record that the configuration in force was the newest one at a time.
+
+        Returns
+        -------
+        bool
+            Whether this was the latest confirmation.
+        """
+        if self._confirmed_ms is not None and at_ms <= self._confirmed_ms:
+            return False
+        self._confirmed_ms = at_ms
+        return True
 
     def age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last confirmation, None before the first one."""
--- a/libs/policy/src/skylarkmoor_policy/routetable.py
+++ b/libs/policy/src/skylarkmoor_policy/routetable.py
@@ -109,7 +109,7 @@
         """Return the units charged for a request; `tokens` is None if it has no token counts."""
         if not self.limits_tokens:
             return 1
-        return self.default_tokens if tokens is None else tokens
+        return max(0, self.default_tokens if tokens is None else tokens)
 
 
 @dataclass(frozen=True)
