--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_core.messages import (
+    ConfigurationConfirmed,
     CrashedRequest,
     CrashEvidence,
     CrashReport,
@@ -395,3 +396,14 @@
         receive_state(fleet, sender=f"peer-{number}", failure_domain="a")
     fleet.tick()
     assert told[-1] is is_relayed
+
+
+def test_the_first_message_of_a_peer_that_was_held_up_confirms_nothing(fleet):
+    """A read of 3.5 s ago looked 10 ms old, and valid requests got 404 or 401 (CONFIG)."""
+    peer_ms, held_up_ms = 3_000, 3_500
+    fleet.configuration = LogPosition(1, 7)
+    fleet._on_message("peer", 1, ConfigurationConfirmed(1, 7, peer_ms - 10, peer_ms))
+    now_ms = fleet.clock.now_ms()
+    age_ms = fleet.configuration_age.age_ms(now_ms)
+    assert age_ms is None or age_ms >= held_up_ms
+    assert not fleet.configuration_age.is_current(now_ms)
--- a/libs/policy/tests/test_fleetquotas.py
+++ b/libs/policy/tests/test_fleetquotas.py
@@ -29,6 +29,9 @@
 # Number of gateways, interval of their states, and whether relays pass these on.
 SMALL_FLEET = (9, 108, False)
 LARGE_FLEET = (33, 396, True)
+LARGER_FLEETS = {"91": (91, 1_092, True), "195": (195, 2_340, True)}
+CUT_FRACTION = 0.3
+CUT_FROM_MS, CUT_TO_MS = 4_000, 12_000
 
 
 class QuotaFleet:
@@ -43,6 +46,8 @@
         self.admitted = []
         self.refused = 0
         self.events = []
+        # Hosts that exchange no reports with the others while the cut lasts.
+        self.cut = set()
         self.numbers = itertools.count()
         for quotas in self.quotas:
             quotas.set_customers([CUSTOMER], 0)
@@ -66,6 +71,9 @@
     def receive(self, now_ms, host, peer, sent_ms, counts):
         if host == peer or self.newest.get((host, peer), -1_000) > sent_ms:
             return
+        is_cut = CUT_FROM_MS <= now_ms < CUT_TO_MS
+        if is_cut and (host in self.cut) != (peer in self.cut):
+            return
         self.newest[host, peer] = sent_ms
         for name, units in self.counters[host].increments(peer, 1, counts).items():
             self.quotas[host].deduct_peer_units(name, units, now_ms)
@@ -119,3 +127,24 @@
     fleet = QuotaFleet(LARGE_FLEET, 1).run(3, pattern)
     owed = UNITS_PER_S * DURATION_MS / 1_000
     assert len(fleet.admitted) * REQUEST_UNITS >= owed
+
+
+@pytest.mark.parametrize("times_limit", [7.5, 12])
+@pytest.mark.parametrize("fleet", LARGER_FLEETS.values(), ids=LARGER_FLEETS)
+def test_a_flood_of_hundreds_of_gateways_gets_no_more_than_the_limit(fleet, times_limit):
+    """Each gateway spent the whole limit until it heard of the others (QUOTA)."""
+    units = QuotaFleet(fleet, 1).run(times_limit, "even").most_units_in_a_window()
+    assert units <= ALLOWED_UNITS
+
+
+@pytest.mark.parametrize(
+    "fleet",
+    [SMALL_FLEET, LARGE_FLEET, LARGER_FLEETS["195"]],
+    ids=["small", "large", "195"],
+)
+def test_both_sides_of_a_cut_together_get_no_more_than_the_limit(fleet):
+    """Each side spent the whole limit until it noticed that the other one was silent (QUOTA)."""
+    cut_fleet = QuotaFleet(fleet, 1)
+    cut_fleet.cut = set(range(round(cut_fleet.hosts * CUT_FRACTION)))
+    units = cut_fleet.run(3, "even").most_units_in_a_window()
+    assert units <= ALLOWED_UNITS
