Bound the age of a peer's confirmation by a round trip

A gateway with an older configuration answered 404 or 401 as if it were the newest one (CONFIG, suspected): the first message of a peer set the offset of its clock, delay included, so that a read of 3.5 s ago looked 10 ms old. First messages come with each start, each new confirming host and after removals, which is frequent in a fleet of hundreds of hosts.

The first confirmation of a process is now followed by one question for its clock. An answer was sent after the question, which bounds the age from above; later confirmations use the same bound. Peers of older builds do not answer, so their confirmations no longer count and the gateway reads by itself, as it does when they are silent.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -24,6 +24,8 @@
     "ClaimRequest",
     "ClaimResult",
     "ClaimStatus",
+    "ClockAnswer",
+    "ClockQuestion",
     "ConfigurationCopy",
     "ConfigurationQuery",
     "CrashEvidence",
@@ -324,6 +326,19 @@
     sent_ms: _Time
 
 
+class ClockQuestion(_Message, frozen=True, tag="1"):
+    """Asks for the clock of the receiver, with the monotonic time of the sender."""
+
+    sent_ms: _Time
+
+
+class ClockAnswer(_Message, frozen=True, tag="2"):
+    """Tells the monotonic time of the sender, and that of the question."""
+
+    asked_ms: _Time
+    sent_ms: _Time
+
+
 class RelayedState(msgspec.Struct, frozen=True, array_like=True):
     """The state of a gateway as a relay passes it on."""
 
@@ -534,6 +549,8 @@
     | ConfigurationQuery
     | ConfigurationCopy
     | ConfigurationConfirmed
+    | ClockQuestion
+    | ClockAnswer
     | StateBundle
     | SlotRequest
     | SlotWithdrawal
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -14,6 +14,8 @@
     ClaimRequest,
     ClaimResult,
     ClaimStatus,
+    ClockAnswer,
+    ClockQuestion,
     ConfigurationConfirmed,
     ConfigurationCopy,
     ConfigurationQuery,
@@ -77,6 +79,8 @@
     UnitsGrant(4, "depots", 900, -70),
     UnitsReturn("depots", -30),
     ConfigurationConfirmed(1, 7, 80, 90),
+    ClockQuestion(80),
+    ClockAnswer(80, 90),
     NamedLimits(90, (NamedLimit("gpu-1", 17, 2.5, 80, 4), NamedLimit("gpu-2", 18, None, 85, 0))),
     CrashEvidence(
         (CrashReport("gpu-1", 7, 20, (CrashedRequest("r1", True, (2**64 - 1,)),)),),
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -13,6 +13,8 @@
 from skylarkmoor_core.logposition import BEFORE_ALL, LogPosition
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import (
+    ClockAnswer,
+    ClockQuestion,
     ConfigurationConfirmed,
     ConfigurationCopy,
     ConfigurationQuery,
@@ -214,6 +216,8 @@
             host, incarnation, clock, quotas, self._send_units
         )
         self._clocks = PeerClocks()
+        # Last confirmations of peers whose clocks are not known well enough yet.
+        self._unchecked_confirmations: dict[HostId, tuple[Incarnation, ConfigurationConfirmed]] = {}
         self._changed_limits: set[InstanceId] = set()
         self._permits_reported_ms = 0
         self._reported_permits: dict[InstanceId, int] = {}
@@ -354,10 +358,24 @@
         self._clocks.observe(sender, incarnation, message.sent_ms, now_ms)
         if LogPosition(message.era, message.offset) > self.configuration:
             self._on_newer()
-        else:
-            confirmed_ms = self._clocks.local_ms(sender, message.confirmed_ms, now_ms)
-            if self.configuration_age.confirm(confirmed_ms):
-                self.configuration_confirmed_by = sender
+            return
+        # The message may have been held up, so that the read may be older than it looks.
+        confirmed_ms = self._clocks.earliest_local_ms(
+            sender, incarnation, message.confirmed_ms, now_ms
+        )
+        if confirmed_ms is None:
+            self._unchecked_confirmations[sender] = (incarnation, message)
+            self._transport.send(sender, ClockQuestion(now_ms))
+        elif self.configuration_age.confirm(confirmed_ms):
+            self.configuration_confirmed_by = sender
+
+    def _handle_clock_answer(
+        self, sender: HostId, incarnation: Incarnation, answer: ClockAnswer
+    ) -> None:
+        self._clocks.observe_answer(sender, incarnation, answer.asked_ms, answer.sent_ms)
+        unchecked = self._unchecked_confirmations.pop(sender, None)
+        if unchecked is not None and unchecked[0] == incarnation:
+            self._handle_confirmation(sender, *unchecked)
 
     def _in_force(self) -> tuple[int, int, int] | None:
         """Return era, offset and version of the configuration in force, None without one."""
@@ -736,6 +754,7 @@
         self._expired_peers[host] = str(self._peer_states.pop(host).address)
         self._load_sequences.pop(host, None)
         self._clocks.forget(host)
+        self._unchecked_confirmations.pop(host, None)
         self._reachability.set_peer(host, None)
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
@@ -777,6 +796,10 @@
                 self.on_configuration(message)
             case ConfigurationConfirmed():
                 self._handle_confirmation(sender, incarnation, message)
+            case ClockQuestion(sent_ms=asked_ms):
+                self._transport.send(sender, ClockAnswer(asked_ms, self._clock.now_ms()))
+            case ClockAnswer():
+                self._handle_clock_answer(sender, incarnation, message)
             case SlotRequest():
                 self.slot_coordinator.handle_slot_request(sender, incarnation, message)
             case SlotWithdrawal():
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -9,6 +9,8 @@
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.logposition import LogPosition
 from skylarkmoor_core.messages import (
+    ClockAnswer,
+    ClockQuestion,
     ConfigurationConfirmed,
     CrashedRequest,
     CrashEvidence,
@@ -453,3 +455,28 @@
     age_ms = fleet.configuration_age.age_ms(now_ms)
     assert age_ms is None or age_ms >= held_up_ms
     assert not fleet.configuration_age.is_current(now_ms)
+
+
+def test_a_confirmation_counts_as_old_as_it_may_be(fleet, monkeypatch):
+    sent = []
+    monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append((to, message)))
+    fleet.configuration = LogPosition(1, 7)
+    peer_ms = 3_000
+    fleet._on_message("peer", 1, ConfigurationConfirmed(1, 7, peer_ms - 10, peer_ms))
+    asked_ms = fleet.clock.now_ms()
+    assert sent == [("peer", ClockQuestion(asked_ms))]
+    fleet.clock.advance(20)
+    fleet._on_message("peer", 1, ClockAnswer(asked_ms, peer_ms + 3_510))
+    # The first message was sent 3510 ms before the answer, and its read began 10 ms earlier.
+    assert fleet.configuration_age.age_ms(asked_ms) == 3_520
+    fleet._on_message("peer", 1, ConfigurationConfirmed(1, 7, peer_ms + 3_505, peer_ms + 3_515))
+    assert fleet.configuration_age.age_ms(fleet.clock.now_ms()) == 25
+    assert fleet.configuration_age.is_current(fleet.clock.now_ms())
+    assert fleet.configuration_confirmed_by == "peer"
+
+
+def test_a_gateway_tells_its_clock(fleet, monkeypatch):
+    sent = []
+    monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append((to, message)))
+    fleet._on_message("peer", 1, ClockQuestion(77))
+    assert sent == [("peer", ClockAnswer(77, fleet.clock.now_ms()))]
--- a/libs/policy/tests/test_peerclocks.py
+++ b/libs/policy/tests/test_peerclocks.py
@@ -35,3 +35,25 @@
 def test_a_forgotten_peer_is_unknown(clocks):
     clocks.forget("peer")
     assert clocks.local_ms("peer", 0, 2_000) == 2_000
+
+
+def test_a_time_is_not_newer_than_the_question_that_its_sender_has_answered(clocks):
+    """Nothing bounds the delay of a first message, which may have been held up for seconds."""
+    assert clocks.earliest_local_ms("peer", 1, 100, 5_000) is None
+    clocks.observe_answer("peer", 1, 5_000, 400)
+    assert clocks.earliest_local_ms("peer", 1, 400, 5_010) == 5_000
+    assert clocks.earliest_local_ms("peer", 1, 300, 5_010) == 4_900
+
+
+def test_a_faster_answer_shows_more_precisely_when_it_was_sent(clocks):
+    clocks.observe_answer("peer", 1, 5_000, 400)
+    clocks.observe_answer("peer", 1, 5_020, 410)
+    clocks.observe_answer("peer", 1, 5_100, 700)
+    assert clocks.earliest_local_ms("peer", 1, 410, 6_000) == 5_020
+
+
+def test_the_answer_of_an_earlier_incarnation_says_nothing_of_a_new_clock(clocks):
+    clocks.observe_answer("peer", 1, 5_000, 400)
+    assert clocks.earliest_local_ms("peer", 2, 400, 6_000) is None
+    clocks.forget("peer")
+    assert clocks.earliest_local_ms("peer", 1, 400, 6_000) is None
