Confirm the configuration only with pages that reach the end of the log

A read of the log returns at most 1 MB, and its page names the end of the log, which the client ignored: a page that stopped before the end counted as a read of all records, and the gateway told its group that the configuration was the newest one. With 1,400 more routes a record has 359 KB, so three versions do not fit; configurations of small sites are a few KB and never showed it.

The page now tells whether it reaches the end.

--- a/tests/adapter/test_configuration_age.py
+++ b/tests/adapter/test_configuration_age.py
@@ -102,6 +102,26 @@
     assert fleet.versions() == {11}
 
 
+@pytest.mark.parametrize("hosts", [1, 9])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_page_that_does_not_reach_the_end_of_the_log_confirms_nothing(make_harness, seed, hosts):
+    """A read returned two of several versions, and the second passed for the newest (CONFIG)."""
+    fleet = StoreFleet(make_harness, seed, hosts)
+    fleet.run(3_000 + fleet.rng.randrange(0, 2_000, STEP_MS))
+    large_route = NEW_ROUTE | {"path_prefix": "/" + "a" * 359_000}
+    newest = 22
+    for version in range(11, newest + 1):
+        fleet.model.write("keyed.op", "config", configuration_record(version, large_route))
+    published_ms = fleet.network.clock.now_ms()
+    for _ in range(CONFIGURATION_APPLY_MS // STEP_MS):
+        fleet.run(STEP_MS)
+        now_ms = fleet.network.clock.now_ms()
+        for gateway in fleet.gateways:
+            age_ms = gateway.fleet.configuration_age.age_ms(now_ms)
+            assert gateway.table.version == newest or now_ms - age_ms < published_ms
+    assert fleet.versions() == {newest}
+
+
 @pytest.mark.parametrize("hosts", [1, 2, 9])
 @pytest.mark.parametrize("seed", range(4))
 def test_a_leaving_upstream_is_known_in_time_after_connections_went_silent(
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -33,6 +33,13 @@
     assert store_page.next_offset == 8
 
 
+@pytest.mark.parametrize(("end", "reaches_end"), [(7, True), (8, False)])
+def test_a_page_tells_whether_it_reaches_the_end_of_the_log(end, reaches_end):
+    """Records that did not fit on a page were taken for records that do not exist (CONFIG)."""
+    store_page = _decode_page(page(record(b"a", b"1"), record(b"b", b""), end=end), 5)
+    assert store_page.reaches_end is reaches_end
+
+
 def test_a_record_without_a_readable_key_is_skipped():
     """It still takes up an offset; otherwise all later records would get wrong ones."""
     store_page = _decode_page(
--- a/tests/silent_store.py
+++ b/tests/silent_store.py
@@ -15,6 +15,8 @@
 CALL_TIMEOUT_MS = 1_500
 _ANSWER_MS = 4
 _POLL_MS = 20
+# A read returns no more than this, but at least one record.
+_MAX_PAGE_BYTES = 1_048_576
 
 
 @dataclass(eq=False)
@@ -141,5 +143,12 @@
             found = [KeyedRecord(key, value, at) for key, (at, value) in newest.items() if value]
         else:
             start = call.from_offset
-            found = [KeyedRecord(*each, start + i) for i, each in enumerate(records[start:])]
-        return StorePage(tuple(found), len(records), 0)
+            found = []
+            size = 0
+            for offset, (key, value) in enumerate(records[start:], start):
+                size += len(value or b"")
+                if found and size > _MAX_PAGE_BYTES:
+                    break
+                found.append(KeyedRecord(key, value, offset))
+            return StorePage(tuple(found), start + len(found), 0, len(records))
+        return StorePage(tuple(found), len(records), 0, len(records))
