Remove a peer only after it has been silent

A peer was removed after 12 s without a state. At 330 gateways it is silent only after 17 s (four states of 4 s and the relays), so it was removed while it was alive and had missed three states, and came back with the next one. Its shares of the limits would go to another gateway meanwhile. The time of removal now follows the time of silence. The test failed before.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -716,6 +716,8 @@
         self._crash_counts.expire(now_ms)
         self._crash_evidence.expire(now_ms)
         silent_ms = self._max_state_age_ms(PEER_SILENT_MS)
+        # In a large fleet, a peer is silent only after a longer time.
+        expiry_ms = max(PEER_EXPIRY_MS, silent_ms + PEER_SILENT_MS)
         for host, peer in list(self._peer_states.items()):
             age_ms = now_ms - peer.last_heard_ms
             if not peer.unreachable and age_ms > silent_ms:
@@ -727,7 +729,7 @@
                     "peer timed out",
                     extra={"peer": host, "age_ms": age_ms, "leaving": peer.leaving},
                 )
-            if age_ms > PEER_EXPIRY_MS or (peer.unreachable and peer.leaving):
+            if age_ms > expiry_ms or (peer.unreachable and peer.leaving):
                 self._remove_peer(host)
         self._update_fleet_share()
 
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -480,3 +480,23 @@
     monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append((to, message)))
     fleet._on_message("peer", 1, ClockQuestion(77))
     assert sent == [("peer", ClockAnswer(77, fleet.clock.now_ms()))]
+
+
+def test_a_peer_of_a_fleet_of_hundreds_is_silent_before_it_is_removed(fleet, monkeypatch):
+    """Peers were removed after 12 s, when they had missed three states of 4 s only (QUOTA)."""
+    monkeypatch.setattr(fleet._transport, "multicast", lambda hosts, message: None)
+    fleet._failure_domain = "a"
+    peers = [f"peer-{number}" for number in range(330)]
+    for peer in peers:
+        receive_state(fleet, sender=peer, failure_domain="a", shares_limits=True)
+    fleet.clock.advance(4 * fleet.interval_ms())
+    fleet.tick()
+    assert fleet.limit_coordinator.shares.members == {"me", *peers}
+    assert fleet.active_peer_count() == 330
+    fleet.clock.advance(1_200)
+    fleet.tick()
+    assert fleet.limit_coordinator.shares.members == {"me", *peers}
+    assert fleet.active_peer_count() == 0
+    fleet.clock.advance(1_200)
+    fleet.tick()
+    assert fleet.limit_coordinator.shares.members == {"me"}
