Look for other holders of limits with the check of the peers only

The list was made and compared at each tick, 40 times a second. While many hosts join, each tick also chose the holders anew, which takes some milliseconds at 195 hosts. The check of the peers, four times a second, is soon enough: a share that is taken over begins empty.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -432,7 +432,7 @@
         if now_ms - self._last_check_ms >= PEER_SILENT_MS // 4:
             self._last_check_ms = now_ms
             self._check_peers(now_ms)
-        self._update_limit_holders()
+            self._update_limit_holders()
         self.limit_coordinator.tick()
 
     def interval_ms(self) -> int:
