--- a/tests/adapter/test_older_build.py
+++ b/tests/adapter/test_older_build.py
@@ -17,8 +17,12 @@
 from adapter_store import entry_record
 
 ROOT = Path(__file__).resolve().parents[2]
-# The last landing whose slot requests are counted from 1 and whose tunnels have no frames.
-EARLIER_COMMIT = "43f5c25"
+EARLIER_COMMITS = {
+    # The last landing whose slot requests are counted from 1 and whose tunnels have no frames.
+    "unframed tunnels": "43f5c25",
+    # The last landing that keeps replicas of the customers' limits.
+    "replicated limits": "c2d1a9f",
+}
 HOSTS = ("front-1", "front-2", "front-3")
 SERVICES = {"/order/": "orders", "/answer/": "assistant"}
 NAMES = {"o1": "orders", "o2": "orders", "e1": "assistant", "e2": "assistant"}
@@ -27,11 +31,11 @@
 STEP_S = 1.5
 
 
-@pytest.fixture(scope="module")
-def earlier_sources(tmp_path_factory):
+@pytest.fixture(scope="module", params=EARLIER_COMMITS.values(), ids=EARLIER_COMMITS)
+def earlier_sources(request, tmp_path_factory):
     """Return the folders with the packages of the earlier build, from the history."""
     folder = tmp_path_factory.mktemp("earlier")
-    command = ["git", "archive", EARLIER_COMMIT, "libs", "platform"]
+    command = ["git", "archive", request.param, "libs", "platform"]
     archive = subprocess.run(command, cwd=ROOT, check=True, capture_output=True).stdout
     with tarfile.open(fileobj=BytesIO(archive)) as tar:
         tar.extractall(folder, filter="data")
