Carry units and limits of any size in messages between holders

A caller or a configuration may name numbers that do not fit into a message; encoding them raised an error in the request's handler. They are cut to what a message can carry.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -43,6 +43,8 @@
     "Grant",
     "Heartbeat",
     "HostState",
+    "MAX_RATE",
+    "MAX_UNITS",
     "Message",
     "NamedLimit",
     "NamedLimits",
@@ -66,8 +68,12 @@
 
 # Times on a monotonic clock, whose differences fit into messages as well.
 _Time = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
-_Units = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+# Largest numbers of units, and of units a second, that a message can carry.
+MAX_UNITS = 2**53
+MAX_RATE = 1e15
+_Units = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNITS)]
+_SignedUnits = Annotated[int, msgspec.Meta(ge=-MAX_UNITS, le=MAX_UNITS)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
 
 
 class HostState(Enum):
@@ -448,14 +454,14 @@
     number: int
     customer: str
     units: _Units
-    left: int
+    left: _SignedUnits
 
 
 class UnitsReturn(_Message, frozen=True, tag="m"):
     """Returns granted units that were not used, or deducts more if their number is negative."""
 
     customer: str
-    units: Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+    units: _SignedUnits
 
 
 class CrashedRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/gateway/src/skylarkmoor_gateway/limitcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/limitcoordinator.py
@@ -13,7 +13,13 @@
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import CustomerId, HostId, Incarnation
 from skylarkmoor_core.logs import part_logger
-from skylarkmoor_core.messages import UnitsGrant, UnitsRequest, UnitsReturn
+from skylarkmoor_core.messages import (
+    MAX_RATE,
+    MAX_UNITS,
+    UnitsGrant,
+    UnitsRequest,
+    UnitsReturn,
+)
 from skylarkmoor_core.processnumbers import ProcessNumbers
 from skylarkmoor_policy.fleetlimits import FleetQuotas
 from skylarkmoor_policy.limitshares import LimitShares
@@ -197,6 +203,9 @@
         """Ask further holders in place of those that do not answer, and end long waits."""
         now_ms = self._clock.now_ms()
         for collection in list(self._collections.values()):
+            if collection.number not in self._collections:
+                # The decision on another request has ended it.
+                continue
             overdue = [
                 host
                 for host, asked_ms in collection.asked_ms.items()
@@ -222,7 +231,7 @@
                 limits_tokens=True,
             )
             granted = self._quotas.take(limit, message.units, now_ms)
-            left = self._quotas.left(message.customer, now_ms)
+            left = _in_range(self._quotas.left(message.customer, now_ms))
         self._send(sender, UnitsGrant(message.number, message.customer, granted, left))
 
     def handle_grant(self, sender: HostId, message: UnitsGrant) -> None:
@@ -312,9 +321,9 @@
             message = UnitsRequest(
                 collection.number,
                 collection.customer.name,
-                collection.missing,
-                collection.customer.units_per_s,
-                max(0.0, collection.customer.burst_units),
+                min(collection.missing, MAX_UNITS),
+                min(collection.customer.units_per_s, MAX_RATE),
+                min(max(0.0, collection.customer.burst_units), MAX_RATE),
             )
             if self._send(host, message):
                 collection.asked_ms[host] = now_ms
@@ -396,8 +405,13 @@
             self._levels[customer][holder] = _Level(known.left + units, known.at_ms)
         if holder == self._host:
             self._quotas.give_back(customer, units, self._clock.now_ms())
-        elif units and not self._send(holder, UnitsReturn(customer, units)):
+        elif units and not self._send(holder, UnitsReturn(customer, _in_range(units))):
             _log.info(
                 "units could not be returned",
                 extra={"customer": customer, "holder": holder, "units": units},
             )
+
+
+def _in_range(units: int) -> int:
+    """Return a number of units as far as a message can carry it."""
+    return max(-MAX_UNITS, min(units, MAX_UNITS))
--- a/libs/gateway/tests/test_limits_of_fleets.py
+++ b/libs/gateway/tests/test_limits_of_fleets.py
@@ -12,7 +12,14 @@
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.hashing import rendezvous_order
-from skylarkmoor_core.messages import UnitsGrant, UnitsRequest, UnitsReturn
+from skylarkmoor_core.messages import (
+    Envelope,
+    UnitsGrant,
+    UnitsRequest,
+    UnitsReturn,
+    decode_envelope,
+    encode_envelope,
+)
 from skylarkmoor_gateway.limitcoordinator import (
     Admitted,
     Exhausted,
@@ -362,6 +369,25 @@
     assert len(fleet.refused) == 1
 
 
+def test_limits_and_requests_of_any_size_fit_into_messages():
+    """A configuration or a caller may name numbers that no message can carry."""
+    huge = CustomerPolicy(
+        "depots", ("k",), units_per_s=1e300, burst_units=float("inf"), limits_tokens=True
+    )
+    fleet = QuotaFleet(33, 1, huge)
+    send = fleet.send
+
+    def send_encoded(sender, to, message):
+        data = encode_envelope(Envelope(sender, 1, message))
+        return send(sender, to, decode_envelope(data).message)
+
+    fleet.send = send_encoded
+    for number, host in enumerate(fleet.hosts):
+        fleet.schedule(number, fleet.ask, host, 10**30)
+    fleet.run()
+    assert len(fleet.waits_ms) == len(fleet.hosts)
+
+
 def test_a_lower_limit_binds_the_shares():
     fleet = QuotaFleet(33, 1)
     lower = CustomerPolicy(
--- a/libs/policy/src/skylarkmoor_policy/fleetlimits.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetlimits.py
@@ -1,5 +1,7 @@
 """Fleet-wide limits that daemons enforce by exchanging cumulative counts."""
 
+import math
+import sys
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -225,7 +227,9 @@
         """Return the units that the share has left; negative if more were deducted."""
         known = self._customers.get(customer)
         bucket = None if known is None else self._bucket(known, now_ms)
-        return 0 if bucket is None else int(bucket.tokens)
+        if bucket is None:
+            return 0
+        return int(bucket.tokens) if math.isfinite(bucket.tokens) else sys.maxsize
 
     def count_admitted(self, customer: str, units: int) -> None:
         """Count the units of a request, which daemons of older builds deduct from the limit."""
