Ask no peer of an older build for its clock

It cannot decode the question and logs each one: one for each gateway and confirmation, 195 a second in a large fleet that is being replaced. Its confirmations do not count here, as before. The test failed before.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -363,12 +363,19 @@
         confirmed_ms = self._clocks.earliest_local_ms(
             sender, incarnation, message.confirmed_ms, now_ms
         )
+        if confirmed_ms is None and self._is_older_build(sender):
+            return
         if confirmed_ms is None:
             self._unchecked_confirmations[sender] = (incarnation, message)
             self._transport.send(sender, ClockQuestion(now_ms))
         elif self.configuration_age.confirm(confirmed_ms):
             self.configuration_confirmed_by = sender
 
+    def _is_older_build(self, host: HostId) -> bool:
+        """Return whether a peer is of a build that knows no shares of limits and no questions."""
+        peer = self._peer_states.get(host)
+        return peer is not None and not peer.shares_limits
+
     def _handle_clock_answer(
         self, sender: HostId, incarnation: Incarnation, answer: ClockAnswer
     ) -> None:
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -475,6 +475,17 @@
     assert fleet.configuration_confirmed_by == "peer"
 
 
+def test_a_peer_of_an_older_build_is_not_asked_for_its_clock(fleet, monkeypatch):
+    """It logs each question as undecodable, one for each gateway and confirmation."""
+    sent = []
+    monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append((to, message)))
+    fleet.configuration = LogPosition(1, 7)
+    receive_state(fleet, shares_limits=False)
+    fleet._on_message("peer", 1, ConfigurationConfirmed(1, 7, 2_990, 3_000))
+    assert sent == []
+    assert fleet.configuration_age.age_ms(fleet.clock.now_ms()) is None
+
+
 def test_a_gateway_tells_its_clock(fleet, monkeypatch):
     sent = []
     monkeypatch.setattr(fleet._transport, "send", lambda to, message: sent.append((to, message)))
