--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -281,6 +281,10 @@
         if not is_heard and self._expired_peers.get(host) != str(address):
             self.add_peer(host, address)
 
+    def await_peer_list(self) -> None:
+        """Hold no shares of the limits before the list of the peers was read."""
+        self.limit_coordinator.knows_fleet = False
+
     def peers_listed(self) -> None:
         """Hold shares of the limits from now on, as the hosts of the fleet are known."""
         self._update_limit_holders()
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -98,13 +98,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _LimitWait:
-    """A request that waits for units of its customer's limit, and what was decided about it."""
+class _Arrival:
+    """A complete request as it was received."""
 
     caller: CallerConnection
     head: h11.Request
     body: bytes
     arrived_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class _LimitWait:
+    """A request that waits for units of its customer's limit, and what was decided about it."""
+
+    arrival: _Arrival
     request: IncomingRequest
     route: Route
     customer: CustomerPolicy
@@ -200,8 +207,8 @@
         self._table: RouteTable | None = None
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, Exchange] = {}
-        # Requests that may be allowed by a newer configuration, with the time of their arrival.
-        self._unconfirmed: dict[CallerConnection, tuple[h11.Request, bytes, int]] = {}
+        # Requests that may be allowed by a newer configuration.
+        self._unconfirmed: dict[CallerConnection, _Arrival] = {}
         # Requests that wait for units of their customer's limit, with the numbers to cancel them.
         self._limit_waits: dict[CallerConnection, tuple[int, _LimitWait]] = {}
         self._ports: list[Any] = []
@@ -334,14 +341,17 @@
 
     def handle(self, caller: CallerConnection, head: h11.Request, body: bytes) -> None:
         """Check a complete request, then place or refuse it."""
-        self._handle(caller, head, body, self.clock.now_ms())
+        self._handle(_Arrival(caller, head, body, self.clock.now_ms()))
 
-    def _handle(
-        self, caller: CallerConnection, head: h11.Request, body: bytes, arrived_ms: int
-    ) -> None:
+    def _decode(self, arrival: _Arrival) -> IncomingRequest:
+        head = arrival.head
         headers = list(head.headers.raw_items())
+        return self.codec.decode_request(head.method, head.target, headers, arrival.body)
+
+    def _handle(self, arrival: _Arrival) -> None:
+        caller = arrival.caller
         try:
-            request = self.codec.decode_request(head.method, head.target, headers, body)
+            request = self._decode(arrival)
         except MalformedRequest as error:
             self.request_rejected(400, str(error))
             self._refuse(caller, None, 400, str(error))
@@ -356,7 +366,7 @@
             customer is None and table.requires_api_keys and not route.public
         )
         if is_denied and not self.fleet.configuration_age.is_current(self.clock.now_ms()):
-            self._unconfirmed[caller] = (head, body, arrived_ms)
+            self._unconfirmed[caller] = arrival
             return
         if route is None:
             self._refuse(caller, request, 404, "no route matches")
@@ -374,20 +384,19 @@
             remaining_ms = min(route.timeout_ms, request.deadline_ms or route.timeout_ms)
             self._refuse(caller, request, 503, reason, retry_after_ms(blocked_ms, remaining_ms))
             return
-        self._admit(caller, head, body, request, route, customer, arrived_ms)
+        self._admit(arrival, request, route, customer)
 
     def _handle_unconfirmed(self, now_ms: int) -> None:
         """Handle the requests again that wait for a confirmed configuration, or refuse them."""
         is_current = self.fleet.configuration_age.is_current(now_ms)
-        for caller, (head, body, arrived_ms) in list(self._unconfirmed.items()):
+        for caller, arrival in list(self._unconfirmed.items()):
             if is_current:
                 del self._unconfirmed[caller]
-                self._handle(caller, head, body, arrived_ms)
-            elif now_ms - arrived_ms >= _CONFIRMATION_WAIT_MS or self.draining():
+                self._handle(arrival)
+            elif now_ms - arrival.arrived_ms >= _CONFIRMATION_WAIT_MS or self.draining():
                 del self._unconfirmed[caller]
-                headers = list(head.headers.raw_items())
-                request = self.codec.decode_request(head.method, head.target, headers, body)
                 reason = "unknown to the configuration, which may be outdated"
+                request = self._decode(arrival)
                 self._refuse(caller, request, 503, reason, _NO_CONFIRMATION_RETRY_MS)
 
     def wait_for_slot(self, exchange: Exchange) -> None:
@@ -565,60 +574,58 @@
 
     def _admit(
         self,
-        caller: CallerConnection,
-        head: h11.Request,
-        body: bytes,
+        arrival: _Arrival,
         request: IncomingRequest,
         route: Route,
         customer: CustomerPolicy | None,
-        arrived_ms: int,
     ) -> None:
-        now_ms = self.clock.now_ms()
-        if self._cannot_finish(route, now_ms):
-            self._refuse(caller, request, 503, "the daemon is about to end", _DRAIN_RETRY_MS)
+        """Start a request, once it is within its customer's limit."""
+        if self._cannot_finish(route, self.clock.now_ms()):
+            reason = "the daemon is about to end"
+            self._refuse(arrival.caller, request, 503, reason, _DRAIN_RETRY_MS)
             return
         if customer is None or customer.units_per_s <= 0:
-            self._start_exchange(caller, request, route, customer, arrived_ms)
+            self._start_exchange(arrival, request, route, customer)
             return
-        wait = _LimitWait(caller, head, body, arrived_ms, request, route, customer, self._table)
+        wait = _LimitWait(arrival, request, route, customer, self._table)
         number = self.fleet.limit_coordinator.request(
             customer,
             customer.units(request.quota_tokens),
             lambda decision: self._limit_decided(wait, decision),
         )
         if number is not None:
-            self._limit_waits[caller] = (number, wait)
+            self._limit_waits[arrival.caller] = (number, wait)
 
-    def _limit_decided(self, wait: "_LimitWait", decision: LimitDecision) -> None:
+    def _limit_decided(self, wait: _LimitWait, decision: LimitDecision) -> None:
         """Start or refuse a request whose customer's limit has been asked."""
-        caller, request, customer = wait.caller, wait.request, wait.customer
+        caller, request, customer = wait.arrival.caller, wait.request, wait.customer
         self._limit_waits.pop(caller, None)
         match decision:
             case Admitted() if self._table is not wait.table:
                 # Another version may send it elsewhere, or not allow it.
                 self.fleet.limit_coordinator.give_back(decision)
-                self._handle(caller, wait.head, wait.body, wait.arrived_ms)
+                self._handle(wait.arrival)
             case Admitted(units=units):
                 self.metrics.customer_units(customer.name, units, "admitted")
-                self._start_exchange(caller, request, wait.route, customer, wait.arrived_ms)
-            case Exhausted(wait_ms=wait_ms):
-                self.metrics.customer_units(customer.name, decision.needed_units, "refused")
+                self._start_exchange(wait.arrival, request, wait.route, customer)
+            case Exhausted(wait_ms=wait_ms, needed_units=units):
+                self.metrics.customer_units(customer.name, units, "refused")
                 reason = f"the limit of customer {customer.name!r} is used up"
                 self._refuse(caller, request, 429, reason, wait_ms, asdict(decision))
-            case Unanswered(wait_ms=wait_ms):
-                self.metrics.customer_units(customer.name, decision.needed_units, "unanswered")
+            case Unanswered(wait_ms=wait_ms, needed_units=units):
+                self.metrics.customer_units(customer.name, units, "unanswered")
                 reason = f"the limit of customer {customer.name!r} cannot be checked now"
                 self._refuse(caller, request, 503, reason, wait_ms, asdict(decision))
 
     def _start_exchange(
         self,
-        caller: CallerConnection,
+        arrival: _Arrival,
         request: IncomingRequest,
         route: Route,
         customer: CustomerPolicy | None,
-        arrived_ms: int,
     ) -> None:
-        exchange = Exchange(self, caller, request, route, customer, arrived_ms)
+        caller = arrival.caller
+        exchange = Exchange(self, caller, request, route, customer, arrival.arrived_ms)
         self._exchanges[caller] = exchange
         exchange.start()
 
@@ -726,11 +733,11 @@
                     "requests": [e.request.request for e in self._exchanges.values()],
                 },
             )
-        for number, wait in list(self._limit_waits.values()):
+        waits, self._limit_waits = self._limit_waits, {}
+        for caller, (number, wait) in waits.items():
             self.fleet.limit_coordinator.cancel(number)
-            del self._limit_waits[wait.caller]
             reason = "the daemon is about to end"
-            self._refuse(wait.caller, wait.request, 503, reason, _DRAIN_RETRY_MS)
+            self._refuse(caller, wait.request, 503, reason, _DRAIN_RETRY_MS)
         for exchange in list(self._exchanges.values()):
             exchange.end_before_exit()
         self.paths.tunnels.close()
--- a/libs/gateway/tests/test_fleet.py
+++ b/libs/gateway/tests/test_fleet.py
@@ -187,7 +187,7 @@
 
 def test_no_share_is_held_before_the_fleet_is_known(fleet):
     """Each gateway that starts would take itself for the only holder of all limits."""
-    fleet.limit_coordinator.knows_fleet = False
+    fleet.await_peer_list()
     decisions = []
     assert fleet.limit_coordinator.request(CUSTOMER, 10, decisions.append) is not None
     assert decisions == []
--- a/libs/policy/src/skylarkmoor_policy/claimrequester.py
+++ b/libs/policy/src/skylarkmoor_policy/claimrequester.py
@@ -1,4 +1,4 @@
-"""Requester's side of the claim protocol: decides when a non-idempotent call is dispatched."""
+"""Asking side of the claim protocol: decides when a non-idempotent call is dispatched."""
 
 from dataclasses import dataclass, field
 from enum import Enum
--- a/libs/policy/src/skylarkmoor_policy/fleetlimits.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetlimits.py
@@ -165,7 +165,8 @@
             elif share != share_before:
                 bucket.accrue(now_ms)
                 bucket.scale(min(1.0, share / share_before))
-                bucket.resize(known.policy.units_per_s * share, self._capacity(known, share))
+                capacity = self.share_capacity(known.policy, share)
+                bucket.resize(known.policy.units_per_s * share, capacity)
 
     def needed_units(self, customer: CustomerPolicy, units: int) -> int:
         """Return the units that must be available for a request.
@@ -267,7 +268,7 @@
         if share == 0.0:
             return None
         refill_per_s = known.policy.units_per_s * share
-        capacity = self._capacity(known, share)
+        capacity = self.share_capacity(known.policy, share)
         bucket = self._buckets.get(known.policy.name)
         if bucket is None:
             since_ms, tokens = known.since_ms, 0.0
@@ -285,9 +286,6 @@
         bucket.resize(refill_per_s, capacity)
         return bucket
 
-    def _capacity(self, known: _KnownCustomer, share: float) -> float:
-        return self._whole_capacity(known.policy) * share
-
     def _whole_capacity(self, customer: CustomerPolicy) -> float:
         return customer.burst_units + self._tolerance_units(customer) * _TOLERANCE_FRACTION
 
--- a/libs/policy/src/skylarkmoor_policy/limitshares.py
+++ b/libs/policy/src/skylarkmoor_policy/limitshares.py
@@ -7,11 +7,11 @@
 from skylarkmoor_core.hashing import bucket, hash64
 from skylarkmoor_core.ids import HostId
 
-__all__ = ["LIMIT_GROUPS", "LimitShares", "limit_group"]
+__all__ = ["LimitShares", "limit_group"]
 
 # Customers of one group have the same holders, so that a change of the fleet costs the same with
 # any number of customers.
-LIMIT_GROUPS = 64
+_GROUPS = 64
 # More holders lose less of a limit with each host that is down or cut off; fewer need fewer
 # messages for a request that is larger than what one holder has left.
 _HOLDERS = 8
@@ -22,7 +22,7 @@
 
 def limit_group(customer: str) -> int:
     """Return the group of a customer."""
-    return bucket(LIMIT_GROUPS, "limits", customer)
+    return bucket(_GROUPS, "limits", customer)
 
 
 class LimitShares:
@@ -50,7 +50,7 @@
     def __init__(self, host: HostId) -> None:
         self._host = host
         self._members: frozenset[HostId] = frozenset()
-        self._holders: Sequence[Sequence[HostId]] = [()] * LIMIT_GROUPS
+        self._holders: Sequence[Sequence[HostId]] = [()] * _GROUPS
 
     @property
     def members(self) -> frozenset[HostId]:
@@ -86,10 +86,10 @@
     weights = {host: _weights(host) for host in sorted(members)}
     return [
         heapq.nlargest(_HOLDERS, weights, key=lambda host: weights[host][group])
-        for group in range(LIMIT_GROUPS)
+        for group in range(_GROUPS)
     ]
 
 
 @lru_cache(maxsize=_CACHED_HOSTS)
 def _weights(host: HostId) -> Sequence[int]:
-    return [hash64(f"limits/{group}", host) for group in range(LIMIT_GROUPS)]
+    return [hash64(f"limits/{group}", host) for group in range(_GROUPS)]
