--- a/libs/gateway/tests/test_limits_of_fleets.py
+++ b/libs/gateway/tests/test_limits_of_fleets.py
@@ -47,6 +47,8 @@
 PATTERNS = ["even", "hop", "single"]
 CUT_FRACTION = 0.3
 CUT_FROM_MS, CUT_TO_MS = 4_000, 12_000
+# Early enough for the first burst and those after the restart to be in one window.
+KILL_MS = 3_000
 # Time by which all gateways know of a host that has joined, left or was removed.
 VIEW_DELAY_MS = 3_000
 
@@ -249,12 +251,23 @@
     assert fleet.run().most_units_in_a_window() <= ALLOWED_UNITS
 
 
-@pytest.mark.parametrize(("fraction", "down_ms"), [(0.33, 3_500), (0.55, 2_000), (1.0, 1_000)])
+@pytest.mark.parametrize(
+    ("fraction", "down_ms"), [(0.33, 3_500), (0.55, 2_000), (1.0, 1_000), (1.0, 100)]
+)
 @pytest.mark.parametrize("hosts", FLEETS.values(), ids=FLEETS)
 def test_a_mass_kill_during_a_flood_gives_no_more_than_the_limit(hosts, fraction, down_ms):
     """What a gateway had admitted since its last report was in no count once it was killed."""
     fleet = QuotaFleet(hosts, 1).flood(7.5, "even")
-    fleet.kill(fleet.hosts[: round(hosts * fraction)], 7_000, down_ms)
+    fleet.kill(fleet.hosts[: round(hosts * fraction)], KILL_MS, down_ms)
+    assert fleet.run().most_units_in_a_window() <= ALLOWED_UNITS
+
+
+@pytest.mark.parametrize("hosts", FLEETS.values(), ids=FLEETS)
+def test_two_kills_of_all_gateways_during_a_flood_give_no_more_than_the_limit(hosts):
+    """Shares that were full again after each start would be spent once more each time."""
+    fleet = QuotaFleet(hosts, 1).flood(7.5, "even")
+    for at_ms in (KILL_MS, KILL_MS + 2_000):
+        fleet.kill(fleet.hosts, at_ms, 100)
     assert fleet.run().most_units_in_a_window() <= ALLOWED_UNITS
 
 
