Change the fleet within the window of the first burst in the test of views

A mutation that hands taken-over shares on full passed the test: the fleet changed after the first burst had left the window, and only a third of the hosts left. It now changes at 3 s, and two thirds leave.

--- a/libs/gateway/tests/test_limits_of_fleets.py
+++ b/libs/gateway/tests/test_limits_of_fleets.py
@@ -48,7 +48,7 @@
 CUT_FRACTION = 0.3
 CUT_FROM_MS, CUT_TO_MS = 4_000, 12_000
 # Early enough for the first burst and those after the restart to be in one window.
-KILL_MS = 3_000
+DISTURBANCE_MS = 3_000
 # Time by which all gateways know of a host that has joined, left or was removed.
 VIEW_DELAY_MS = 3_000
 
@@ -258,7 +258,7 @@
 def test_a_mass_kill_during_a_flood_gives_no_more_than_the_limit(hosts, fraction, down_ms):
     """What a gateway had admitted since its last report was in no count once it was killed."""
     fleet = QuotaFleet(hosts, 1).flood(7.5, "even")
-    fleet.kill(fleet.hosts[: round(hosts * fraction)], KILL_MS, down_ms)
+    fleet.kill(fleet.hosts[: round(hosts * fraction)], DISTURBANCE_MS, down_ms)
     assert fleet.run().most_units_in_a_window() <= ALLOWED_UNITS
 
 
@@ -266,7 +266,7 @@
 def test_two_kills_of_all_gateways_during_a_flood_give_no_more_than_the_limit(hosts):
     """Shares that were full again after each start would be spent once more each time."""
     fleet = QuotaFleet(hosts, 1).flood(7.5, "even")
-    for at_ms in (KILL_MS, KILL_MS + 2_000):
+    for at_ms in (DISTURBANCE_MS, DISTURBANCE_MS + 2_000):
         fleet.kill(fleet.hosts, at_ms, 100)
     assert fleet.run().most_units_in_a_window() <= ALLOWED_UNITS
 
@@ -279,9 +279,11 @@
     """For seconds, some gateways see holders that others do not see yet, or no longer."""
     fleet = QuotaFleet(hosts, seed).flood(7.5, "even")
     if change == "join":
-        fleet.change_members(7_000, [*fleet.hosts, *(f"new-{n}" for n in range(hosts * 3 // 4))])
+        fleet.change_members(
+            DISTURBANCE_MS, [*fleet.hosts, *(f"new-{n}" for n in range(hosts * 3 // 4))]
+        )
     else:
-        fleet.change_members(7_000, fleet.hosts[: hosts * 2 // 3])
+        fleet.change_members(DISTURBANCE_MS, fleet.hosts[: hosts // 3])
     assert fleet.run().most_units_in_a_window() <= ALLOWED_UNITS
 
 
