Request the slot of a stream while the units of its limit are collected

Callers saw: streams of limited customers waited for two answers one after the other, that of a holder of the limit and that of the dispatcher.

Change: a stream waits for its slot and for its units at the same time, and is sent when it has both. If it is not admitted, its slot request is withdrawn, or the dispatcher is told that the slot is free. A customer most of whose requests are refused gets no slot early. An exchange that ends by itself meanwhile, at its deadline for example, returns what has been collected.

All of tests/adapter passes; test_limit_waits plays its cases for streams too, and its test of the early slot fails without the change. Orders have no dispatcher and wait for the holder as before.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -215,6 +215,9 @@
         self.caller = caller
         # Ticket number while the request waits for a slot.
         self.wait_number: int | None = None
+        self._is_admitted = True
+        # Slot that was granted before the request was admitted.
+        self._early_choice: UpstreamChoice | None = None
         self._gateway = gateway
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
@@ -255,6 +258,30 @@
         self._timer = self._gateway.reactor.callLater(delay_s, self._timed_out)
         self._place_request()
 
+    def start_early(self) -> None:
+        """Request a slot for a stream before it is known whether the request may be sent.
+
+        Notes
+        -----
+        The request is sent after `admit` only.
+        """
+        self._is_admitted = False
+        self.start()
+
+    def admit(self) -> None:
+        """Send a request that was started early once it has a slot, perhaps at once."""
+        self._is_admitted = True
+        choice, self._early_choice = self._early_choice, None
+        if choice is not None:
+            self._dispatch(choice, self._gateway.clock.now_ms())
+
+    def withdraw(self) -> None:
+        """End a request that was started early and is not admitted, without a response."""
+        self._done = True
+        self._release_slot()
+        if self._early_choice is not None:
+            self._gateway.load_changed(self._early_choice.upstream)
+
     def caller_disconnected(self) -> None:
         """Cancel the request because its caller has closed the connection."""
         if not self._done:
@@ -361,8 +388,12 @@
     def slot_granted(self, choice: UpstreamChoice, now_ms: int) -> None:
         """Handle a granted slot by sending the request to its upstream."""
         self.wait_number = None
-        if not self._done:
+        if self._done:
+            return
+        if self._is_admitted:
             self._dispatch(choice, now_ms)
+        else:
+            self._early_choice = choice
 
     def wait_timed_out(self) -> None:
         """Refuse or abort the request, because no slot was granted in time."""
@@ -1019,11 +1050,7 @@
             return
         self._cancel_current()
         self._done = True
-        if self.wait_number is not None:
-            self._gateway.stop_waiting(self.wait_number)
-            self.wait_number = None
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        self._release_slot()
         now_ms = self._gateway.clock.now_ms()
         is_expected = outcome in (Outcome.ANSWERED, Outcome.ABANDONED)
         _log.log(
@@ -1049,6 +1076,14 @@
         )
         self._gateway.exchange_finished(self, outcome)
 
+    def _release_slot(self) -> None:
+        """Stop waiting for a slot and for the deadline."""
+        if self.wait_number is not None:
+            self._gateway.stop_waiting(self.wait_number)
+            self.wait_number = None
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
 
 def _may_send(upstream: TrackedUpstream, now_ms: int, under_limit: bool) -> bool:
     """Return whether an upstream may be sent a request, given whether a permit was used up."""
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -52,7 +52,13 @@
 )
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routecosts import RouteCosts
-from skylarkmoor_policy.routetable import CallerLimits, CustomerPolicy, Route, RouteTable
+from skylarkmoor_policy.routetable import (
+    CallerLimits,
+    CustomerPolicy,
+    RetrySafety,
+    Route,
+    RouteTable,
+)
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream
 from skylarkmoor_policy.upstreamnotices import (
     AnswerNotices,
@@ -107,7 +113,7 @@
     arrived_ms: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _LimitWait:
     """A request that waits for units of its customer's limit, and what was decided about it."""
 
@@ -117,6 +123,8 @@
     customer: CustomerPolicy
     # The configuration that has given it the route.
     table: RouteTable | None
+    # Waits for a slot meanwhile.
+    exchange: Exchange | None = None
 
 
 class Gateway:
@@ -327,9 +335,7 @@
         """Unregister a closed connection of a caller and cancel its request."""
         self._callers.discard(caller)
         self._unconfirmed.pop(caller, None)
-        limit_wait = self._limit_waits.pop(caller, None)
-        if limit_wait is not None:
-            self.fleet.limit_coordinator.cancel(limit_wait[0])
+        self._cancel_limit_wait(caller)
         exchange = self._exchanges.get(caller)
         if exchange is not None:
             exchange.caller_disconnected()
@@ -422,6 +428,7 @@
         """Remove a finished exchange; a success clears the crash count of its request."""
         if self._exchanges.get(exchange.caller) is exchange:
             del self._exchanges[exchange.caller]
+        self._cancel_limit_wait(exchange.caller)
         if outcome is Outcome.ANSWERED:
             self.crash_counts.clear(self._fingerprint(exchange.request))
 
@@ -585,7 +592,7 @@
             self._refuse(arrival.caller, request, 503, reason, _DRAIN_RETRY_MS)
             return
         if customer is None or customer.units_per_s <= 0:
-            self._start_exchange(arrival, request, route, customer)
+            self._new_exchange(arrival, request, route, customer).start()
             return
         wait = _LimitWait(arrival, request, route, customer, self._table)
         number = self.fleet.limit_coordinator.request(
@@ -593,41 +600,65 @@
             customer.units(request.quota_tokens),
             lambda decision: self._limit_decided(wait, decision),
         )
-        if number is not None:
-            self._limit_waits[arrival.caller] = (number, wait)
+        if number is None:
+            return
+        self._limit_waits[arrival.caller] = (number, wait)
+        is_stream = route.retry_safety is RetrySafety.STREAM
+        if is_stream and not self.fleet.limit_coordinator.is_scarce(customer):
+            # The holders of the limit and the dispatcher are asked at the same time.
+            wait.exchange = self._new_exchange(arrival, request, route, customer)
+            wait.exchange.start_early()
 
     def _limit_decided(self, wait: _LimitWait, decision: LimitDecision) -> None:
         """Start or refuse a request whose customer's limit has been asked."""
         caller, request, customer = wait.arrival.caller, wait.request, wait.customer
         self._limit_waits.pop(caller, None)
         match decision:
-            case Admitted() if self._table is not wait.table:
+            case Admitted(units=units) if self._table is wait.table:
+                self.metrics.customer_units(customer.name, units, "admitted")
+                if wait.exchange is None:
+                    self._new_exchange(wait.arrival, request, wait.route, customer).start()
+                else:
+                    wait.exchange.admit()
+            case Admitted():
                 # Another version may send it elsewhere, or not allow it.
+                self._withdraw_early(wait)
                 self.fleet.limit_coordinator.give_back(decision)
                 self._handle(wait.arrival)
-            case Admitted(units=units):
-                self.metrics.customer_units(customer.name, units, "admitted")
-                self._start_exchange(wait.arrival, request, wait.route, customer)
             case Exhausted(wait_ms=wait_ms, needed_units=units):
+                self._withdraw_early(wait)
                 self.metrics.customer_units(customer.name, units, "refused")
                 reason = f"the limit of customer {customer.name!r} is used up"
                 self._refuse(caller, request, 429, reason, wait_ms, asdict(decision))
             case Unanswered(wait_ms=wait_ms, needed_units=units):
+                self._withdraw_early(wait)
                 self.metrics.customer_units(customer.name, units, "unanswered")
                 reason = f"the limit of customer {customer.name!r} cannot be checked now"
                 self._refuse(caller, request, 503, reason, wait_ms, asdict(decision))
 
-    def _start_exchange(
+    def _cancel_limit_wait(self, caller: CallerConnection) -> None:
+        """Return what has been collected of the units that a request waits for."""
+        limit_wait = self._limit_waits.pop(caller, None)
+        if limit_wait is not None:
+            self.fleet.limit_coordinator.cancel(limit_wait[0])
+
+    def _withdraw_early(self, wait: _LimitWait) -> None:
+        """End the wait for a slot of a request that is not admitted."""
+        if wait.exchange is not None:
+            self._exchanges.pop(wait.arrival.caller, None)
+            wait.exchange.withdraw()
+
+    def _new_exchange(
         self,
         arrival: _Arrival,
         request: IncomingRequest,
         route: Route,
         customer: CustomerPolicy | None,
-    ) -> None:
+    ) -> Exchange:
         caller = arrival.caller
         exchange = Exchange(self, caller, request, route, customer, arrival.arrived_ms)
         self._exchanges[caller] = exchange
-        exchange.start()
+        return exchange
 
     def _cannot_finish(self, route: Route, now_ms: int) -> bool:
         """Return whether this gateway, while draining, may be killed before a request ends.
@@ -736,6 +767,7 @@
         waits, self._limit_waits = self._limit_waits, {}
         for caller, (number, wait) in waits.items():
             self.fleet.limit_coordinator.cancel(number)
+            self._withdraw_early(wait)
             reason = "the daemon is about to end"
             self._refuse(caller, wait.request, 503, reason, _DRAIN_RETRY_MS)
         for exchange in list(self._exchanges.values()):
--- a/libs/gateway/src/skylarkmoor_gateway/limitcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/limitcoordinator.py
@@ -219,6 +219,14 @@
         for host in self._silent_until_ms.keys() - self.shares.members:
             del self._silent_until_ms[host]
 
+    def is_scarce(self, customer: CustomerPolicy) -> bool:
+        """Return whether a holder has said lately that it refuses most requests of a customer."""
+        now_ms = self._clock.now_ms()
+        return any(
+            level.is_scarce and now_ms - level.at_ms < _SCARCE_MS
+            for level in self._levels.get(customer.name, {}).values()
+        )
+
     def collecting(self) -> int:
         """Return the number of requests whose units are being collected."""
         return len(self._collections)
@@ -241,7 +249,7 @@
         number = self._numbers.draw()
         is_divided = needed > self._share_capacity(customer)
         collection = _Collection(number, customer, units, needed, is_divided, now_ms, decided)
-        collection.is_scarce = self._is_scarce(customer, now_ms)
+        collection.is_scarce = self.is_scarce(customer)
         self._collections[number] = collection
         self._advance(collection, now_ms)
         return number if number in self._collections else None
@@ -420,13 +428,6 @@
         if taken:
             collection.found[self._host] = taken
 
-    def _is_scarce(self, customer: CustomerPolicy, now_ms: int) -> bool:
-        """Return whether a holder has said lately that it refuses most requests."""
-        return any(
-            level.is_scarce and now_ms - level.at_ms < _SCARCE_MS
-            for level in self._levels.get(customer.name, {}).values()
-        )
-
     def _share_capacity(self, customer: CustomerPolicy) -> float:
         """Return the most units that a holder can have."""
         share = 1 / max(1, len(self.shares.holders(customer.name)))
--- a/tests/adapter/test_limit_waits.py
+++ b/tests/adapter/test_limit_waits.py
@@ -10,32 +10,81 @@
 _WAIT_MS = 525
 
 
+@pytest.fixture(params=["/order/1", "/brief/1"])
+def path(request):
+    """Return the path of an order, or of a stream, which waits for a slot at the same time."""
+    return request.param
+
+
 @pytest.fixture
-def waiting(harness):
+def waiting(harness, path):
     """Return a gateway that holds no shares yet, and a caller whose request waits for units."""
     harness.add_upstream("o1", "orders", 81)
+    harness.add_upstream("e1", "assistant", 83)
     harness.gateway.fleet.await_peer_list()
     caller = harness.caller()
-    caller.send(request("/order/1", "POST", b"x"))
+    caller.send(request(path, "POST", b"x"))
     assert harness.pending_connections() == 0
     assert caller.received() == b""
     return harness, caller
 
 
-def test_a_request_is_sent_when_its_units_were_found(waiting):
+def test_a_request_is_sent_once_when_its_units_were_found(waiting, path):
     harness, _ = waiting
     harness.gateway.fleet.peers_listed()
     harness.advance(25)
-    assert b"/order/1" in harness.accept().received()
+    assert path.encode() in harness.accept().received()
+    harness.advance(1_000)
+    assert harness.pending_connections() == 0
+
+
+def test_a_stream_gets_its_slot_while_its_units_are_collected(harness):
+    """Callers of large fleets waited for one answer after the other."""
+    harness.gateway.fleet.await_peer_list()
+    harness.caller().send(request("/brief/1", "POST", b"x"))
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 1
+    # The slot is granted before the units are, and after them.
+    harness.add_upstream("e1", "assistant", 83)
+    harness.advance(25)
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 0
+    assert harness.pending_connections() == 0
+    harness.gateway.fleet.peers_listed()
+    harness.advance(25)
+    assert b"/brief/1" in harness.accept().received()
+
+
+def test_a_stream_that_has_its_units_first_waits_for_its_slot(harness):
+    harness.gateway.fleet.await_peer_list()
+    harness.caller().send(request("/brief/1", "POST", b"x"))
+    harness.gateway.fleet.peers_listed()
+    harness.advance(25)
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 1
+    harness.add_upstream("e1", "assistant", 83)
+    harness.advance(525)
+    assert b"/brief/1" in harness.accept().received()
+
+
+def test_a_stream_that_gets_no_slot_returns_its_units(harness):
+    harness.gateway.fleet.await_peer_list()
+    caller = harness.caller()
+    caller.send(request("/brief/1", "POST", b"x", Skylarkmoor_Deadline_Ms="300"))
+    harness.advance(325)
+    answer = caller.received()
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert harness.gateway.fleet.limit_coordinator.collecting() == 0
+    harness.gateway.fleet.peers_listed()
+    harness.advance(_WAIT_MS)
+    assert harness.gateway.quotas.admitted == {}
 
 
-def test_a_request_is_handled_again_if_the_configuration_changed_while_it_waited(waiting):
+def test_a_request_is_handled_again_if_the_configuration_changed_while_it_waited(waiting, path):
     """Its route came from the version before, which may not be in force any more (CONFIG)."""
     harness, caller = waiting
     moved = {
         "name": "moved",
         "host": "a.example",
-        "path_prefix": "/order/1",
+        "path_prefix": path,
         "kind": "unsafe",
         "timeout_ms": 800,
         "goal_ms": 100,
@@ -50,6 +99,7 @@
     harness.advance(25)
     connection = harness.take_connection()
     assert connection.address[1] == 82
+    harness.advance(_WAIT_MS)
     assert harness.pending_connections() == 0
 
 
@@ -59,6 +109,7 @@
     answer = caller.received()
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert b"Retry-After: 0.250\r\n" in answer
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 0
     harness.gateway.fleet.peers_listed()
     harness.advance(_WAIT_MS)
     assert harness.pending_connections() == 0
@@ -77,5 +128,7 @@
 def test_a_request_that_waits_when_the_process_ends_is_answered(waiting):
     harness, caller = waiting
     harness.gateway._end_requests()
-    assert caller.received().startswith(b"HTTP/1.1 503 ")
+    answer = caller.received()
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert answer.count(b"HTTP/1.1 ") == 1
     assert harness.gateway.fleet.limit_coordinator.collecting() == 0
