--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -278,7 +278,7 @@
     def withdraw(self) -> None:
         """End a request that was started early and is not admitted, without a response."""
         self._done = True
-        self._release_slot()
+        self._stop_waiting()
         if self._early_choice is not None:
             self._gateway.load_changed(self._early_choice.upstream)
 
@@ -1050,7 +1050,7 @@
             return
         self._cancel_current()
         self._done = True
-        self._release_slot()
+        self._stop_waiting()
         now_ms = self._gateway.clock.now_ms()
         is_expected = outcome in (Outcome.ANSWERED, Outcome.ABANDONED)
         _log.log(
@@ -1076,7 +1076,7 @@
         )
         self._gateway.exchange_finished(self, outcome)
 
-    def _release_slot(self) -> None:
+    def _stop_waiting(self) -> None:
         """Stop waiting for a slot and for the deadline."""
         if self.wait_number is not None:
             self._gateway.stop_waiting(self.wait_number)
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -123,7 +123,7 @@
     customer: CustomerPolicy
     # The configuration that has given it the route.
     table: RouteTable | None
-    # Waits for a slot meanwhile.
+    # Requests a slot meanwhile; None if the request needs none, or is likely to be refused.
     exchange: Exchange | None = None
 
 
