Read pooled connections again that a slow caller had paused

Cause: the caller's transport pauses the upstream's connection as its producer. A response that ended meanwhile gave the connection back to the pool paused, or was paused in the pool by the write of the last bytes, and nobody resumed it.

Tunnels were not looked at.

--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -229,6 +229,8 @@
         )
         if reusable:
             self._incoming.reset()
+            # The caller of this response may have paused it, and does not resume it any more.
+            self.resumeProducing()
             self._http.start_next_cycle()
             self._pool.release(self)
         else:
