End responses without a body, and those that cannot be written

Cause: the gateway wrote a body to HEAD, which the parser refuses. The error was raised inside the upstream's connection, so the exchange did not end and the caller's connection stayed busy. A successful answer to HEAD announced a length of 0.

Change: responses to HEAD and with 204 or 304 have no body, and HEAD announces the length of the upstream. Whatever else the parser refuses resets the caller's connection and is logged.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.tcpoptions import close_when_written, configure_socket, reset_on_close
 from skylarkmoor_gateway.messages import Headers
 from skylarkmoor_policy.routetable import CallerLimits
@@ -21,6 +22,9 @@
 _MAX_SMALL_CHUNKS = 1_024
 _MIN_CHUNK_BYTES = 8
 
+# Statuses whose responses have no body.
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 _REASON_PHRASES = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -35,6 +39,8 @@
     504: b"Gateway Timeout",
 }
 
+_log = part_logger("caller")
+
 
 class RequestHandler(Interface):
     """Receives complete requests and connection events; implemented by the gateway."""
@@ -76,6 +82,9 @@
         self._chunks = 0
         self._busy = False
         self._response_started = False
+        # Whether the request in progress is HEAD, and whether its response may have a body.
+        self._is_head = False
+        self._has_body = True
         self._closing = False
         self._has_producer = False
         # Whether the response ends with the connection, because the caller speaks HTTP/1.0.
@@ -136,6 +145,7 @@
         """
         self._cancel_timer()
         self._response_started = True
+        self._has_body = not self._is_head and status not in _STATUSES_WITHOUT_BODY
         all_headers = list(headers)
         if streamed:
             all_headers.append((b"Transfer-Encoding", b"chunked"))
@@ -146,24 +156,39 @@
                 status_code=status, headers=all_headers, reason=_REASON_PHRASES.get(status, b"")
             )
         )
-        self._close_delimited = streamed and self._http.their_http_version == b"1.0"
+        self._close_delimited = (
+            streamed and self._has_body and self._http.their_http_version == b"1.0"
+        )
         if self._close_delimited and not self._closing:
             # The caller would take any orderly close for the end of the response.
             reset_on_close(self.transport, True)
 
     def send_body(self, data: bytes) -> None:
-        """Send a chunk of the response body."""
-        self._send(h11.Data(data=data))
+        """Send a chunk of the response body, unless the response has none."""
+        if self._has_body:
+            self._send(h11.Data(data=data))
 
     def end_response(self) -> None:
         """Complete the response, then read the next request or close the connection."""
         self._send(h11.EndOfMessage())
         self._finish_response()
 
-    def send_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with a Content-Length."""
-        length_header = (b"Content-Length", str(len(body)).encode())
-        self.start_response(status, [*headers, length_header], streamed=False)
+    def send_response(
+        self, status: int, headers: Headers, body: bytes, content_length: int | None = None
+    ) -> None:
+        """Send a complete response.
+
+        Parameters
+        ----------
+        content_length : int, optional
+            Length that a response to HEAD announces, if it is not that of `body`.
+        """
+        is_announced = self._is_head and content_length is not None
+        length = content_length if is_announced else len(body)
+        all_headers = list(headers)
+        if status not in _STATUSES_WITHOUT_BODY:
+            all_headers.append((b"Content-Length", str(length).encode()))
+        self.start_response(status, all_headers, streamed=False)
         if body:
             self.send_body(body)
         self.end_response()
@@ -198,7 +223,13 @@
     def _send(self, event: Any) -> None:
         if self._closing:
             return
-        data = self._http.send(event)
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError as error:
+            _log.error("a response cannot be written", extra={"why": str(error)})
+            self.unregister_producer()
+            self.abort_response()
+            return
         if data:
             self._transport.write(data)
 
@@ -248,6 +279,7 @@
         self._busy = True
         self._cancel_timer()
         if head is not None:
+            self._is_head = head.method == b"HEAD"
             self._handler.handle(self, head, body)
 
     def _wait_for_data(self, limits: CallerLimits) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -110,7 +110,7 @@
         self._buffered += self._events.flush()
         body = self._pop_buffered()
         if not self.started:
-            self._caller.send_response(head.status, head.headers, body)
+            self._caller.send_response(head.status, head.headers, body, head.content_length)
             return
         # The upstream's connection may be in the pool by now, where nobody resumes it.
         self._caller.unregister_producer()
