Test the retry budget with a few gateways that fail before all others

Change: a simulation in which the requests of a tenth of the gateways fail for 3 s before those of all do.

--- a/libs/policy/tests/test_retries_of_fleets.py
+++ b/libs/policy/tests/test_retries_of_fleets.py
@@ -71,6 +71,8 @@
         self.budgets[host].count_request("orders", now_ms)
         self.requests.append(now_ms)
         is_failing = FAILING_FROM_MS <= now_ms < FAILING_TO_MS
+        if now_ms < self.first_until_ms and host >= self.first_failing:
+            is_failing = False
         fails = is_failing and self.rng.random() < failing_share
         if fails and self.budgets[host].try_acquire("orders", now_ms):
             self.retries.append(now_ms)
@@ -122,6 +124,15 @@
     assert RetryFleet(fleet, seed).run(1.0).worst_use() <= 1
 
 
+@pytest.mark.parametrize("fleet", FLEETS.values(), ids=FLEETS)
+def test_retries_stay_within_the_budget_if_a_few_gateways_fail_first(fleet):
+    """These few may have used the shared part of the budget when the others begin to fail."""
+    retry_fleet = RetryFleet(fleet, 1)
+    retry_fleet.first_failing = max(1, retry_fleet.hosts // 10)
+    retry_fleet.first_until_ms = FAILING_FROM_MS + 3_000
+    assert retry_fleet.run(1.0).worst_use() <= 1
+
+
 @pytest.mark.parametrize("fleet", [FLEETS["9"], FLEETS["33"]], ids=["9", "33"])
 def test_a_fleet_whose_requests_fail_uses_most_of_its_retry_budget(fleet):
     assert RetryFleet(fleet, 1).run(1.0).worst_use() >= 0.8
