Give the simulated retry fleet the state that its new test sets

Change: the attributes, with the values of a fleet that fails as a whole.

Result: test_retries_of_fleets and test_fleetlimits, 53 cases, pass.

--- a/libs/policy/tests/test_retries_of_fleets.py
+++ b/libs/policy/tests/test_retries_of_fleets.py
@@ -39,6 +39,8 @@
             (PeerCounters(complete=True), PeerCounters(complete=True)) for _ in range(self.hosts)
         ]
         self.requests, self.retries = [], []
+        # Before a time, only the requests of hosts with a lower number fail.
+        self.first_failing, self.first_until_ms = self.hosts, 0
         self.events = []
         self.numbers = itertools.count()
         report_delay_ms = self.interval_ms + STATE_DELAY_MS + 2 * RELAY_BUNDLE_MS * self.is_relayed
