Count a slot as taken while its stream waits for the units of its limit

Found by reading the change once more. Callers and engines would have seen: while units are collected, a dispatcher grants the slots of an engine to more streams than it has room for.

Cause: a grant counts until the load of the gateway includes it. Since a stream may hold its slot before it is sent, and was counted only when sent.

Change: a slot that is held counts as load of the gateway, and is free again when the request ends or is withdrawn.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -271,7 +271,7 @@
     def admit(self) -> None:
         """Send a request that was started early once it has a slot, perhaps at once."""
         self._is_admitted = True
-        choice, self._early_choice = self._early_choice, None
+        choice = self._pop_early_choice()
         if choice is not None:
             self._dispatch(choice, self._gateway.clock.now_ms())
 
@@ -279,8 +279,6 @@
         """End a request that was started early and is not admitted, without a response."""
         self._done = True
         self._stop_waiting()
-        if self._early_choice is not None:
-            self._gateway.load_changed(self._early_choice.upstream)
 
     def caller_disconnected(self) -> None:
         """Cancel the request because its caller has closed the connection."""
@@ -394,6 +392,8 @@
             self._dispatch(choice, now_ms)
         else:
             self._early_choice = choice
+            # Otherwise the slot would be granted again before the request is sent.
+            self._gateway.placement.record_start(choice.upstream, self.prompt_tokens)
 
     def wait_timed_out(self) -> None:
         """Refuse or abort the request, because no slot was granted in time."""
@@ -1077,13 +1077,25 @@
         self._gateway.exchange_finished(self, outcome)
 
     def _stop_waiting(self) -> None:
-        """Stop waiting for a slot and for the deadline."""
+        """Stop waiting for a slot and for the deadline, and free a slot that was granted early."""
         if self.wait_number is not None:
             self._gateway.stop_waiting(self.wait_number)
             self.wait_number = None
+        choice = self._pop_early_choice()
+        if choice is not None:
+            self._gateway.load_changed(choice.upstream)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
+    def _pop_early_choice(self) -> UpstreamChoice | None:
+        """Return the slot that was granted early, if any, and no longer count it as taken."""
+        choice, self._early_choice = self._early_choice, None
+        if choice is not None:
+            self._gateway.placement.record_end(
+                choice.upstream, self.prompt_tokens, held_ms=None, fault=None
+            )
+        return choice
+
 
 def _may_send(upstream: TrackedUpstream, now_ms: int, under_limit: bool) -> bool:
     """Return whether an upstream may be sent a request, given whether a permit was used up."""
--- a/tests/adapter/test_limit_waits.py
+++ b/tests/adapter/test_limit_waits.py
@@ -64,6 +64,49 @@
     assert b"/brief/1" in harness.accept().received()
 
 
+@pytest.fixture
+def early(harness):
+    """Return a gateway and three streams that wait for units.
+
+    The first two may be sent to the only engine: one runs and one waits there.
+    """
+    harness.gateway.fleet.await_peer_list()
+    callers = [harness.caller() for _ in range(3)]
+    for number, caller in enumerate(callers):
+        caller.send(request(f"/brief/{number}", "POST", b"x"))
+    harness.add_upstream("e1", "assistant", 83, slots=1)
+    harness.advance(25)
+    return harness, callers
+
+
+def test_a_slot_that_is_held_until_the_units_are_found_is_not_granted_again(early):
+    """The engine got all streams that waited for units at that time (LIMIT)."""
+    harness, _ = early
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 1
+    harness.gateway.fleet.peers_listed()
+    harness.advance(50)
+    assert harness.pending_connections() == 2
+    assert harness.gateway.placement.upstreams["e1"].own_load.running == 2
+
+
+def test_a_slot_that_is_held_goes_to_the_next_stream_if_the_caller_leaves(early):
+    harness, callers = early
+    callers[0].disconnect()
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 0
+    harness.gateway.fleet.peers_listed()
+    harness.advance(25)
+    sent = harness.accept().received() + harness.accept().received()
+    assert b"/brief/1" in sent
+    assert b"/brief/2" in sent
+
+
+def test_a_slot_that_is_held_is_free_again_if_the_units_are_not_found(early):
+    harness, _ = early
+    harness.advance(_WAIT_MS)
+    assert harness.gateway.fleet.slot_coordinator.waiting() == 0
+    assert harness.gateway.placement.upstreams["e1"].own_load.running == 0
+
+
 def test_a_stream_that_gets_no_slot_returns_its_units(harness):
     harness.gateway.fleet.await_peer_list()
     caller = harness.caller()
