--- a/libs/gateway/src/skylarkmoor_gateway/limitcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/limitcoordinator.py
@@ -35,7 +35,7 @@
 _MAX_TIMES_ASKED = 2
 # Holders that are asked for a request of a customer most of whose requests are refused.
 _MAX_ASKED_IF_SCARCE = 3
-# Time after which the requests for units that a holder has counted count half.
+# Half-life of the requests for units that a holder has counted.
 _DEMAND_INTERVAL_MS = 1_000
 # Refused requests for units that are no sign of a flood.
 _ORDINARY_REFUSALS = 5
@@ -122,11 +122,8 @@
 
     def may_ask(self, holder: HostId) -> bool:
         """Return whether a holder may be asked, for the first time or again."""
-        if (
-            self.is_scarce
-            and not self.is_divided
-            and sum(self.times_asked.values()) >= _MAX_ASKED_IF_SCARCE
-        ):
+        is_restricted = self.is_scarce and not self.is_divided
+        if is_restricted and sum(self.times_asked.values()) >= _MAX_ASKED_IF_SCARCE:
             return False
         return self.times_asked.get(holder, 0) < _MAX_TIMES_ASKED
 
@@ -384,23 +381,21 @@
 
     def _ask(self, collection: _Collection, left: dict[HostId, float], now_ms: int) -> None:
         """Ask as many holders as may together have what is missing, in the order given."""
-        expected = 0.0
-        for host, most_left in left.items():
-            asked_ms = collection.asked_ms.get(host)
-            if asked_ms is not None and now_ms - asked_ms < _ANSWER_MS:
-                expected += most_left
+        answering = {
+            host for host, asked_ms in collection.asked_ms.items() if now_ms - asked_ms < _ANSWER_MS
+        }
+        expected = sum(most_left for host, most_left in left.items() if host in answering)
         for host, most_left in left.items():
             if expected >= collection.missing:
                 return
-            asked_ms = collection.asked_ms.get(host)
-            was_asked_lately = asked_ms is not None and now_ms - asked_ms < _ANSWER_MS
-            if most_left < 1 or was_asked_lately or not collection.may_ask(host):
+            if most_left < 1 or host in answering or not collection.may_ask(host):
                 continue
+            units = min(collection.missing, MAX_UNITS)
             message = UnitsRequest(
                 collection.number,
                 collection.customer.name,
-                min(collection.missing, MAX_UNITS),
-                0 if collection.is_divided else min(collection.missing, MAX_UNITS),
+                units,
+                0 if collection.is_divided else units,
                 min(collection.customer.units_per_s, MAX_RATE),
                 min(max(0.0, collection.customer.burst_units), MAX_RATE),
             )
@@ -428,10 +423,13 @@
         if taken:
             collection.found[self._host] = taken
 
+    def _share(self, customer: CustomerPolicy) -> float:
+        """Return the fraction of a customer's limit that each of its holders has."""
+        return 1 / max(1, len(self.shares.holders(customer.name)))
+
     def _share_capacity(self, customer: CustomerPolicy) -> float:
         """Return the most units that a holder can have."""
-        share = 1 / max(1, len(self.shares.holders(customer.name)))
-        return self._quotas.share_capacity(customer, share)
+        return self._quotas.share_capacity(customer, self._share(customer))
 
     def _most_left(self, collection: _Collection, holder: HostId, now_ms: int) -> float:
         """Return the most units that a holder can grant; none if it has too few for a request."""
@@ -440,8 +438,8 @@
         known = self._levels.get(customer.name, {}).get(holder)
         if known is None:
             return capacity
-        share = 1 / len(self.shares.holders(customer.name))
-        refilled = (now_ms - known.at_ms) * customer.units_per_s * share / 1_000
+        refill_per_s = customer.units_per_s * self._share(customer)
+        refilled = (now_ms - known.at_ms) * refill_per_s / 1_000
         left = min(capacity, known.left + refilled)
         return left if collection.is_divided or left >= collection.missing else 0.0
 
--- a/libs/policy/src/skylarkmoor_policy/claimowner.py
+++ b/libs/policy/src/skylarkmoor_policy/claimowner.py
@@ -73,8 +73,9 @@
     Verdicts come only from replaying the stream from the start of the window through the record
     of the claim. Daemons that act as owner of the same partition at the same time therefore give
     the same verdicts. Claims of an append whose result was lost are never appended again: either
-    the stream contains them, or they are answered with `LOG_DOWN`, after which the requester
-    never dispatches, even if the append takes effect later. Releases may be appended again.
+    the stream contains them, or they are answered with `LOG_DOWN`, after which the daemon that
+    made them never dispatches, even if the append takes effect later. Releases may be appended
+    again.
 
     The caller executes the decisions of `poll` and reports the results. There is at most one
     append and one read in flight.
--- a/libs/policy/src/skylarkmoor_policy/fleetlimits.py
+++ b/libs/policy/src/skylarkmoor_policy/fleetlimits.py
@@ -376,10 +376,7 @@
         """
         self._daemons = max(1, daemons)
         self._all_reachable = all_reachable
-        if report_delay_ms != self._report_delay_ms:
-            self._report_delay_ms = report_delay_ms
-            for window in self._recent_retries.values():
-                window.window_ms = report_delay_ms
+        self._report_delay_ms = report_delay_ms
 
     def count_request(self, service: ServiceName, now_ms: int) -> None:
         """Count the first attempt of a request."""
@@ -397,7 +394,8 @@
         """
         own = self._window_for(self._own_windows, service)
         fleet = self._window_for(self._fleet_windows, service)
-        recent = self._recent_window_for(service)
+        recent = self._window_for(self._recent_retries, service)
+        recent.window_ms = self._report_delay_ms
         for window in (own, fleet, recent):
             window.drop_expired(now_ms)
         fleet_budget = self._ratio * fleet.requests + self._slack
@@ -419,11 +417,6 @@
         """Count requests and retries that a peer has sent."""
         self._window_for(self._fleet_windows, ServiceName(service)).add(requests, retries, now_ms)
 
-    def _recent_window_for(self, service: ServiceName) -> _SlidingWindow:
-        if service not in self._recent_retries:
-            self._recent_retries[service] = _SlidingWindow(self._report_delay_ms)
-        return self._recent_retries[service]
-
     def _window_for(
         self, windows: dict[ServiceName, _SlidingWindow], service: ServiceName
     ) -> _SlidingWindow:
