--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -112,10 +112,9 @@
         if not self.started:
             self._caller.send_response(head.status, head.headers, body, head.content_length)
             return
-        # The upstream's connection may be in the pool by now, where nobody resumes it.
-        self._caller.unregister_producer()
         if body:
             self._send(body)
+        self._caller.unregister_producer()
         self._caller.end_response()
 
     def abort_response(self) -> None:
