Share reads of the log within a failure domain of a large fleet

Change: two gateways of a failure domain read for the others, which take over pages that follow their last one and read for themselves at a bounded age. Fleets of up to 32 gateways read as before.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -58,6 +58,8 @@
     "SlotRequest",
     "SlotWithdrawal",
     "StateBundle",
+    "TopicRead",
+    "TopicRecord",
     "UnitsGrant",
     "UnitsRequest",
     "UnitsReturn",
@@ -300,6 +302,8 @@
     unreachable: tuple[UpstreamId, ...] = ()
     # Whether the sender takes part in holding shares of the customers' limits.
     shares_limits: bool = False
+    # Whether the sender passes on what it reads from the log, and uses what peers have read.
+    shares_reads: bool = False
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
@@ -332,6 +336,42 @@
     sent_ms: _Time
 
 
+class TopicRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A record of a topic of the log; `value` is None if its key was deleted."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+class TopicRead(_Message, frozen=True, tag="3"):
+    """What the sender has read from a topic of the log.
+
+    Attributes
+    ----------
+    era : int
+        Era of the offsets.
+    from_offset, next_offset : int
+        Offsets of the first record that was asked for, and after the last one of the topic.
+    is_complete : bool
+        Whether `records` are all records in between; otherwise there are none.
+    began_ms, sent_ms : int
+        Monotonic times of the sender: when its read began, and when it sent this.
+    regained_age_ms : int
+        Time since the sender has reached the log again after an outage; -1 if it had none.
+    """
+
+    topic: str
+    era: int
+    from_offset: int
+    next_offset: int
+    records: tuple[TopicRecord, ...]
+    is_complete: bool
+    began_ms: _Time
+    sent_ms: _Time
+    regained_age_ms: int = -1
+
+
 class ClockQuestion(_Message, frozen=True, tag="1"):
     """Asks for the clock of the receiver, with the monotonic time of the sender."""
 
@@ -561,6 +601,7 @@
     | ConfigurationQuery
     | ConfigurationCopy
     | ConfigurationConfirmed
+    | TopicRead
     | ClockQuestion
     | ClockAnswer
     | StateBundle
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -31,12 +31,14 @@
     SlotRequest,
     SlotWithdrawal,
     StateBundle,
+    TopicRead,
     UnitsGrant,
     UnitsRequest,
     UnitsReturn,
 )
 from skylarkmoor_core.settings import Address, parse_address
 from skylarkmoor_gateway.limitcoordinator import LimitCoordinator
+from skylarkmoor_gateway.sharedreads import SharedReads
 from skylarkmoor_gateway.slotcoordinator import SlotCoordinator
 from skylarkmoor_policy.configurationage import ConfigurationAge
 from skylarkmoor_policy.crashcounts import CrashCounts
@@ -118,6 +120,8 @@
     incarnation: Incarnation | None = None
     # Whether it holds shares of the customers' limits; one that was not heard yet does.
     shares_limits: bool = True
+    # Whether it passes on what it reads from the log.
+    shares_reads: bool = False
 
 
 class Fleet:
@@ -218,6 +222,13 @@
             host, incarnation, clock, quotas, self._send_units
         )
         self._clocks = PeerClocks()
+        self.shared_reads = SharedReads(
+            host,
+            clock,
+            self._clocks,
+            self._reading_group,
+            lambda hosts, message: self._transport.multicast(hosts, message),
+        )
         # Last confirmations of peers whose clocks are not known well enough yet.
         self._unchecked_confirmations: dict[HostId, tuple[Incarnation, ConfigurationConfirmed]] = {}
         self._changed_limits: set[InstanceId] = set()
@@ -357,6 +368,16 @@
             if host == self._host or self._peer_states[host].failure_domain == self._failure_domain
         ]
 
+    def _reading_group(self) -> list[HostId]:
+        """Return the gateways that read the log for each other, none in a small fleet."""
+        if len(self._peer_states) < _MIN_RELAY_PEERS:
+            return []
+        return [
+            host
+            for host in self._configuration_group()
+            if host == self._host or self._peer_states[host].shares_reads
+        ]
+
     def _handle_confirmation(
         self, sender: HostId, incarnation: Incarnation, message: ConfigurationConfirmed
     ) -> None:
@@ -633,6 +654,7 @@
             relayed=self.relayed(),
             unreachable=self._reachability.unreachable(),
             shares_limits=True,
+            shares_reads=True,
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -814,6 +836,8 @@
                 self.on_configuration(message)
             case ConfigurationConfirmed():
                 self._handle_confirmation(sender, incarnation, message)
+            case TopicRead():
+                self.shared_reads.handle(sender, incarnation, message)
             case ClockQuestion(sent_ms=asked_ms):
                 self._transport.send(sender, ClockAnswer(asked_ms, self._clock.now_ms()))
             case ClockAnswer():
@@ -891,9 +915,11 @@
                 self._transport.send(sender, self._named_limits(limited))
             peer.incarnation = incarnation
             peer.shares_limits = state.shares_limits
+            peer.shares_reads = state.shares_reads
             self._load_sequences.pop(sender, None)
-        # A state that a relay of an older build passes on lacks the field.
+        # A state that a relay of an older build passes on lacks the fields.
         peer.shares_limits |= state.shares_limits
+        peer.shares_reads |= state.shares_reads
         self._update_relay(sender, state)
         peer.last_heard_ms = self._clock.now_ms()
         if state.sent_ms:
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -32,6 +32,10 @@
         self._platform_calls = self._counter(
             "platform_calls_total", "Calls to the platform by result."
         )
+        self._shared_reads = self._counter(
+            "shared_reads_total",
+            "Reads of the store that a peer has passed on: used, or behind if a page was missing.",
+        )
         self._restores = self._counter(
             "platform_restores_total", "Returns of the platform's store from an older copy."
         )
@@ -90,6 +94,10 @@
         """Count a call to the platform by its result."""
         self._platform_calls.inc({"result": result})
 
+    def shared_read(self, result: str) -> None:
+        """Count a read of the platform's store that a peer has passed on."""
+        self._shared_reads.inc({"result": result})
+
     def platform_restored(self) -> None:
         """Count a return of the platform's store from an older copy."""
         self._restores.inc({})
