Evacuate failure domains on the operator's order

The order to evacuate a failure domain (record evacuate/ZONE of the topic keyed.op) was never read. Gateways now keep the orders with their log positions, tell each other of them in their states, and send no request to an upstream whose entry names an evacuated domain. The check is made where upstreams are chosen, where a slot is accepted, and right before the bytes are written, also on pooled connections, through peers and for retries.

The last check also covers connections through a second peer, which were taken from their pool without any check.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -300,6 +300,8 @@
     unreachable: tuple[UpstreamId, ...] = ()
     # Whether the sender takes part in holding shares of the customers' limits.
     shares_limits: bool = False
+    # Era and offset of the last order about a failure domain, and whether it is evacuated.
+    evacuated: dict[FailureDomain, tuple[int, int, bool]] = {}
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -303,6 +303,18 @@
         else:
             self._refuse(reason, 0)
 
+    def evacuations_changed(self) -> None:
+        """Stop waiting for a slot if all upstreams of the service are evacuated now."""
+        has_slot = self._current is not None or self._early_choice is not None
+        if (
+            self.wait_number is not None
+            and not has_slot
+            and self._gateway.placement.is_evacuated(self.service)
+        ):
+            self._gateway.stop_waiting(self.wait_number)
+            self.wait_number = None
+            self._give_up_evacuated()
+
     def waiting(self, small: bool) -> QueuedRequest[SlotRequirements]:
         """Return the entry of this request for the slot queue.
 
@@ -412,6 +424,9 @@
         self._refuse("all slots of the service are taken", None)
 
     def _place_request(self) -> None:
+        if self._gateway.placement.is_evacuated(self.service):
+            self._give_up_evacuated()
+            return
         now_ms = self._gateway.clock.now_ms()
         resume_ms = self._gateway.placement.next_resume_ms(
             self.service, now_ms, self._excluded_upstreams
@@ -611,10 +626,11 @@
             )
         elif not _may_send(placed, now_ms, attempt.under_limit):
             pool.release(connection)
+            self._gateway.metrics.turned_back(self.service)
             self._handle_unsent(
                 attempt,
-                "the upstream asked for a pause or named a limit while connecting to it took"
-                f" {connect_ms} ms",
+                "the upstream was evacuated, asked for a pause or named a limit while connecting"
+                f" to it took {connect_ms} ms",
             )
         else:
             self._transmit(attempt, connection)
@@ -663,7 +679,15 @@
         )
 
     def _transmit(self, attempt: _SendAttempt, connection: UpstreamConnection) -> None:
-        remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
+        now_ms = self._gateway.clock.now_ms()
+        # Nothing lies between this check and the write, on whatever way the connection was found.
+        placed = self._gateway.placement.upstreams.get(attempt.upstream)
+        if placed is None or not _may_send(placed, now_ms, attempt.under_limit):
+            self._put_back(attempt, connection)
+            self._gateway.metrics.turned_back(self.service)
+            self._handle_unsent(attempt, "the upstream may not be sent requests any more")
+            return
+        remaining_ms = self._deadline_ms - now_ms
         if remaining_ms <= 0:
             self._handle_unsent(attempt, "the deadline has passed")
             return
@@ -936,6 +960,15 @@
         remaining_ms = self._deadline_ms - now_ms
         self._refuse_for(reason, pause_retry_after_ms(resume_ms - now_ms, remaining_ms, self.tier))
 
+    def _give_up_evacuated(self) -> None:
+        """End the request, because all upstreams of its service are evacuated."""
+        reason = "all upstreams of the service are in evacuated failure domains"
+        if self._response.started or self._runs > 0:
+            self._give_up(reason)
+        else:
+            # Nothing tells when the evacuation ends.
+            self._refuse(reason, None)
+
     def _refuse(self, reason: str, retry_hint_ms: int | None) -> None:
         """Respond that the request was not executed, with a time for the next try."""
         remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -41,6 +41,7 @@
 from skylarkmoor_policy.configurationage import ConfigurationAge
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
+from skylarkmoor_policy.evacuations import EvacuationChange
 from skylarkmoor_policy.fleetlimits import (
     PEER_EXPIRY_MS,
     PEER_SILENT_MS,
@@ -97,6 +98,10 @@
 _MAX_TICK_GAP_MS = 1_000
 # After a longer time without a tick, what is read may have arrived well before.
 _MAX_READ_DELAY_MS = 250
+# Gateways, first in rendezvous order, that tell all peers of a new order to evacuate at once. With
+# 330 hosts, a host that does not reach the store would hear of it only after five seconds from a
+# regular state. Two may themselves not have read it.
+_EVACUATION_ANNOUNCERS = 3
 _NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
@@ -106,6 +111,10 @@
     pass
 
 
+def _ignore_both(_: object, __: object) -> None:
+    pass
+
+
 @dataclass(slots=True)
 class _Peer:
     address: Address
@@ -189,6 +198,8 @@
         # know it. The function is called with those of a peer.
         self.departed: dict[UpstreamId, tuple[int, int]] = {}
         self.on_departed: Callable[[Mapping[UpstreamId, tuple[int, int]]], None] = _ignore
+        # Called with the evacuations that have begun or ended, and the peer that has told of them.
+        self.on_evacuations: Callable[[Sequence[EvacuationChange], HostId], None] = _ignore_both
         # Called with the facts that a peer has sent.
         self.on_facts: Callable[[Sequence[Fact]], None] = lambda facts: None
         self._host = host
@@ -633,8 +644,15 @@
             relayed=self.relayed(),
             unreachable=self._reachability.unreachable(),
             shares_limits=True,
+            evacuated=self._placement.evacuations.export(),
         )
 
+    def announce_evacuations(self) -> None:
+        """Tell all peers of a change at once if this host is one of those that do."""
+        order = rendezvous_order("evacuations", self.live_hosts())
+        if self._host in order[:_EVACUATION_ANNOUNCERS]:
+            self._send_state(self._clock.now_ms(), to_all=True)
+
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
         """Send this gateway's state to its relays, or to all peers if they do not pass it on."""
         state = self._state()
@@ -906,6 +924,9 @@
         ]
         taken = self.slot_coordinator.own_grant(state.taken.get(self._host, 0))
         self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
+        changes = self._placement.evacuations.merge(state.evacuated, peer.last_heard_ms)
+        if changes:
+            self.on_evacuations(changes, sender)
         new_leaving = self._placement.mark_leaving(state.leaving_upstreams, peer.last_heard_ms)
         for instance in new_leaving:
             _log.info(
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -12,6 +12,7 @@
 from skylarkmoor_core.hashing import fingerprint
 from skylarkmoor_core.ids import (
     Fingerprint,
+    HostId,
     Incarnation,
     RequestId,
     ServiceName,
@@ -39,6 +40,7 @@
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
+from skylarkmoor_policy.evacuations import EvacuationChange
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
 from skylarkmoor_policy.lifecycle import (
     AbortRequests,
@@ -208,6 +210,7 @@
             self.fleet.send_crash_evidence,
         )
         self.fleet.on_facts = lambda facts: self.canaries.apply_facts(facts, clock.now_ms())
+        self.fleet.on_evacuations = self.evacuations_changed
         self._lifecycle = Lifecycle()
         self._ready = False
         self._drain_started_ms: int | None = None
@@ -297,6 +300,33 @@
         self.placement.remove(upstream)
         self.paths.remove_upstream(upstream)
 
+    def evacuations_changed(
+        self, changes: Sequence[EvacuationChange], peer: HostId | None = None
+    ) -> None:
+        """Act on evacuations that have begun or ended, as the log or a peer has told."""
+        if not changes:
+            return
+        for change in changes:
+            state = "began" if change.in_force else "ended"
+            self.metrics.evacuation(state, "log" if peer is None else "peer")
+            _log.warning(
+                f"evacuation of a failure domain {state}",
+                extra={
+                    "failure_domain": change.failure_domain,
+                    "upstreams": sum(
+                        each.registration.failure_domain == change.failure_domain
+                        for each in self.placement.upstreams.values()
+                    ),
+                    "offset": change.position.offset,
+                    "era": change.position.era,
+                    "peer": peer,
+                },
+            )
+        self.metrics.evacuated_domains(len(self.placement.evacuations.in_force))
+        for exchange in list(self._exchanges.values()):
+            exchange.evacuations_changed()
+        self.fleet.announce_evacuations()
+
     def drain(self) -> None:
         """Report not ready, finish the requests in progress and exit."""
         _log.info("draining", extra={"held": len(self._exchanges)})
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -61,6 +61,17 @@
         self._noticed_upstreams = self._gauge(
             "upstreams_with_notice", "Instances with a notice in force, by kind."
         )
+        self._evacuations = self._counter(
+            "evacuations_total", "Evacuations of failure domains that began or ended, by source."
+        )
+        self._evacuated_domains = self._gauge(
+            "evacuated_domains", "Failure domains that are evacuated."
+        )
+        self._turned_back = self._counter(
+            "turned_back_total",
+            "Attempts that were placed again, because the upstream may not be sent requests, right"
+            " before they were sent, by service.",
+        )
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
@@ -102,6 +113,18 @@
         """Count an attempt that is sent through a peer."""
         self._sent_through_peers.inc({"service": service})
 
+    def evacuation(self, state: str, source: str) -> None:
+        """Count an evacuation that began or ended, as the log or a peer has told."""
+        self._evacuations.inc({"state": state, "source": source})
+
+    def evacuated_domains(self, count: int) -> None:
+        """Set the number of failure domains that are evacuated."""
+        self._evacuated_domains.set({}, count)
+
+    def turned_back(self, service: str) -> None:
+        """Count an attempt that was turned back right before it was sent."""
+        self._turned_back.inc({"service": service})
+
     def upstreams_with_notice(self, kind: str, count: int) -> None:
         """Set the number of instances with a notice of a kind."""
         self._noticed_upstreams.set({"notice": kind}, count)
--- a/libs/gateway/src/skylarkmoor_gateway/paths.py
+++ b/libs/gateway/src/skylarkmoor_gateway/paths.py
@@ -71,7 +71,7 @@
     ) -> None:
         self.reachability = Reachability(failure_domain, rng)
         self.tunnels = TunnelServerFactory(
-            reactor, self._tunnel_refusal, self._connected, self._failed
+            reactor, self._tunnel_refusal, self._connected, self._failed, self._is_evacuated
         )
         self._reactor = reactor
         self._pacer = ReadPacer(reactor)
@@ -200,10 +200,16 @@
             return "the upstream is unknown or has another address"
         if known.leaving or known.replaced:
             return "the upstream is leaving or was replaced"
+        if known.evacuated:
+            return "the failure domain of the upstream is evacuated"
         if self.reachability.is_down(upstream):
             return "the upstream is not reached from here either"
         return None
 
+    def _is_evacuated(self, upstream: UpstreamId) -> bool:
+        known = self._placement.upstreams.get(upstream)
+        return known is not None and known.evacuated
+
     def _connected(self, upstream: UpstreamId) -> None:
         if self.reachability.connected(upstream, self._clock.now_ms()):
             _log.info("path to an upstream is up again", extra={"upstream": upstream})
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -54,8 +54,9 @@
     group: SlotGroup
     requested_from: HostId | None = None
     requested_ms: int = 0
-    # Upstreams that wanted no request from this host when the slot was requested.
-    paused: frozenset[UpstreamId] = frozenset()
+    # Upstreams that were evacuated, or wanted no request from this host, when the slot was
+    # requested.
+    closed: frozenset[UpstreamId] = frozenset()
 
 
 class SlotCoordinator:
@@ -167,16 +168,16 @@
 
     def _check_waits(self, now_ms: int) -> None:
         owners: dict[SlotGroup, HostId] = {}
-        paused: dict[ServiceName, frozenset[UpstreamId]] = {}
+        closed: dict[ServiceName, frozenset[UpstreamId]] = {}
         for number, wait in list(self._waits.items()):
             service = wait.group.service
             if wait.group not in owners:
                 owners[wait.group] = self.dispatcher_of(wait.group)
-                paused[service] = self._placement.paused(service, now_ms)
+                closed[service] = self._closed(service, now_ms)
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self.withdraw(number)
                 wait.client.wait_timed_out()
-            elif wait.requested_from != owners[wait.group] or wait.paused != paused[service]:
+            elif wait.requested_from != owners[wait.group] or wait.closed != closed[service]:
                 self._request_slot(number, wait)
             elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
                 self._request_from_less_loaded_group(number, wait)
@@ -307,6 +308,15 @@
         elif wait.requested_from is not None:
             self._send(wait.requested_from, SlotWithdrawal(number))
 
+    def _closed(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
+        """Return the upstreams that this host may not send requests to.
+
+        Notes
+        -----
+        The dispatcher may not know of an evacuation yet, and would grant their slots again.
+        """
+        return self._placement.paused(service, now_ms) | self._placement.evacuated(service)
+
     def _request_from_less_loaded_group(self, number: int, wait: _Wait) -> None:
         """Repeat a slot request, possibly for another group with a lower load."""
         rule = wait.waiting.item.version_rule
@@ -321,8 +331,8 @@
             self._cancel_slot_request(number, wait)
         now_ms = self._clock.now_ms()
         wait.requested_from, wait.requested_ms = owner, now_ms
-        wait.paused = self._placement.paused(wait.group.service, now_ms)
-        avoid = wait.waiting.item.exclude | wait.paused
+        wait.closed = self._closed(wait.group.service, now_ms)
+        avoid = wait.waiting.item.exclude | wait.closed
         if owner == self._host:
             need = replace(wait.waiting.item, exclude=avoid)
             self._dispatcher.enqueue(replace(wait.waiting, item=need))
--- a/libs/gateway/src/skylarkmoor_gateway/tunnels.py
+++ b/libs/gateway/src/skylarkmoor_gateway/tunnels.py
@@ -271,6 +271,8 @@
         Returns why no connection is made to an upstream at an address, None if it may be made.
     on_connected, on_failed : callable
         Called with the upstream when a connection to it was made or has failed.
+    is_closed : callable
+        Returns whether an upstream gets no requests, as its failure domain is evacuated.
 
     Attributes
     ----------
@@ -286,8 +288,10 @@
         refusal: Callable[[UpstreamId, Address], str | None],
         on_connected: Callable[[UpstreamId], None],
         on_failed: Callable[[UpstreamId, str], None],
+        is_closed: Callable[[UpstreamId], bool] = lambda upstream: False,
     ) -> None:
         self.reactor = reactor
+        self.is_closed = is_closed
         self.refusal = refusal
         self.on_connected = on_connected
         self.on_failed = on_failed
@@ -314,6 +318,9 @@
         self._far: _FarEnd | None = None
         self._is_asked = False
         self._is_closed = False
+        self._upstream: UpstreamId | None = None
+        # Whether the next bytes of the peer begin a request, as those before have been answered.
+        self._is_between_requests = True
         self._has_frames = False
         self._timer: Any = None
 
@@ -326,7 +333,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self._far is not None:
-            self._far.write(data)
+            self._write_to_upstream(data)
             return
         try:
             self._http.receive_data(data)
@@ -352,6 +359,7 @@
 
     def write(self, data: bytes) -> None:
         """Pass bytes of the upstream on."""
+        self._is_between_requests = True
         if self._has_frames:
             self._transport.write(_FRAME_LENGTH.pack(len(data)))
         self._transport.write(data)
@@ -388,6 +396,7 @@
             _log.info("refused a tunnel", extra={"upstream": upstream, "why": reason})
             self._refuse(_UNKNOWN_UPSTREAM)
             return
+        self._upstream = upstream
         self._has_frames = _FRAMES_HEADER in request.headers
         endpoint: Any = TCP4ClientEndpoint(
             self._factory.reactor, address.host, address.port, timeout=CONNECT_TIMEOUT_S
@@ -416,7 +425,23 @@
         self._transport.registerProducer(far_transport, True)
         early = self._http.trailing_data[0]
         if early:
-            far.write(early)
+            self._write_to_upstream(early)
+
+    def _write_to_upstream(self, data: bytes) -> None:
+        """Pass bytes on, unless they begin a request that must not be sent any more.
+
+        Notes
+        -----
+        The peer may not have heard of an evacuation. It takes a reset for the loss of the
+        connection, so a request that is not idempotent is not repeated.
+        """
+        if self._is_between_requests and self._upstream and self._factory.is_closed(self._upstream):
+            _log.info("reset a tunnel to an evacuated upstream", extra={"upstream": self._upstream})
+            self._transport.abortConnection()
+            return
+        self._is_between_requests = False
+        if self._far is not None:
+            self._far.write(data)
 
     def _not_connected(self, upstream: UpstreamId, failure: Failure) -> None:
         self._factory.on_failed(upstream, failure.getErrorMessage())
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -10,6 +10,7 @@
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
+from skylarkmoor_policy.evacuations import Evacuations
 from skylarkmoor_policy.slotgroups import SlotGroup, group_count, less_loaded_group
 from skylarkmoor_policy.trackedupstream import (
     FIRST_TOKEN_OVERHEAD_MS,
@@ -100,6 +101,7 @@
         self._notices = NoticeTable()
         self.permits = PermitTable()
         self.windows = ConcurrencyWindows()
+        self.evacuations = Evacuations(self._mark_evacuated)
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -125,6 +127,7 @@
         known.leaving = known.leaving or listed.leaving or self._notices.is_leaving(known.instance)
         known.paused_until_ms = self._notices.paused_until_ms(known.instance)
         known.limit_per_s, _ = self._notices.limit(known.instance)
+        known.evacuated = listed.failure_domain in self.evacuations.in_force
         # A new entry shows that this instance is alive.
         known.replaced = False
 
@@ -250,7 +253,7 @@
         count = self._group_count(service)
         loads = [(0, 0)] * count
         for each in self._active_upstreams(service):
-            if not matches(version_rule, each.registration.version):
+            if each.evacuated or not matches(version_rule, each.registration.version):
                 continue
             number = each.id_hash % count
             running, slots = loads[number]
@@ -427,7 +430,7 @@
         ends_ms = [
             each.paused_until_ms
             for each in self._active_upstreams(service)
-            if each.upstream not in exclude
+            if each.upstream not in exclude and not each.evacuated
         ]
         first_ms = min(ends_ms, default=0)
         return first_ms if first_ms > now_ms else None
@@ -452,6 +455,23 @@
         """Return the number of instances with a notice of each kind."""
         return self._notices.counts(now_ms)
 
+    def evacuated(self, service: ServiceName) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service whose failure domain is evacuated."""
+        if not self.evacuations.in_force:
+            return _NO_UPSTREAMS
+        return frozenset(
+            each.upstream for each in self._active_upstreams(service) if each.evacuated
+        )
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Return whether all upstreams of a service are in evacuated failure domains."""
+        evacuated = self.evacuated(service)
+        return bool(evacuated) and len(evacuated) == len(self._active_upstreams(service))
+
+    def _mark_evacuated(self, now_ms: int) -> None:
+        for each in self.upstreams.values():
+            each.evacuated = each.registration.failure_domain in self.evacuations.in_force
+
     def _known_instance(self, instance: InstanceId) -> TrackedUpstream | None:
         known = self.upstreams.get(instance.upstream)
         return known if known is not None and known.instance == instance else None
@@ -483,7 +503,8 @@
         candidates = [
             each
             for each in self._active_upstreams(service)
-            if (group is None or group.holds(each.id_hash))
+            if not each.evacuated
+            and (group is None or group.holds(each.id_hash))
             and matches(version_rule, each.registration.version)
         ]
         return [each for each in candidates if each.backoff_until_ms <= now_ms] or candidates
@@ -497,7 +518,8 @@
     def _can_take(self, upstream: TrackedUpstream, now_ms: int) -> bool:
         """Return whether an upstream has a free slot, and whether its limits allow a request."""
         return (
-            upstream.has_capacity()
+            not upstream.evacuated
+            and upstream.has_capacity()
             and self.windows.may_send(upstream.instance, upstream.running(), now_ms)
             and self.permits.may_issue(upstream.instance, now_ms)
         )
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -5,7 +5,7 @@
 from math import ceil
 
 from skylarkmoor_core.hashing import hash64
-from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_core.ids import FailureDomain, HostId, ServiceName, UpstreamId
 from skylarkmoor_policy.upstreamnotices import InstanceId
 
 __all__ = [
@@ -118,6 +118,8 @@
         Start time, which distinguishes instances under the same id.
     leaving : bool
         Whether it is draining and accepts no new requests.
+    failure_domain : FailureDomain
+        Failure domain of its host; empty if it names none.
     """
 
     upstream: UpstreamId
@@ -127,6 +129,7 @@
     version: str = ""
     started_wall_ms: int = 0
     leaving: bool = False
+    failure_domain: FailureDomain = FailureDomain("")
 
 
 @dataclass(slots=True)
@@ -138,6 +141,8 @@
     leaving: bool = False
     # Another instance answered at its address.
     replaced: bool = False
+    # Whether the operator has ordered that its failure domain gets no requests.
+    evacuated: bool = False
     # Until when it wants no request from this host, as it has answered.
     paused_until_ms: int = 0
     # Requests per second that it accepts from all daemons together; None for no limit.
@@ -193,7 +198,12 @@
 
     def is_available(self, now_ms: int) -> bool:
         """Return whether this host may send it requests."""
-        return not self.leaving and not self.replaced and self.paused_until_ms <= now_ms
+        return (
+            not self.leaving
+            and not self.replaced
+            and not self.evacuated
+            and self.paused_until_ms <= now_ms
+        )
 
     def running(self) -> int:
         """Return the number of requests of all daemons that run or queue here."""
