Limit the requests that cold upstreams get from all gateways

A cold engine received 23 requests in a second where 20 were allowed. The configuration's cold_start_s and cold_per_s of a service, and the cold_remaining_ms of an entry, were not read. Permits now have two sources, the limit that an upstream announces and that of a cold start; the lower one is in force. An upstream also counts as cold after an evacuation of its domain, after a lost or refused connection, and when it is listed again. Gateways tell each other of cold upstreams with the permits (appended field of NamedLimit), so that a dispatcher that has read an older list issues permits as well. When the limit ends, the share of slots grows in steps.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -528,6 +528,8 @@
         Refusals per second that it bears; None if the answer named no bound.
     refused : int
         Refusals that the sender was given since then; it does not fall while the bound lasts.
+    cold_ms : int
+        For how long the sender takes it to be cold from the time of sending; 0 if it does not.
     """
 
     upstream: UpstreamId
@@ -537,6 +539,7 @@
     issued: int
     max_refusals_per_s: _Rate | None = None
     refused: int = 0
+    cold_ms: int = 0
 
 
 class NamedLimits(_Message, frozen=True, tag="l"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectionRefusedError as RefusedError
 from twisted.python.failure import Failure
 
 from skylarkmoor_core.clock import Clock
@@ -137,6 +138,9 @@
     def upstream_refused(self, instance: InstanceId) -> None:
         """Record that an upstream has refused a request without executing it."""
 
+    def upstream_lost(self, instance: InstanceId) -> None:
+        """Record that an upstream could not be reached, or broke off a request."""
+
     def request_sent(self, exchange: "Exchange", version: str) -> None:
         """Record that a request is sent to an upstream of a version."""
 
@@ -653,10 +657,20 @@
                 self._connect(attempt)
                 return
         # That a peer is not reached tells nothing of the upstream.
+        if self._is_gone(attempt, failure.value):
+            self._gateway.upstream_lost(InstanceId(attempt.upstream, attempt.started_wall_ms))
         if attempt.peer is None or is_refused:
             self._gateway.placement.back_off(attempt.upstream, self._gateway.clock.now_ms())
         self._handle_unsent(attempt, f"connecting failed: {failure.getErrorMessage()}")
 
+    def _is_gone(self, attempt: _SendAttempt, error: BaseException | None) -> bool:
+        """Return whether an upstream may have ended, and not only the path to it."""
+        if isinstance(error, TunnelRefused):
+            return error.by_upstream
+        if attempt.peer is not None:
+            return False
+        return isinstance(error, RefusedError) or not self._gateway.paths.is_lost(attempt.upstream)
+
     def _handle_unsent(self, attempt: _SendAttempt, reason: str) -> None:
         """Retry after an attempt of which no byte was sent."""
         self._release(attempt, fault=None)
@@ -840,6 +854,8 @@
         """Process a connection failure before the response was complete."""
         if self._done or self._current is not attempt:
             return
+        if attempt.peer is None and not self._gateway.paths.is_lost(attempt.upstream):
+            self._gateway.upstream_lost(InstanceId(attempt.upstream, attempt.started_wall_ms))
         if not self.request.prompt_parts or attempt.event_count:
             self._fail_attempt(attempt, reason)
             return
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -102,6 +102,9 @@
 # 330 hosts, a host that does not reach the store would hear of it only after five seconds from a
 # regular state. Two may themselves not have read it.
 _EVACUATION_ANNOUNCERS = 3
+# Time of an answer about a limit if there was none, which any answer is later than. It stays within
+# what messages can carry when it is converted to the clock of a peer.
+_NEVER_MS = -(2**52)
 _NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
@@ -549,22 +552,25 @@
         return self._reported_permits.get(instance, 0)
 
     def _named_limits(self, instances: Iterable[InstanceId]) -> NamedLimits:
+        now_ms = self._clock.now_ms()
         limits = []
         for instance in instances:
             limit_per_s, heard_ms = self._placement.limit(instance)
-            if heard_ms is not None:
+            cold_ms = self._placement.cold_starts.remaining_ms(instance, now_ms)
+            if heard_ms is not None or cold_ms:
                 issued = self._placement.permits.issued.get(instance, 0)
                 limits.append(
                     NamedLimit(
                         *instance,
                         limit_per_s,
-                        heard_ms,
+                        _NEVER_MS if heard_ms is None else heard_ms,
                         issued,
                         self._placement.max_refusals_per_s(instance),
                         self._placement.windows.refused.get(instance, 0),
+                        cold_ms,
                     )
                 )
-        return NamedLimits(self._clock.now_ms(), tuple(limits))
+        return NamedLimits(now_ms, tuple(limits))
 
     def _handle_limits(
         self, sender: HostId, incarnation: Incarnation, message: NamedLimits
@@ -593,6 +599,15 @@
                 or self._placement.max_refusals_per_s(instance) != limit.max_refusals_per_s
             ):
                 newer_here.append(instance)
+            if self._placement.record_peer_cold(instance, limit.cold_ms, now_ms):
+                _log.info(
+                    "a peer knows that an upstream is cold",
+                    extra={
+                        "peer": sender,
+                        "upstream": limit.upstream,
+                        "remaining_ms": limit.cold_ms,
+                    },
+                )
             key = f"{instance.upstream}/{instance.started_wall_ms}"
             issued = self._counts["permits"].increments(sender, incarnation, {key: limit.issued})
             self._placement.permits.remove(instance, issued.get(key, 0))
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -168,6 +168,8 @@
             settings.limit_slack_units,
             first_start=settings.is_first_fleet_start,
         )
+        self.placement.cold_starts.overshoot = settings.cold_overshoot
+        self.placement.cold_starts.slack = settings.cold_slack
         self.crash_counts = CrashCounts()
         self.crash_evidence = CrashEvidenceTable()
         # Fires at exit, with whether the shutdown was forced.
@@ -262,6 +264,7 @@
         previous_version = None if self._table is None else self._table.version
         self._table = table
         self.quotas.set_customers(table.customers, self.clock.now_ms())
+        self.placement.set_cold_starts(table.cold_starts, self.clock.now_ms())
         self.fleet.configuration_activated(data)
         position = self.fleet.versions.position
         _log.info(
@@ -291,13 +294,14 @@
                     "started_again": started_again,
                 },
             )
-        self.placement.set_upstream(listed)
+        self.placement.set_upstream(listed, self.clock.now_ms())
+        self._tell_cold_starts()
         self.paths.set_upstream(name, listed.address, started_again=started_again)
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Remove an upstream that has left; requests in progress there continue."""
         _log.info("upstream removed", extra={"upstream": upstream})
-        self.placement.remove(upstream)
+        self.placement.remove(upstream, self.clock.now_ms())
         self.paths.remove_upstream(upstream)
 
     def evacuations_changed(
@@ -555,6 +559,26 @@
                     },
                 )
 
+    def upstream_lost(self, instance: InstanceId) -> None:
+        """Record that an upstream could not be reached, or broke off a request."""
+        self.placement.record_lost(instance, self.clock.now_ms())
+        self._tell_cold_starts()
+
+    def _tell_cold_starts(self) -> None:
+        """Tell the peers of the upstreams that this gateway has found to be cold."""
+        for cold in self.placement.cold_starts.take_new():
+            self.metrics.cold_start(cold.cause.value)
+            _log.info(
+                "upstream is cold",
+                extra={
+                    "upstream": cold.instance.upstream,
+                    "started_wall_ms": cold.instance.started_wall_ms,
+                    "why": cold.cause.value,
+                    "remaining_ms": cold.remaining_ms,
+                },
+            )
+            self.fleet.limit_changed(cold.instance)
+
     def upstream_refused(self, instance: InstanceId) -> None:
         """Record that an upstream has refused a request without executing it."""
         if self.placement.record_refusal(instance, self.clock.now_ms()):
@@ -828,6 +852,7 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
+        self.metrics.cold_upstreams(self.placement.cold_count())
         for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
 
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -72,6 +72,12 @@
             "Attempts that were placed again, because the upstream may not be sent requests, right"
             " before they were sent, by service.",
         )
+        self._cold_starts = self._counter(
+            "cold_starts_total", "Upstreams that this gateway has found to be cold, by cause."
+        )
+        self._cold_upstreams = self._gauge(
+            "cold_upstreams", "Upstreams whose requests are limited because they are cold."
+        )
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
@@ -121,6 +127,14 @@
         """Set the number of failure domains that are evacuated."""
         self._evacuated_domains.set({}, count)
 
+    def cold_start(self, cause: str) -> None:
+        """Count an upstream that was found to be cold."""
+        self._cold_starts.inc({"cause": cause})
+
+    def cold_upstreams(self, count: int) -> None:
+        """Set the number of upstreams that are limited because they are cold."""
+        self._cold_upstreams.set({}, count)
+
     def turned_back(self, service: str) -> None:
         """Count an attempt that was turned back right before it was sent."""
         self._turned_back.inc({"service": service})
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -34,6 +34,9 @@
         Share of a service's requests, from 0 to 1, that a bad new version may get.
     failure_domain : FailureDomain
         Failure domain of the host; empty if it is not known, in which case no states are relayed.
+    cold_overshoot, cold_slack : float
+        A cold upstream bears `cold_overshoot` times its rate plus `cold_slack` requests in any
+        second.
     """
 
     host: HostId
@@ -53,3 +56,5 @@
     is_first_fleet_start: bool = True
     max_canary_share: float = 0.1
     failure_domain: FailureDomain = FailureDomain("")
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.hashing import rendezvous_order
@@ -57,6 +57,8 @@
     # Upstreams that were evacuated, or wanted no request from this host, when the slot was
     # requested.
     closed: frozenset[UpstreamId] = frozenset()
+    # Cold upstreams that were granted without a permit.
+    unpermitted: set[UpstreamId] = field(default_factory=set)
 
 
 class SlotCoordinator:
@@ -258,6 +260,8 @@
         known = self._placement.upstreams.get(grant.upstream)
         if known is not None and known.limit_per_s is not None and not grant.under_limit:
             self._tell_limit(sender, grant.upstream)
+            if self._placement.limit(known.instance)[0] is None:
+                self._avoid_unpermitted(wait, grant.upstream)
             self._request_slot(grant.ticket, wait)
             return False
         del self._waits[grant.ticket]
@@ -267,6 +271,19 @@
         self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
+    @staticmethod
+    def _avoid_unpermitted(wait: _Wait, upstream: UpstreamId) -> None:
+        """Avoid a cold upstream whose dispatcher has granted it twice without a permit.
+
+        Notes
+        -----
+        A dispatcher of an older build knows no cold upstreams, and would grant it again and again.
+        """
+        if upstream in wait.unpermitted:
+            need = replace(wait.waiting.item, exclude=wait.waiting.item.exclude | {upstream})
+            wait.waiting = replace(wait.waiting, item=need)
+        wait.unpermitted.add(upstream)
+
     def own_grant(self, number: int) -> int:
         """Return the number of a grant that a peer has accepted, 0 if this process has not made it.
 
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
+from skylarkmoor_policy.coldstarts import ColdStartLimit, ColdStarts
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
 from skylarkmoor_policy.evacuations import Evacuations
 from skylarkmoor_policy.slotgroups import SlotGroup, group_count, less_loaded_group
@@ -102,6 +103,9 @@
         self.permits = PermitTable()
         self.windows = ConcurrencyWindows()
         self.evacuations = Evacuations(self._mark_evacuated)
+        self.cold_starts = ColdStarts()
+        # Instances whose permits are limited because they are cold.
+        self._cold: set[InstanceId] = set()
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -111,7 +115,7 @@
         self._tokens_per_event = _INITIAL_TOKENS_PER_EVENT
         self._decayed_at_ms: int | None = None
 
-    def set_upstream(self, listed: RegisteredUpstream) -> None:
+    def set_upstream(self, listed: RegisteredUpstream, now_ms: int = 0) -> None:
         """Add an upstream or update it from its entry.
 
         Notes
@@ -126,14 +130,21 @@
         known.registration = listed
         known.leaving = known.leaving or listed.leaving or self._notices.is_leaving(known.instance)
         known.paused_until_ms = self._notices.paused_until_ms(known.instance)
-        known.limit_per_s, _ = self._notices.limit(known.instance)
+        self.cold_starts.entry_read(
+            known.instance, listed.service, listed.cold_remaining_ms, now_ms
+        )
+        known.limit_per_s, _ = self._limit_in_force(known.instance, now_ms)
+        if self.cold_starts.has_any():
+            self._apply_limit(known.instance, now_ms)
         known.evacuated = listed.failure_domain in self.evacuations.in_force
         # A new entry shows that this instance is alive.
         known.replaced = False
 
-    def remove(self, upstream: UpstreamId) -> None:
+    def remove(self, upstream: UpstreamId, now_ms: int = 0) -> None:
         """Remove an upstream that has left the fleet."""
-        self.upstreams.pop(upstream, None)
+        known = self.upstreams.pop(upstream, None)
+        if known is not None:
+            self.cold_starts.removed(known.instance, now_ms)
 
     def set_peer_load(
         self,
@@ -366,11 +377,11 @@
 
     def guarded_instances(self) -> frozenset[InstanceId]:
         """Return the instances, listed or not, that only a dispatcher may have requests sent to."""
-        return self._notices.limited() | self._notices.brittle()
+        return self._notices.limited() | self._notices.brittle() | frozenset(self._cold)
 
     def guarded(self, service: ServiceName) -> frozenset[UpstreamId]:
-        """Return the upstreams of a service that have named a limit or are brittle."""
-        if not self._notices.has_limits():
+        """Return the upstreams of a service that have a limit or are brittle."""
+        if not self._notices.has_limits() and not self._cold:
             return _NO_UPSTREAMS
         return frozenset(
             each.upstream
@@ -394,13 +405,63 @@
         return known is not None and self.permits.issue(known.instance, now_ms)
 
     def _apply_limit(self, instance: InstanceId, now_ms: int) -> None:
-        limit_per_s, _ = self._notices.limit(instance)
-        self.permits.set_limit(instance, limit_per_s, now_ms)
+        limit_per_s, max_saved = self._limit_in_force(instance, now_ms)
+        self.permits.set_limit(instance, limit_per_s, now_ms, max_saved)
+        if max_saved is None:
+            self._cold.discard(instance)
+        else:
+            self._cold.add(instance)
         known = self._known_instance(instance)
         if known is not None:
             known.limit_per_s = limit_per_s
             self._apply_brittle(known, now_ms)
 
+    def _limit_in_force(
+        self, instance: InstanceId, now_ms: int
+    ) -> tuple[float | None, float | None]:
+        """Return the lower of the announced and the cold limit, and the bound of a cold one."""
+        announced_per_s, _ = self._notices.limit(instance)
+        cold = self.cold_starts.permits(instance, now_ms)
+        if cold is None:
+            return announced_per_s, None
+        cold_per_s, max_saved = cold
+        if announced_per_s is not None and announced_per_s < cold_per_s:
+            return announced_per_s, max_saved
+        return cold_per_s, max_saved
+
+    def set_cold_starts(self, limits: Mapping[ServiceName, ColdStartLimit], now_ms: int) -> None:
+        """Set the limits of cold upstreams by service."""
+        self.cold_starts.set_limits(limits)
+        for instance in self._cold | self.cold_starts.cold(now_ms):
+            self._apply_limit(instance, now_ms)
+
+    def record_lost(self, instance: InstanceId, now_ms: int) -> None:
+        """Record that an instance could not be reached or broke off a request."""
+        known = self._known_instance(instance)
+        if known is not None:
+            self.cold_starts.lost(instance, known.registration.service, now_ms)
+            if self.cold_starts.is_cold(instance, now_ms):
+                self._apply_limit(instance, now_ms)
+
+    def record_peer_cold(self, instance: InstanceId, remaining_ms: int, now_ms: int) -> bool:
+        """Record that a peer knows an instance to be cold, and return whether that is new."""
+        known = self._known_instance(instance)
+        if known is None or remaining_ms <= 0:
+            return False
+        service = known.registration.service
+        is_new = self.cold_starts.told(instance, service, remaining_ms, now_ms)
+        self._apply_limit(instance, now_ms)
+        return is_new
+
+    def cold_count(self) -> int:
+        """Return the number of upstreams whose limit is that of a cold start."""
+        return len(self._cold)
+
+    def _update_cold(self, now_ms: int) -> None:
+        """Begin and end the limits of cold upstreams that are due."""
+        for instance in self._cold ^ self.cold_starts.cold(now_ms):
+            self._apply_limit(instance, now_ms)
+
     def _apply_brittle(self, upstream: TrackedUpstream, now_ms: int) -> None:
         max_refusals_per_s = self._notices.max_refusals_per_s(upstream.instance)
         self.windows.set_brittle(upstream.instance, max_refusals_per_s, upstream.slots, now_ms)
@@ -443,7 +504,9 @@
         """Forget the notices of instances that left long ago, and return those that ended."""
         listed = (each.instance for each in self.upstreams.values())
         changes = self._notices.expire(listed, now_ms)
-        self.permits.keep(self._notices.limited())
+        self._update_cold(now_ms)
+        self.cold_starts.expire({each.instance for each in self.upstreams.values()}, now_ms)
+        self.permits.keep(self._notices.limited() | self._cold)
         self.windows.keep(self._notices.brittle())
         for each in self.upstreams.values():
             # A peer may have told of an instance before its entry was read.
@@ -470,7 +533,12 @@
 
     def _mark_evacuated(self, now_ms: int) -> None:
         for each in self.upstreams.values():
+            was_evacuated = each.evacuated
             each.evacuated = each.registration.failure_domain in self.evacuations.in_force
+            if was_evacuated and not each.evacuated:
+                service = each.registration.service
+                self.cold_starts.evacuation_ended(each.instance, service, now_ms)
+        self._update_cold(now_ms)
 
     def _known_instance(self, instance: InstanceId) -> TrackedUpstream | None:
         known = self.upstreams.get(instance.upstream)
@@ -520,10 +588,20 @@
         return (
             not upstream.evacuated
             and upstream.has_capacity()
+            and self._has_warm_slot(upstream, now_ms)
             and self.windows.may_send(upstream.instance, upstream.running(), now_ms)
             and self.permits.may_issue(upstream.instance, now_ms)
         )
 
+    def _has_warm_slot(self, upstream: TrackedUpstream, now_ms: int) -> bool:
+        """Return whether the share of an upstream that was cold lately allows a request."""
+        if not self.cold_starts.has_any():
+            return True
+        max_running = self.cold_starts.max_running(
+            upstream.instance, upstream.slots, upstream.slot_hold_ms, now_ms
+        )
+        return max_running is None or upstream.running() < max_running
+
     def choose(
         self,
         service: ServiceName,
--- a/libs/policy/src/skylarkmoor_policy/routetable.py
+++ b/libs/policy/src/skylarkmoor_policy/routetable.py
@@ -1,10 +1,12 @@
 """Routes, limits and customers of one configuration version, and route matching."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import CustomerId, RequestId, RouteName, ServiceName
+from skylarkmoor_policy.coldstarts import ColdStartLimit
 
 __all__ = ["CallerLimits", "CustomerPolicy", "RetrySafety", "Route", "RouteTable"]
 
@@ -121,6 +123,8 @@
     limits: CallerLimits
     customers: tuple[CustomerPolicy, ...] = ()
     requires_api_keys: bool = False
+    # Limits of cold upstreams, by service.
+    cold_starts: Mapping[ServiceName, ColdStartLimit] = field(default_factory=dict)
     _routes_by_host: dict[str, list[Route]] = field(default_factory=dict, init=False, repr=False)
     _customers_by_key: dict[str, CustomerPolicy] = field(
         default_factory=dict, init=False, repr=False
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -120,6 +120,8 @@
         Whether it is draining and accepts no new requests.
     failure_domain : FailureDomain
         Failure domain of its host; empty if it names none.
+    cold_remaining_ms : int
+        For how long it is cold, counted from when the entry was read; 0 if it is not.
     """
 
     upstream: UpstreamId
@@ -130,6 +132,7 @@
     started_wall_ms: int = 0
     leaving: bool = False
     failure_domain: FailureDomain = FailureDomain("")
+    cold_remaining_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -145,7 +148,8 @@
     evacuated: bool = False
     # Until when it wants no request from this host, as it has answered.
     paused_until_ms: int = 0
-    # Requests per second that it accepts from all daemons together; None for no limit.
+    # Requests per second that it accepts from all daemons together, as it has announced or while
+    # it is cold; None for no limit.
     limit_per_s: float | None = None
     own_load: Load = field(default_factory=Load)
     peer_loads: dict[HostId, Load] = field(default_factory=dict)
--- a/libs/policy/src/skylarkmoor_policy/upstreampermits.py
+++ b/libs/policy/src/skylarkmoor_policy/upstreampermits.py
@@ -42,14 +42,31 @@
         self.issued: dict[InstanceId, int] = {}
         self._buckets: dict[InstanceId, TokenBucket] = {}
         self._limits_per_s: dict[InstanceId, float] = {}
+        # Permits that may be saved up for instances that bear fewer than usual.
+        self._sizes: dict[InstanceId, float] = {}
         self._reachable_fraction = 1.0
 
-    def set_limit(self, instance: InstanceId, limit_per_s: float | None, now_ms: int) -> None:
-        """Set the requests per second that an instance accepts; None ends its limit."""
+    def set_limit(
+        self,
+        instance: InstanceId,
+        limit_per_s: float | None,
+        now_ms: int,
+        max_saved: float | None = None,
+    ) -> None:
+        """Set the requests per second that an instance accepts; None ends its limit.
+
+        Parameters
+        ----------
+        max_saved : float or None
+            Bound on the permits that may be saved up, beside the usual one.
+        """
         if limit_per_s is None:
-            for table in (self._limits_per_s, self._buckets, self.issued):
+            for table in (self._limits_per_s, self._buckets, self.issued, self._sizes):
                 table.pop(instance, None)
             return
+        self._sizes.pop(instance, None)
+        if max_saved is not None:
+            self._sizes[instance] = max_saved
         self._limits_per_s[instance] = limit_per_s
         self.issued.setdefault(instance, 0)
         if instance not in self._buckets:
@@ -108,4 +125,5 @@
         # What was earned so far, at the rate until now.
         bucket.has(now_ms)
         rate_per_s = self._rate_per_s(instance)
-        bucket.resize(rate_per_s, max(1.0, rate_per_s * _BURST_S))
+        size = max(1.0, rate_per_s * _BURST_S)
+        bucket.resize(rate_per_s, min(size, self._sizes.get(instance, size)))
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -76,3 +76,22 @@
 def test_rejects_a_truncated_entry():
     with pytest.raises(DocumentError):
         decode_upstream_entry(msgspec.json.encode(ENTRY)[:40])
+
+
+def test_odd_cold_values_of_an_entry_or_a_service_limit_nothing():
+    """They would otherwise remove the upstream, or reject the configuration."""
+    values = (None, "x", -1, 2.5, True, [1], 40)
+    entries = [
+        decode_upstream_entry(msgspec.json.encode(ENTRY | {"cold_remaining_ms": each}))
+        for each in values
+    ]
+    assert [each.cold_ms for each in entries] == [0, 0, 0, 0, 0, 0, 40]
+    config = msgspec.json.decode(CONFIG)
+    services = [{"name": f"s{n}", "cold_per_s": each} for n, each in enumerate(values)]
+    for odd in (None, "x", {"name": "x"}):
+        decode_configuration(msgspec.json.encode(config | {"services": odd}))
+    table = decode_configuration(msgspec.json.encode(config | {"services": services}))
+    assert {name: each.requests_per_s for name, each in table.cold_starts.items()} == {
+        "s3": 2.5,
+        "s6": 40,
+    }
