Keep requests in the home regions of their route and customer

home_regions of routes and tenants, and zones and region of the settings file, were not read. Requests with home regions are now placed, granted slots and retried in these regions only, and their bodies pass only peers there or in the region of the host that has the caller. Upstreams and peers whose failure domain has no region are in none.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -383,6 +383,8 @@
     # Version of the upstreams that should run the request, and of those that must not.
     preferred_version: str = ""
     except_version: str = ""
+    # Regions that the request must not leave; empty for any.
+    regions: tuple[str, ...] = ()
 
 
 class SlotWithdrawal(_Message, frozen=True, tag="x"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -39,6 +39,7 @@
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
 from skylarkmoor_policy.eventstream import EventTooLarge
 from skylarkmoor_policy.fleetlimits import FleetRetryBudget
+from skylarkmoor_policy.homeregions import home_regions
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.reachability import SILENCE_MS, DirectPath, PeerPath
 from skylarkmoor_policy.routetable import CustomerPolicy, RetrySafety, Route
@@ -217,6 +218,10 @@
         self.service: ServiceName = route.service_for(request.request)
         self.arrived_ms = arrived_ms
         self.caller = caller
+        # Regions that the request must not leave; None if it may be sent anywhere.
+        self._regions = home_regions(
+            route.home_regions, frozenset() if customer is None else customer.home_regions
+        )
         # Ticket number while the request waits for a slot.
         self.wait_number: int | None = None
         self._is_admitted = True
@@ -313,11 +318,11 @@
         if (
             self.wait_number is not None
             and not has_slot
-            and self._gateway.placement.is_evacuated(self.service)
+            and self._gateway.placement.is_closed(self.service, self._regions)
         ):
             self._gateway.stop_waiting(self.wait_number)
             self.wait_number = None
-            self._give_up_evacuated()
+            self._give_up_closed()
 
     def waiting(self, small: bool) -> QueuedRequest[SlotRequirements]:
         """Return the entry of this request for the slot queue.
@@ -337,8 +342,12 @@
                 self.route.max_event_gap_ms,
                 self._output_tokens(),
                 self._deadline_ms,
-                frozenset(self._excluded_upstreams),
+                # Dispatchers of older builds do not know of home regions.
+                self._gateway.placement.outside(self.service, self._regions).union(
+                    self._excluded_upstreams
+                ),
                 self._version_rule(),
+                regions=self._regions,
             ),
             tier=self.tier,
             route_tier=self.route.tier,
@@ -428,12 +437,13 @@
         self._refuse("all slots of the service are taken", None)
 
     def _place_request(self) -> None:
-        if self._gateway.placement.is_evacuated(self.service):
-            self._give_up_evacuated()
+        if self._gateway.placement.is_closed(self.service, self._regions):
+            self._give_up_closed()
             return
         now_ms = self._gateway.clock.now_ms()
+        outside = self._gateway.placement.outside(self.service, self._regions)
         resume_ms = self._gateway.placement.next_resume_ms(
-            self.service, now_ms, self._excluded_upstreams
+            self.service, now_ms, self._excluded_upstreams | outside
         )
         if resume_ms is not None and resume_ms >= self._queue_deadline_ms(now_ms):
             self._give_up_until(resume_ms)
@@ -467,6 +477,7 @@
             now_ms,
             self._excluded_upstreams | exclude | placement.paused(self.service, now_ms),
             version_rule=self._version_rule(),
+            regions=self._regions,
         )
 
     def _queue_deadline_ms(self, now_ms: int) -> int:
@@ -481,6 +492,7 @@
             placed is None
             or not _may_send(placed, now_ms, choice.under_limit)
             or not self._is_allowed(placed)
+            or not self._is_home(placed)
         ):
             self._decline(choice.upstream, placed)
             return
@@ -514,6 +526,17 @@
             listed.version
         )
 
+    def _is_home(self, upstream: TrackedUpstream) -> bool:
+        """Return whether an upstream is in the home regions of the request."""
+        domain = upstream.registration.failure_domain
+        return self._gateway.placement.regions.is_home(domain, self._regions)
+
+    def _barred_peers(self) -> set[HostId]:
+        """Return the peers that the body may not pass, because of its home regions."""
+        if self._regions is None:
+            return set()
+        return self._gateway.paths.barred_peers(self._regions)
+
     def _decline(self, upstream: UpstreamId, placed: TrackedUpstream | None) -> None:
         """Request another slot, because the upstream of the grant is unknown or unavailable."""
         unknown = placed is None
@@ -523,6 +546,7 @@
             and not placed.leaving
             and not placed.replaced
             and placed.registration.service == self.service
+            and self._is_home(placed)
         )
         _log.info(
             "declined a granted slot: upstream unknown, unavailable or not allowed",
@@ -570,7 +594,8 @@
         )
 
     def _connect(self, attempt: _SendAttempt) -> None:
-        match self._gateway.paths.path(attempt.upstream, attempt.tried_peers):
+        barred = self._barred_peers()
+        match self._gateway.paths.path(attempt.upstream, attempt.tried_peers | barred):
             case PeerPath(host=host):
                 attempt.peer = host
                 self._log_peer(attempt)
@@ -652,7 +677,8 @@
             attempt.tried_peers.add(attempt.peer)
             self._gateway.paths.peer_failed(attempt.peer, attempt.upstream if is_refused else None)
         if len(attempt.tried_peers) < _MAX_PEERS:
-            path = self._gateway.paths.path(attempt.upstream, attempt.tried_peers)
+            barred = self._barred_peers()
+            path = self._gateway.paths.path(attempt.upstream, attempt.tried_peers | barred)
             if isinstance(path, PeerPath):
                 self._connect(attempt)
                 return
@@ -696,7 +722,11 @@
         now_ms = self._gateway.clock.now_ms()
         # Nothing lies between this check and the write, on whatever way the connection was found.
         placed = self._gateway.placement.upstreams.get(attempt.upstream)
-        if placed is None or not _may_send(placed, now_ms, attempt.under_limit):
+        if (
+            placed is None
+            or not _may_send(placed, now_ms, attempt.under_limit)
+            or not self._is_home(placed)
+        ):
             self._put_back(attempt, connection)
             self._gateway.metrics.turned_back(self.service)
             self._handle_unsent(attempt, "the upstream may not be sent requests any more")
@@ -976,9 +1006,13 @@
         remaining_ms = self._deadline_ms - now_ms
         self._refuse_for(reason, pause_retry_after_ms(resume_ms - now_ms, remaining_ms, self.tier))
 
-    def _give_up_evacuated(self) -> None:
-        """End the request, because all upstreams of its service are evacuated."""
-        reason = "all upstreams of the service are in evacuated failure domains"
+    def _give_up_closed(self) -> None:
+        """End the request, because no upstream may be sent it."""
+        reason = (
+            "all upstreams of the service are in evacuated failure domains"
+            if self._regions is None
+            else "no upstream in the home regions of the request may be sent requests"
+        )
         if self._response.started or self._runs > 0:
             self._give_up(reason)
         else:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -42,6 +42,7 @@
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
 from skylarkmoor_policy.evacuations import EvacuationChange
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
+from skylarkmoor_policy.homeregions import RegionMap
 from skylarkmoor_policy.lifecycle import (
     AbortRequests,
     AnnounceState,
@@ -168,6 +169,7 @@
             settings.limit_slack_units,
             first_start=settings.is_first_fleet_start,
         )
+        self.placement.regions = RegionMap(settings.regions, settings.region)
         self.placement.cold_starts.overshoot = settings.cold_overshoot
         self.placement.cold_starts.slack = settings.cold_slack
         self.crash_counts = CrashCounts()
--- a/libs/gateway/src/skylarkmoor_gateway/paths.py
+++ b/libs/gateway/src/skylarkmoor_gateway/paths.py
@@ -131,6 +131,15 @@
         """
         return self.reachability.path(upstream, self._clock.now_ms(), exclude)
 
+    def barred_peers(self, regions: frozenset[str]) -> set[HostId]:
+        """Return the peers that the body of a request with home regions may not pass."""
+        domains = self.reachability.peer_domains()
+        return {
+            host
+            for host, domain in domains.items()
+            if not self._placement.regions.may_pass(domain, regions)
+        }
+
     def working_pool(self, upstream: UpstreamId) -> UpstreamPool | None:
         """Return the connections on the path to an upstream; None if it is unknown."""
         match self.path(upstream):
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of the gateway."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from skylarkmoor_core.ids import FailureDomain, HostId
 from skylarkmoor_core.settings import Address
@@ -37,6 +38,10 @@
     cold_overshoot, cold_slack : float
         A cold upstream bears `cold_overshoot` times its rate plus `cold_slack` requests in any
         second.
+    regions : mapping
+        Region of each failure domain.
+    region : str
+        Region of this host; empty if it is not known.
     """
 
     host: HostId
@@ -58,3 +63,5 @@
     failure_domain: FailureDomain = FailureDomain("")
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
+    regions: Mapping[FailureDomain, str] = field(default_factory=dict)
+    region: str = ""
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -145,7 +145,9 @@
     def wait(self, client: SlotClient, waiting: QueuedRequest[SlotRequirements]) -> int:
         """Request a slot and return the ticket number of the wait."""
         number = self._wait_numbers.draw()
-        group = self._placement.less_loaded_group(client.service, waiting.item.version_rule)
+        group = self._placement.less_loaded_group(
+            client.service, waiting.item.version_rule, waiting.item.regions
+        )
         need = replace(waiting.item, ticket=self._own_ticket(number), group=group)
         wait = _Wait(client, replace(waiting, item=need), group)
         self._waits[number] = wait
@@ -225,6 +227,7 @@
             now_ms + request.deadline_in_ms,
             frozenset(request.avoid),
             _version_rule(request),
+            regions=frozenset(request.regions) or None,
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -337,7 +340,8 @@
     def _request_from_less_loaded_group(self, number: int, wait: _Wait) -> None:
         """Repeat a slot request, possibly for another group with a lower load."""
         rule = wait.waiting.item.version_rule
-        wait.group = self._placement.less_loaded_group(wait.client.service, rule)
+        regions = wait.waiting.item.regions
+        wait.group = self._placement.less_loaded_group(wait.client.service, rule, regions)
         need = replace(wait.waiting.item, group=wait.group)
         wait.waiting = replace(wait.waiting, item=need)
         self._request_slot(number, wait)
@@ -378,6 +382,7 @@
                 wait.group.number,
                 wait.group.count,
                 *_version_fields(waiting.item.version_rule),
+                regions=tuple(sorted(waiting.item.regions or ())),
             ),
         )
 
--- a/libs/gateway/tests/test_tunnels.py
+++ b/libs/gateway/tests/test_tunnels.py
@@ -355,3 +355,22 @@
     with pytest.raises(ConnectError, match="the peer answered 400"):
         await connecting
     await server.ended.addTimeout(WAIT_S, relay.reactor)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_evacuation_ends_a_tunnel_at_its_next_request_and_not_before(relay):
+    """The gateway that asked for it may not have heard of the order."""
+    near, far = await relay.connect_both()
+    near.transport.write(b"request")
+    await far.expect(7)
+    relay.server.is_closed = lambda upstream: upstream == "u1"
+    near.transport.write(b" body")
+    far.arrived = Deferred()
+    await far.expect(12)
+    far.transport.write(b"answer")
+    await near.expect(6)
+    near.transport.write(b"second request")
+    reason = await near.ended.addTimeout(WAIT_S, relay.reactor)
+    assert not isinstance(reason, ConnectionDone)
+    await far.ended.addTimeout(WAIT_S, relay.reactor)
+    assert far.received == b"request body"
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -42,6 +42,8 @@
         Upstreams to exclude because they failed the request before.
     version_rule : VersionRule or None
         Versions of the upstreams that may run the request; None for all.
+    regions : frozenset of str or None
+        Regions that the request must not leave; None for any.
     """
 
     ticket: Ticket
@@ -52,6 +54,7 @@
     deadline_ms: int
     exclude: frozenset[UpstreamId] = frozenset()
     version_rule: VersionRule | None = None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +137,7 @@
                     remaining_ms=need.deadline_ms - now_ms,
                     group=group,
                     version_rule=need.version_rule,
+                    regions=need.regions,
                 )
                 if choice is None:
                     skipped += 1
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -12,6 +12,7 @@
 from skylarkmoor_policy.coldstarts import ColdStartLimit, ColdStarts
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
 from skylarkmoor_policy.evacuations import Evacuations
+from skylarkmoor_policy.homeregions import RegionMap
 from skylarkmoor_policy.slotgroups import SlotGroup, group_count, less_loaded_group
 from skylarkmoor_policy.trackedupstream import (
     FIRST_TOKEN_OVERHEAD_MS,
@@ -104,6 +105,7 @@
         self.windows = ConcurrencyWindows()
         self.evacuations = Evacuations(self._mark_evacuated)
         self.cold_starts = ColdStarts()
+        self.regions = RegionMap()
         # Instances whose permits are limited because they are cold.
         self._cold: set[InstanceId] = set()
         # Grants to peers that their load reports do not include yet.
@@ -252,7 +254,10 @@
         return group_count(max(versions.values(), default=0))
 
     def group_loads(
-        self, service: ServiceName, version_rule: VersionRule | None = None
+        self,
+        service: ServiceName,
+        version_rule: VersionRule | None = None,
+        regions: frozenset[str] | None = None,
     ) -> list[tuple[int, int]]:
         """Return the running requests and the slots of each slot group of a service.
 
@@ -260,12 +265,16 @@
         ----------
         version_rule : VersionRule or None
             Versions of the upstreams that count; None for all.
+        regions : frozenset of str or None
+            Regions of the upstreams that count; None for all.
         """
         count = self._group_count(service)
         loads = [(0, 0)] * count
         for each in self._active_upstreams(service):
             if each.evacuated or not matches(version_rule, each.registration.version):
                 continue
+            if not self.regions.is_home(each.registration.failure_domain, regions):
+                continue
             number = each.id_hash % count
             running, slots = loads[number]
             loads[number] = (running + each.running(), slots + each.usable_slots)
@@ -281,10 +290,13 @@
         return SlotGroup(service, known.id_hash % count, count)
 
     def less_loaded_group(
-        self, service: ServiceName, version_rule: VersionRule | None = None
+        self,
+        service: ServiceName,
+        version_rule: VersionRule | None = None,
+        regions: frozenset[str] | None = None,
     ) -> SlotGroup:
         """Return the slot group of a service that a new request should queue at."""
-        loads = self.group_loads(service, version_rule)
+        loads = self.group_loads(service, version_rule, regions)
         return SlotGroup(service, less_loaded_group(loads, self._rng), len(loads))
 
     def own_records(self) -> dict[UpstreamId, tuple[int, int, int, int, int, int]]:
@@ -526,10 +538,24 @@
             each.upstream for each in self._active_upstreams(service) if each.evacuated
         )
 
-    def is_evacuated(self, service: ServiceName) -> bool:
-        """Return whether all upstreams of a service are in evacuated failure domains."""
-        evacuated = self.evacuated(service)
-        return bool(evacuated) and len(evacuated) == len(self._active_upstreams(service))
+    def outside(
+        self, service: ServiceName, regions: frozenset[str] | None
+    ) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service that are in none of some home regions."""
+        if regions is None:
+            return _NO_UPSTREAMS
+        return frozenset(
+            each.upstream
+            for each in self._active_upstreams(service)
+            if not self.regions.is_home(each.registration.failure_domain, regions)
+        )
+
+    def is_closed(self, service: ServiceName, regions: frozenset[str] | None) -> bool:
+        """Return whether all upstreams are evacuated or outside of the home regions."""
+        closed = self.evacuated(service) | self.outside(service, regions)
+        return (regions is not None or bool(closed)) and len(closed) == len(
+            self._active_upstreams(service)
+        )
 
     def _mark_evacuated(self, now_ms: int) -> None:
         for each in self.upstreams.values():
@@ -566,6 +592,7 @@
         now_ms: int,
         group: SlotGroup | None = None,
         version_rule: VersionRule | None = None,
+        regions: frozenset[str] | None = None,
     ) -> list[TrackedUpstream]:
         """Return the candidates of a service; those in backoff only if there are no others."""
         candidates = [
@@ -574,6 +601,7 @@
             if not each.evacuated
             and (group is None or group.holds(each.id_hash))
             and matches(version_rule, each.registration.version)
+            and (regions is None or self.regions.is_home(each.registration.failure_domain, regions))
         ]
         return [each for each in candidates if each.backoff_until_ms <= now_ms] or candidates
 
@@ -615,6 +643,7 @@
         remaining_ms: int | None = None,
         group: SlotGroup | None = None,
         version_rule: VersionRule | None = None,
+        regions: frozenset[str] | None = None,
     ) -> UpstreamChoice | None:
         """Return the upstream with the lowest cost, or None if there is no candidate.
 
@@ -637,10 +666,12 @@
             If given, only its upstreams are considered.
         version_rule : VersionRule or None
             Versions to choose among; None for all.
+        regions : frozenset of str or None
+            Regions to choose in; None for all.
         """
         candidates = [
             each
-            for each in self.usable(service, now_ms, group, version_rule)
+            for each in self.usable(service, now_ms, group, version_rule, regions)
             if each.upstream not in exclude
         ]
         if only_with_capacity:
@@ -656,6 +687,7 @@
                 output_tokens=output_tokens,
                 remaining_ms=remaining_ms,
                 group=group,
+                regions=regions,
             )
         if not candidates:
             return None
--- a/libs/policy/src/skylarkmoor_policy/reachability.py
+++ b/libs/policy/src/skylarkmoor_policy/reachability.py
@@ -182,6 +182,10 @@
         peer = self._peers.get(host)
         return None if peer is None else peer.address
 
+    def peer_domains(self) -> dict[HostId, FailureDomain]:
+        """Return the failure domains of the peers that can be asked."""
+        return {host: peer.failure_domain for host, peer in self._peers.items()}
+
     def has_peers(self) -> bool:
         """Return whether any peer can be asked to pass connections on."""
         return bool(self._peers)
--- a/libs/policy/src/skylarkmoor_policy/routetable.py
+++ b/libs/policy/src/skylarkmoor_policy/routetable.py
@@ -41,6 +41,8 @@
         Whether a broken stream may be resumed at another upstream.
     max_event_gap_ms : int
         Target for the longest gap between the events of a stream; 0 for other routes.
+    home_regions : frozenset of str
+        Regions that its requests must not leave; empty for none.
     """
 
     name: RouteName
@@ -55,6 +57,7 @@
     public: bool = False
     resumable: bool = False
     max_event_gap_ms: int = 0
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def idempotent(self) -> bool:
@@ -97,6 +100,8 @@
         Whether the limit counts tokens; otherwise it counts requests.
     default_tokens : int
         Tokens charged for a request without token counts.
+    home_regions : frozenset of str
+        Regions that its requests must not leave; empty for none.
     """
 
     name: CustomerId
@@ -106,6 +111,7 @@
     burst_units: float = 0.0
     limits_tokens: bool = False
     default_tokens: int = 1
+    home_regions: frozenset[str] = frozenset()
 
     def units(self, tokens: int | None) -> int:
         """Return the units charged for a request; `tokens` is None if it has no token counts."""
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -145,3 +145,30 @@
 def test_unknown_bounds_of_any_type_are_ignored(tmp_path, written):
     settings = read_settings(write_bounds(tmp_path, f"{{other_bound: {written}}}"))
     assert settings.gateway.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("lines", "regions", "own_region"),
+    [
+        ("", {}, ""),
+        ("zones: {suva: south, lae: north}", {"suva": "south", "lae": "north"}, "south"),
+        ("zones: {suva: south}\nregion: east", {"suva": "south"}, "east"),
+        ("zones: [suva]\nregion: 4", {}, ""),
+        ("zones: {suva: [1], lae: north}", {"lae": "north"}, ""),
+    ],
+)
+def test_regions_of_another_form_name_none(tmp_path, lines, regions, own_region):
+    """A settings file that was accepted before would be rejected."""
+    path = write_settings(tmp_path)
+    path.write_text(f"{path.read_text()}\n{lines}\n")
+    gateway = read_settings(path).gateway
+    assert (gateway.regions, gateway.region) == (regions, own_region)
+
+
+def test_the_bounds_of_cold_upstreams_are_read(tmp_path):
+    path = write_settings(tmp_path)
+    assert read_settings(path).gateway.cold_overshoot == 1
+    bounds = "cold_overshoot: 1.5, cold_slack: 5, drain_ms"
+    path.write_text(path.read_text().replace("drain_ms", bounds))
+    gateway = read_settings(path).gateway
+    assert (gateway.cold_overshoot, gateway.cold_slack) == (1.5, 5)
