--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -302,6 +302,8 @@
     unreachable: tuple[UpstreamId, ...] = ()
     # Whether the sender takes part in holding shares of the customers' limits.
     shares_limits: bool = False
+    # Era and offset of the last order about a failure domain, and whether it is evacuated.
+    evacuated: dict[FailureDomain, tuple[int, int, bool]] = {}
     # Whether the sender passes on what it reads from the log, and uses what peers have read.
     shares_reads: bool = False
 
@@ -421,6 +423,8 @@
     # Version of the upstreams that should run the request, and of those that must not.
     preferred_version: str = ""
     except_version: str = ""
+    # Regions that the request must not leave; empty for any.
+    regions: tuple[str, ...] = ()
 
 
 class SlotWithdrawal(_Message, frozen=True, tag="x"):
@@ -566,6 +570,8 @@
         Refusals per second that it bears; None if the answer named no bound.
     refused : int
         Refusals that the sender was given since then; it does not fall while the bound lasts.
+    cold_ms : int
+        For how long the sender takes it to be cold from the time of sending; 0 if it does not.
     """
 
     upstream: UpstreamId
@@ -575,6 +581,7 @@
     issued: int
     max_refusals_per_s: _Rate | None = None
     refused: int = 0
+    cold_ms: int = 0
 
 
 class NamedLimits(_Message, frozen=True, tag="l"):
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -43,6 +43,7 @@
 from skylarkmoor_policy.configurationage import ConfigurationAge
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
+from skylarkmoor_policy.evacuations import EvacuationChange
 from skylarkmoor_policy.fleetlimits import (
     PEER_EXPIRY_MS,
     PEER_SILENT_MS,
@@ -99,6 +100,13 @@
 _MAX_TICK_GAP_MS = 1_000
 # After a longer time without a tick, what is read may have arrived well before.
 _MAX_READ_DELAY_MS = 250
+# Gateways, first in rendezvous order, that tell all peers of a new order to evacuate at once. With
+# 330 hosts, a host that does not reach the store would hear of it only after five seconds from a
+# regular state. Two may themselves not have read it.
+_EVACUATION_ANNOUNCERS = 3
+# Time of an answer about a limit if there was none, which any answer is later than. It stays within
+# what messages can carry when it is converted to the clock of a peer.
+_NEVER_MS = -(2**52)
 _NO_DOMAIN = FailureDomain("")
 
 _log = part_logger("fleet")
@@ -108,6 +116,10 @@
     pass
 
 
+def _ignore_both(_: object, __: object) -> None:
+    pass
+
+
 @dataclass(slots=True)
 class _Peer:
     address: Address
@@ -193,6 +205,8 @@
         # know it. The function is called with those of a peer.
         self.departed: dict[UpstreamId, tuple[int, int]] = {}
         self.on_departed: Callable[[Mapping[UpstreamId, tuple[int, int]]], None] = _ignore
+        # Called with the evacuations that have begun or ended, and the peer that has told of them.
+        self.on_evacuations: Callable[[Sequence[EvacuationChange], HostId], None] = _ignore_both
         # Called with the facts that a peer has sent.
         self.on_facts: Callable[[Sequence[Fact]], None] = lambda facts: None
         self._host = host
@@ -559,22 +573,25 @@
         return self._reported_permits.get(instance, 0)
 
     def _named_limits(self, instances: Iterable[InstanceId]) -> NamedLimits:
+        now_ms = self._clock.now_ms()
         limits = []
         for instance in instances:
             limit_per_s, heard_ms = self._placement.limit(instance)
-            if heard_ms is not None:
+            cold_ms = self._placement.cold_starts.remaining_ms(instance, now_ms)
+            if heard_ms is not None or cold_ms:
                 issued = self._placement.permits.issued.get(instance, 0)
                 limits.append(
                     NamedLimit(
                         *instance,
                         limit_per_s,
-                        heard_ms,
+                        _NEVER_MS if heard_ms is None else heard_ms,
                         issued,
                         self._placement.max_refusals_per_s(instance),
                         self._placement.windows.refused.get(instance, 0),
+                        cold_ms,
                     )
                 )
-        return NamedLimits(self._clock.now_ms(), tuple(limits))
+        return NamedLimits(now_ms, tuple(limits))
 
     def _handle_limits(
         self, sender: HostId, incarnation: Incarnation, message: NamedLimits
@@ -603,6 +620,15 @@
                 or self._placement.max_refusals_per_s(instance) != limit.max_refusals_per_s
             ):
                 newer_here.append(instance)
+            if self._placement.record_peer_cold(instance, limit.cold_ms, now_ms):
+                _log.info(
+                    "a peer knows that an upstream is cold",
+                    extra={
+                        "peer": sender,
+                        "upstream": limit.upstream,
+                        "remaining_ms": limit.cold_ms,
+                    },
+                )
             key = f"{instance.upstream}/{instance.started_wall_ms}"
             issued = self._counts["permits"].increments(sender, incarnation, {key: limit.issued})
             self._placement.permits.remove(instance, issued.get(key, 0))
@@ -654,9 +680,16 @@
             relayed=self.relayed(),
             unreachable=self._reachability.unreachable(),
             shares_limits=True,
+            evacuated=self._placement.evacuations.export(),
             shares_reads=True,
         )
 
+    def announce_evacuations(self) -> None:
+        """Tell all peers of a change at once if this host is one of those that do."""
+        order = rendezvous_order("evacuations", self.live_hosts())
+        if self._host in order[:_EVACUATION_ANNOUNCERS]:
+            self._send_state(self._clock.now_ms(), to_all=True)
+
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
         """Send this gateway's state to its relays, or to all peers if they do not pass it on."""
         state = self._state()
@@ -932,6 +965,9 @@
         ]
         taken = self.slot_coordinator.own_grant(state.taken.get(self._host, 0))
         self._placement.set_peer_load(sender, state.loads, taken, keep=newer)
+        changes = self._placement.evacuations.merge(state.evacuated, peer.last_heard_ms)
+        if changes:
+            self.on_evacuations(changes, sender)
         new_leaving = self._placement.mark_leaving(state.leaving_upstreams, peer.last_heard_ms)
         for instance in new_leaving:
             _log.info(
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -12,6 +12,7 @@
 from skylarkmoor_core.hashing import fingerprint
 from skylarkmoor_core.ids import (
     Fingerprint,
+    HostId,
     Incarnation,
     RequestId,
     ServiceName,
@@ -39,7 +40,9 @@
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
+from skylarkmoor_policy.evacuations import EvacuationChange
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
+from skylarkmoor_policy.homeregions import RegionMap
 from skylarkmoor_policy.lifecycle import (
     AbortRequests,
     AnnounceState,
@@ -166,6 +169,9 @@
             settings.limit_slack_units,
             first_start=settings.is_first_fleet_start,
         )
+        self.placement.regions = RegionMap(settings.regions, settings.region)
+        self.placement.cold_starts.overshoot = settings.cold_overshoot
+        self.placement.cold_starts.slack = settings.cold_slack
         self.crash_counts = CrashCounts()
         self.crash_evidence = CrashEvidenceTable()
         # Fires at exit, with whether the shutdown was forced.
@@ -208,6 +214,7 @@
             self.fleet.send_crash_evidence,
         )
         self.fleet.on_facts = lambda facts: self.canaries.apply_facts(facts, clock.now_ms())
+        self.fleet.on_evacuations = self.evacuations_changed
         self._lifecycle = Lifecycle()
         self._ready = False
         self._drain_started_ms: int | None = None
@@ -259,6 +266,7 @@
         previous_version = None if self._table is None else self._table.version
         self._table = table
         self.quotas.set_customers(table.customers, self.clock.now_ms())
+        self.placement.set_cold_starts(table.cold_starts, self.clock.now_ms())
         self.fleet.configuration_activated(data)
         position = self.fleet.versions.position
         _log.info(
@@ -288,15 +296,43 @@
                     "started_again": started_again,
                 },
             )
-        self.placement.set_upstream(listed)
+        self.placement.set_upstream(listed, self.clock.now_ms())
+        self._tell_cold_starts()
         self.paths.set_upstream(name, listed.address, started_again=started_again)
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Remove an upstream that has left; requests in progress there continue."""
         _log.info("upstream removed", extra={"upstream": upstream})
-        self.placement.remove(upstream)
+        self.placement.remove(upstream, self.clock.now_ms())
         self.paths.remove_upstream(upstream)
 
+    def evacuations_changed(
+        self, changes: Sequence[EvacuationChange], peer: HostId | None = None
+    ) -> None:
+        """Act on evacuations that have begun or ended, as the log or a peer has told."""
+        if not changes:
+            return
+        for change in changes:
+            state = "began" if change.in_force else "ended"
+            self.metrics.evacuation(state, "log" if peer is None else "peer")
+            _log.warning(
+                f"evacuation of a failure domain {state}",
+                extra={
+                    "failure_domain": change.failure_domain,
+                    "upstreams": sum(
+                        each.registration.failure_domain == change.failure_domain
+                        for each in self.placement.upstreams.values()
+                    ),
+                    "offset": change.position.offset,
+                    "era": change.position.era,
+                    "peer": peer,
+                },
+            )
+        self.metrics.evacuated_domains(len(self.placement.evacuations.in_force))
+        for exchange in list(self._exchanges.values()):
+            exchange.evacuations_changed()
+        self.fleet.announce_evacuations()
+
     def drain(self) -> None:
         """Report not ready, finish the requests in progress and exit."""
         _log.info("draining", extra={"held": len(self._exchanges)})
@@ -525,6 +561,26 @@
                     },
                 )
 
+    def upstream_lost(self, instance: InstanceId) -> None:
+        """Record that an upstream could not be reached, or broke off a request."""
+        self.placement.record_lost(instance, self.clock.now_ms())
+        self._tell_cold_starts()
+
+    def _tell_cold_starts(self) -> None:
+        """Tell the peers of the upstreams that this gateway has found to be cold."""
+        for cold in self.placement.cold_starts.take_new():
+            self.metrics.cold_start(cold.cause.value)
+            _log.info(
+                "upstream is cold",
+                extra={
+                    "upstream": cold.instance.upstream,
+                    "started_wall_ms": cold.instance.started_wall_ms,
+                    "why": cold.cause.value,
+                    "remaining_ms": cold.remaining_ms,
+                },
+            )
+            self.fleet.limit_changed(cold.instance)
+
     def upstream_refused(self, instance: InstanceId) -> None:
         """Record that an upstream has refused a request without executing it."""
         if self.placement.record_refusal(instance, self.clock.now_ms()):
@@ -798,6 +854,7 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
+        self.metrics.cold_upstreams(self.placement.cold_count())
         for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
 
--- a/libs/gateway/src/skylarkmoor_gateway/paths.py
+++ b/libs/gateway/src/skylarkmoor_gateway/paths.py
@@ -71,7 +71,7 @@
     ) -> None:
         self.reachability = Reachability(failure_domain, rng)
         self.tunnels = TunnelServerFactory(
-            reactor, self._tunnel_refusal, self._connected, self._failed
+            reactor, self._tunnel_refusal, self._connected, self._failed, self._is_evacuated
         )
         self._reactor = reactor
         self._pacer = ReadPacer(reactor)
@@ -131,6 +131,15 @@
         """
         return self.reachability.path(upstream, self._clock.now_ms(), exclude)
 
+    def barred_peers(self, regions: frozenset[str]) -> set[HostId]:
+        """Return the peers that the body of a request with home regions may not pass."""
+        domains = self.reachability.peer_domains()
+        return {
+            host
+            for host, domain in domains.items()
+            if not self._placement.regions.may_pass(domain, regions)
+        }
+
     def working_pool(self, upstream: UpstreamId) -> UpstreamPool | None:
         """Return the connections on the path to an upstream; None if it is unknown."""
         match self.path(upstream):
@@ -200,10 +209,16 @@
             return "the upstream is unknown or has another address"
         if known.leaving or known.replaced:
             return "the upstream is leaving or was replaced"
+        if known.evacuated:
+            return "the failure domain of the upstream is evacuated"
         if self.reachability.is_down(upstream):
             return "the upstream is not reached from here either"
         return None
 
+    def _is_evacuated(self, upstream: UpstreamId) -> bool:
+        known = self._placement.upstreams.get(upstream)
+        return known is not None and known.evacuated
+
     def _connected(self, upstream: UpstreamId) -> None:
         if self.reachability.connected(upstream, self._clock.now_ms()):
             _log.info("path to an upstream is up again", extra={"upstream": upstream})
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of the gateway."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from skylarkmoor_core.ids import FailureDomain, HostId
 from skylarkmoor_core.settings import Address
@@ -34,6 +35,13 @@
         Share of a service's requests, from 0 to 1, that a bad new version may get.
     failure_domain : FailureDomain
         Failure domain of the host; empty if it is not known, in which case no states are relayed.
+    cold_overshoot, cold_slack : float
+        A cold upstream bears `cold_overshoot` times its rate plus `cold_slack` requests in any
+        second.
+    regions : mapping
+        Region of each failure domain.
+    region : str
+        Region of this host; empty if it is not known.
     """
 
     host: HostId
@@ -53,3 +61,7 @@
     is_first_fleet_start: bool = True
     max_canary_share: float = 0.1
     failure_domain: FailureDomain = FailureDomain("")
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    regions: Mapping[FailureDomain, str] = field(default_factory=dict)
+    region: str = ""
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.hashing import rendezvous_order
@@ -54,8 +54,11 @@
     group: SlotGroup
     requested_from: HostId | None = None
     requested_ms: int = 0
-    # Upstreams that wanted no request from this host when the slot was requested.
-    paused: frozenset[UpstreamId] = frozenset()
+    # Upstreams that were evacuated, or wanted no request from this host, when the slot was
+    # requested.
+    closed: frozenset[UpstreamId] = frozenset()
+    # Cold upstreams that were granted without a permit.
+    unpermitted: set[UpstreamId] = field(default_factory=set)
 
 
 class SlotCoordinator:
@@ -142,7 +145,9 @@
     def wait(self, client: SlotClient, waiting: QueuedRequest[SlotRequirements]) -> int:
         """Request a slot and return the ticket number of the wait."""
         number = self._wait_numbers.draw()
-        group = self._placement.less_loaded_group(client.service, waiting.item.version_rule)
+        group = self._placement.less_loaded_group(
+            client.service, waiting.item.version_rule, waiting.item.regions
+        )
         need = replace(waiting.item, ticket=self._own_ticket(number), group=group)
         wait = _Wait(client, replace(waiting, item=need), group)
         self._waits[number] = wait
@@ -167,16 +172,16 @@
 
     def _check_waits(self, now_ms: int) -> None:
         owners: dict[SlotGroup, HostId] = {}
-        paused: dict[ServiceName, frozenset[UpstreamId]] = {}
+        closed: dict[ServiceName, frozenset[UpstreamId]] = {}
         for number, wait in list(self._waits.items()):
             service = wait.group.service
             if wait.group not in owners:
                 owners[wait.group] = self.dispatcher_of(wait.group)
-                paused[service] = self._placement.paused(service, now_ms)
+                closed[service] = self._closed(service, now_ms)
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self.withdraw(number)
                 wait.client.wait_timed_out()
-            elif wait.requested_from != owners[wait.group] or wait.paused != paused[service]:
+            elif wait.requested_from != owners[wait.group] or wait.closed != closed[service]:
                 self._request_slot(number, wait)
             elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
                 self._request_from_less_loaded_group(number, wait)
@@ -222,6 +227,7 @@
             now_ms + request.deadline_in_ms,
             frozenset(request.avoid),
             _version_rule(request),
+            regions=frozenset(request.regions) or None,
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -257,6 +263,8 @@
         known = self._placement.upstreams.get(grant.upstream)
         if known is not None and known.limit_per_s is not None and not grant.under_limit:
             self._tell_limit(sender, grant.upstream)
+            if self._placement.limit(known.instance)[0] is None:
+                self._avoid_unpermitted(wait, grant.upstream)
             self._request_slot(grant.ticket, wait)
             return False
         del self._waits[grant.ticket]
@@ -266,6 +274,19 @@
         self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
+    @staticmethod
+    def _avoid_unpermitted(wait: _Wait, upstream: UpstreamId) -> None:
+        """Avoid a cold upstream whose dispatcher has granted it twice without a permit.
+
+        Notes
+        -----
+        A dispatcher of an older build knows no cold upstreams, and would grant it again and again.
+        """
+        if upstream in wait.unpermitted:
+            need = replace(wait.waiting.item, exclude=wait.waiting.item.exclude | {upstream})
+            wait.waiting = replace(wait.waiting, item=need)
+        wait.unpermitted.add(upstream)
+
     def own_grant(self, number: int) -> int:
         """Return the number of a grant that a peer has accepted, 0 if this process has not made it.
 
@@ -307,10 +328,20 @@
         elif wait.requested_from is not None:
             self._send(wait.requested_from, SlotWithdrawal(number))
 
+    def _closed(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
+        """Return the upstreams that this host may not send requests to.
+
+        Notes
+        -----
+        The dispatcher may not know of an evacuation yet, and would grant their slots again.
+        """
+        return self._placement.paused(service, now_ms) | self._placement.evacuated(service)
+
     def _request_from_less_loaded_group(self, number: int, wait: _Wait) -> None:
         """Repeat a slot request, possibly for another group with a lower load."""
         rule = wait.waiting.item.version_rule
-        wait.group = self._placement.less_loaded_group(wait.client.service, rule)
+        regions = wait.waiting.item.regions
+        wait.group = self._placement.less_loaded_group(wait.client.service, rule, regions)
         need = replace(wait.waiting.item, group=wait.group)
         wait.waiting = replace(wait.waiting, item=need)
         self._request_slot(number, wait)
@@ -321,8 +352,8 @@
             self._cancel_slot_request(number, wait)
         now_ms = self._clock.now_ms()
         wait.requested_from, wait.requested_ms = owner, now_ms
-        wait.paused = self._placement.paused(wait.group.service, now_ms)
-        avoid = wait.waiting.item.exclude | wait.paused
+        wait.closed = self._closed(wait.group.service, now_ms)
+        avoid = wait.waiting.item.exclude | wait.closed
         if owner == self._host:
             need = replace(wait.waiting.item, exclude=avoid)
             self._dispatcher.enqueue(replace(wait.waiting, item=need))
@@ -351,6 +382,7 @@
                 wait.group.number,
                 wait.group.count,
                 *_version_fields(waiting.item.version_rule),
+                regions=tuple(sorted(waiting.item.regions or ())),
             ),
         )
 
--- a/libs/policy/src/skylarkmoor_policy/routetable.py
+++ b/libs/policy/src/skylarkmoor_policy/routetable.py
@@ -1,10 +1,12 @@
 """Routes, limits and customers of one configuration version, and route matching."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import CustomerId, RequestId, RouteName, ServiceName
+from skylarkmoor_policy.coldstarts import ColdStartLimit
 
 __all__ = ["CallerLimits", "CustomerPolicy", "RetrySafety", "Route", "RouteTable"]
 
@@ -39,6 +41,8 @@
         Whether a broken stream may be resumed at another upstream.
     max_event_gap_ms : int
         Target for the longest gap between the events of a stream; 0 for other routes.
+    home_regions : frozenset of str
+        Regions that its requests must not leave; empty for none.
     """
 
     name: RouteName
@@ -53,6 +57,7 @@
     public: bool = False
     resumable: bool = False
     max_event_gap_ms: int = 0
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def idempotent(self) -> bool:
@@ -95,6 +100,8 @@
         Whether the limit counts tokens; otherwise it counts requests.
     default_tokens : int
         Tokens charged for a request without token counts.
+    home_regions : frozenset of str
+        Regions that its requests must not leave; empty for none.
     """
 
     name: CustomerId
@@ -104,6 +111,7 @@
     burst_units: float = 0.0
     limits_tokens: bool = False
     default_tokens: int = 1
+    home_regions: frozenset[str] = frozenset()
 
     def units(self, tokens: int | None) -> int:
         """Return the units charged for a request; `tokens` is None if it has no token counts."""
@@ -121,6 +129,8 @@
     limits: CallerLimits
     customers: tuple[CustomerPolicy, ...] = ()
     requires_api_keys: bool = False
+    # Limits of cold upstreams, by service.
+    cold_starts: Mapping[ServiceName, ColdStartLimit] = field(default_factory=dict)
     _routes_by_host: dict[str, list[Route]] = field(default_factory=dict, init=False, repr=False)
     _customers_by_key: dict[str, CustomerPolicy] = field(
         default_factory=dict, init=False, repr=False
