Order slot requests by fair shares of the customers within a tier

A dispatcher granted most slots to the customer that asked most: a flood of one customer at 7 times its usual load took slots of the 15 others. Within a tier, requests of customers that have recently had more than their share of granted work now come after the others. The order of one customer that waits alone is unchanged.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -300,6 +300,9 @@
     unreachable: tuple[UpstreamId, ...] = ()
     # Whether the sender takes part in holding shares of the customers' limits.
     shares_limits: bool = False
+    # Work of the requests that the sender has granted slots, in tokens by customer; only of
+    # customers with recent grants. A count is cumulative, and begins again after a long pause.
+    granted_work: dict[str, _Units] = {}
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
@@ -381,6 +384,13 @@
     # Version of the upstreams that should run the request, and of those that must not.
     preferred_version: str = ""
     except_version: str = ""
+    # Customer of the request, the weight of its share (0 if it is not known) and the cost of the
+    # request in prompt tokens.
+    customer: str = ""
+    customer_weight: _Rate = 0.0
+    work_tokens: _Units = 0
+    # Hash of API key, target and body; 0 for a request that has run before or has no body.
+    request_hash: int = 0
 
 
 class SlotWithdrawal(_Message, frozen=True, tag="x"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -37,6 +37,7 @@
 )
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
 from skylarkmoor_policy.eventstream import EventTooLarge
+from skylarkmoor_policy.fairshares import counted_work
 from skylarkmoor_policy.fleetlimits import FleetRetryBudget
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.reachability import SILENCE_MS, DirectPath, PeerPath
@@ -303,13 +304,15 @@
         else:
             self._refuse(reason, 0)
 
-    def waiting(self, small: bool) -> QueuedRequest[SlotRequirements]:
+    def waiting(self, small: bool, customer_weight: float = 0.0) -> QueuedRequest[SlotRequirements]:
         """Return the entry of this request for the slot queue.
 
         Parameters
         ----------
         small : bool
             Whether requests of the route are small compared with others of the service.
+        customer_weight : float
+            Weight of the customer's share relative to the mean; 0 if it is not known.
         """
         now_ms = self._gateway.clock.now_ms()
         has_run = self._runs > 0
@@ -323,6 +326,9 @@
                 self._deadline_ms,
                 frozenset(self._excluded_upstreams),
                 self._version_rule(),
+                customer="" if self.customer is None else self.customer.name,
+                customer_weight=customer_weight,
+                work_tokens=counted_work(self.work_tokens()),
             ),
             tier=self.tier,
             route_tier=self.route.tier,
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -633,6 +633,9 @@
             relayed=self.relayed(),
             unreachable=self._reachability.unreachable(),
             shares_limits=True,
+            granted_work=self.slot_coordinator.shares.granted_work(
+                self._clock.now_ms(), self.interval_ms()
+            ),
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -744,6 +747,7 @@
                 )
             if age_ms > expiry_ms or (peer.unreachable and peer.leaving):
                 self._remove_peer(host)
+        self.slot_coordinator.shares.expire(now_ms)
         self._update_fleet_share()
 
     def _update_fleet_share(self) -> None:
@@ -777,6 +781,7 @@
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
         self.slot_coordinator.forget(host)
+        self.slot_coordinator.shares.forget_peer(host)
         self._update_peers()
 
     def _update_peers(self) -> None:
@@ -954,6 +959,9 @@
         self, sender: HostId, incarnation: Incarnation, state: GatewayState
     ) -> None:
         now_ms = self._clock.now_ms()
+        self.slot_coordinator.shares.add_peer_counts(
+            sender, incarnation, state.granted_work, now_ms
+        )
         admitted = self._counts["admitted"].increments(sender, incarnation, state.admitted)
         if not self._peer_states[sender].shares_limits:
             for customer, units in admitted.items():
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -11,6 +11,7 @@
 from skylarkmoor_core.clock import Clock
 from skylarkmoor_core.hashing import fingerprint
 from skylarkmoor_core.ids import (
+    CustomerId,
     Fingerprint,
     Incarnation,
     RequestId,
@@ -39,6 +40,7 @@
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
 from skylarkmoor_policy.crashcounts import CrashCounts
 from skylarkmoor_policy.crashevidence import CrashEvidenceTable
+from skylarkmoor_policy.fairshares import customer_weights
 from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
 from skylarkmoor_policy.lifecycle import (
     AbortRequests,
@@ -221,6 +223,8 @@
         self._limit_waits: dict[CallerConnection, tuple[int, _LimitWait]] = {}
         self._ports: list[Any] = []
         self._route_costs = RouteCosts()
+        # Weights of the customers' shares by their limits.
+        self._customer_weights: Mapping[CustomerId, float] = {}
 
     @property
     def table(self) -> RouteTable | None:
@@ -259,6 +263,7 @@
         previous_version = None if self._table is None else self._table.version
         self._table = table
         self.quotas.set_customers(table.customers, self.clock.now_ms())
+        self._customer_weights = customer_weights(table.customers)
         self.fleet.configuration_activated(data)
         position = self.fleet.versions.position
         _log.info(
@@ -410,7 +415,11 @@
         small = self._route_costs.observe_and_classify(
             exchange.service, exchange.route.name, exchange.work_tokens()
         )
-        exchange.wait_number = self.fleet.slot_coordinator.wait(exchange, exchange.waiting(small))
+        customer = exchange.customer
+        weight = 0.0 if customer is None else self._customer_weights.get(customer.name, 0.0)
+        exchange.wait_number = self.fleet.slot_coordinator.wait(
+            exchange, exchange.waiting(small, weight)
+        )
 
     def read_upstreams(self) -> None:
         """Trigger an immediate read of the list of upstreams."""
@@ -798,6 +807,7 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
+        self.metrics.customers_above_share(self.fleet.slot_coordinator.log_above_share())
         for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
 
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -64,6 +64,10 @@
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
+        self._customers_above_share = self._gauge(
+            "customers_above_share",
+            "Customers whose slot requests wait here and come after those of others.",
+        )
 
     def request_finished(self, service: str, route: str, end: str, elapsed_ms: int) -> None:
         """Count a finished request and record its duration."""
@@ -106,6 +110,10 @@
         """Set the number of instances with a notice of a kind."""
         self._noticed_upstreams.set({"notice": kind}, count)
 
+    def customers_above_share(self, count: int) -> None:
+        """Set the number of customers above their share."""
+        self._customers_above_share.set({}, count)
+
     def state(
         self,
         *,
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -16,6 +16,7 @@
 from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
 from skylarkmoor_core.processnumbers import ProcessNumbers
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotOffer, SlotRequirements, Ticket
+from skylarkmoor_policy.fairshares import FairShares
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
@@ -111,10 +112,35 @@
         self._wait_numbers = ProcessNumbers(incarnation)
         self._grant_numbers = ProcessNumbers(incarnation)
         self._offering = False
+        self._logged_above_share: set[str] = set()
         # Cache: the first hosts in rendezvous order by group key, valid for `_ranked_hosts`.
         self._candidates: dict[str, list[HostId]] = {}
         self._ranked_hosts: list[HostId] = []
 
+    @property
+    def shares(self) -> FairShares:
+        """Work that the fleet has granted to each customer, as far as it is known here."""
+        return self._dispatcher.shares
+
+    def log_above_share(self) -> int:
+        """Log changes of the customers above their share that wait here; return their number."""
+        above = self._dispatcher.above_share if len(self._dispatcher) else {}
+        if above.keys() != self._logged_above_share:
+            self._logged_above_share = set(above)
+            now_ms = self._clock.now_ms()
+            _log.info(
+                "customers above their share",
+                extra={
+                    "levels": above,
+                    "work_tokens": {
+                        customer: round(self.shares.recent_work(customer, now_ms))
+                        for customer in above
+                    },
+                    "queued": len(self._dispatcher),
+                },
+            )
+        return len(above)
+
     def dispatcher_of(self, group: SlotGroup) -> HostId:
         """Return the host that dispatches the slots of a group."""
         candidates = self._ranked_candidates(group)
@@ -222,6 +248,9 @@
             now_ms + request.deadline_in_ms,
             frozenset(request.avoid),
             _version_rule(request),
+            customer=request.customer,
+            customer_weight=request.customer_weight,
+            work_tokens=request.work_tokens,
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -351,6 +380,9 @@
                 wait.group.number,
                 wait.group.count,
                 *_version_fields(waiting.item.version_rule),
+                customer=waiting.item.customer,
+                customer_weight=waiting.item.customer_weight,
+                work_tokens=waiting.item.work_tokens,
             ),
         )
 
--- /dev/null
+++ b/libs/gateway/tests/test_fair_slots.py
@@ -0,0 +1,134 @@
+"""Guards against slot requests without their customer, and shares of one gateway's grants."""
+
+import random
+
+import pytest
+from msgspec import structs
+
+from skylarkmoor_core.clock import ManualClock
+from skylarkmoor_core.messages import (
+    Envelope,
+    GatewayState,
+    SlotGrant,
+    SlotRequest,
+    decode_envelope,
+    encode_envelope,
+)
+from skylarkmoor_gateway.fleet import Fleet
+from skylarkmoor_gateway.slotcoordinator import SlotClient
+from skylarkmoor_policy.crashcounts import CrashCounts
+from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
+from skylarkmoor_policy.fleetlimits import FleetQuotas, FleetRetryBudget
+from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.slotgroups import SlotGroup
+from skylarkmoor_policy.trackedupstream import RegisteredUpstream
+from skylarkmoor_policy.urgencyqueue import QueuedRequest
+
+CLOCK = ManualClock(now_ms=10_000)
+
+
+class Client(SlotClient):
+    """A request that records what it is told."""
+
+    def __init__(self, placement):
+        self.service = "assistant"
+        self.placement = placement
+        self.granted = []
+        self.refused = []
+
+    def slot_granted(self, choice, now_ms):
+        self.granted.append(choice.upstream)
+        self.placement.record_start(choice.upstream, 0)
+
+
+def make_fleet(host, monkeypatch):
+    placement = Placement(random.Random(1))
+    placement.set_upstream(RegisteredUpstream("engine", "assistant", ("10.0.0.1", 80), slots=2))
+    fleet = Fleet(
+        host,
+        1,
+        CLOCK,
+        placement,
+        FleetQuotas(),
+        FleetRetryBudget(0.2, 10_000, 10),
+        CrashCounts(),
+        lambda: None,
+        lambda: None,
+        lambda delay_ms, callback: None,
+    )
+    fleet.sent = []
+    monkeypatch.setattr(fleet._transport, "set_peers", lambda addresses: None)
+    monkeypatch.setattr(fleet._transport, "broadcast", lambda message: fleet.sent.append(message))
+    monkeypatch.setattr(
+        fleet._transport, "send", lambda to, message: fleet.sent.append(message) or True
+    )
+    return fleet
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    return make_fleet("me", monkeypatch)
+
+
+def state(**changes):
+    return GatewayState("10.0.0.2:7600", False, -1, {}, {}, {}, {}, **changes)
+
+
+def wait(fleet, customer, *, expedited=False, **values):
+    client = Client(fleet._placement)
+    need = SlotRequirements(
+        Ticket("", 0), SlotGroup("assistant"), 0, 0, 0, 20_000, customer=customer, **values
+    )
+    now_ms = CLOCK.now_ms()
+    waiting = QueuedRequest(need, 0, 0, now_ms, now_ms + 400, now_ms + 700, expedited)
+    client.number = fleet.slot_coordinator.wait(client, waiting)
+    return client
+
+
+def transferred(message):
+    """Return a message as a peer decodes it."""
+    return decode_envelope(encode_envelope(Envelope("peer", 1, message))).message
+
+
+def sent(fleet, kind):
+    return [transferred(each) for each in fleet.sent if isinstance(each, kind)]
+
+
+def test_a_state_reports_the_work_that_the_dispatcher_has_granted(fleet, monkeypatch):
+    """Each dispatcher would know the grants of its own slot group only."""
+    wait(fleet, "depots", work_tokens=700)
+    fleet.tick()
+    report = structs.replace(sent(fleet, GatewayState)[-1], address="10.0.0.2:7600")
+    assert report.granted_work == {"depots": 700}
+    other = make_fleet("other", monkeypatch)
+    other._on_message("me", 1, state())
+    for incarnation in (1, 2):
+        other._on_message("me", incarnation, report)
+    assert other.slot_coordinator.shares.recent_work("depots", CLOCK.now_ms()) == 700
+
+
+def test_a_slot_request_carries_the_customer_and_the_dispatcher_orders_by_its_share(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(fleet.slot_coordinator, "dispatcher_of", lambda group: "other")
+    wait(fleet, "flood", customer_weight=0.5, work_tokens=900)
+    wait(fleet, "depots", customer_weight=0.5, work_tokens=900)
+    requests = sent(fleet, SlotRequest)
+    assert (requests[0].customer, requests[0].customer_weight) == ("flood", 0.5)
+    dispatcher = make_fleet("other", monkeypatch)
+    dispatcher.slot_coordinator.shares.record_grant("flood", 5_000, CLOCK.now_ms())
+    dispatcher._placement.set_peer_load("x", {"engine": (2, 0)})
+    dispatcher.slot_coordinator._offering = True
+    for request in requests:
+        dispatcher._on_message("me", 1, request)
+    dispatcher.slot_coordinator._offering = False
+    dispatcher.slot_coordinator.grant_free_slots()
+    assert [each.ticket for each in sent(dispatcher, SlotGrant)] == [requests[1].ticket]
+    assert dispatcher.slot_coordinator.log_above_share() == 0
+
+
+def test_slot_requests_of_older_builds_are_one_customer_with_the_mean_weight(fleet):
+    older = SlotRequest(1, "assistant", 0, 0, False, 100, 0, 0, 400, 700, 10, 10_000)
+    fleet._on_message("peer", 1, state())
+    fleet._on_message("peer", 1, older)
+    assert fleet.slot_coordinator.shares.recent_work("", CLOCK.now_ms()) == 20
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -1,16 +1,19 @@
 """Assigns free engine slots to the queued requests of all daemons, most urgent first."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from skylarkmoor_core.ids import HostId, Incarnation, UpstreamId
+from skylarkmoor_policy.fairshares import FairShares
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
-from skylarkmoor_policy.urgencyqueue import QueuedRequest, UrgencyQueue
+from skylarkmoor_policy.urgencyqueue import QueuedRequest, Rank, UrgencyQueue
 from skylarkmoor_policy.versionrules import VersionRule
 
 __all__ = ["Dispatcher", "SlotOffer", "SlotRequirements", "Ticket"]
 
+# Size and tiers of a request, which precede the shares in the order.
+_Class = tuple[bool, int, int]
 # Queued requests without a usable free slot after which a round ends.
 _MAX_SKIPS = 3
 
@@ -42,6 +45,12 @@
         Upstreams to exclude because they failed the request before.
     version_rule : VersionRule or None
         Versions of the upstreams that may run the request; None for all.
+    customer : str
+        Customer that the request is made for; requests without one share the empty name.
+    customer_weight : float
+        Weight of the customer's share relative to the mean; 0 if it is not known.
+    work_tokens : int
+        Estimated cost of the request in prompt tokens.
     """
 
     ticket: Ticket
@@ -52,6 +61,9 @@
     deadline_ms: int
     exclude: frozenset[UpstreamId] = frozenset()
     version_rule: VersionRule | None = None
+    customer: str = ""
+    customer_weight: float = 0.0
+    work_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +88,9 @@
     """
 
     def __init__(self, placement: Placement) -> None:
+        self.shares = FairShares()
+        # Customers above their share in the last round that had room, with their levels.
+        self.above_share: dict[str, int] = {}
         self._placement = placement
         self._queues: dict[SlotGroup, UrgencyQueue[SlotRequirements]] = {}
         self._needs: dict[Ticket, SlotRequirements] = {}
@@ -118,28 +133,70 @@
             # slot, so the queue is sorted only if there is room.
             if not len(queue) or not self._placement.has_capacity(group, now_ms):
                 continue
-            skipped = 0
-            for waiting in queue.ordered(now_ms):
-                need = waiting.item
-                if need.ticket not in self._needs:
-                    continue
-                choice = self._placement.choose(
-                    group.service,
-                    need.prompt_tokens,
-                    now_ms,
-                    need.exclude | exclude,
-                    only_with_capacity=True,
-                    max_event_gap_ms=need.max_event_gap_ms,
-                    output_tokens=need.output_tokens,
-                    remaining_ms=need.deadline_ms - now_ms,
-                    group=group,
-                    version_rule=need.version_rule,
-                )
-                if choice is None:
-                    skipped += 1
-                    if skipped >= _MAX_SKIPS:
-                        break
-                    continue
-                self.cancel(need.ticket)
-                under_limit = self._placement.issue_permit(choice.upstream, now_ms)
-                yield SlotOffer(need.ticket, choice.upstream, need.prompt_tokens, under_limit)
+            yield from self._group_offers(group, queue, now_ms, exclude)
+
+    def _group_offers(
+        self,
+        group: SlotGroup,
+        queue: UrgencyQueue[SlotRequirements],
+        now_ms: int,
+        exclude: frozenset[UpstreamId],
+    ) -> Iterator[SlotOffer]:
+        skipped: set[Ticket] = set()
+        levels = self._levels(queue)
+        order = queue.ordered(now_ms, self._ranking(levels))
+        while (waiting := next(order, None)) is not None:
+            need = waiting.item
+            if need.ticket not in self._needs or need.ticket in skipped:
+                continue
+            choice = self._placement.choose(
+                group.service,
+                need.prompt_tokens,
+                now_ms,
+                need.exclude | exclude,
+                only_with_capacity=True,
+                max_event_gap_ms=need.max_event_gap_ms,
+                output_tokens=need.output_tokens,
+                remaining_ms=need.deadline_ms - now_ms,
+                group=group,
+                version_rule=need.version_rule,
+            )
+            if choice is None:
+                skipped.add(need.ticket)
+                if len(skipped) >= _MAX_SKIPS:
+                    break
+                continue
+            self.cancel(need.ticket)
+            self.shares.record_grant(need.customer, need.work_tokens, now_ms)
+            under_limit = self._placement.issue_permit(choice.upstream, now_ms)
+            yield SlotOffer(need.ticket, choice.upstream, need.prompt_tokens, under_limit)
+            # Otherwise a customer could take all slots of a round.
+            new_levels = self._levels(queue)
+            if new_levels != levels:
+                levels = new_levels
+                order = queue.ordered(now_ms, self._ranking(levels))
+        self.above_share = {customer: level for (_, customer), level in levels.items() if level > 0}
+
+    def _levels(self, queue: UrgencyQueue[SlotRequirements]) -> dict[tuple[_Class, str], int]:
+        """Return how far customers are above their shares, by class of requests and customer."""
+        weights: dict[_Class, dict[str, float]] = {}
+        for waiting in queue:
+            need = waiting.item
+            weights.setdefault(_class(waiting), {})[need.customer] = need.customer_weight
+        return {
+            (of_class, customer): level
+            for of_class, class_weights in weights.items()
+            for customer, level in self.shares.levels(class_weights).items()
+        }
+
+    def _ranking(
+        self, levels: dict[tuple[_Class, str], int]
+    ) -> Callable[[QueuedRequest[SlotRequirements]], Rank]:
+        def rank(waiting: QueuedRequest[SlotRequirements]) -> Rank:
+            return False, levels[_class(waiting), waiting.item.customer], False
+
+        return rank
+
+
+def _class(waiting: QueuedRequest[SlotRequirements]) -> _Class:
+    return waiting.expedited, waiting.tier, waiting.route_tier
--- a/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
+++ b/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
@@ -1,12 +1,16 @@
 """Priority queue of the requests that wait for a slot."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-__all__ = ["QueuedRequest", "UrgencyQueue"]
+__all__ = ["FIRST_RANK", "QueuedRequest", "Rank", "UrgencyQueue"]
 
 T = TypeVar("T")
+# Rank of a request within its tiers: whether it is a copy of another one, how far its customer is
+# above its share, and whether it is a newcomer rather than one that returns after a refusal.
+Rank = tuple[bool, int, bool]
+FIRST_RANK: Rank = (False, 0, False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,13 +43,13 @@
 
 
 class UrgencyQueue(Generic[T]):
-    """Queue of requests, ordered by size, tier and goal.
+    """Queue of requests, ordered by size, tier, rank and goal.
 
     Notes
     -----
-    Small requests come first, because they delay the others least, then higher tiers. Within a
-    tier, requests that can still meet their goal precede those that cannot: under overload,
-    first-come order would make every answer late, while this order keeps some on time.
+    Small requests come first, because they delay the others least, then higher tiers, then lower
+    ranks. Within a rank, requests that can still meet their goal precede those that cannot: under
+    overload, first-come order would make every answer late, while this order keeps some on time.
     """
 
     def __init__(self) -> None:
@@ -66,15 +70,27 @@
                 return True
         return False
 
-    def ordered(self, now_ms: int) -> Iterator[QueuedRequest[T]]:
-        """Yield the requests in the order in which they should start at `now_ms`."""
+    def __iter__(self) -> Iterator[QueuedRequest[T]]:
+        return iter(self._waiting)
 
-        def urgency(waiting: QueuedRequest[T]) -> tuple[bool, int, int, bool, int]:
+    def ordered(
+        self, now_ms: int, rank: Callable[[QueuedRequest[T]], Rank] = lambda waiting: FIRST_RANK
+    ) -> Iterator[QueuedRequest[T]]:
+        """Yield the requests in the order in which they should start at `now_ms`.
+
+        Parameters
+        ----------
+        rank : callable, optional
+            Returns the rank of a request; by default, all requests have the same.
+        """
+
+        def urgency(waiting: QueuedRequest[T]) -> tuple[bool, int, int, Rank, bool, int]:
             late = now_ms > waiting.latest_start_ms
             return (
                 not waiting.expedited,
                 waiting.tier,
                 waiting.route_tier,
+                rank(waiting),
                 late,
                 waiting.arrived_ms if late else waiting.latest_start_ms,
             )
