Refuse slot requests early that get no slot within their wait

The dispatcher now measures how fast slots become free while requests wait, and refuses those that get none in their whole wait at twice that rate, from the end of the order. The new message SlotRefusal says when a slot becomes free for the request; the Retry-After is derived from it.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -55,6 +55,7 @@
     "ReleaseRequest",
     "SlotGrant",
     "SlotLoads",
+    "SlotRefusal",
     "SlotRequest",
     "SlotWithdrawal",
     "StateBundle",
@@ -430,6 +431,22 @@
     incarnation: Incarnation = Incarnation(0)
 
 
+class SlotRefusal(_Message, frozen=True, tag="3"):
+    """Refuses a slot request, as no slot becomes free for it in time.
+
+    Attributes
+    ----------
+    available_in_ms : int
+        Time until a slot is expected to become free for it.
+    incarnation : Incarnation
+        Process that has asked for the slot.
+    """
+
+    ticket: int
+    available_in_ms: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    incarnation: Incarnation
+
+
 class UnitsRequest(_Message, frozen=True, tag="i"):
     """Asks the holder of a share of a customer's limit for units.
 
@@ -583,6 +600,7 @@
     | UnitsRequest
     | UnitsGrant
     | UnitsReturn
+    | SlotRefusal
 )
 
 
--- a/libs/core/tests/test_messages.py
+++ b/libs/core/tests/test_messages.py
@@ -44,6 +44,7 @@
     ReleaseRequest,
     SlotGrant,
     SlotLoads,
+    SlotRefusal,
     SlotRequest,
     SlotWithdrawal,
     StateBundle,
@@ -75,6 +76,7 @@
     SlotRequest(3, "assistant", 0, 1, False, 900, 400, 5, 300, 1500, 80, 9000, ("gpu-1",)),
     SlotWithdrawal(3),
     SlotGrant(3, "gpu-1", 17),
+    SlotRefusal(3, 900, 5),
     UnitsRequest(4, "depots", 900, 900, 1_000.0, 2_000.0),
     UnitsGrant(4, "depots", 900, -70, True),
     UnitsReturn("depots", -30),
@@ -149,6 +151,14 @@
     assert decode_envelope(data).message == Demand("gpu-1", 3, (1,), (2,), 0)
 
 
+def test_slot_request_of_earlier_version_has_no_customer():
+    fields = [3, "assistant", 0, 1, False, 900, 400, 5, 300, 1500, 80, 9000]
+    data = msgspec.msgpack.encode(["nadi-1", 5, ["t", *fields]])
+    decoded = decode_envelope(data).message
+    assert (decoded.customer, decoded.customer_weight, decoded.work_tokens) == ("", 0, 0)
+    assert decoded.request_hash == 0
+
+
 @pytest.mark.parametrize("limit", [float("nan"), float("inf"), -1.0])
 def test_a_limit_out_of_range_is_refused(limit):
     named = NamedLimit("u1", 1, limit, 0, 0)
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import CrashedRequest
@@ -33,6 +34,7 @@
     pause_retry_after_ms,
     queue_deadline_ms,
     retry_after_ms,
+    return_after_ms,
     stall_timeout_ms,
 )
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
@@ -216,6 +218,7 @@
         self.caller = caller
         # Ticket number while the request waits for a slot.
         self.wait_number: int | None = None
+        self._has_waited = False
         self._is_admitted = True
         # Slot that was granted before the request was admitted.
         self._early_choice: UpstreamChoice | None = None
@@ -304,7 +307,9 @@
         else:
             self._refuse(reason, 0)
 
-    def waiting(self, small: bool, customer_weight: float = 0.0) -> QueuedRequest[SlotRequirements]:
+    def waiting(
+        self, small: bool, customer_weight: float = 0.0, request_hash: int = 0
+    ) -> QueuedRequest[SlotRequirements]:
         """Return the entry of this request for the slot queue.
 
         Parameters
@@ -313,7 +318,13 @@
             Whether requests of the route are small compared with others of the service.
         customer_weight : float
             Weight of the customer's share relative to the mean; 0 if it is not known.
+        request_hash : int
+            Hash that identical requests share; 0 if it is not known.
         """
+        # A later wait follows an attempt or a grant, and is no copy or return of the request.
+        if self._has_waited:
+            request_hash = 0
+        self._has_waited = True
         now_ms = self._gateway.clock.now_ms()
         has_run = self._runs > 0
         return QueuedRequest(
@@ -329,6 +340,7 @@
                 customer="" if self.customer is None else self.customer.name,
                 customer_weight=customer_weight,
                 work_tokens=counted_work(self.work_tokens()),
+                request_hash=request_hash,
             ),
             tier=self.tier,
             route_tier=self.route.tier,
@@ -417,6 +429,22 @@
                 return
         self._refuse("all slots of the service are taken", None)
 
+    def slot_refused(self, available_in_ms: int) -> None:
+        """Refuse the request, because its dispatcher expects no slot for it in time."""
+        if self._done or self._runs or self.route.retry_safety is not RetrySafety.STREAM:
+            self.wait_timed_out()
+            return
+        self.wait_number = None
+        self._gateway.metrics.early_refusal(self.service)
+        remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
+        # The same at all gateways, and different for the callers that are refused together.
+        spread = hash64(self.request.request) / 2**64
+        self._refuse_for(
+            "no slot becomes free in time",
+            return_after_ms(available_in_ms, remaining_ms, spread),
+            available_in_ms=available_in_ms,
+        )
+
     def _place_request(self) -> None:
         now_ms = self._gateway.clock.now_ms()
         resume_ms = self._gateway.placement.next_resume_ms(
@@ -947,7 +975,7 @@
         remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
         self._refuse_for(reason, retry_after_ms(retry_hint_ms, remaining_ms))
 
-    def _refuse_for(self, reason: str, retry_ms: int) -> None:
+    def _refuse_for(self, reason: str, retry_ms: int, **details: object) -> None:
         self._send_error(503, reason, [(b"Retry-After", f"{retry_ms / 1000:.3f}".encode())])
         placement = self._gateway.placement
         self._end(
@@ -957,6 +985,7 @@
             retry_after_ms=retry_ms,
             paused=sorted(placement.paused(self.service, self._gateway.clock.now_ms())),
             limited=sorted(placement.guarded(self.service)),
+            **details,
         )
 
     def _fail(self, status: int, reason: str) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -28,6 +28,7 @@
     RelayedState,
     SlotGrant,
     SlotLoads,
+    SlotRefusal,
     SlotRequest,
     SlotWithdrawal,
     StateBundle,
@@ -607,7 +608,9 @@
     def _send_units(self, to: HostId, message: UnitsRequest | UnitsGrant | UnitsReturn) -> bool:
         return self._transport.send(to, message)
 
-    def _send_slots(self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant) -> None:
+    def _send_slots(
+        self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant | SlotRefusal
+    ) -> None:
         self._transport.send(to, message)
 
     def _state(self) -> GatewayState:
@@ -829,6 +832,8 @@
                 self.slot_coordinator.handle_slot_withdrawal(sender, incarnation, message)
             case SlotGrant():
                 self.slot_coordinator.handle_slot_grant(sender, message)
+            case SlotRefusal():
+                self.slot_coordinator.handle_slot_refusal(sender, message)
             case SlotLoads():
                 self._handle_loads(sender, message)
             case Gossip(facts=facts):
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -417,8 +417,10 @@
         )
         customer = exchange.customer
         weight = 0.0 if customer is None else self._customer_weights.get(customer.name, 0.0)
+        # Requests without a body are often alike without being the same.
+        request_hash = self._fingerprint(exchange.request) if exchange.request.body else 0
         exchange.wait_number = self.fleet.slot_coordinator.wait(
-            exchange, exchange.waiting(small, weight)
+            exchange, exchange.waiting(small, weight, request_hash)
         )
 
     def read_upstreams(self) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -64,6 +64,10 @@
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
+        self._early_refusals = self._counter(
+            "early_refusals_total",
+            "Requests refused because no slot becomes free in time, by service.",
+        )
         self._customers_above_share = self._gauge(
             "customers_above_share",
             "Customers whose slot requests wait here and come after those of others.",
@@ -110,6 +114,10 @@
         """Set the number of instances with a notice of a kind."""
         self._noticed_upstreams.set({"notice": kind}, count)
 
+    def early_refusal(self, service: str) -> None:
+        """Count a request that was refused before its wait for a slot had ended."""
+        self._early_refusals.inc({"service": service})
+
     def customers_above_share(self, count: int) -> None:
         """Set the number of customers above their share."""
         self._customers_above_share.set({}, count)
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -13,7 +13,7 @@
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
-from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
+from skylarkmoor_core.messages import SlotGrant, SlotRefusal, SlotRequest, SlotWithdrawal
 from skylarkmoor_core.processnumbers import ProcessNumbers
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotOffer, SlotRequirements, Ticket
 from skylarkmoor_policy.fairshares import FairShares
@@ -47,6 +47,16 @@
         """Handle a wait that ended without a slot."""
         raise NotImplementedError
 
+    def slot_refused(self, available_in_ms: int) -> None:
+        """Handle a refusal, as no slot becomes free in time; by default like a timeout.
+
+        Parameters
+        ----------
+        available_in_ms : int
+            Time until a slot is expected to become free for the request.
+        """
+        self.wait_timed_out()
+
 
 @dataclass(slots=True)
 class _Wait:
@@ -90,7 +100,7 @@
         incarnation: Incarnation,
         clock: Clock,
         placement: Placement,
-        send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant], None],
+        send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant | SlotRefusal], None],
         live_hosts: Callable[[], list[HostId]],
         is_responsive: Callable[[HostId], bool],
         later: Callable[[Callable[[], None]], None],
@@ -190,6 +200,22 @@
         finally:
             self._offering = False
         self.grant_free_slots()
+        self._refuse_early()
+
+    def _refuse_early(self) -> None:
+        """Refuse the queued requests that get no slot in time."""
+        for refusal in self._dispatcher.refusals(self._clock.now_ms()):
+            ticket = refusal.ticket
+            if ticket.host == self._host:
+                self._refuse(ticket.number, refusal.available_in_ms)
+            else:
+                message = SlotRefusal(ticket.number, refusal.available_in_ms, ticket.incarnation)
+                self._send(ticket.host, message)
+
+    def _refuse(self, number: int, available_in_ms: int) -> None:
+        wait = self._waits.pop(number, None)
+        if wait is not None:
+            wait.client.slot_refused(available_in_ms)
 
     def _check_waits(self, now_ms: int) -> None:
         owners: dict[SlotGroup, HostId] = {}
@@ -251,6 +277,7 @@
             customer=request.customer,
             customer_weight=request.customer_weight,
             work_tokens=request.work_tokens,
+            request_hash=request.request_hash,
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -295,6 +322,16 @@
         self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
+    def handle_slot_refusal(self, sender: HostId, refusal: SlotRefusal) -> None:
+        """Refuse a local request whose dispatcher expects no slot for it in time."""
+        wait = self._waits.get(refusal.ticket)
+        if refusal.incarnation != self._incarnation or wait is None:
+            return
+        if wait.requested_from != sender:
+            # It waits at another dispatcher by now.
+            return
+        self._refuse(refusal.ticket, refusal.available_in_ms)
+
     def own_grant(self, number: int) -> int:
         """Return the number of a grant that a peer has accepted, 0 if this process has not made it.
 
@@ -383,6 +420,7 @@
                 customer=waiting.item.customer,
                 customer_weight=waiting.item.customer_weight,
                 work_tokens=waiting.item.work_tokens,
+                request_hash=waiting.item.request_hash,
             ),
         )
 
--- a/libs/gateway/tests/test_fair_slots.py
+++ b/libs/gateway/tests/test_fair_slots.py
@@ -10,6 +10,7 @@
     Envelope,
     GatewayState,
     SlotGrant,
+    SlotRefusal,
     SlotRequest,
     decode_envelope,
     encode_envelope,
@@ -40,6 +41,9 @@
         self.granted.append(choice.upstream)
         self.placement.record_start(choice.upstream, 0)
 
+    def slot_refused(self, available_in_ms):
+        self.refused.append(available_in_ms)
+
 
 def make_fleet(host, monkeypatch):
     placement = Placement(random.Random(1))
@@ -132,3 +136,60 @@
     fleet._on_message("peer", 1, state())
     fleet._on_message("peer", 1, older)
     assert fleet.slot_coordinator.shares.recent_work("", CLOCK.now_ms()) == 20
+
+
+def contend(fleet, count):
+    """Let requests wait while the engine frees a slot every 10 ms, then add many more."""
+    fleet._placement.set_peer_load("x", {"engine": (2, 0)})
+    clients = []
+    for step in range(60):
+        for _ in range(2):
+            clients.append(wait(fleet, "flood", request_hash=len(clients) + 1))
+        if step > 2:
+            fleet._placement.record_end("engine", 0, held_ms=None, fault=None)
+            fleet.slot_coordinator.tick()
+        CLOCK.advance(10)
+    clients += [wait(fleet, "flood", request_hash=1_000 + number) for number in range(count)]
+    CLOCK.advance(50)
+    fleet.slot_coordinator.tick()
+    return clients
+
+
+def test_local_requests_without_a_chance_are_refused_early(fleet):
+    clients = contend(fleet, 300)
+    refused = [client for client in clients if client.refused]
+    # Twice the requests that get a slot in 700 ms remain.
+    assert len(refused) > 100
+    assert not any(client.granted for client in refused)
+    assert fleet.slot_coordinator.waiting() == fleet.slot_coordinator.queued() > 100
+
+
+def test_requests_of_peers_without_a_chance_are_refused_early(fleet):
+    contend(fleet, 100)
+    fleet._on_message("peer", 7, state())
+    for number in range(300):
+        request = SlotRequest(
+            number, "assistant", 0, 0, False, 0, 0, 0, 400, 700, 0, 10_000, request_hash=1 + number
+        )
+        fleet._on_message("peer", 7, request)
+    CLOCK.advance(50)
+    fleet.slot_coordinator.tick()
+    refusals = sent(fleet, SlotRefusal)
+    assert len(refusals) > 50
+    assert {each.incarnation for each in refusals} == {7}
+    assert min(each.available_in_ms for each in refusals) > 1_000
+
+
+@pytest.mark.parametrize(
+    ("sender", "incarnation", "refused"),
+    [("other", 1, [900]), ("third", 1, []), ("other", 2, [])],
+)
+def test_only_the_refusal_of_the_asked_dispatcher_ends_the_wait(
+    fleet, monkeypatch, sender, incarnation, refused
+):
+    """A refusal may arrive after the request has moved to another dispatcher, or is answered."""
+    monkeypatch.setattr(fleet.slot_coordinator, "dispatcher_of", lambda group: "other")
+    client = wait(fleet, "depots", request_hash=5)
+    for _ in range(2):
+        fleet._on_message(sender, 1, SlotRefusal(client.number, 900, incarnation))
+    assert client.refused == refused
--- a/libs/policy/src/skylarkmoor_policy/callertimeouts.py
+++ b/libs/policy/src/skylarkmoor_policy/callertimeouts.py
@@ -8,6 +8,7 @@
     "pause_retry_after_ms",
     "queue_deadline_ms",
     "retry_after_ms",
+    "return_after_ms",
     "stall_timeout_ms",
 ]
 
@@ -35,6 +36,8 @@
 _MIN_RETRY_AFTER_MS = 100
 # Callers honour a Retry-After of up to a third of their remaining time.
 _RETRY_AFTER_FRACTION = 0.3
+# Part of a Retry-After over which the callers that are refused together are spread.
+_RETURN_SPREAD_FRACTION = 0.2
 # Callers of a lower tier return this much later for each tier, so that those of a higher one find
 # the first free slots.
 _TIER_RETURN_STEP_MS = 50
@@ -119,3 +122,21 @@
     if available_in_ms is None:
         return max_ms
     return min(max(_MIN_RETRY_AFTER_MS, available_in_ms), max_ms)
+
+
+def return_after_ms(available_in_ms: int, remaining_ms: int, spread: float) -> int:
+    """Return the Retry-After of a request that was refused because of the requests ahead of it.
+
+    Parameters
+    ----------
+    available_in_ms : int
+        Time until a slot is expected to become free for the request.
+    remaining_ms : int
+        Remaining time of the caller, which bounds the result.
+    spread : float
+        Place of the caller among those that are refused together, from 0 to 1; the first returns
+        when a slot is expected to be free for it.
+    """
+    first_fraction = 1 - _RETURN_SPREAD_FRACTION
+    latest_ms = retry_after_ms(int(available_in_ms / first_fraction), remaining_ms)
+    return int(latest_ms * (first_fraction + _RETURN_SPREAD_FRACTION * spread))
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -7,15 +7,18 @@
 from skylarkmoor_policy.fairshares import FairShares
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.slotgroups import SlotGroup
+from skylarkmoor_policy.slotwaits import SlotWaits, WaitingEntry, hopeless
 from skylarkmoor_policy.urgencyqueue import QueuedRequest, Rank, UrgencyQueue
 from skylarkmoor_policy.versionrules import VersionRule
 
-__all__ = ["Dispatcher", "SlotOffer", "SlotRequirements", "Ticket"]
+__all__ = ["Dispatcher", "EarlyRefusal", "SlotOffer", "SlotRequirements", "Ticket"]
 
 # Size and tiers of a request, which precede the shares in the order.
 _Class = tuple[bool, int, int]
 # Queued requests without a usable free slot after which a round ends.
 _MAX_SKIPS = 3
+# Interval at which the waits are estimated. Each estimate sorts the queue.
+_REFUSAL_INTERVAL_MS = 50
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +54,9 @@
         Weight of the customer's share relative to the mean; 0 if it is not known.
     work_tokens : int
         Estimated cost of the request in prompt tokens.
+    request_hash : int
+        Hash that identical requests share. It is 0 for a request that must not be refused early:
+        one that has run before, or one of a daemon of an older build.
     """
 
     ticket: Ticket
@@ -64,6 +70,7 @@
     customer: str = ""
     customer_weight: float = 0.0
     work_tokens: int = 0
+    request_hash: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +84,14 @@
     under_limit: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EarlyRefusal:
+    """A queued request that gets no slot in time, and when one will be free for it."""
+
+    ticket: Ticket
+    available_in_ms: int
+
+
 class Dispatcher:
     """Queues requests by slot group and assigns free slots to them.
 
@@ -94,6 +109,8 @@
         self._placement = placement
         self._queues: dict[SlotGroup, UrgencyQueue[SlotRequirements]] = {}
         self._needs: dict[Ticket, SlotRequirements] = {}
+        self._slot_waits: dict[SlotGroup, SlotWaits] = {}
+        self._refusals_checked_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self._needs)
@@ -129,11 +146,47 @@
         for group, queue in self._queues.items():
             for need in queue.expired(now_ms):
                 self._needs.pop(need.ticket, None)
+            waits = self._slot_waits.setdefault(group, SlotWaits())
+            waits.observe(now_ms)
             # Offers are computed for each report of a peer. Under overload most reports free no
             # slot, so the queue is sorted only if there is room.
-            if not len(queue) or not self._placement.has_capacity(group, now_ms):
+            if len(queue) and self._placement.has_capacity(group, now_ms):
+                for offer in self._group_offers(group, queue, now_ms, exclude):
+                    waits.record_grant()
+                    yield offer
+            waits.set_contended(len(queue) > 0)
+
+    def refusals(self, now_ms: int) -> list[EarlyRefusal]:
+        """Remove and return the requests that get no slot before their queue deadline.
+
+        Notes
+        -----
+        Nothing is refused while any upstream of the service has a free slot. The requests at the
+        end of the order are refused first: those of the lowest tier, and within it those of the
+        customers that are furthest above their shares.
+        """
+        checked_ms = self._refusals_checked_ms
+        if checked_ms is not None and now_ms - checked_ms < _REFUSAL_INTERVAL_MS:
+            return []
+        self._refusals_checked_ms = now_ms
+        refusals = []
+        for group, waits in self._slot_waits.items():
+            queue, places_per_ms = self._queues[group], waits.places_per_ms()
+            if not len(queue) or places_per_ms is None:
+                continue
+            if self._placement.has_capacity(SlotGroup(group.service), now_ms):
                 continue
-            yield from self._group_offers(group, queue, now_ms, exclude)
+            ordered = list(queue.ordered(now_ms, self._ranking(self._levels(queue))))
+            entries = [
+                WaitingEntry(each.queue_deadline_ms - each.arrived_ms, each.item.request_hash != 0)
+                for each in ordered
+            ]
+            for estimate in hopeless(entries, places_per_ms):
+                ticket = ordered[estimate.index].item.ticket
+                refusals.append(EarlyRefusal(ticket, estimate.available_in_ms))
+        for refusal in refusals:
+            self.cancel(refusal.ticket)
+        return refusals
 
     def _group_offers(
         self,
--- a/libs/policy/tests/test_callertimeouts.py
+++ b/libs/policy/tests/test_callertimeouts.py
@@ -7,6 +7,7 @@
     patience_ms,
     queue_deadline_ms,
     retry_after_ms,
+    return_after_ms,
     stall_timeout_ms,
 )
 from skylarkmoor_policy.routetable import RetrySafety, Route
@@ -71,3 +72,10 @@
     assert retry_after_ms(1, 10_000) == 100
     assert retry_after_ms(None, 10_000) == 3_000
     assert retry_after_ms(400, -5) == 0
+
+
+def test_callers_that_are_refused_together_return_apart_when_a_slot_is_free():
+    assert [return_after_ms(800, 12_000, spread) for spread in (0, 0.5, 1)] == [800, 900, 1_000]
+    # At most a third of the time that the caller has left.
+    assert [return_after_ms(9_000, 3_000, spread) for spread in (0, 1)] == [720, 900]
+    assert return_after_ms(800, -1, 0.5) == 0
--- a/libs/policy/tests/test_fair_dispatch.py
+++ b/libs/policy/tests/test_fair_dispatch.py
@@ -1,4 +1,4 @@
-"""Guards against customers that lose their slots to the flood of another one, and idle slots."""
+"""Guards against slots lost to the flood of another customer, idle slots and false refusals."""
 
 import random
 from collections import Counter
@@ -26,6 +26,8 @@
     now_ms: int = 0
     requested: Counter = field(default_factory=Counter)
     granted: Counter = field(default_factory=Counter)
+    refused: list = field(default_factory=list)
+    refuses_early: bool = False
     number: int = 0
     running: list = field(default_factory=list)
     customers: dict = field(default_factory=dict)
@@ -37,7 +39,9 @@
         )
         self.dispatcher = Dispatcher(self.placement)
 
-    def request(self, customer, *, work_tokens=1_000, tier=0, small=False, weight=1.0, **values):
+    def request(
+        self, customer, *, work_tokens=1_000, tier=0, small=False, weight=1.0, request_hash=None
+    ):
         """Queue a request and return its number."""
         self.number += 1
         need = SlotRequirements(
@@ -50,7 +54,7 @@
             customer=customer,
             customer_weight=weight,
             work_tokens=work_tokens,
-            **values,
+            request_hash=self.number if request_hash is None else request_hash,
         )
         now_ms = self.now_ms
         self.dispatcher.enqueue(
@@ -69,8 +73,14 @@
             self.placement.record_start("engine", 0)
             self.running.append(self.now_ms + self.hold_ms)
             self.granted[self.customers[offer.ticket.number]] += 1
+        if self.refuses_early:
+            self.refused += self.dispatcher.refusals(self.now_ms)
         self.now_ms += STEP_MS
 
+    def refused_of(self):
+        """Return the number of early refusals by customer."""
+        return Counter(self.customers[each.ticket.number] for each in self.refused)
+
     def run(self, duration_ms, rates, **values):
         """Let customers send requests at rates per second, evenly spaced."""
         start_ms = self.now_ms
@@ -193,3 +203,96 @@
     contention.granted.clear()
     contention.run(3_000, USUAL | {"c0": 40})
     assert min(served(contention, customer) for customer in USUAL if customer != "c0") > 0.9
+
+
+LOADS = {
+    "flood": USUAL | {"c0": 100},
+    "twice the capacity": dict.fromkeys(USUAL, 12),
+    "just the capacity": dict.fromkeys(USUAL, 6),
+    "usual": USUAL,
+}
+
+
+@pytest.mark.parametrize("load", LOADS)
+@pytest.mark.parametrize("hold_ms", [50, 100, 900])
+def test_early_refusals_take_no_slot_from_anybody(load, hold_ms):
+    """An estimate that is too long refuses requests that would have got a slot."""
+    granted = []
+    for refuses_early in (False, True):
+        contention = Contention(hold_ms=hold_ms, refuses_early=refuses_early)
+        for phase in (LOADS[load], {}, LOADS[load]):
+            contention.run(2_000, phase)
+        granted.append(contention.granted.total())
+    assert granted[1] >= granted[0]
+
+
+def test_early_refusals_take_no_slot_from_anybody_when_slots_are_held_for_less_time():
+    """The recent rate is too low for some time after slow upstreams have recovered."""
+    granted = []
+    for refuses_early in (False, True):
+        contention = Contention(hold_ms=100, refuses_early=refuses_early)
+        contention.run(3_000, LOADS["twice the capacity"])
+        contention.hold_ms = 60
+        contention.run(3_000, LOADS["twice the capacity"])
+        granted.append(contention.granted.total())
+    assert granted[1] >= granted[0]
+
+
+def test_the_flood_is_refused_early_and_first():
+    contention = Contention(refuses_early=True)
+    contention.run(3_000, USUAL | {"c0": 400})
+    assert set(contention.refused_of()) == {"c0"}
+    assert contention.refused_of()["c0"] > 500
+
+
+def test_the_lowest_tier_is_refused_early_and_first():
+    """Also those requests are refused that wait already when those of a higher tier arrive."""
+    contention = Contention(refuses_early=True)
+    contention.run(1_000, {"low": 250}, low={"tier": 2})
+    refused = len(contention.refused)
+    contention.run(1_000, {"low": 250, "high": 90}, low={"tier": 2})
+    assert set(contention.refused_of()) == {"low"}
+    assert len(contention.refused) > 2 * refused
+
+
+@pytest.mark.parametrize("request_hash", [0, None])
+def test_requests_that_must_not_be_refused_early_wait(request_hash):
+    """One that has run before has shown its caller progress; older builds know no refusal."""
+    contention = Contention(refuses_early=True)
+    contention.run(1_000, {"c0": 400}, c0={"request_hash": request_hash})
+    assert bool(contention.refused) == (request_hash is None)
+
+
+def test_nothing_is_refused_early_while_nothing_is_known():
+    contention = Contention(refuses_early=True, hold_ms=5_000)
+    contention.run(3_000, {"c0": 400})
+    assert contention.refused == []
+
+
+def test_nothing_is_refused_early_while_another_upstream_has_a_free_slot():
+    contention = Contention(refuses_early=True)
+    contention.run(2_000, {"c0": 400})
+    for _ in range(600):
+        contention.request("c0")
+    contention.placement.set_upstream(
+        RegisteredUpstream("other", "assistant", ("10.0.0.2", 80), slots=1)
+    )
+    contention.now_ms += 50
+    assert contention.dispatcher.refusals(contention.now_ms) == []
+
+
+def test_a_refusal_says_when_a_slot_becomes_free():
+    """Callers that all returned after the same time would find the same queue again."""
+    contention = Contention(refuses_early=True)
+    contention.run(2_000, {"c0": 150})
+    contention.refused.clear()
+    waiting = len(contention.dispatcher)
+    for _ in range(300):
+        contention.request("c0")
+    contention.run(60, {})
+    # The engine runs 100 requests a second, and twice those of 700 ms are kept.
+    times_ms = [each.available_in_ms for each in contention.refused]
+    assert len(times_ms) == pytest.approx(waiting + 300 - 140, abs=20)
+    assert times_ms == sorted(times_ms)
+    assert times_ms[0] == pytest.approx(1_400, abs=100)
+    assert times_ms[-1] == pytest.approx((waiting + 300) * 10, abs=200)
