Put returning requests before newcomers, and copies after first attempts

A request that came again after a refusal waited behind all newcomers, and callers that sent several copies of a request displaced others. Dispatchers now recognise both by a hash of API key, target and body. The hash also draws the two slot groups of a request, so that it finds the dispatcher that refused it. Plain services keep their last attempt without a slot, so they are not refused early.

The queue removed requests by comparing their fields, which took most of the time of a grant; it now compares identities.

--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -417,8 +417,12 @@
         )
         customer = exchange.customer
         weight = 0.0 if customer is None else self._customer_weights.get(customer.name, 0.0)
-        # Requests without a body are often alike without being the same.
-        request_hash = self._fingerprint(exchange.request) if exchange.request.body else 0
+        # Requests without a body are often alike without being the same. One of a plain service may
+        # be sent without a slot at the end of its wait, so it must not be refused before.
+        is_recognisable = (
+            exchange.route.retry_safety is RetrySafety.STREAM and exchange.request.body
+        )
+        request_hash = self._fingerprint(exchange.request) if is_recognisable else 0
         exchange.wait_number = self.fleet.slot_coordinator.wait(
             exchange, exchange.waiting(small, weight, request_hash)
         )
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -134,7 +134,7 @@
 
     def log_above_share(self) -> int:
         """Log changes of the customers above their share that wait here; return their number."""
-        above = self._dispatcher.above_share if len(self._dispatcher) else {}
+        above = self._dispatcher.above_share()
         if above.keys() != self._logged_above_share:
             self._logged_above_share = set(above)
             now_ms = self._clock.now_ms()
@@ -178,7 +178,9 @@
     def wait(self, client: SlotClient, waiting: QueuedRequest[SlotRequirements]) -> int:
         """Request a slot and return the ticket number of the wait."""
         number = self._wait_numbers.draw()
-        group = self._placement.less_loaded_group(client.service, waiting.item.version_rule)
+        group = self._placement.less_loaded_group(
+            client.service, waiting.item.version_rule, waiting.item.request_hash
+        )
         need = replace(waiting.item, ticket=self._own_ticket(number), group=group)
         wait = _Wait(client, replace(waiting, item=need), group)
         self._waits[number] = wait
@@ -296,7 +298,8 @@
         self, sender: HostId, incarnation: Incarnation, withdrawal: SlotWithdrawal
     ) -> None:
         """Remove a slot request of a peer from the queue."""
-        self._dispatcher.cancel(Ticket(sender, withdrawal.ticket, incarnation))
+        ticket = Ticket(sender, withdrawal.ticket, incarnation)
+        self._dispatcher.withdraw(ticket, self._clock.now_ms())
 
     def handle_slot_grant(self, sender: HostId, grant: SlotGrant) -> bool:
         """Accept a grant of a dispatcher; return False if the request no longer waits for it."""
@@ -369,7 +372,7 @@
 
     def _cancel_slot_request(self, number: int, wait: _Wait) -> None:
         if wait.requested_from == self._host:
-            self._dispatcher.cancel(self._own_ticket(number))
+            self._dispatcher.withdraw(self._own_ticket(number), self._clock.now_ms())
         elif wait.requested_from is not None:
             self._send(wait.requested_from, SlotWithdrawal(number))
 
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -6,8 +6,9 @@
 from skylarkmoor_core.ids import HostId, Incarnation, UpstreamId
 from skylarkmoor_policy.fairshares import FairShares
 from skylarkmoor_policy.placement import Placement
+from skylarkmoor_policy.requesthistory import RequestHistory
 from skylarkmoor_policy.slotgroups import SlotGroup
-from skylarkmoor_policy.slotwaits import SlotWaits, WaitingEntry, hopeless
+from skylarkmoor_policy.slotwaits import SlotWaits, WaitingEntry, hopeless, is_hopeless_behind
 from skylarkmoor_policy.urgencyqueue import QueuedRequest, Rank, UrgencyQueue
 from skylarkmoor_policy.versionrules import VersionRule
 
@@ -19,6 +20,9 @@
 _MAX_SKIPS = 3
 # Interval at which the waits are estimated. Each estimate sorts the queue.
 _REFUSAL_INTERVAL_MS = 50
+# A request that is withdrawn this long before its queue deadline, or later, counts as refused: its
+# daemon has refused it, and the withdrawal has arrived before the deadline was noticed here.
+_DEADLINE_MARGIN_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,35 @@
     available_in_ms: int
 
 
+class _GroupQueue(UrgencyQueue[SlotRequirements]):
+    """Queue of a slot group that knows which customers compete in each class of requests."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        # Weight and number of waiting requests by customer.
+        self.competitors: dict[_Class, dict[str, tuple[float, int]]] = {}
+        # Of the requests since the queue was last empty.
+        self.shortest_wait_ms = 0
+
+    def add(self, waiting: QueuedRequest[SlotRequirements]) -> None:
+        max_wait_ms = _max_wait_ms(waiting)
+        self.shortest_wait_ms = min(self.shortest_wait_ms, max_wait_ms) if self else max_wait_ms
+        super().add(waiting)
+        competitors = self.competitors.setdefault(_class(waiting), {})
+        customer = waiting.item.customer
+        _, count = competitors.get(customer, (0.0, 0))
+        competitors[customer] = (waiting.item.customer_weight, count + 1)
+
+    def forget(self, waiting: QueuedRequest[SlotRequirements]) -> None:
+        """Count a request that was removed no longer."""
+        competitors, customer = self.competitors[_class(waiting)], waiting.item.customer
+        weight, count = competitors.pop(customer)
+        if count > 1:
+            competitors[customer] = (weight, count - 1)
+        elif not competitors:
+            del self.competitors[_class(waiting)]
+
+
 class Dispatcher:
     """Queues requests by slot group and assigns free slots to them.
 
@@ -104,33 +137,63 @@
 
     def __init__(self, placement: Placement) -> None:
         self.shares = FairShares()
-        # Customers above their share in the last round that had room, with their levels.
-        self.above_share: dict[str, int] = {}
         self._placement = placement
-        self._queues: dict[SlotGroup, UrgencyQueue[SlotRequirements]] = {}
-        self._needs: dict[Ticket, SlotRequirements] = {}
+        self._queues: dict[SlotGroup, _GroupQueue] = {}
+        self._waiting: dict[Ticket, QueuedRequest[SlotRequirements]] = {}
+        self._history: RequestHistory[Ticket] = RequestHistory()
+        # Levels of the customers above their share, in the last round of a group that had room.
+        self._above_share: dict[SlotGroup, dict[str, int]] = {}
         self._slot_waits: dict[SlotGroup, SlotWaits] = {}
         self._refusals_checked_ms: int | None = None
 
     def __len__(self) -> int:
-        return len(self._needs)
+        return len(self._waiting)
+
+    def above_share(self) -> dict[str, int]:
+        """Return the customers above their share among those that wait, with their levels."""
+        levels: dict[str, int] = {}
+        for group, above in self._above_share.items():
+            for customer, level in above.items() if len(self._queues[group]) else ():
+                levels[customer] = max(level, levels.get(customer, 0))
+        return levels
 
     def enqueue(self, waiting: QueuedRequest[SlotRequirements]) -> None:
         """Queue a request; it replaces an earlier one with the same ticket."""
         need = waiting.item
-        self.cancel(need.ticket)
-        self._needs[need.ticket] = need
-        self._queues.setdefault(need.group, UrgencyQueue()).add(waiting)
+        previous = self._waiting.get(need.ticket)
+        if previous is not None and previous.item.request_hash == need.request_hash:
+            # It keeps its place before its copies.
+            self._remove(previous)
+        else:
+            self.cancel(need.ticket)
+        self._waiting[need.ticket] = waiting
+        self._history.add(need.request_hash, need.ticket, waiting.arrived_ms)
+        self._queues.setdefault(need.group, _GroupQueue()).add(waiting)
 
     def cancel(self, ticket: Ticket) -> None:
         """Remove a request from its queue."""
-        need = self._needs.pop(ticket, None)
-        if need is not None:
-            self._queues[need.group].remove(need)
+        waiting = self._waiting.pop(ticket, None)
+        if waiting is not None:
+            self._remove(waiting)
+            self._history.remove(waiting.item.request_hash, ticket)
+
+    def _remove(self, waiting: QueuedRequest[SlotRequirements]) -> None:
+        queue = self._queues[waiting.item.group]
+        if queue.remove(waiting.item):
+            queue.forget(waiting)
+
+    def withdraw(self, ticket: Ticket, now_ms: int) -> None:
+        """Remove a request whose daemon no longer wants a slot."""
+        waiting = self._waiting.get(ticket)
+        if waiting is None:
+            return
+        if now_ms >= waiting.queue_deadline_ms - _DEADLINE_MARGIN_MS:
+            self._history.record_refusal(waiting.item.request_hash, ticket, now_ms)
+        self.cancel(ticket)
 
     def remove_host(self, host: HostId) -> None:
         """Remove all requests of a daemon that has left."""
-        for ticket in [each for each in self._needs if each.host == host]:
+        for ticket in [each for each in self._waiting if each.host == host]:
             self.cancel(ticket)
 
     def offers(
@@ -145,7 +208,8 @@
         """
         for group, queue in self._queues.items():
             for need in queue.expired(now_ms):
-                self._needs.pop(need.ticket, None)
+                queue.forget(self._waiting.pop(need.ticket))
+                self._history.record_refusal(need.request_hash, need.ticket, now_ms)
             waits = self._slot_waits.setdefault(group, SlotWaits())
             waits.observe(now_ms)
             # Offers are computed for each report of a peer. Under overload most reports free no
@@ -174,33 +238,36 @@
             queue, places_per_ms = self._queues[group], waits.places_per_ms()
             if not len(queue) or places_per_ms is None:
                 continue
+            if not is_hopeless_behind(len(queue) - 1, queue.shortest_wait_ms, places_per_ms):
+                continue
             if self._placement.has_capacity(SlotGroup(group.service), now_ms):
                 continue
-            ordered = list(queue.ordered(now_ms, self._ranking(self._levels(queue))))
+            ordered = list(queue.ordered(now_ms, self._ranking(self._levels(queue), now_ms)))
             entries = [
-                WaitingEntry(each.queue_deadline_ms - each.arrived_ms, each.item.request_hash != 0)
-                for each in ordered
+                WaitingEntry(_max_wait_ms(each), each.item.request_hash != 0) for each in ordered
             ]
             for estimate in hopeless(entries, places_per_ms):
                 ticket = ordered[estimate.index].item.ticket
                 refusals.append(EarlyRefusal(ticket, estimate.available_in_ms))
         for refusal in refusals:
+            need = self._waiting[refusal.ticket].item
+            self._history.record_refusal(need.request_hash, need.ticket, now_ms)
             self.cancel(refusal.ticket)
         return refusals
 
     def _group_offers(
         self,
         group: SlotGroup,
-        queue: UrgencyQueue[SlotRequirements],
+        queue: _GroupQueue,
         now_ms: int,
         exclude: frozenset[UpstreamId],
     ) -> Iterator[SlotOffer]:
         skipped: set[Ticket] = set()
         levels = self._levels(queue)
-        order = queue.ordered(now_ms, self._ranking(levels))
+        order = queue.ordered(now_ms, self._ranking(levels, now_ms))
         while (waiting := next(order, None)) is not None:
             need = waiting.item
-            if need.ticket not in self._needs or need.ticket in skipped:
+            if need.ticket not in self._waiting or need.ticket in skipped:
                 continue
             choice = self._placement.choose(
                 group.service,
@@ -219,37 +286,59 @@
                 if len(skipped) >= _MAX_SKIPS:
                     break
                 continue
+            self._history.record_grant(need.request_hash, need.ticket, now_ms)
             self.cancel(need.ticket)
             self.shares.record_grant(need.customer, need.work_tokens, now_ms)
             under_limit = self._placement.issue_permit(choice.upstream, now_ms)
             yield SlotOffer(need.ticket, choice.upstream, need.prompt_tokens, under_limit)
+            if not self._placement.has_capacity(group, now_ms):
+                break
             # Otherwise a customer could take all slots of a round.
             new_levels = self._levels(queue)
             if new_levels != levels:
                 levels = new_levels
-                order = queue.ordered(now_ms, self._ranking(levels))
-        self.above_share = {customer: level for (_, customer), level in levels.items() if level > 0}
+                order = queue.ordered(now_ms, self._ranking(levels, now_ms))
+        self._above_share[group] = {
+            customer: level
+            for class_levels in levels.values()
+            for customer, level in class_levels.items()
+            if level > 0
+        }
 
-    def _levels(self, queue: UrgencyQueue[SlotRequirements]) -> dict[tuple[_Class, str], int]:
-        """Return how far customers are above their shares, by class of requests and customer."""
-        weights: dict[_Class, dict[str, float]] = {}
-        for waiting in queue:
-            need = waiting.item
-            weights.setdefault(_class(waiting), {})[need.customer] = need.customer_weight
+    def _levels(self, queue: _GroupQueue) -> dict[_Class, dict[str, int]]:
+        """Return how far customers are above their shares, by class of requests."""
         return {
-            (of_class, customer): level
-            for of_class, class_weights in weights.items()
-            for customer, level in self.shares.levels(class_weights).items()
+            of_class: self.shares.levels(
+                {customer: weight for customer, (weight, _) in competitors.items()}
+            )
+            for of_class, competitors in queue.competitors.items()
         }
 
     def _ranking(
-        self, levels: dict[tuple[_Class, str], int]
+        self, levels: dict[_Class, dict[str, int]], now_ms: int
     ) -> Callable[[QueuedRequest[SlotRequirements]], Rank]:
+        # Called for each request in the queue, most of which are neither copies nor returning.
+        marked = self._history.marked()
+        ranks: dict[_Class, dict[str, Rank]] = {
+            of_class: {customer: (False, level, True) for customer, level in class_levels.items()}
+            for of_class, class_levels in levels.items()
+        }
+
         def rank(waiting: QueuedRequest[SlotRequirements]) -> Rank:
-            return False, levels[_class(waiting), waiting.item.customer], False
+            need = waiting.item
+            usual = ranks[waiting.expedited, waiting.tier, waiting.route_tier][need.customer]
+            if need.request_hash not in marked:
+                return usual
+            is_copy = self._history.is_copy(need.request_hash, need.ticket, now_ms)
+            is_newcomer = not self._history.is_returning(need.request_hash, need.ticket)
+            return is_copy, usual[1], is_newcomer
 
         return rank
 
 
 def _class(waiting: QueuedRequest[SlotRequirements]) -> _Class:
     return waiting.expedited, waiting.tier, waiting.route_tier
+
+
+def _max_wait_ms(waiting: QueuedRequest[SlotRequirements]) -> int:
+    return waiting.queue_deadline_ms - waiting.arrived_ms
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -267,11 +267,15 @@
         return SlotGroup(service, known.id_hash % count, count)
 
     def less_loaded_group(
-        self, service: ServiceName, version_rule: VersionRule | None = None
+        self,
+        service: ServiceName,
+        version_rule: VersionRule | None = None,
+        request_hash: int = 0,
     ) -> SlotGroup:
         """Return the slot group of a service that a new request should queue at."""
         loads = self.group_loads(service, version_rule)
-        return SlotGroup(service, less_loaded_group(loads, self._rng), len(loads))
+        number = less_loaded_group(loads, self._rng, request_hash)
+        return SlotGroup(service, number, len(loads))
 
     def own_records(self) -> dict[UpstreamId, tuple[int, int, int, int, int, int]]:
         """Return the measurements of this daemon per upstream, to be reported to peers."""
--- a/libs/policy/src/skylarkmoor_policy/slotgroups.py
+++ b/libs/policy/src/skylarkmoor_policy/slotgroups.py
@@ -6,8 +6,10 @@
 """
 
 import random
+from bisect import bisect_right
 from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import accumulate
 
 from skylarkmoor_core.ids import ServiceName
 
@@ -16,6 +18,9 @@
 # Services of five or six upstreams, as the first two sites have, keep a single dispatcher. Smaller
 # groups would more often have free slots while requests wait in another group.
 _MIN_UPSTREAMS_PER_GROUP = 5
+# Each half of a 64-bit hash draws one group.
+_HALF_BITS = 32
+_HALF_MASK = (1 << _HALF_BITS) - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,13 +68,18 @@
     return count
 
 
-def less_loaded_group(loads: Sequence[tuple[int, int]], rng: random.Random) -> int:
+def less_loaded_group(
+    loads: Sequence[tuple[int, int]], rng: random.Random, request_hash: int = 0
+) -> int:
     """Return the index of the less loaded of two random groups (power of two choices).
 
     Parameters
     ----------
     loads : sequence of (int, int)
         Number of requests and number of slots of each group.
+    request_hash : int
+        64-bit hash that determines the two groups, so that a request that comes again finds the
+        dispatcher that has refused it; 0 to draw them at random.
 
     Notes
     -----
@@ -80,5 +90,10 @@
     slots = [slot_count for _, slot_count in loads]
     if not any(slots):
         return 0
-    sampled = rng.choices(range(len(loads)), weights=slots, k=2)
+    if request_hash:
+        halves = (request_hash >> _HALF_BITS & _HALF_MASK, request_hash & _HALF_MASK)
+        bounds = list(accumulate(slots))
+        sampled = [bisect_right(bounds, half * bounds[-1] >> _HALF_BITS) for half in halves]
+    else:
+        sampled = rng.choices(range(len(loads)), weights=slots, k=2)
     return min(sampled, key=lambda number: loads[number][0] / loads[number][1])
--- a/libs/policy/src/skylarkmoor_policy/slotwaits.py
+++ b/libs/policy/src/skylarkmoor_policy/slotwaits.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-__all__ = ["PlaceEstimate", "SlotWaits", "WaitingEntry", "hopeless"]
+__all__ = ["PlaceEstimate", "SlotWaits", "WaitingEntry", "hopeless", "is_hopeless_behind"]
 
 # Half-life of what is known of the rate, in time with waiting requests. Upstreams crash and return
 # within seconds.
@@ -83,6 +83,16 @@
     available_in_ms: int
 
 
+def is_hopeless_behind(ahead: int, max_wait_ms: int, places_per_ms: float) -> bool:
+    """Return whether a request behind `ahead` others gets no slot even at twice the rate.
+
+    Notes
+    -----
+    The first request of the order has a chance at any rate.
+    """
+    return ahead > max_wait_ms * places_per_ms * _REFUSAL_RATE_FACTOR
+
+
 def hopeless(entries: Iterable[WaitingEntry], places_per_ms: float) -> Iterator[PlaceEstimate]:
     """Yield the requests that get no slot within their wait even at twice the recent rate.
 
@@ -104,12 +114,11 @@
     --------
     >>> entries = [WaitingEntry(100, True)] * 22
     >>> [each.available_in_ms for each in hopeless(entries, 0.1)]
-    [210, 220]
+    [220]
     """
     ahead = 0
     for index, entry in enumerate(entries):
-        places_in_time = entry.max_wait_ms * places_per_ms * _REFUSAL_RATE_FACTOR
-        if entry.is_refusable and ahead + 1 > places_in_time:
+        if entry.is_refusable and is_hopeless_behind(ahead, entry.max_wait_ms, places_per_ms):
             yield PlaceEstimate(index, round((index + 1) / places_per_ms))
         else:
             ahead += 1
--- a/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
+++ b/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
@@ -10,7 +10,7 @@
 # Rank of a request within its tiers: whether it is a copy of another one, how far its customer is
 # above its share, and whether it is a newcomer rather than one that returns after a refusal.
 Rank = tuple[bool, int, bool]
-FIRST_RANK: Rank = (False, 0, False)
+FIRST_RANK: Rank = (False, 0, True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,9 +64,9 @@
 
     def remove(self, item: T) -> bool:
         """Remove a request and return whether it was queued."""
-        for waiting in self._waiting:
+        for index, waiting in enumerate(self._waiting):
             if waiting.item is item:
-                self._waiting.remove(waiting)
+                del self._waiting[index]
                 return True
         return False
 
--- a/libs/policy/tests/test_fair_dispatch.py
+++ b/libs/policy/tests/test_fair_dispatch.py
@@ -296,3 +296,93 @@
     assert times_ms == sorted(times_ms)
     assert times_ms[0] == pytest.approx(1_400, abs=100)
     assert times_ms[-1] == pytest.approx((waiting + 300) * 10, abs=200)
+
+
+def offered(contention):
+    return [offer.ticket.number for offer in contention.dispatcher.offers(contention.now_ms)]
+
+
+def occupy(contention):
+    """Take all places at the engine, and return a function that frees them."""
+    contention.placement.set_peer_load("x", {"engine": (contention.slots + 1, 0)})
+    return lambda: contention.placement.set_peer_load("x", {})
+
+
+@pytest.mark.parametrize("withdrawn_ms", [650, None])
+def test_a_request_that_returns_after_a_refusal_precedes_newcomers(withdrawn_ms):
+    """It would wait behind all that have come since, and be refused again."""
+    contention = Contention()
+    free = occupy(contention)
+    first = contention.request("c0", request_hash=99)
+    if withdrawn_ms is not None:
+        # Its daemon notices the deadline a little earlier.
+        contention.dispatcher.withdraw(Ticket("host", first), withdrawn_ms)
+    contention.now_ms = 700
+    offered(contention)
+    newcomer = contention.request("c0")
+    contention.now_ms += 100
+    returning = contention.request("c0", request_hash=99)
+    free()
+    assert offered(contention) == [returning, newcomer]
+
+
+def test_a_request_whose_caller_has_gone_is_a_newcomer_when_it_comes_again():
+    contention = Contention()
+    free = occupy(contention)
+    first = contention.request("c0", request_hash=99)
+    contention.dispatcher.withdraw(Ticket("host", first), 300)
+    contention.now_ms = 300
+    other = contention.request("c0")
+    contention.now_ms += 100
+    again = contention.request("c0", request_hash=99)
+    free()
+    assert offered(contention) == [other, again]
+
+
+def test_a_returning_request_of_a_customer_above_its_share_waits_for_the_others():
+    contention = Contention()
+    free = occupy(contention)
+    contention.request("flood", request_hash=99)
+    contention.now_ms = 700
+    offered(contention)
+    contention.dispatcher.shares.record_grant("flood", 10_000, 700)
+    returning = contention.request("flood", request_hash=99)
+    other = contention.request("other")
+    free()
+    assert offered(contention) == [other, returning]
+
+
+def test_copies_come_after_the_first_attempts_of_their_tier_only():
+    contention = Contention()
+    free = occupy(contention)
+    first = contention.request("c0", request_hash=99)
+    copies = [contention.request("c0", request_hash=99) for _ in range(2)]
+    contention.dispatcher.shares.record_grant("flood", 10_000, 0)
+    flood = contention.request("flood")
+    lower = contention.request("c0", tier=1)
+    free()
+    assert offered(contention) == [first, flood, *copies, lower]
+
+
+def test_a_repeated_slot_request_keeps_its_place_before_its_copies():
+    """Slot requests are repeated every 500 ms, as they may have been lost."""
+    contention = Contention()
+    free = occupy(contention)
+    first = contention.request("c0", request_hash=99)
+    copy = contention.request("c0", request_hash=99)
+    contention.dispatcher.enqueue(contention.dispatcher._waiting[Ticket("host", first)])
+    free()
+    assert offered(contention) == [first, copy]
+
+
+def test_callers_that_send_copies_take_no_slots_from_the_others():
+    contention = Contention(refuses_early=True)
+    for step in range(300):
+        if step % 2 == 0:
+            contention.request("honest")
+            for _ in range(6):
+                contention.request("copying", request_hash=1_000 + step, weight=100.0)
+        contention.step()
+    assert served(contention, "honest") > 0.95
+    # Nor are they starved: each first attempt gets its slot as well.
+    assert contention.granted["copying"] > 140
--- a/libs/policy/tests/test_slotgroups.py
+++ b/libs/policy/tests/test_slotgroups.py
@@ -45,3 +45,26 @@
     assert max(chosen.values()) < 2_000
     assert chosen[3] == max(chosen.values())
     assert chosen[0] > chosen[1] > 0
+
+
+def test_a_request_that_comes_again_draws_the_same_two_groups():
+    """Otherwise its dispatcher could not know that it was refused before."""
+    rng = random.Random(1)
+    for request_hash in (hash64(f"r{number}") for number in range(50)):
+        calm = {less_loaded_group([(0, 9)] * 8, rng, request_hash) for _ in range(4)}
+        assert len(calm) == 1
+        # The other one of the two, while the first is loaded.
+        loads = [(9 * (number in calm), 9) for number in range(8)]
+        other = less_loaded_group(loads, rng, request_hash)
+        loads[other] = (18, 9)
+        assert less_loaded_group(loads, rng, request_hash) in calm
+
+
+def test_hashes_draw_groups_in_proportion_to_their_slots():
+    rng = random.Random(1)
+    loads = [(0, 10), (0, 0), (0, 30)]
+    drawn = Counter(less_loaded_group(loads, rng, hash64(f"r{n}")) for n in range(4_000))
+    assert drawn[1] == 0
+    # Of two equal loads the first draw is taken.
+    assert drawn[2] == pytest.approx(3_000, rel=0.05)
+    assert less_loaded_group([(0, 1)], rng, 2**64 - 1) == 0
