--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -244,9 +244,14 @@
                 continue
             ordered = list(queue.ordered(now_ms, self._ranking(self._levels(queue), now_ms)))
             entries = [
-                WaitingEntry(_max_wait_ms(each), each.item.request_hash != 0) for each in ordered
+                WaitingEntry(
+                    _max_wait_ms(each),
+                    each.queue_deadline_ms - now_ms,
+                    each.item.request_hash != 0,
+                )
+                for each in ordered
             ]
-            for estimate in hopeless(entries, places_per_ms):
+            for estimate in hopeless(entries, places_per_ms, self._running(group, now_ms)):
                 ticket = ordered[estimate.index].item.ticket
                 refusals.append(EarlyRefusal(ticket, estimate.available_in_ms))
         for refusal in refusals:
@@ -255,6 +260,11 @@
             self.cancel(refusal.ticket)
         return refusals
 
+    def _running(self, group: SlotGroup, now_ms: int) -> int:
+        """Return the number of requests that hold slots of a group."""
+        usable = self._placement.usable(group.service, now_ms, group)
+        return sum(upstream.running() for upstream in usable)
+
     def _group_offers(
         self,
         group: SlotGroup,
--- a/libs/policy/src/skylarkmoor_policy/slotwaits.py
+++ b/libs/policy/src/skylarkmoor_policy/slotwaits.py
@@ -1,6 +1,7 @@
 """Estimates when the requests that wait for the slots of a group will get one."""
 
-from collections.abc import Iterable, Iterator
+from bisect import bisect_left
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 __all__ = ["PlaceEstimate", "SlotWaits", "WaitingEntry", "hopeless", "is_hopeless_behind"]
@@ -63,9 +64,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitingEntry:
-    """What matters of a waiting request: its longest wait, and whether it may be refused."""
+    """What matters of a waiting request for the estimate.
+
+    Attributes
+    ----------
+    max_wait_ms, left_ms : int
+        How long it waits for a slot, and how much of that is left.
+    is_refusable : bool
+        Whether it may be refused early.
+    """
 
     max_wait_ms: int
+    left_ms: int
     is_refusable: bool
 
 
@@ -93,32 +103,47 @@
     return ahead > max_wait_ms * places_per_ms * _REFUSAL_RATE_FACTOR
 
 
-def hopeless(entries: Iterable[WaitingEntry], places_per_ms: float) -> Iterator[PlaceEstimate]:
-    """Yield the requests that get no slot within their wait even at twice the recent rate.
+def hopeless(
+    entries: Sequence[WaitingEntry], places_per_ms: float, slots: int
+) -> Iterator[PlaceEstimate]:
+    """Yield the requests that get no slot within their wait, the last in the order first.
 
     Parameters
     ----------
-    entries : iterable of WaitingEntry
+    entries : sequence of WaitingEntry
         The waiting requests in the order in which they are to start.
     places_per_ms : float
         Rate at which slots become free.
+    slots : int
+        Slots that may become free at once.
 
     Notes
     -----
-    A request counts only those ahead of it that are not refused. These are enough to keep all slots
-    busy for the whole wait of the request, so refusing it early leaves no slot idle. The time for
-    which it has waited already is not subtracted: requests ahead of it may become late and fall
-    behind it, or give up, so that it gets a slot in its last moments after all.
+    Such a request has more ahead of it than get a slot in its whole wait at twice the rate. The
+    time for which it has waited is not subtracted, because requests ahead of it may become late and
+    fall behind it, or give up.
+
+    It is also behind no slot that stays idle later: enough requests remain that wait at least as
+    long as it, so that twice the rate, and all slots becoming free at once, cannot use them up
+    before it would have given up. A new request is therefore refused only when as many newer ones
+    have come.
 
     Examples
     --------
-    >>> entries = [WaitingEntry(100, True)] * 22
-    >>> [each.available_in_ms for each in hopeless(entries, 0.1)]
-    [220]
+    >>> entries = [WaitingEntry(100, 100, True)] * 30
+    >>> [each.available_in_ms for each in hopeless(entries, 0.1, 4)]
+    [300, 290, 280, 270, 260, 250]
     """
-    ahead = 0
-    for index, entry in enumerate(entries):
-        if entry.is_refusable and is_hopeless_behind(ahead, entry.max_wait_ms, places_per_ms):
+    remaining_ms = sorted(entry.left_ms for entry in entries)
+    for index in range(len(entries) - 1, -1, -1):
+        entry = entries[index]
+        if not entry.is_refusable:
+            continue
+        if not is_hopeless_behind(index, entry.max_wait_ms, places_per_ms):
+            continue
+        position = bisect_left(remaining_ms, entry.left_ms)
+        # Without the request itself.
+        others = len(remaining_ms) - position - 1
+        if others >= slots + entry.left_ms * places_per_ms * _REFUSAL_RATE_FACTOR:
+            del remaining_ms[position]
             yield PlaceEstimate(index, round((index + 1) / places_per_ms))
-        else:
-            ahead += 1
