--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -55,6 +55,7 @@
     "ReleaseRequest",
     "SlotGrant",
     "SlotLoads",
+    "SlotRefusal",
     "SlotRequest",
     "SlotWithdrawal",
     "StateBundle",
@@ -304,6 +305,9 @@
     shares_limits: bool = False
     # Era and offset of the last order about a failure domain, and whether it is evacuated.
     evacuated: dict[FailureDomain, tuple[int, int, bool]] = {}
+    # Work of the requests that the sender has granted slots, in tokens by customer; only of
+    # customers with recent grants. A count is cumulative, and begins again after a long pause.
+    granted_work: dict[str, _Units] = {}
     # Whether the sender passes on what it reads from the log, and uses what peers have read.
     shares_reads: bool = False
 
@@ -423,6 +427,13 @@
     # Version of the upstreams that should run the request, and of those that must not.
     preferred_version: str = ""
     except_version: str = ""
+    # Customer of the request, the weight of its share (0 if it is not known) and the cost of the
+    # request in prompt tokens.
+    customer: str = ""
+    customer_weight: _Rate = 0.0
+    work_tokens: _Units = 0
+    # Hash of API key, target and body; 0 for a request that has run before or has no body.
+    request_hash: int = 0
     # Regions that the request must not leave; empty for any.
     regions: tuple[str, ...] = ()
 
@@ -464,6 +475,22 @@
     incarnation: Incarnation = Incarnation(0)
 
 
+class SlotRefusal(_Message, frozen=True, tag="3"):
+    """Refuses a slot request, as no slot becomes free for it in time.
+
+    Attributes
+    ----------
+    available_in_ms : int
+        Time until a slot is expected to become free for it.
+    incarnation : Incarnation
+        Process that has asked for the slot.
+    """
+
+    ticket: int
+    available_in_ms: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    incarnation: Incarnation
+
+
 class UnitsRequest(_Message, frozen=True, tag="i"):
     """Asks the holder of a share of a customer's limit for units.
 
@@ -621,6 +648,7 @@
     | UnitsRequest
     | UnitsGrant
     | UnitsReturn
+    | SlotRefusal
 )
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from skylarkmoor_core.clock import Clock
+from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.messages import CrashedRequest
@@ -34,10 +35,12 @@
     pause_retry_after_ms,
     queue_deadline_ms,
     retry_after_ms,
+    return_after_ms,
     stall_timeout_ms,
 )
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
 from skylarkmoor_policy.eventstream import EventTooLarge
+from skylarkmoor_policy.fairshares import counted_work
 from skylarkmoor_policy.fleetlimits import FleetRetryBudget
 from skylarkmoor_policy.homeregions import home_regions
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
@@ -224,6 +227,7 @@
         )
         # Ticket number while the request waits for a slot.
         self.wait_number: int | None = None
+        self._has_waited = False
         self._is_admitted = True
         # Slot that was granted before the request was admitted.
         self._early_choice: UpstreamChoice | None = None
@@ -324,14 +328,24 @@
             self.wait_number = None
             self._give_up_closed()
 
-    def waiting(self, small: bool) -> QueuedRequest[SlotRequirements]:
+    def waiting(
+        self, small: bool, customer_weight: float = 0.0, request_hash: int = 0
+    ) -> QueuedRequest[SlotRequirements]:
         """Return the entry of this request for the slot queue.
 
         Parameters
         ----------
         small : bool
             Whether requests of the route are small compared with others of the service.
+        customer_weight : float
+            Weight of the customer's share relative to the mean; 0 if it is not known.
+        request_hash : int
+            Hash that identical requests share; 0 if it is not known.
         """
+        # A later wait follows an attempt or a grant, and is no copy or return of the request.
+        if self._has_waited:
+            request_hash = 0
+        self._has_waited = True
         now_ms = self._gateway.clock.now_ms()
         has_run = self._runs > 0
         return QueuedRequest(
@@ -347,6 +361,10 @@
                     self._excluded_upstreams
                 ),
                 self._version_rule(),
+                customer="" if self.customer is None else self.customer.name,
+                customer_weight=customer_weight,
+                work_tokens=counted_work(self.work_tokens()),
+                request_hash=request_hash,
                 regions=self._regions,
             ),
             tier=self.tier,
@@ -436,6 +454,22 @@
                 return
         self._refuse("all slots of the service are taken", None)
 
+    def slot_refused(self, available_in_ms: int) -> None:
+        """Refuse the request, because its dispatcher expects no slot for it in time."""
+        if self._done or self._runs or self.route.retry_safety is not RetrySafety.STREAM:
+            self.wait_timed_out()
+            return
+        self.wait_number = None
+        self._gateway.metrics.early_refusal(self.service)
+        remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
+        # The same at all gateways, and different for the callers that are refused together.
+        spread = hash64(self.request.request) / 2**64
+        self._refuse_for(
+            "no slot becomes free in time",
+            return_after_ms(available_in_ms, remaining_ms, spread),
+            available_in_ms=available_in_ms,
+        )
+
     def _place_request(self) -> None:
         if self._gateway.placement.is_closed(self.service, self._regions):
             self._give_up_closed()
@@ -1024,7 +1058,7 @@
         remaining_ms = self._deadline_ms - self._gateway.clock.now_ms()
         self._refuse_for(reason, retry_after_ms(retry_hint_ms, remaining_ms))
 
-    def _refuse_for(self, reason: str, retry_ms: int) -> None:
+    def _refuse_for(self, reason: str, retry_ms: int, **details: object) -> None:
         self._send_error(503, reason, [(b"Retry-After", f"{retry_ms / 1000:.3f}".encode())])
         placement = self._gateway.placement
         self._end(
@@ -1034,6 +1068,7 @@
             retry_after_ms=retry_ms,
             paused=sorted(placement.paused(self.service, self._gateway.clock.now_ms())),
             limited=sorted(placement.guarded(self.service)),
+            **details,
         )
 
     def _fail(self, status: int, reason: str) -> None:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -28,6 +28,7 @@
     RelayedState,
     SlotGrant,
     SlotLoads,
+    SlotRefusal,
     SlotRequest,
     SlotWithdrawal,
     StateBundle,
@@ -654,7 +655,9 @@
     def _send_units(self, to: HostId, message: UnitsRequest | UnitsGrant | UnitsReturn) -> bool:
         return self._transport.send(to, message)
 
-    def _send_slots(self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant) -> None:
+    def _send_slots(
+        self, to: HostId, message: SlotRequest | SlotWithdrawal | SlotGrant | SlotRefusal
+    ) -> None:
         self._transport.send(to, message)
 
     def _state(self) -> GatewayState:
@@ -682,6 +685,9 @@
             shares_limits=True,
             evacuated=self._placement.evacuations.export(),
             shares_reads=True,
+            granted_work=self.slot_coordinator.shares.granted_work(
+                self._clock.now_ms(), self.interval_ms()
+            ),
         )
 
     def announce_evacuations(self) -> None:
@@ -799,6 +805,7 @@
                 )
             if age_ms > expiry_ms or (peer.unreachable and peer.leaving):
                 self._remove_peer(host)
+        self.slot_coordinator.shares.expire(now_ms)
         self._update_fleet_share()
 
     def _update_fleet_share(self) -> None:
@@ -832,6 +839,7 @@
         self._placement.forget_peer(host)
         self._crash_counts.set_peer_counts(host, {})
         self.slot_coordinator.forget(host)
+        self.slot_coordinator.shares.forget_peer(host)
         self._update_peers()
 
     def _update_peers(self) -> None:
@@ -881,6 +889,8 @@
                 self.slot_coordinator.handle_slot_withdrawal(sender, incarnation, message)
             case SlotGrant():
                 self.slot_coordinator.handle_slot_grant(sender, message)
+            case SlotRefusal():
+                self.slot_coordinator.handle_slot_refusal(sender, message)
             case SlotLoads():
                 self._handle_loads(sender, message)
             case Gossip(facts=facts):
@@ -1016,6 +1026,9 @@
         self, sender: HostId, incarnation: Incarnation, state: GatewayState
     ) -> None:
         now_ms = self._clock.now_ms()
+        self.slot_coordinator.shares.add_peer_counts(
+            sender, incarnation, state.granted_work, now_ms
+        )
         admitted = self._counts["admitted"].increments(sender, incarnation, state.admitted)
         if not self._peer_states[sender].shares_limits:
             for customer, units in admitted.items():
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -13,9 +13,10 @@
 from skylarkmoor_core.hashing import rendezvous_order
 from skylarkmoor_core.ids import HostId, Incarnation, ServiceName, UpstreamId
 from skylarkmoor_core.logs import part_logger
-from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
+from skylarkmoor_core.messages import SlotGrant, SlotRefusal, SlotRequest, SlotWithdrawal
 from skylarkmoor_core.processnumbers import ProcessNumbers
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotOffer, SlotRequirements, Ticket
+from skylarkmoor_policy.fairshares import FairShares
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.slotgroups import SlotGroup
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
@@ -46,6 +47,16 @@
         """Handle a wait that ended without a slot."""
         raise NotImplementedError
 
+    def slot_refused(self, available_in_ms: int) -> None:
+        """Handle a refusal, as no slot becomes free in time; by default like a timeout.
+
+        Parameters
+        ----------
+        available_in_ms : int
+            Time until a slot is expected to become free for the request.
+        """
+        self.wait_timed_out()
+
 
 @dataclass(slots=True)
 class _Wait:
@@ -92,7 +103,7 @@
         incarnation: Incarnation,
         clock: Clock,
         placement: Placement,
-        send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant], None],
+        send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant | SlotRefusal], None],
         live_hosts: Callable[[], list[HostId]],
         is_responsive: Callable[[HostId], bool],
         later: Callable[[Callable[[], None]], None],
@@ -114,10 +125,35 @@
         self._wait_numbers = ProcessNumbers(incarnation)
         self._grant_numbers = ProcessNumbers(incarnation)
         self._offering = False
+        self._logged_above_share: set[str] = set()
         # Cache: the first hosts in rendezvous order by group key, valid for `_ranked_hosts`.
         self._candidates: dict[str, list[HostId]] = {}
         self._ranked_hosts: list[HostId] = []
 
+    @property
+    def shares(self) -> FairShares:
+        """Work that the fleet has granted to each customer, as far as it is known here."""
+        return self._dispatcher.shares
+
+    def log_above_share(self) -> int:
+        """Log changes of the customers above their share that wait here; return their number."""
+        above = self._dispatcher.above_share()
+        if above.keys() != self._logged_above_share:
+            self._logged_above_share = set(above)
+            now_ms = self._clock.now_ms()
+            _log.info(
+                "customers above their share",
+                extra={
+                    "levels": above,
+                    "work_tokens": {
+                        customer: round(self.shares.recent_work(customer, now_ms))
+                        for customer in above
+                    },
+                    "queued": len(self._dispatcher),
+                },
+            )
+        return len(above)
+
     def dispatcher_of(self, group: SlotGroup) -> HostId:
         """Return the host that dispatches the slots of a group."""
         candidates = self._ranked_candidates(group)
@@ -146,7 +182,10 @@
         """Request a slot and return the ticket number of the wait."""
         number = self._wait_numbers.draw()
         group = self._placement.less_loaded_group(
-            client.service, waiting.item.version_rule, waiting.item.regions
+            client.service,
+            waiting.item.version_rule,
+            waiting.item.regions,
+            waiting.item.request_hash,
         )
         need = replace(waiting.item, ticket=self._own_ticket(number), group=group)
         wait = _Wait(client, replace(waiting, item=need), group)
@@ -169,6 +208,22 @@
         finally:
             self._offering = False
         self.grant_free_slots()
+        self._refuse_early()
+
+    def _refuse_early(self) -> None:
+        """Refuse the queued requests that get no slot in time."""
+        for refusal in self._dispatcher.refusals(self._clock.now_ms()):
+            ticket = refusal.ticket
+            if ticket.host == self._host:
+                self._refuse(ticket.number, refusal.available_in_ms)
+            else:
+                message = SlotRefusal(ticket.number, refusal.available_in_ms, ticket.incarnation)
+                self._send(ticket.host, message)
+
+    def _refuse(self, number: int, available_in_ms: int) -> None:
+        wait = self._waits.pop(number, None)
+        if wait is not None:
+            wait.client.slot_refused(available_in_ms)
 
     def _check_waits(self, now_ms: int) -> None:
         owners: dict[SlotGroup, HostId] = {}
@@ -228,6 +283,10 @@
             frozenset(request.avoid),
             _version_rule(request),
             regions=frozenset(request.regions) or None,
+            customer=request.customer,
+            customer_weight=request.customer_weight,
+            work_tokens=request.work_tokens,
+            request_hash=request.request_hash,
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -246,7 +305,8 @@
         self, sender: HostId, incarnation: Incarnation, withdrawal: SlotWithdrawal
     ) -> None:
         """Remove a slot request of a peer from the queue."""
-        self._dispatcher.cancel(Ticket(sender, withdrawal.ticket, incarnation))
+        ticket = Ticket(sender, withdrawal.ticket, incarnation)
+        self._dispatcher.withdraw(ticket, self._clock.now_ms())
 
     def handle_slot_grant(self, sender: HostId, grant: SlotGrant) -> bool:
         """Accept a grant of a dispatcher; return False if the request no longer waits for it."""
@@ -287,6 +347,16 @@
             wait.waiting = replace(wait.waiting, item=need)
         wait.unpermitted.add(upstream)
 
+    def handle_slot_refusal(self, sender: HostId, refusal: SlotRefusal) -> None:
+        """Refuse a local request whose dispatcher expects no slot for it in time."""
+        wait = self._waits.get(refusal.ticket)
+        if refusal.incarnation != self._incarnation or wait is None:
+            return
+        if wait.requested_from != sender:
+            # It waits at another dispatcher by now.
+            return
+        self._refuse(refusal.ticket, refusal.available_in_ms)
+
     def own_grant(self, number: int) -> int:
         """Return the number of a grant that a peer has accepted, 0 if this process has not made it.
 
@@ -324,7 +394,7 @@
 
     def _cancel_slot_request(self, number: int, wait: _Wait) -> None:
         if wait.requested_from == self._host:
-            self._dispatcher.cancel(self._own_ticket(number))
+            self._dispatcher.withdraw(self._own_ticket(number), self._clock.now_ms())
         elif wait.requested_from is not None:
             self._send(wait.requested_from, SlotWithdrawal(number))
 
@@ -383,6 +453,10 @@
                 wait.group.count,
                 *_version_fields(waiting.item.version_rule),
                 regions=tuple(sorted(waiting.item.regions or ())),
+                customer=waiting.item.customer,
+                customer_weight=waiting.item.customer_weight,
+                work_tokens=waiting.item.work_tokens,
+                request_hash=waiting.item.request_hash,
             ),
         )
 
