Learn fixed and per-token parts of the time to first token over the fleet

One figure for both parts took the fixed part of a slow engine for a low prompt speed, and slot holding times were learnt by each host alone, which sees about one request a second in a fleet of 139.

Daemons now report totals that only grow, for upstreams measured since their last state (new field GatewayState.speeds). Records of peers of earlier builds serve as the prior of the part per token. A sample counts as at most four times the prediction, and not if the request waited in the engine's queue or went through a peer.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -300,6 +300,9 @@
     unreachable: tuple[UpstreamId, ...] = ()
     # Whether the sender takes part in holding shares of the customers' limits.
     shares_limits: bool = False
+    # Totals of the sender's measurements of upstreams that it has measured since its last state:
+    # a mark of the instance, and sums that only grow; None if the sender keeps no such totals.
+    speeds: dict[UpstreamId, tuple[int, ...]] | None = None
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -633,6 +633,7 @@
             relayed=self.relayed(),
             unreachable=self._reachability.unreachable(),
             shares_limits=True,
+            speeds=self._placement.own_speeds(),
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -641,6 +642,7 @@
         if state == self._last_state and now_ms - self._last_sent_ms < _HEARTBEAT_MS:
             return
         self._last_state, self._last_sent_ms = state, now_ms
+        self._placement.speeds_reported()
         self._sequence += 1
         numbered = structs.replace(
             state,
@@ -921,7 +923,12 @@
         if state.departed:
             self.on_departed(state.departed)
         self._placement.update_peer_health(
-            sender, state.records, state.resting_ms, peer.last_heard_ms
+            sender,
+            state.records,
+            state.resting_ms,
+            peer.last_heard_ms,
+            state.speeds or {},
+            reports_speeds=state.speeds is not None,
         )
         self._crash_counts.set_peer_counts(sender, state.crashes)
         self._add_peer_counts(sender, incarnation, state)
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -29,9 +29,6 @@
 
 __all__ = ["Placement", "UpstreamChoice"]
 
-# Weight of a new sample in the moving average of slot hold times, which covers about the last
-# ten requests.
-_SLOT_HOLD_EWMA_WEIGHT = 0.1
 # Fraction of a record's weight that is lost per second, so that an engine that has become slow
 # is rated as slow after some seconds.
 _RECORD_DECAY_PER_S = 0.08
@@ -59,6 +56,12 @@
 # they still list it.
 _UNLISTED_LEAVING_MS = 60_000
 _NO_UPSTREAMS: frozenset[UpstreamId] = frozenset()
+_NO_SPEEDS: Mapping[UpstreamId, tuple[int, ...]] = {}
+# A time to first token counts as at most this multiple of the prediction, plus this time. A lost
+# packet or a stalled caller of this host would otherwise outweigh many measurements; an upstream
+# that has become slow is still learnt in a few steps.
+_MAX_SAMPLE_FACTOR = 4.0
+_MAX_SAMPLE_EXCESS_MS = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,13 +180,31 @@
         records: Mapping[UpstreamId, tuple[int, ...]],
         resting_ms: Mapping[UpstreamId, int],
         now_ms: int,
+        speeds: Mapping[UpstreamId, tuple[int, ...]] = _NO_SPEEDS,
+        *,
+        reports_speeds: bool = False,
     ) -> None:
-        """Store the measurements of a peer and apply its remaining backoff times."""
+        """Store the measurements of a peer and apply its remaining backoff times.
+
+        Parameters
+        ----------
+        speeds : mapping
+            Totals of the peer for the upstreams that it has measured since its last state.
+        reports_speeds : bool
+            Whether the peer reports such totals. Its records then don't count for the times to
+            first token, which would count twice.
+        """
+        for name, totals in speeds.items():
+            measured = self.upstreams.get(name)
+            if measured is not None:
+                measured.sums.add_report(peer, totals)
         for name in self._peer_recorded_upstreams.get(peer, _NO_UPSTREAMS) - records.keys():
             upstream = self.upstreams.get(name)
             if upstream is not None:
                 upstream.set_peer_record(peer, None)
         for name, values in records.items():
+            if reports_speeds:
+                values = (0, 0, *values[2:])
             upstream = self.upstreams.get(name)
             if upstream is not None and values != upstream.peer_records.get(peer):
                 upstream.set_peer_record(peer, values)
@@ -210,6 +231,7 @@
         self._peer_recorded_upstreams.pop(peer, None)
         for upstream in self.upstreams.values():
             upstream.set_peer_record(peer, None)
+            upstream.sums.forget_peer(peer)
 
     def own_loads(self, group: SlotGroup | None = None) -> dict[UpstreamId, tuple[int, int]]:
         """Return the load of this daemon per upstream, to be reported to peers."""
@@ -281,6 +303,17 @@
             if each.record.responses >= 0.1
         }
 
+    def own_speeds(self) -> dict[UpstreamId, tuple[int, ...]]:
+        """Return the totals of this daemon for upstreams measured since `speeds_reported`."""
+        return {
+            name: each.sums.report() for name, each in self.upstreams.items() if each.sums.has_news
+        }
+
+    def speeds_reported(self) -> None:
+        """Note that the result of `own_speeds` was sent to the peers."""
+        for each in self.upstreams.values():
+            each.sums.has_news = False
+
     def own_backoffs_ms(self, now_ms: int) -> dict[UpstreamId, int]:
         """Return the remaining backoff of upstreams that this daemon failed to reach."""
         return {
@@ -585,9 +618,15 @@
             known.own_load.prefill_tokens += prompt_tokens
 
     def record_first_token(
-        self, upstream: UpstreamId, prompt_tokens: int, elapsed_ms: int, queued_prefill_tokens: int
+        self,
+        upstream: UpstreamId,
+        prompt_tokens: int,
+        elapsed_ms: int,
+        queued_prefill_tokens: int,
+        *,
+        is_sample: bool = True,
     ) -> None:
-        """Record the time to first token and update the prefill speed.
+        """Record the time to first token and update the speed.
 
         Parameters
         ----------
@@ -595,6 +634,8 @@
             Prompt tokens of the request.
         queued_prefill_tokens : int
             Prompt tokens that were queued for prefill ahead of the request.
+        is_sample : bool
+            Whether the time is that of the upstream, and not that of a queue or of a peer.
         """
         known = self.upstreams.get(upstream)
         if known is None:
@@ -605,6 +646,10 @@
         if tokens >= _MIN_PREFILL_TOKENS:
             known.record.prefilled_tokens += tokens
             known.record.prefill_ms += max(1.0, elapsed_ms - FIRST_TOKEN_OVERHEAD_MS)
+        if is_sample:
+            expected_ms = known.first_token.predict_ms(tokens)
+            max_ms = _MAX_SAMPLE_FACTOR * expected_ms + _MAX_SAMPLE_EXCESS_MS
+            known.sums.add_first_token(tokens, min(elapsed_ms, max_ms))
 
     def record_stream(
         self, upstream: UpstreamId, events: int, elapsed_ms: int, expected_tokens: int | None
@@ -654,7 +699,7 @@
         known.own_load.running = max(0, known.own_load.running - 1)
         known.own_load.prefill_tokens = max(0, known.own_load.prefill_tokens - unprocessed_tokens)
         if held_ms is not None:
-            known.slot_hold_ms += _SLOT_HOLD_EWMA_WEIGHT * (held_ms - known.slot_hold_ms)
+            known.sums.add_held(held_ms)
         if fault is not None:
             known.record.responses += 1
             known.record.failures += float(fault)
@@ -682,6 +727,7 @@
         keep = (1 - _RECORD_DECAY_PER_S) ** (elapsed_ms / 1_000)
         for upstream in self.upstreams.values():
             upstream.record.decay(keep)
+            upstream.sums.decay(now_ms)
             upstream.refresh()
 
     def _add_grant(
