Place requests by expected finish, and weigh slot groups by speed

Requests were spread evenly over engines of speed 0.55, 1 and 2.8, and one that was begun at 2.4 s had waited 1.5 s in the queue of a slow engine.

The cost of an upstream is now the time to first token plus a quarter of the stream, with penalties for missed goals, gaps and deadlines. The last slots of a fast upstream cost what a typical request loses elsewhere, so that small and late-tolerant requests leave them to others. A request is not queued in an engine while another one would begin it sooner. Groups are sampled by slots times speed; a group without a free slot loses to any other. The times between events are joined over the fleet with the other sums.

--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -134,6 +134,8 @@
                     remaining_ms=need.deadline_ms - now_ms,
                     group=group,
                     version_rule=need.version_rule,
+                    slack_ms=waiting.latest_start_ms - now_ms,
+                    waiting_ahead=skipped,
                 )
                 if choice is None:
                     skipped += 1
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -1,4 +1,4 @@
-"""Chooses an upstream for each request by predicted time to first token.
+"""Chooses an upstream for each request by its expected finish.
 
 The prediction uses the load and measurements that all daemons report to each other.
 """
@@ -10,7 +10,8 @@
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
-from skylarkmoor_policy.slotgroups import SlotGroup, group_count, less_loaded_group
+from skylarkmoor_policy.expectedfinish import RequestShape, costs_ms, worth_queueing
+from skylarkmoor_policy.slotgroups import SlotGroup, group_count, group_load, less_loaded_group
 from skylarkmoor_policy.trackedupstream import (
     FIRST_TOKEN_OVERHEAD_MS,
     Load,
@@ -39,19 +40,8 @@
 # Backoff after a connection failure; it doubles with each consecutive failure up to the maximum.
 _BACKOFF_MS = 250
 _MAX_BACKOFF_MS = 4_000
-# Penalty for a fault rate of 1; lower rates are charged in proportion.
-_FAULT_PENALTY_MS = 3_000
 # Costs that differ by no more than this are treated as equal, because loads are estimates.
 _COST_TIE_MS = 5.0
-# Engines interleave chunked prefill with decode steps. At most this many prompt tokens are
-# processed between two events of a stream, so a longer backlog adds no further delay per event.
-_MAX_INTERLEAVED_PREFILL_TOKENS = 12_288
-# Penalty for stalling the streams that run beside a long prompt, as a delay of that prompt.
-_STALL_PENALTY_MS = 400.0
-# Fraction of the maximum gap that prefill may use; the decode steps in between take the rest.
-_MAX_GAP_FRACTION_FOR_PREFILL = 0.8
-# Missing the deadline of the answer costs more than any wait.
-_DEADLINE_MISS_PENALTY_MS = 5_000.0
 # Peers are told for this long that an upstream is leaving that is no longer listed here, in case
 # they still list it.
 _UNLISTED_LEAVING_MS = 60_000
@@ -191,8 +181,8 @@
         speeds : mapping
             Totals of the peer for the upstreams that it has measured since its last state.
         reports_speeds : bool
-            Whether the peer reports such totals. Its records then don't count for the times to
-            first token, which would count twice.
+            Whether the peer reports such totals. Its records then don't count for the speed,
+            which would count twice.
         """
         for name, totals in speeds.items():
             measured = self.upstreams.get(name)
@@ -204,7 +194,7 @@
                 upstream.set_peer_record(peer, None)
         for name, values in records.items():
             if reports_speeds:
-                values = (0, 0, *values[2:])
+                values = (0, 0, 0, 0, *values[4:])
             upstream = self.upstreams.get(name)
             if upstream is not None and values != upstream.peer_records.get(peer):
                 upstream.set_peer_record(peer, values)
@@ -261,23 +251,24 @@
 
     def group_loads(
         self, service: ServiceName, version_rule: VersionRule | None = None
-    ) -> list[tuple[int, int]]:
-        """Return the running requests and the slots of each slot group of a service.
+    ) -> list[tuple[float, float]]:
+        """Return the load and the capacity of each slot group of a service.
+
+        The capacity is the sum of the slots, each counted by the speed of its upstream.
 
         Parameters
         ----------
         version_rule : VersionRule or None
             Versions of the upstreams that count; None for all.
         """
-        count = self._group_count(service)
-        loads = [(0, 0)] * count
+        groups: list[list[TrackedUpstream]] = [[] for _ in range(self._group_count(service))]
         for each in self._active_upstreams(service):
-            if not matches(version_rule, each.registration.version):
-                continue
-            number = each.id_hash % count
-            running, slots = loads[number]
-            loads[number] = (running + each.running(), slots + each.usable_slots)
-        return loads
+            if matches(version_rule, each.registration.version):
+                groups[each.id_hash % len(groups)].append(each)
+        return [
+            group_load([(each.running(), each.usable_slots, each.speed) for each in upstreams])
+            for upstreams in groups
+        ]
 
     def group_of(self, upstream: UpstreamId) -> SlotGroup | None:
         """Return the slot group of an upstream, or None if the upstream is unknown."""
@@ -523,9 +514,29 @@
 
     def has_capacity(self, group: SlotGroup, now_ms: int) -> bool:
         """Return whether any usable upstream of a group can accept a request."""
-        return any(
-            self._can_take(each, now_ms) for each in self.usable(group.service, now_ms, group)
-        )
+        # A prompt without tokens is the one that is most readily queued at a slow engine.
+        return bool(self._able(self.usable(group.service, now_ms, group), 0, now_ms))
+
+    def _able(
+        self,
+        candidates: Collection[TrackedUpstream],
+        prompt_tokens: int,
+        now_ms: int,
+        waiting_ahead: int = 0,
+    ) -> list[TrackedUpstream]:
+        """Return the candidates that a request can be sent to now rather than wait for another."""
+        able = [each for each in candidates if self._can_take(each, now_ms)]
+        if not able:
+            return able
+        full = [
+            each
+            for each in candidates
+            if not each.has_capacity()
+            and each.is_available(now_ms)
+            and each.limit_per_s is None
+            and not self.windows.is_brittle(each.instance)
+        ]
+        return worth_queueing(able, full, prompt_tokens, waiting_ahead)
 
     def _can_take(self, upstream: TrackedUpstream, now_ms: int) -> bool:
         """Return whether an upstream has a free slot, and whether its limits allow a request."""
@@ -548,11 +559,13 @@
         remaining_ms: int | None = None,
         group: SlotGroup | None = None,
         version_rule: VersionRule | None = None,
+        slack_ms: int | None = None,
+        waiting_ahead: int = 0,
     ) -> UpstreamChoice | None:
         """Return the upstream with the lowest cost, or None if there is no candidate.
 
-        The cost is the predicted time to first token plus penalties for faults, stalled streams
-        and missed deadlines.
+        The cost is the expected finish plus penalties for faults, stalled streams and missed
+        goals and deadlines.
 
         Parameters
         ----------
@@ -570,6 +583,10 @@
             If given, only its upstreams are considered.
         version_rule : VersionRule or None
             Versions to choose among; None for all.
+        slack_ms : int or None
+            Time until it has to start at an upstream of the usual speed to meet its goal.
+        waiting_ahead : int
+            Requests that wait for an upstream that cannot take them now, ahead of this one.
         """
         candidates = [
             each
@@ -577,7 +594,7 @@
             if each.upstream not in exclude
         ]
         if only_with_capacity:
-            candidates = [each for each in candidates if self._can_take(each, now_ms)]
+            candidates = self._able(candidates, prompt_tokens, now_ms, waiting_ahead)
         if not candidates and isinstance(version_rule, PreferVersion):
             return self.choose(
                 service,
@@ -589,13 +606,14 @@
                 output_tokens=output_tokens,
                 remaining_ms=remaining_ms,
                 group=group,
+                slack_ms=slack_ms,
+                waiting_ahead=waiting_ahead,
             )
         if not candidates:
             return None
-        costs = [
-            self._cost_ms(each, prompt_tokens, max_event_gap_ms, output_tokens, remaining_ms)
-            for each in candidates
-        ]
+        events = output_tokens / self._tokens_per_event
+        shape = RequestShape(prompt_tokens, events, max_event_gap_ms, remaining_ms, slack_ms)
+        costs = costs_ms(candidates, shape)
         min_cost_ms = min(costs)
         tied = [
             u
@@ -669,6 +687,7 @@
         if known is not None and events > 1:
             known.record.events += events - 1
             known.record.streaming_ms += elapsed_ms
+            known.sums.add_stream(events - 1, elapsed_ms)
         if expected_tokens and events:
             # Estimates are unbiased at the median, so fixed steps up and down converge to it.
             step = 0.02 if expected_tokens > events * self._tokens_per_event else -0.02
@@ -751,33 +770,6 @@
         upstream.peers_running += running
         upstream.peers_prefill_tokens += prefill_tokens
 
-    def _cost_ms(
-        self,
-        upstream: TrackedUpstream,
-        prompt_tokens: int,
-        max_event_gap_ms: int,
-        output_tokens: int,
-        remaining_ms: int | None,
-    ) -> float:
-        start_ms = upstream.predicted_first_token_ms(prompt_tokens)
-        cost_ms = start_ms + upstream.fault_rate * _FAULT_PENALTY_MS
-        if max_event_gap_ms and upstream.running():
-            pending_tokens = min(
-                _MAX_INTERLEAVED_PREFILL_TOKENS, upstream.prefill_tokens() + prompt_tokens
-            )
-            if (
-                pending_tokens / upstream.tokens_per_ms
-                > max_event_gap_ms * _MAX_GAP_FRACTION_FOR_PREFILL
-            ):
-                cost_ms += _STALL_PENALTY_MS
-        if remaining_ms is not None and output_tokens:
-            stream_ms = output_tokens / self._tokens_per_event * upstream.ms_per_event
-            if start_ms + stream_ms > remaining_ms:
-                cost_ms += _DEADLINE_MISS_PENALTY_MS
-        # Concurrent requests slow down decoding, and more so on a slow engine.
-        slots = max(1, upstream.usable_slots)
-        return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / slots
-
 
 def _running(upstream: TrackedUpstream | None) -> int:
     return 0 if upstream is None else upstream.running()
--- a/libs/policy/src/skylarkmoor_policy/slotgroups.py
+++ b/libs/policy/src/skylarkmoor_policy/slotgroups.py
@@ -11,11 +11,13 @@
 
 from skylarkmoor_core.ids import ServiceName
 
-__all__ = ["SlotGroup", "group_count", "less_loaded_group"]
+__all__ = ["SlotGroup", "group_count", "group_load", "less_loaded_group"]
 
 # Services of five or six upstreams, as the first two sites have, keep a single dispatcher. Smaller
 # groups would more often have free slots while requests wait in another group.
 _MIN_UPSTREAMS_PER_GROUP = 5
+# Fraction of its capacity up to which a group with a free slot counts as loaded.
+_MAX_FREE_LOAD = 0.99
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,22 +65,49 @@
     return count
 
 
-def less_loaded_group(loads: Sequence[tuple[int, int]], rng: random.Random) -> int:
+def group_load(upstreams: Sequence[tuple[int, int, float]]) -> tuple[float, float]:
+    """Return the load and the capacity of a group.
+
+    Parameters
+    ----------
+    upstreams : sequence of (int, int, float)
+        Running requests, slots and relative speed of each upstream.
+
+    Notes
+    -----
+    The slots of a fast upstream count for more, as they become free sooner. Only a group without a
+    free slot has a load of its capacity or more: a request would wait there, however fast the
+    upstreams are.
+
+    Examples
+    --------
+    >>> group_load([(3, 9, 2.0), (6, 9, 1.0)])
+    (9, 27.0)
+    """
+    running = sum(count for count, _, _ in upstreams)
+    slots = sum(slot_count for _, slot_count, _ in upstreams)
+    capacity = sum(slot_count * speed for _, slot_count, speed in upstreams)
+    if running < slots:
+        return min(running, _MAX_FREE_LOAD * capacity), capacity
+    return running * max(1.0, capacity / max(1, slots)), capacity
+
+
+def less_loaded_group(loads: Sequence[tuple[float, float]], rng: random.Random) -> int:
     """Return the index of the less loaded of two random groups (power of two choices).
 
     Parameters
     ----------
-    loads : sequence of (int, int)
-        Number of requests and number of slots of each group.
+    loads : sequence of (float, float)
+        Load and capacity of each group.
 
     Notes
     -----
     Selecting the least loaded group of all would send the requests of all gateways to the same
-    group until the next load reports arrive. Groups are sampled in proportion to their slots; one
-    without slots is never sampled.
+    group until the next load reports arrive. Groups are sampled in proportion to their capacity;
+    one without slots is never sampled.
     """
-    slots = [slot_count for _, slot_count in loads]
-    if not any(slots):
+    capacities = [capacity for _, capacity in loads]
+    if not any(capacities):
         return 0
-    sampled = rng.choices(range(len(loads)), weights=slots, k=2)
+    sampled = rng.choices(range(len(loads)), weights=capacities, k=2)
     return min(sampled, key=lambda number: loads[number][0] / loads[number][1])
--- a/libs/policy/src/skylarkmoor_policy/speedsums.py
+++ b/libs/policy/src/skylarkmoor_policy/speedsums.py
@@ -18,8 +18,9 @@
 # Prompt tokens are counted in this unit, which keeps the integers of messages short.
 _TOKENS_PER_UNIT = 64
 # Entries of the sums.
-_REQUESTS, _UNITS, _ELAPSED_MS, _SQUARED_UNITS, _UNITS_MS, _HELD_REQUESTS, _HELD_MS = range(7)
-_LENGTH = 7
+_REQUESTS, _UNITS, _ELAPSED_MS, _SQUARED_UNITS, _UNITS_MS = range(5)
+_HELD_REQUESTS, _HELD_MS, _EVENTS, _STREAMING_MS = range(5, 9)
+_LENGTH = 9
 # Below this weight, a sum counts as nothing.
 _MIN_WEIGHT = 0.01
 # The start time of the instance is reported modulo this, which takes at most three bytes.
@@ -27,7 +28,7 @@
 
 
 class SpeedSums:
-    """Sums of the times to first token and of the slot holding times of one instance.
+    """Sums of the times to first token, of slot holding times and of streams of one instance.
 
     Parameters
     ----------
@@ -58,11 +59,15 @@
             Prompt tokens of the request and of those ahead of it.
         """
         units, elapsed = round(tokens / _TOKENS_PER_UNIT), max(0, round(elapsed_ms))
-        self._add((1, units, elapsed, units * units, units * elapsed, 0, 0))
+        self._add((1, units, elapsed, units * units, units * elapsed))
 
     def add_held(self, held_ms: int) -> None:
         """Add the time for which a request of this daemon has held a slot."""
-        self._add((0, 0, 0, 0, 0, 1, max(0, held_ms)))
+        self._add((1, max(0, held_ms)), _HELD_REQUESTS)
+
+    def add_stream(self, events: int, streaming_ms: int) -> None:
+        """Add the intervals between the events of a stream, and how long they took together."""
+        self._add((max(0, events), max(0, streaming_ms)), _EVENTS)
 
     def add_report(self, peer: HostId, report: Sequence[int]) -> None:
         """Add what the totals of a peer have grown by.
@@ -79,7 +84,8 @@
         self._peer_totals[peer] = totals
         if known is None:
             self._add_mean(totals[:_HELD_REQUESTS])
-            self._add_mean(totals[_HELD_REQUESTS:], _HELD_REQUESTS)
+            self._add_mean(totals[_HELD_REQUESTS:_EVENTS], _HELD_REQUESTS)
+            self._add_mean(totals[_EVENTS:], _EVENTS)
             return
         grown = [new - old for new, old in zip(totals, known, strict=True)]
         if min(grown) >= 0:
@@ -122,11 +128,15 @@
         """Return the number of requests that have held a slot, and for how long together."""
         return self._sums[_HELD_REQUESTS], self._sums[_HELD_MS]
 
-    def _add(self, values: Sequence[int]) -> None:
-        for i, value in enumerate(values):
+    def stream_sums(self) -> tuple[float, float]:
+        """Return the intervals between events of streams, and how long they took together."""
+        return self._sums[_EVENTS], self._sums[_STREAMING_MS]
+
+    def _add(self, values: Sequence[int], first: int = 0) -> None:
+        for i, value in enumerate(values, first):
             self._own_totals[i] += value
         self.has_news = True
-        self._add_sums(values)
+        self._add_sums(values, first)
 
     def _add_mean(self, totals: Sequence[int], first: int = 0) -> None:
         if totals[0] > 0 and min(totals) >= 0:
--- a/libs/policy/tests/test_speedsums.py
+++ b/libs/policy/tests/test_speedsums.py
@@ -64,8 +64,8 @@
 def test_totals_that_fall_do_not_count():
     """A process that has started again, which was not noticed, counts from zero."""
     here = SpeedSums(1)
-    here.add_report("peer", (1, 9, 90, 900, 900, 9_000, 0, 0))
-    here.add_report("peer", (1, 8, 90, 900, 900, 9_000, 0, 0))
+    here.add_report("peer", (1, 9, 90, 900, 900, 9_000, 0, 0, 0, 0))
+    here.add_report("peer", (1, 8, 90, 900, 900, 9_000, 0, 0, 0, 0))
     assert here.weight() == 1
 
 
