--- a/tests/adapter_processes.py
+++ b/tests/adapter_processes.py
@@ -176,6 +176,8 @@
         Ports for callers, readiness and peers; drawn if not given.
     sources : list of Path, optional
         Folders with the packages of another build.
+    limits : dict of str to int, optional
+        Bounds of the host: ``memory_mb`` and ``max_fds``.
     """
 
     def __init__(
@@ -186,6 +188,7 @@
         upstreams: tuple[str, ...],
         ports: list[int] | None = None,
         sources: Sequence[Path] = (),
+        limits: dict[str, int] | None = None,
     ) -> None:
         self.host = host
         self.ports = ports or free_ports(3)
@@ -198,6 +201,8 @@
             "platform": {"address": store.address},
             "bootstrap": True,
         }
+        if limits is not None:
+            settings["limits"] = limits
         path = folder / f"{host}.yaml"
         path.write_text(json.dumps(settings))
         environment = os.environ | {"SKYLARKMOOR_SETTINGS": str(path)}
