Hold less of a response while memory is tight

Change: written bytes count at once, a response is held up to 16 KiB while memory is tight, reads of upstreams are 32 KiB.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -159,7 +159,8 @@
             return
         if self._busy or self._awaits_write:
             # Bytes of a pipelined request are buffered up to the header size limit.
-            if len(self._http.trailing_data[0]) > self._handler.limits().max_header_bytes:
+            max_bytes = self._handler.limits().max_header_bytes
+            if self._memory.is_tight() or len(self._http.trailing_data[0]) > max_bytes:
                 self._pause_reading()
             return
         self._process_events()
@@ -206,6 +207,11 @@
         else:
             self._close()
 
+    @property
+    def is_memory_tight(self) -> bool:
+        """Whether as little as possible is to be held for the caller."""
+        return self._memory.is_tight()
+
     def response_held(self, count: int) -> None:
         """Set the bytes of the response that are held back for a retry."""
         self._memory.response_held(self._holding, count)
@@ -307,7 +313,7 @@
             return
         if data:
             self._transport.write(data)
-            self._memory.written(self._holding)
+            self._memory.written(self._holding, len(data))
 
     def _pause_reading(self) -> None:
         self._transport.pauseProducing()
--- a/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
+++ b/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
@@ -9,6 +9,7 @@
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_policy.memorybounds import (
     FREE_BODY_BYTES,
+    TIGHT_FRACTION,
     BodyGrants,
     GrantResult,
     Holding,
@@ -52,6 +53,7 @@
     __slots__ = (
         "connection",
         "is_paused",
+        "is_unread",
         "received_bytes",
         "reserved_bytes",
         "response_bytes",
@@ -69,6 +71,8 @@
         # Bytes of a response that are held back until the request can no longer be retried.
         self.response_bytes = 0
         self.unsent_bytes = 0
+        # Whether the kernel did not take all of a response by the last look.
+        self.is_unread = False
         # Whether bytes may pile up in the kernel, as nothing is read.
         self.is_paused = False
         self.upload_since_ms: int | None = None
@@ -123,6 +127,10 @@
         self._unlogged: dict[str, int] = {}
         self._logged_ms = -_LOG_INTERVAL_MS
 
+    def is_tight(self) -> bool:
+        """Return whether only what is needed for requests in progress is to be read."""
+        return self.total_bytes > self.bounds.held_bytes * TIGHT_FRACTION
+
     def connections(self) -> int:
         """Return the number of connections of callers."""
         return len(self._holdings)
@@ -236,13 +244,17 @@
         holding.response_bytes = count
         self._update(holding)
 
-    def written(self, holding: CallerHolding) -> None:
-        """Record that bytes were written to a caller."""
-        if holding in self._holdings and holding not in self._writing:
+    def written(self, holding: CallerHolding, count: int) -> None:
+        """Record bytes that were written to a caller; the next check sees what is left of them."""
+        if holding not in self._holdings:
+            return
+        holding.unsent_bytes += count
+        if holding not in self._writing:
             self._writing[holding] = None
             if not holding.has_response:
                 holding.has_response = True
                 holding.progress_ms = self._clock.now_ms()
+        self._update(holding)
 
     def check(self, now_ms: int) -> None:
         """Look at the unread responses, give grants, and close what exceeds the bounds."""
@@ -273,10 +285,10 @@
 
     def _look(self, holding: CallerHolding, now_ms: int) -> None:
         unsent = holding.connection.unsent_bytes()
-        if unsent != holding.unsent_bytes:
-            # New bytes are written only while the caller reads, or for another request.
+        if unsent < holding.unsent_bytes:
             holding.progress_ms = now_ms
         holding.unsent_bytes = unsent
+        holding.is_unread = unsent > 0
         if not unsent:
             self._writing.pop(holding, None)
             holding.has_response = False
@@ -294,7 +306,7 @@
         held += holding.response_bytes + holding.unsent_bytes
         if holding.is_paused:
             held += self._kernel_bytes
-        if holding.unsent_bytes:
+        if holding.is_unread:
             held += self._kernel_bytes
         self.total_bytes += held - holding.held_bytes
         holding.held_bytes = held
--- a/libs/gateway/src/skylarkmoor_gateway/responses.py
+++ b/libs/gateway/src/skylarkmoor_gateway/responses.py
@@ -11,6 +11,8 @@
 # Bodies up to this size are buffered completely before they are forwarded, so that the request can
 # still be retried if the upstream fails.
 _MAX_BUFFERED_BYTES = 262_144
+# The same while memory is tight: a retry is then worth less than what the body would hold.
+_MAX_BUFFERED_TIGHT_BYTES = 16_384
 
 
 class CallerResponse:
@@ -86,7 +88,9 @@
     ) -> None:
         """Buffer a chunk of a body; the body is streamed once it exceeds the buffer limit."""
         self._buffered += data
-        if len(self._buffered) > _MAX_BUFFERED_BYTES:
+        is_tight = self._caller.is_memory_tight
+        max_bytes = _MAX_BUFFERED_TIGHT_BYTES if is_tight else _MAX_BUFFERED_BYTES
+        if len(self._buffered) > max_bytes:
             self._start(head, source)
             self._send(self._pop_buffered())
         self._caller.response_held(len(self._buffered))
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -24,6 +24,8 @@
     "UpstreamPool",
 ]
 
+# Bytes of one read, which are held while the caller does not read.
+_READ_BYTES = 32_768
 # For upstreams without a keep-alive header, which close idle connections after a few seconds.
 _DEFAULT_IDLE_MS = 4_000
 # Fraction of the upstream's keep-alive time for which an idle connection is reused, so that no
@@ -93,6 +95,7 @@
         """Set socket options; called by Twisted."""
         self._open = True
         configure_socket(self.transport)
+        self._transport.bufferSize = _READ_BYTES
         limit_kernel_buffers(self._transport.getHandle(), self._pool.limits.kernel_buffer_bytes)
 
     def send(
--- a/libs/policy/src/skylarkmoor_policy/memorybounds.py
+++ b/libs/policy/src/skylarkmoor_policy/memorybounds.py
@@ -14,6 +14,7 @@
 __all__ = [
     "FREE_BODY_BYTES",
     "SMALL_BODY_BYTES",
+    "TIGHT_FRACTION",
     "BodyGrants",
     "GrantChanges",
     "GrantResult",
@@ -83,6 +84,8 @@
 _SLOW_WAIT_MS = 1_000
 # A response that a caller has read nothing of for this time is cut off before others.
 _UNREAD_AFTER_MS = 1_000
+# Fraction of the bound above which pipelined bytes are no longer read, before anyone gives way.
+TIGHT_FRACTION = 0.5
 # Fraction of the bound down to which connections are closed, so that this is not done for each.
 _LOW_FRACTION = 0.85
 
--- a/tests/adapter/test_untrusted_callers.py
+++ b/tests/adapter/test_untrusted_callers.py
@@ -8,14 +8,16 @@
 import os
 import selectors
 import socket
+import threading
 import time
 from contextlib import closing, suppress
 from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
 import pytest
 
-from adapter_harness import CONFIG
+from adapter_harness import CONFIG, answer
 from adapter_harness import request as encode
 from adapter_processes import WAIT_S, GatewayProcess, NoticingUpstream, StoreServer
 from adapter_store import entry_record
@@ -35,18 +37,58 @@
     """Return the configuration of the other tests with the default sizes and a second route."""
     content = json.loads(CONFIG)
     del content["limits"]
+    # Long answers are not to end by their deadline.
+    content["routes"][1]["timeout_ms"] = 15_000
     return json.dumps(content).encode()
 
 
+class LongAnswer(BaseHTTPRequestHandler):
+    """Answers each request to a path of long answers with more than any buffer holds."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def do_POST(self):  # noqa: N802
+        self.rfile.read(int(self.headers.get("Content-Length", "0")))
+        is_long = self.path.startswith("/stock/long")
+        body = bytes(16 * MB) if is_long else b"ok"
+        headers = {"Skylarkmoor_Request_Id": self.headers["Skylarkmoor-Request-Id"]}
+        with suppress(OSError):
+            self.wfile.write(answer(body, **headers))
+
+
+class LongServer(ThreadingHTTPServer):
+    """A server that accepts the connections of a whole crowd at once."""
+
+    request_queue_size = 512
+
+
+class LongAnswers:
+    """An upstream whose answers are long."""
+
+    def __init__(self):
+        self.server = LongServer(("127.0.0.1", 0), LongAnswer)
+        self.server.handle_error = lambda *args: None
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
 class Host:
     """A gateway process on a small host, with its upstream."""
 
-    def __init__(self, folder, limits):
+    def __init__(self, folder, limits, make_upstream=NoticingUpstream):
         self.limits = limits
         self.store = StoreServer()
-        self.upstream = NoticingUpstream()
+        self.upstream = make_upstream()
         entry = entry_record(
-            service="orders", address=f"127.0.0.1:{self.upstream.port}", slots=4, seq=1
+            service="orders", address=f"127.0.0.1:{self.upstream.port}", slots=400, seq=1
         )
         self.store.write("keyed.servers", "o0", entry)
         self.store.write("keyed.op", "config", configuration())
@@ -88,7 +130,7 @@
                 return status
             time.sleep(0.1)
 
-    def end(self):
+    def close(self):
         self.gateway.end()
         self.upstream.close()
         self.store.close()
@@ -103,7 +145,7 @@
     """Return a host; a parameter overrides its limits."""
     made = Host(tmp_path, LIMITS | getattr(request, "param", {}))
     yield made
-    made.end()
+    made.close()
 
 
 class Crowd:
@@ -196,3 +238,31 @@
     """More connections than the process has descriptors for, none of which sends a byte."""
     with closing(Crowd(host.gateway.port)):
         host.check()
+
+
+@pytest.mark.parametrize("host", [{"max_fds": 300}], indirect=True)
+def test_heads_one_byte_at_a_time(host):
+    """More connections than the process has descriptors for, whose heads never end."""
+    with closing(Crowd(host.gateway.port)) as crowd:
+        for count in range(20):
+            crowd.send(lambda number, count=count: encode("/stock/1")[count : count + 1])
+        host.check()
+
+
+def test_long_answers_that_are_not_read(tmp_path):
+    """Answers of many megabytes, of which callers read nothing."""
+    host = Host(tmp_path, LIMITS, LongAnswers)
+    with closing(host), closing(Crowd(host.gateway.port, 2 * CONNECTIONS)) as crowd:
+        head = encode("/stock/long", "POST", b"x", Skylarkmoor_Deadline_Ms="9000")
+        crowd.send(lambda number: head)
+        time.sleep(QUIET_S)
+        host.check()
+
+
+def test_chunk_extensions(host):
+    """Chunks of one byte, each with an extension of several kilobytes."""
+    head = encode("/stock/1", "POST", Transfer_Encoding="chunked")
+    pieces = (b"1;" + b"e" * 8_192 + b"\r\nx\r\n") * 500
+    with closing(Crowd(host.gateway.port)) as crowd:
+        crowd.send(lambda number: head + pieces)
+        host.check()
