Test the bounds of memory and connections, and release grants of closing connections

Cause: a connection that closes after its response kept the grant of its body until the last byte was read. Change: it is released with the response. Tests of the decisions and of the account.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -426,10 +426,12 @@
             self._memory.request_ended(self._holding, len(self._http.trailing_data[0]))
             self._await_written()
         else:
+            self._memory.discarded(self._holding)
             self._close()
 
     def _await_written(self) -> None:
         """Process the next request once the kernel has taken the whole response."""
+        self.unregister_producer()
         self._awaits_write = True
         self._unsent_bytes = self.unsent_bytes()
         self._has_producer = True
--- a/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
+++ b/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
@@ -224,7 +224,8 @@
 
     def discarded(self, holding: CallerHolding) -> None:
         """Record that what has been received of a request was discarded."""
-        holding.received_bytes = 0
+        holding.received_bytes = holding.response_bytes = 0
+        holding.is_working = False
         self._uploads.pop(holding, None)
         self._release(holding)
 
