--- a/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
+++ b/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
@@ -9,6 +9,7 @@
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_policy.memorybounds import (
     FREE_BODY_BYTES,
+    NEW_CONNECTION_MS,
     TIGHT_FRACTION,
     BodyGrants,
     GrantResult,
@@ -52,6 +53,7 @@
 
     __slots__ = (
         "connection",
+        "idle_since_ms",
         "is_paused",
         "is_unread",
         "received_bytes",
@@ -64,6 +66,8 @@
     def __init__(self, connection: HoldingConnection, now_ms: int) -> None:
         super().__init__(progress_ms=now_ms)
         self.connection = connection
+        # Since when no request is in progress.
+        self.idle_since_ms = now_ms
         # Bytes of requests that were received and are not answered yet.
         self.received_bytes = 0
         # The grant of the body, which covers the bytes received.
@@ -143,7 +147,12 @@
         """Return whether a connection may be accepted, after closing an idle one if needed."""
         if len(self._holdings) < self.bounds.max_connections:
             return True
-        candidates = self._new or self._idle
+        candidates = self._idle
+        oldest = next(iter(self._new), None)
+        if oldest is not None and (
+            not self._idle or self._clock.now_ms() - oldest.idle_since_ms > NEW_CONNECTION_MS
+        ):
+            candidates = self._new
         if candidates:
             holding = next(iter(candidates))
             del candidates[holding]
@@ -220,6 +229,7 @@
         holding.is_working = False
         self._release(holding)
         self._uploads.pop(holding, None)
+        holding.idle_since_ms = self._clock.now_ms()
         self._idle[holding] = None
 
     def discarded(self, holding: CallerHolding) -> None:
--- a/libs/policy/src/skylarkmoor_policy/memorybounds.py
+++ b/libs/policy/src/skylarkmoor_policy/memorybounds.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "FREE_BODY_BYTES",
+    "NEW_CONNECTION_MS",
     "SMALL_BODY_BYTES",
     "TIGHT_FRACTION",
     "BodyGrants",
@@ -89,6 +90,10 @@
 # Fraction of the bound down to which connections are closed, so that this is not done for each.
 _LOW_FRACTION = 0.85
 
+# Time for the first request of a connection to arrive, several round trips. Later, the connection
+# is closed for a new one before those that have been used.
+NEW_CONNECTION_MS = 1_000
+
 # Uploads that nobody waits for: the slowest links of callers carry several kB/s.
 _MIN_UPLOAD_BYTES_PER_S = 256
 _UPLOAD_GRACE_MS = 30_000
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -145,3 +145,27 @@
 def test_unknown_bounds_of_any_type_are_ignored(tmp_path, written):
     settings = read_settings(write_bounds(tmp_path, f"{{other_bound: {written}}}"))
     assert settings.gateway.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ("{memory_mb: 200, max_fds: 4100, cores: 2}", (200, 4_100)),
+        ("{memory_mb: 200.5}", (200, None)),
+        ("null", (None, None)),
+    ],
+)
+def test_the_limits_of_the_host_are_read(tmp_path, limits, expected):
+    path = write_settings(tmp_path)
+    path.write_text(f"{path.read_text()}limits: {limits}\n")
+    gateway = read_settings(path).gateway
+    assert (gateway.memory_mb, gateway.max_fds) == expected
+
+
+@pytest.mark.parametrize("value", ["0", "-1", ".inf", "true", "much"])
+def test_invalid_limits_of_the_host_are_reported(tmp_path, value):
+    path = write_settings(tmp_path)
+    path.write_text(f"{path.read_text()}limits: {{memory_mb: {value}, max_fds: {value}}}\n")
+    with pytest.raises(ExceptionGroup) as caught:
+        read_settings(path)
+    assert len(caught.value.exceptions) == 2
