Have callers take turns whose bytes take long to parse

Cause: a read may hold a thousand chunks, each parsed like a large one. 150 bodies in chunks of eight bytes kept from answering an ordinary request within 20 s. Change: after 128 chunks, or after a head of more than 256 fields, a connection waits for the pacer.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -16,6 +16,7 @@
 )
 from skylarkmoor_gateway.memoryaccount import MemoryAccount
 from skylarkmoor_gateway.messages import Headers
+from skylarkmoor_gateway.readpacing import ReadPacer
 from skylarkmoor_policy.memorybounds import FREE_BODY_BYTES, SMALL_BODY_BYTES, GrantResult
 from skylarkmoor_policy.routetable import CallerLimits
 
@@ -32,6 +33,10 @@
 # further one. A chunk costs as much to parse as a kilobyte in a larger one.
 _MAX_SMALL_CHUNKS = 1_024
 _MIN_CHUNK_BYTES = 8
+# Chunks that are parsed in a turn, and header fields of a request after which the next one waits
+# for a turn. Each takes some milliseconds; ordinary reads and heads have fewer.
+_MAX_CHUNKS_PER_TURN = 128
+_MAX_FIELDS_PER_TURN = 256
 # Bytes of chunk sizes and chunk extensions that are accepted whatever the body, and for each byte
 # of it. Extensions are discarded, so that only their number would show that they never end.
 _MAX_FRAMING_BYTES = 65_536
@@ -68,9 +73,12 @@
     ----------
     memory : MemoryAccount
         Counts what is held for callers.
+    pacer : ReadPacer
+        Gives turns to callers whose bytes take long to parse.
     """
 
     memory: MemoryAccount
+    pacer: ReadPacer
 
     def limits(self) -> CallerLimits:
         """Return the size limits and timeouts for callers."""
@@ -130,6 +138,9 @@
         # that was last looked at.
         self._awaits_write = False
         self._unsent_bytes = 0
+        # Whether the connection waits for its turn, and whether it has sent what takes long.
+        self._is_yielding = False
+        self._is_slow = False
         # Bytes of the body with its framing.
         self._body_wire_bytes = 0
 
@@ -157,7 +168,7 @@
         except (h11.RemoteProtocolError, RuntimeError) as error:
             self._reject(400, f"unexpected bytes: {error}")
             return
-        if self._busy or self._awaits_write:
+        if self._busy or self._awaits_write or self._is_yielding:
             # Bytes of a pipelined request are buffered up to the header size limit.
             max_bytes = self._handler.limits().max_header_bytes
             if self._memory.is_tight() or len(self._http.trailing_data[0]) > max_bytes:
@@ -173,6 +184,8 @@
         self._closing = True
         self._busy = False
         self._discard_received()
+        if self._is_yielding:
+            self._handler.pacer.withdraw(self)
         self._memory.remove(self._holding)
         self._handler.caller_disconnected(self)
 
@@ -326,6 +339,7 @@
     def _process_events(self) -> None:
         """Process parser events until a request is complete or more bytes are needed."""
         limits = self._handler.limits()
+        chunks_before = self._chunks
         while not self._closing and not self._busy and not self._awaits_grant:
             try:
                 event = self._http.next_event()
@@ -342,7 +356,8 @@
                     self._reading_head = False
                     self._head = event
                     self._body = bytearray()
-                    self._chunks = 0
+                    self._chunks = chunks_before = 0
+                    self._is_slow = len(event.headers) > _MAX_FIELDS_PER_TURN
                     self._body_wire_bytes = 0
                     self._granted_bytes = FREE_BODY_BYTES
                     self._memory.request_began(self._holding)
@@ -369,6 +384,9 @@
                         # The length is not announced.
                         is_small = len(self._body) <= SMALL_BODY_BYTES
                         self._request_grant(SMALL_BODY_BYTES if is_small else limits.max_body_bytes)
+                    if self._chunks - chunks_before >= _MAX_CHUNKS_PER_TURN:
+                        self._yield()
+                        return
                 case h11.EndOfMessage():
                     self._handle_request()
                     return
@@ -445,9 +463,27 @@
         self.unregister_producer()
         if self._closing:
             return
+        if self._is_slow and self._http.trailing_data[0]:
+            self._yield()
+            return
         self._resume_reading()
         self._process_events()
 
+    def _yield(self) -> None:
+        """Go on after the other callers whose bytes take long to parse."""
+        if self._awaits_grant or self._closing:
+            return
+        self._is_yielding = True
+        self._pause_reading()
+        self._handler.pacer.enqueue(self)
+
+    def run(self) -> None:
+        """Go on with the bytes that have arrived; called by the pacer."""
+        self._is_yielding = False
+        if not self._closing:
+            self._resume_reading()
+            self._process_events()
+
     def _discard_received(self) -> None:
         """Free what has been received, as the closed connection may be referred to for a while."""
         self._head, self._body = None, bytearray()
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -36,6 +36,7 @@
 from skylarkmoor_gateway.messages import Codec, Headers, IncomingRequest
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.paths import UpstreamPaths
+from skylarkmoor_gateway.readpacing import ReadPacer
 from skylarkmoor_gateway.settings import GatewaySettings
 from skylarkmoor_policy.callertimeouts import retry_after_ms
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
@@ -161,6 +162,7 @@
         self.metrics = GatewayMetrics()
         bounds = derive_bounds(settings.memory_mb, settings.max_fds)
         self.memory = MemoryAccount(bounds, clock, self.metrics)
+        self.pacer = ReadPacer(reactor)
         self.placement = Placement(rng)
         self.retries = FleetRetryBudget(
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
--- a/libs/gateway/src/skylarkmoor_gateway/readpacing.py
+++ b/libs/gateway/src/skylarkmoor_gateway/readpacing.py
@@ -8,9 +8,10 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from contextlib import suppress
+from typing import Any, Protocol
 
-__all__ = ["PacedReader", "ReadPacer"]
+__all__ = ["PacedReader", "ReadPacer", "WaitingReader"]
 
 # Bytes that are parsed between two looks at the time.
 _SLICE_BYTES = 4_096
@@ -20,6 +21,13 @@
 _PAUSE_S = 0.02
 
 
+class WaitingReader(Protocol):
+    """A connection that has yielded."""
+
+    def run(self) -> None:
+        """Go on with the bytes that have arrived."""
+
+
 class ReadPacer:
     """Gives turns to the connections of a process that have yielded.
 
@@ -34,14 +42,19 @@
     def __init__(self, reactor: Any, processor_s: Callable[[], float] = time.thread_time) -> None:
         self.processor_s = processor_s
         self._reactor = reactor
-        self._waiting: deque[PacedReader] = deque()
+        self._waiting: deque[WaitingReader] = deque()
         self._is_scheduled = False
 
-    def enqueue(self, reader: "PacedReader") -> None:
+    def enqueue(self, reader: WaitingReader) -> None:
         """Have a reader go on after the others that wait."""
         self._waiting.append(reader)
         self._schedule()
 
+    def withdraw(self, reader: WaitingReader) -> None:
+        """Forget a reader whose connection was closed, if it waits."""
+        with suppress(ValueError):
+            self._waiting.remove(reader)
+
     def _schedule(self) -> None:
         if self._waiting and not self._is_scheduled:
             self._is_scheduled = True
@@ -49,6 +62,8 @@
 
     def _run_next(self) -> None:
         self._is_scheduled = False
+        if not self._waiting:
+            return
         reader = self._waiting.popleft()
         self._schedule()
         reader.run()
--- a/tests/adapter/test_memory_account.py
+++ b/tests/adapter/test_memory_account.py
@@ -1,6 +1,7 @@
 """Tests of what a gateway holds for its callers, with connections in memory."""
 
 from adapter_harness import chunk, request
+from skylarkmoor_gateway import callerconnections
 
 NONE = request("/none/1")
 
@@ -111,3 +112,41 @@
     for caller in callers:
         caller.disconnect()
     assert events == ["full", "room"]
+
+
+def test_a_body_in_tiny_chunks_yields_to_other_callers(harness):
+    """A crowd with chunks of a few bytes held the event loop for seconds."""
+    harness.add_upstream("o0", "orders", 1)
+    caller = harness.caller()
+    body = chunk(b"x" * 8) * 400 + chunk(b"")
+    caller.send(request("/stock/1", "POST", Transfer_Encoding="chunked") + body)
+    assert harness.pending_connections() == 0
+    assert caller.transport.producerState == "paused"
+    harness.advance(100)
+    assert harness.accept().received().endswith(b"x" * 3_200)
+
+
+def test_a_pipelined_request_after_many_header_fields_waits_for_a_turn(harness, monkeypatch):
+    """A crowd whose heads have thousands of fields held the event loop for seconds."""
+    monkeypatch.setattr(callerconnections, "_MAX_FIELDS_PER_TURN", 100)
+    fields = {f"a{number}": "b" for number in range(150)}
+    caller, other = harness.caller(), harness.caller()
+    caller.send(request("/none/1", **fields) + NONE)
+    assert caller.received().count(b"HTTP/1.1 404") == 1
+    other.send(NONE)
+    assert other.received().startswith(b"HTTP/1.1 404")
+    harness.advance(100)
+    assert caller.received().count(b"HTTP/1.1 404") == 1
+
+
+def test_a_caller_that_left_takes_no_turn(harness, monkeypatch):
+    """Callers that connect anew after each head of many fields filled the queue."""
+    monkeypatch.setattr(callerconnections, "_MAX_FIELDS_PER_TURN", 100)
+    fields = {f"a{number}": "b" for number in range(150)}
+    for _ in range(5):
+        caller = harness.caller()
+        caller.send(request("/none/1", **fields) + NONE)
+        assert harness.gateway.pacer._waiting
+        caller.disconnect()
+    assert not harness.gateway.pacer._waiting
+    harness.advance(100)
--- a/tests/adapter/test_untrusted_callers.py
+++ b/tests/adapter/test_untrusted_callers.py
@@ -161,14 +161,18 @@
             connection.setblocking(False)
             self.sockets.append(connection)
 
-    def send(self, payload):
-        """Send each connection's bytes until all are sent, or none of the rest is taken."""
+    def send(self, payload, limit_s=WAIT_S):
+        """Send each connection's bytes until all are sent, or none of the rest is taken, or the time is over."""
         rest = {each: memoryview(payload(number)) for number, each in enumerate(self.sockets)}
-        moved_s = time.monotonic()
+        began_s = moved_s = time.monotonic()
         with selectors.DefaultSelector() as selector:
             for each in rest:
                 selector.register(each, selectors.EVENT_WRITE)
-            while rest and time.monotonic() - moved_s < QUIET_S:
+            while (
+                rest
+                and time.monotonic() - moved_s < QUIET_S
+                and time.monotonic() - began_s < limit_s
+            ):
                 for key, _ in selector.select(0.05):
                     each = key.fileobj
                     try:
@@ -266,3 +270,12 @@
     with closing(Crowd(host.gateway.port)) as crowd:
         crowd.send(lambda number: head + pieces)
         host.check()
+
+
+def test_bodies_in_tiny_chunks(host):
+    """Chunks of eight bytes, which take far longer to parse than to send."""
+    head = encode("/stock/1", "POST", Transfer_Encoding="chunked")
+    pieces = b"8\r\nxxxxxxxx\r\n" * 60_000
+    with closing(Crowd(host.gateway.port)) as crowd:
+        crowd.send(lambda number: head + pieces, limit_s=2)
+        host.check()
