--- a/tests/adapter/test_untrusted_callers.py
+++ b/tests/adapter/test_untrusted_callers.py
@@ -162,7 +162,7 @@
             self.sockets.append(connection)
 
     def send(self, payload, limit_s=WAIT_S):
-        """Send each connection's bytes until all are sent, or none of the rest is taken, or the time is over."""
+        """Send each connection's bytes until all are sent, or none of the rest is taken."""
         rest = {each: memoryview(payload(number)) for number, each in enumerate(self.sockets)}
         began_s = moved_s = time.monotonic()
         with selectors.DefaultSelector() as selector:
