--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -25,10 +25,6 @@
 # Time for a caller to read the rest of a response after which a closing connection is aborted.
 _CLOSE_TIMEOUT_S = 5.0
 
-# Bytes of one read, and of a response that a caller does not read before its source is paused.
-# They are held for each connection, whatever the bounds say.
-_READ_BYTES = 16_384
-
 # Chunks of a request body that are accepted whatever their size, and bytes of the body for each
 # further one. A chunk costs as much to parse as a kilobyte in a larger one.
 _MAX_SMALL_CHUNKS = 1_024
@@ -152,7 +148,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Set socket options and start the idle timer; called by Twisted."""
         configure_socket(self.transport)
-        self._transport.bufferSize = _READ_BYTES
+        self._transport.bufferSize = self._memory.read_bytes()
         self._handler.caller_connected(self)
         self._start_timer(self._handler.limits().idle_timeout_ms)
 
@@ -161,6 +157,7 @@
         if self._closing:
             return
         self._memory.received(self._holding, len(data))
+        self._transport.bufferSize = self._memory.read_bytes()
         if self._head is not None:
             self._body_wire_bytes += len(data)
         try:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -189,6 +189,7 @@
         self.paths = UpstreamPaths(
             reactor, clock, rng, self.placement, settings.failure_domain, bounds
         )
+        self.paths.limits.read_bytes = self.memory.read_bytes
         self.memory.other_bytes = self.paths.tunnels.held_bytes
         incarnation = Incarnation(clock.wall_ms())
         self.canaries = CanaryTable(settings.host, incarnation, settings.max_canary_share)
--- a/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
+++ b/libs/gateway/src/skylarkmoor_gateway/memoryaccount.py
@@ -9,6 +9,8 @@
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_policy.memorybounds import (
     FREE_BODY_BYTES,
+    MAX_READ_BYTES,
+    MIN_READ_BYTES,
     NEW_CONNECTION_MS,
     TIGHT_FRACTION,
     BodyGrants,
@@ -26,6 +28,8 @@
 # Connections beyond the bound that are accepted while idle ones are being closed for them.
 _ACCEPT_MARGIN = 4
 _LOG_INTERVAL_MS = 1_000
+# Writes that count before the next check. Heads and events of streams are far smaller.
+_COUNTED_WRITE_BYTES = 4_096
 # How often the rate of uploads is checked; their bound is in minutes.
 _UPLOAD_CHECK_MS = 5_000
 
@@ -135,6 +139,11 @@
         """Return whether only what is needed for requests in progress is to be read."""
         return self.total_bytes > self.bounds.held_bytes * TIGHT_FRACTION
 
+    def read_bytes(self) -> int:
+        """Return how much a connection may read at once, and hold before its source is paused."""
+        is_crowded = len(self._holdings) > self.bounds.max_large_reads
+        return MIN_READ_BYTES if is_crowded or self.is_tight() else MAX_READ_BYTES
+
     def connections(self) -> int:
         """Return the number of connections of callers."""
         return len(self._holdings)
@@ -265,7 +274,8 @@
             if not holding.has_response:
                 holding.has_response = True
                 holding.progress_ms = self._clock.now_ms()
-        self._update(holding)
+        if count >= _COUNTED_WRITE_BYTES:
+            self._update(holding)
 
     def check(self, now_ms: int) -> None:
         """Look at the unread responses, give grants, and close what exceeds the bounds."""
--- a/libs/gateway/src/skylarkmoor_gateway/paths.py
+++ b/libs/gateway/src/skylarkmoor_gateway/paths.py
@@ -60,6 +60,8 @@
     ----------
     reachability : Reachability
         What is known of the paths; the peers are set by the fleet.
+    limits : ConnectionLimits
+        Bounds of the connections to upstreams.
     tunnels : TunnelServerFactory
         Accepts connections of peers that are passed on to upstreams.
     """
@@ -83,7 +85,7 @@
             bounds.max_tunnels,
             bounds.kernel_buffer_bytes,
         )
-        self._limits = ConnectionLimits(bounds.max_idle_upstreams, bounds.kernel_buffer_bytes)
+        self.limits = ConnectionLimits(bounds.max_idle_upstreams, bounds.kernel_buffer_bytes)
         self._reactor = reactor
         self._pacer = ReadPacer(reactor)
         self._clock = clock
@@ -107,7 +109,7 @@
                 address,
                 observer,
                 pacer=self._pacer,
-                limits=self._limits,
+                limits=self.limits,
             )
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
@@ -137,7 +139,7 @@
             direct.address,
             endpoint=endpoint,
             pacer=self._pacer,
-            limits=self._limits,
+            limits=self.limits,
         )
         self._peer_pools[upstream, peer] = pool
         return pool
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -1,5 +1,6 @@
 """Client side of the gateway: HTTP/1.1 connections to upstreams and their pools."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol as Interface
 
@@ -15,6 +16,7 @@
 from skylarkmoor_gateway.messages import Headers
 from skylarkmoor_gateway.readpacing import PacedReader, ReadPacer
 from skylarkmoor_gateway.tunnels import CONNECT_TIMEOUT_S
+from skylarkmoor_policy.memorybounds import MAX_READ_BYTES
 
 __all__ = [
     "ConnectionLimits",
@@ -24,8 +26,6 @@
     "UpstreamPool",
 ]
 
-# Bytes of one read, which are held while the caller does not read.
-_READ_BYTES = 32_768
 # For upstreams without a keep-alive header, which close idle connections after a few seconds.
 _DEFAULT_IDLE_MS = 4_000
 # Fraction of the upstream's keep-alive time for which an idle connection is reused, so that no
@@ -95,7 +95,6 @@
         """Set socket options; called by Twisted."""
         self._open = True
         configure_socket(self.transport)
-        self._transport.bufferSize = _READ_BYTES
         limit_kernel_buffers(self._transport.getHandle(), self._pool.limits.kernel_buffer_bytes)
 
     def send(
@@ -105,6 +104,7 @@
         self._reader = reader
         self._informational_heads = 0
         self.sent += 1
+        self._transport.bufferSize = self._pool.limits.read_bytes()
         head = h11.Request(method=method, target=target, headers=headers)
         # A body is not copied into one string with its head.
         self._transport.write(self._http.send(head) or b"")
@@ -282,12 +282,15 @@
     ----------
     idle : int
         Idle connections in all pools.
+    read_bytes : callable
+        Returns how much a connection may read at once.
     """
 
     def __init__(self, max_idle: int | None = None, kernel_buffer_bytes: int | None = None) -> None:
         self.max_idle = max_idle
         self.kernel_buffer_bytes = kernel_buffer_bytes
         self.idle = 0
+        self.read_bytes: Callable[[], int] = lambda: MAX_READ_BYTES
 
     def has_room(self) -> bool:
         """Return whether one more connection may stay open without a request."""
--- a/libs/policy/src/skylarkmoor_policy/memorybounds.py
+++ b/libs/policy/src/skylarkmoor_policy/memorybounds.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "FREE_BODY_BYTES",
+    "MAX_READ_BYTES",
+    "MIN_READ_BYTES",
     "NEW_CONNECTION_MS",
     "SMALL_BODY_BYTES",
     "TIGHT_FRACTION",
@@ -57,6 +59,10 @@
 _TUNNEL_FDS_FRACTION = 0.1
 _IDLE_UPSTREAM_FDS_FRACTION = 0.05
 
+# Bytes of one read, and of a response that is not read before its source is paused: normally, and
+# while there are so many connections that one read of each would be an eighth of the bound.
+MAX_READ_BYTES = 65_536
+MIN_READ_BYTES = 16_384
 # Bodies up to this size need no grant.
 FREE_BODY_BYTES = 8_192
 # Bodies up to this size have a pool of their own, so that large ones do not delay them.
@@ -123,6 +129,11 @@
     max_idle_upstreams: int = _DEFAULT_MAX_IDLE_UPSTREAMS
     kernel_buffer_bytes: int | None = None
 
+    @property
+    def max_large_reads(self) -> int:
+        """Connections up to which each may read as much as the kernel has."""
+        return self.held_bytes // (8 * MAX_READ_BYTES)
+
 
 def derive_bounds(memory_mb: int | None, max_fds: int | None) -> MemoryBounds:
     """Return the bounds of a process on a host; None for what the host does not bound."""
