--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -21,6 +21,7 @@
 )
 from skylarkmoor_core.logs import BoundedStream, part_logger
 from skylarkmoor_core.settings import Address
+from skylarkmoor_core.tcpoptions import limit_kernel_buffers
 from skylarkmoor_gateway.callerconnections import CallerConnection, CallerConnectionFactory
 from skylarkmoor_gateway.crashexaminer import CrashExaminer
 from skylarkmoor_gateway.endpoints import make_site
@@ -33,9 +34,11 @@
     LimitDecision,
     Unanswered,
 )
+from skylarkmoor_gateway.memoryaccount import MemoryAccount
 from skylarkmoor_gateway.messages import Codec, Headers, IncomingRequest
 from skylarkmoor_gateway.metrics import GatewayMetrics
 from skylarkmoor_gateway.paths import UpstreamPaths
+from skylarkmoor_gateway.readpacing import ReadPacer
 from skylarkmoor_gateway.settings import GatewaySettings
 from skylarkmoor_policy.callertimeouts import retry_after_ms
 from skylarkmoor_policy.canary import CanaryTable, RolloutOrder
@@ -55,6 +58,7 @@
     OutstandingWork,
     ReportReady,
 )
+from skylarkmoor_policy.memorybounds import derive_bounds
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.routecosts import RouteCosts
 from skylarkmoor_policy.routetable import (
@@ -161,6 +165,9 @@
         self.clock = clock
         self.codec = codec
         self.metrics = GatewayMetrics()
+        bounds = derive_bounds(settings.memory_mb, settings.max_fds)
+        self.memory = MemoryAccount(bounds, clock, self.metrics)
+        self.pacer = ReadPacer(reactor)
         self.placement = Placement(rng)
         self.retries = FleetRetryBudget(
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
@@ -187,7 +194,11 @@
         self.log_stream: BoundedStream | None = None
         self.tasks = Tasks(reactor)
         self._settings = settings
-        self.paths = UpstreamPaths(reactor, clock, rng, self.placement, settings.failure_domain)
+        self.paths = UpstreamPaths(
+            reactor, clock, rng, self.placement, settings.failure_domain, bounds
+        )
+        self.paths.limits.read_bytes = self.memory.read_bytes
+        self.memory.other_bytes = self.paths.tunnels.held_bytes
         incarnation = Incarnation(clock.wall_ms())
         self.canaries = CanaryTable(settings.host, incarnation, settings.max_canary_share)
         self._canaries_checked_ms = 0
@@ -252,7 +263,12 @@
         self._listen(settings.ready_address, site)
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, site)
-        self._listen(settings.caller_address, CallerConnectionFactory(self, self.reactor))
+        caller_port = self._listen(
+            settings.caller_address, CallerConnectionFactory(self, self.reactor)
+        )
+        limit_kernel_buffers(caller_port.socket, self.memory.bounds.kernel_buffer_bytes)
+        self.memory.on_full = caller_port.pauseProducing
+        self.memory.on_room = caller_port.resumeProducing
         if settings.relay_address is not None:
             self._listen(settings.relay_address, self.paths.tunnels)
             self.fleet.relay_address = str(settings.relay_address)
@@ -777,16 +793,17 @@
         target = request.target.decode("latin-1")
         return fingerprint(request.api_key or "", target, request.body)
 
-    def _listen(self, address: Address, factory: Any) -> None:
-        self._ports.append(
-            self.reactor.listenTCP(address.port, factory, interface=address.host, backlog=512)
-        )
+    def _listen(self, address: Address, factory: Any) -> Any:
+        port = self.reactor.listenTCP(address.port, factory, interface=address.host, backlog=512)
+        self._ports.append(port)
+        return port
 
     def _tick(self) -> int:
         """Do what is due and return the milliseconds until the next call."""
         self.fleet.tick()
         self.fleet.slot_coordinator.tick()
         now_ms = self.clock.now_ms()
+        self.memory.check(now_ms)
         if self._unconfirmed:
             self._handle_unconfirmed(now_ms)
         if now_ms - self._stalls_checked_ms >= _STALL_CHECK_MS:
@@ -871,6 +888,11 @@
         )
         self.metrics.cold_upstreams(self.placement.cold_count())
         self.metrics.customers_above_share(self.fleet.slot_coordinator.log_above_share())
+        self.metrics.memory(
+            held_bytes=self.memory.total_bytes,
+            connections=self.memory.connections(),
+            waiting_bodies=self.memory.waiting_bodies(),
+        )
         for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
 
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -42,6 +42,8 @@
         Region of each failure domain.
     region : str
         Region of this host; empty if it is not known.
+    memory_mb, max_fds : int or None
+        Memory and file descriptors of the host; None if they are not bounded.
     """
 
     host: HostId
@@ -65,3 +67,5 @@
     cold_slack: float = 0.0
     regions: Mapping[FailureDomain, str] = field(default_factory=dict)
     region: str = ""
+    memory_mb: int | None = None
+    max_fds: int | None = None
