Grant the requests of plain services that refuse by a dispatcher

Each host places the requests of a plain service by its own counts, so a service of 18 slots refused one request in four. Only own refusals are reported, so that hosts don't keep each other crowded.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -303,6 +303,8 @@
     # Totals of the sender's measurements of upstreams that it has measured since its last state:
     # a mark of the instance, and sums that only grow; None if the sender keeps no such totals.
     speeds: dict[UpstreamId, tuple[int, ...]] | None = None
+    # Plain services that have refused the sender for lack of room within the last seconds.
+    crowded: tuple[str, ...] = ()
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -137,6 +137,9 @@
     def upstream_refused(self, instance: InstanceId) -> None:
         """Record that an upstream has refused a request without executing it."""
 
+    def service_refused(self, service: ServiceName) -> None:
+        """Record that a plain service has refused a request for lack of room."""
+
     def request_sent(self, exchange: "Exchange", version: str) -> None:
         """Record that a request is sent to an upstream of a version."""
 
@@ -230,6 +233,8 @@
         self._is_counted = False
         self._runs = 0
         self._excluded_upstreams: set[UpstreamId] = set()
+        # Upstreams that had no room for it.
+        self._full_upstreams: set[UpstreamId] = set()
         # Upstreams of declined grants that this gateway did not know.
         self._unknown_upstreams: set[UpstreamId] = set()
         self._current: _SendAttempt | None = None
@@ -405,7 +410,8 @@
         if self._runs:
             self._give_up("no other upstream had a free slot in time")
             return
-        if self.route.retry_safety is not RetrySafety.STREAM:
+        # A service that refuses would refuse this request too, as the dispatcher has found no slot.
+        if self.route.retry_safety is not RetrySafety.STREAM and not self._is_crowded():
             now_ms = self._gateway.clock.now_ms()
             choice = self._choose(now_ms, self._gateway.placement.guarded(self.service))
             if choice is not None:
@@ -434,10 +440,18 @@
 
         Notes
         -----
-        Plain services need none, unless the dispatcher has to count for a limit.
+        Plain services need none, unless the dispatcher has to count for a limit, or because they
+        refuse.
         """
         is_stream = self.route.retry_safety is RetrySafety.STREAM
-        return is_stream or bool(self._gateway.placement.guarded(self.service))
+        return is_stream or bool(
+            self._gateway.placement.guarded(self.service) or self._is_crowded()
+        )
+
+    def _is_crowded(self) -> bool:
+        """Return whether the service is a plain one that refuses for lack of room."""
+        now_ms = self._gateway.clock.now_ms()
+        return self._gateway.placement.crowded.is_crowded(self.service, now_ms)
 
     def _choose(
         self, now_ms: int, exclude: frozenset[UpstreamId] = frozenset()
@@ -813,8 +827,26 @@
         self._release(attempt, fault=None)
         if not self._is_deferred(attempt):
             self._excluded_upstreams.add(attempt.upstream)
+        if self._lacks_room(head):
+            self._gateway.service_refused(self.service)
+            self._full_upstreams.add(attempt.upstream)
+            if self._excluded_upstreams.issuperset(
+                self._gateway.placement.upstreams_of(self.service)
+            ):
+                # Those that were full may have room by the time the dispatcher grants a slot.
+                self._excluded_upstreams -= self._full_upstreams
         self._retry(attempt, f"the upstream refused with {head.status}", counts_against_budget=True)
 
+    def _lacks_room(self, head: ResponseHead) -> bool:
+        """Return whether a plain service has refused a request because all its slots are taken."""
+        return (
+            self.route.retry_safety is not RetrySafety.STREAM
+            and head.status == 503
+            and not head.instance_replaced
+            and head.notices.retry_after_ms is None
+            and not self._gateway.placement.guarded(self.service)
+        )
+
     def response_failed(self, attempt: _SendAttempt, reason: str) -> None:
         """Process a connection failure before the response was complete."""
         if self._done or self._current is not attempt:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -634,6 +634,7 @@
             unreachable=self._reachability.unreachable(),
             shares_limits=True,
             speeds=self._placement.own_speeds(),
+            crowded=self._placement.crowded.own(self._clock.now_ms()),
         )
 
     def _send_state(self, now_ms: int, *, to_all: bool = False) -> None:
@@ -930,6 +931,7 @@
             state.speeds or {},
             reports_speeds=state.speeds is not None,
         )
+        self._placement.crowded.set_peer(sender, state.crowded)
         self._crash_counts.set_peer_counts(sender, state.crashes)
         self._add_peer_counts(sender, incarnation, state)
         if LogPosition(state.configuration_era, state.configuration) > self.configuration:
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -10,6 +10,7 @@
 
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
+from skylarkmoor_policy.crowdedservices import CrowdedServices
 from skylarkmoor_policy.expectedfinish import RequestShape, costs_ms, worth_queueing
 from skylarkmoor_policy.slotgroups import SlotGroup, group_count, group_load, less_loaded_group
 from skylarkmoor_policy.trackedupstream import (
@@ -93,6 +94,7 @@
         self._notices = NoticeTable()
         self.permits = PermitTable()
         self.windows = ConcurrencyWindows()
+        self.crowded = CrowdedServices()
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -216,6 +218,7 @@
     def forget_peer(self, peer: HostId) -> None:
         """Drop the load and records of a peer that has left."""
         self._unreported_grants.pop(peer, None)
+        self.crowded.set_peer(peer, ())
         self.set_peer_load(peer, {})
         self._peer_loaded_upstreams.pop(peer, None)
         self._peer_recorded_upstreams.pop(peer, None)
@@ -542,10 +545,16 @@
         """Return whether an upstream has a free slot, and whether its limits allow a request."""
         return (
             upstream.has_capacity()
+            and self._has_room(upstream, now_ms)
             and self.windows.may_send(upstream.instance, upstream.running(), now_ms)
             and self.permits.may_issue(upstream.instance, now_ms)
         )
 
+    def _has_room(self, upstream: TrackedUpstream, now_ms: int) -> bool:
+        """Return whether an upstream does not refuse a request for lack of room."""
+        service = upstream.registration.service
+        return upstream.running() < upstream.slots or not self.crowded.is_crowded(service, now_ms)
+
     def choose(
         self,
         service: ServiceName,
