Keep the cost of cold upstreams and evacuations low in large services

With half of 600 upstreams cold, each offer of slots would have counted the slot groups of the service once for each of them. The groups are now counted once, and with more than 16 upstreams under a limit the result is kept for 25 ms. Whether a service is closed ends at its first open upstream, and the evacuated upstreams are kept between changes.

A message about a cold upstream that has announced no limit no longer counts as an answer without one, which on a host that has booted since could have ended an announced limit.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -581,7 +581,7 @@
         for limit in message.limits:
             instance = InstanceId(limit.upstream, limit.started_wall_ms)
             heard_ms = self._clocks.local_ms(sender, limit.heard_ms, now_ms)
-            if self._placement.record_peer_limit(
+            if limit.heard_ms > _NEVER_MS and self._placement.record_peer_limit(
                 instance, limit.limit_per_s, heard_ms, now_ms, limit.max_refusals_per_s
             ):
                 _log.info(
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -328,7 +328,6 @@
                     "peer": peer,
                 },
             )
-        self.metrics.evacuated_domains(len(self.placement.evacuations.in_force))
         for exchange in list(self._exchanges.values()):
             exchange.evacuations_changed()
         self.fleet.announce_evacuations()
@@ -854,6 +853,7 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
+        self.metrics.evacuated_domains(len(self.placement.evacuations.in_force))
         self.metrics.cold_upstreams(self.placement.cold_count())
         for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -18,6 +18,7 @@
 from skylarkmoor_policy.dispatcher import Dispatcher, SlotOffer, SlotRequirements, Ticket
 from skylarkmoor_policy.placement import Placement, UpstreamChoice
 from skylarkmoor_policy.slotgroups import SlotGroup
+from skylarkmoor_policy.upstreamnotices import InstanceId
 from skylarkmoor_policy.urgencyqueue import QueuedRequest
 from skylarkmoor_policy.versionrules import OtherVersions, PreferVersion, VersionRule
 
@@ -29,6 +30,10 @@
 _ELIGIBLE_DISPATCHERS = 2
 # A slot request or its grant may be lost with a connection. Repeating the request is idempotent.
 _REQUEST_RETRY_MS = 500
+# With more upstreams with a limit than this, as when half of them are cold, it is looked up for all
+# of them only once in this time who dispatches them. Slots are offered hundreds of times a second.
+_MAX_FEW_GUARDED = 16
+_ELSEWHERE_MS = 25
 
 _log = part_logger("slots")
 
@@ -114,6 +119,10 @@
         self._wait_numbers = ProcessNumbers(incarnation)
         self._grant_numbers = ProcessNumbers(incarnation)
         self._offering = False
+        # Cache: the upstreams with a limit, and those of them that another gateway dispatches.
+        self._guarded: frozenset[InstanceId] = frozenset()
+        self._elsewhere: frozenset[UpstreamId] = frozenset()
+        self._elsewhere_ms = 0
         # Cache: the first hosts in rendezvous order by group key, valid for `_ranked_hosts`.
         self._candidates: dict[str, list[HostId]] = {}
         self._ranked_hosts: list[HostId] = []
@@ -206,12 +215,18 @@
         While gateways have read different lists of upstreams, they may request slots of one
         upstream from several dispatchers.
         """
-        upstreams = {each.upstream for each in self._placement.guarded_instances()}
-        return frozenset(each for each in upstreams if not self._is_dispatcher_of(each))
-
-    def _is_dispatcher_of(self, upstream: UpstreamId) -> bool:
-        group = self._placement.group_of(upstream)
-        return group is not None and self.dispatcher_of(group) == self._host
+        guarded = self._placement.guarded_instances()
+        if not guarded:
+            return frozenset()
+        now_ms = self._clock.now_ms()
+        is_recent = now_ms - self._elsewhere_ms < _ELSEWHERE_MS
+        if len(guarded) <= _MAX_FEW_GUARDED or guarded != self._guarded or not is_recent:
+            self._guarded, self._elsewhere_ms = guarded, now_ms
+            upstreams = {each.upstream for each in guarded}
+            groups = self._placement.groups_of(upstreams)
+            own = {each for each in set(groups.values()) if self.dispatcher_of(each) == self._host}
+            self._elsewhere = frozenset(each for each in upstreams if groups.get(each) not in own)
+        return self._elsewhere
 
     def handle_slot_request(
         self, sender: HostId, incarnation: Incarnation, request: SlotRequest
--- a/libs/policy/src/skylarkmoor_policy/evacuations.py
+++ b/libs/policy/src/skylarkmoor_policy/evacuations.py
@@ -123,6 +123,8 @@
         Of the records up to the position that was read here, the peer knows nothing more. What it
         takes for an order in force may have ended; the end is then told to it.
         """
+        if not orders:
+            return []
         for domain, (era, offset, in_force) in orders.items():
             order = _Order(LogPosition(era, offset), in_force)
             known = self._orders.get(domain)
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -108,6 +108,8 @@
         self.regions = RegionMap()
         # Instances whose permits are limited because they are cold.
         self._cold: set[InstanceId] = set()
+        # Cache of the evacuated upstreams by service.
+        self._evacuated: dict[ServiceName, frozenset[UpstreamId]] = {}
         # Grants to peers that their load reports do not include yet.
         self._unreported_grants: dict[HostId, list[_Grant]] = {}
         # Upstreams whose load includes requests of the peer.
@@ -139,12 +141,14 @@
         if self.cold_starts.has_any():
             self._apply_limit(known.instance, now_ms)
         known.evacuated = listed.failure_domain in self.evacuations.in_force
+        self._evacuated.clear()
         # A new entry shows that this instance is alive.
         known.replaced = False
 
     def remove(self, upstream: UpstreamId, now_ms: int = 0) -> None:
         """Remove an upstream that has left the fleet."""
         known = self.upstreams.pop(upstream, None)
+        self._evacuated.clear()
         if known is not None:
             self.cold_starts.removed(known.instance, now_ms)
 
@@ -280,6 +284,20 @@
             loads[number] = (running + each.running(), slots + each.usable_slots)
         return loads
 
+    def groups_of(self, upstreams: Collection[UpstreamId]) -> dict[UpstreamId, SlotGroup]:
+        """Return the slot groups of those upstreams that are known."""
+        counts: dict[ServiceName, int] = {}
+        groups = {}
+        for name in upstreams:
+            known = self.upstreams.get(name)
+            if known is not None:
+                service = known.registration.service
+                if service not in counts:
+                    counts[service] = self._group_count(service)
+                count = counts[service]
+                groups[name] = SlotGroup(service, known.id_hash % count, count)
+        return groups
+
     def group_of(self, upstream: UpstreamId) -> SlotGroup | None:
         """Return the slot group of an upstream, or None if the upstream is unknown."""
         known = self.upstreams.get(upstream)
@@ -534,9 +552,13 @@
         """Return the upstreams of a service whose failure domain is evacuated."""
         if not self.evacuations.in_force:
             return _NO_UPSTREAMS
-        return frozenset(
-            each.upstream for each in self._active_upstreams(service) if each.evacuated
-        )
+        if service not in self._evacuated:
+            self._evacuated[service] = frozenset(
+                name
+                for name, each in self.upstreams.items()
+                if each.evacuated and each.registration.service == service
+            )
+        return self._evacuated[service]
 
     def outside(
         self, service: ServiceName, regions: frozenset[str] | None
@@ -545,19 +567,29 @@
         if regions is None:
             return _NO_UPSTREAMS
         return frozenset(
-            each.upstream
-            for each in self._active_upstreams(service)
-            if not self.regions.is_home(each.registration.failure_domain, regions)
+            name
+            for name, each in self.upstreams.items()
+            if each.registration.service == service
+            and not self.regions.is_home(each.registration.failure_domain, regions)
         )
 
     def is_closed(self, service: ServiceName, regions: frozenset[str] | None) -> bool:
         """Return whether all upstreams are evacuated or outside of the home regions."""
-        closed = self.evacuated(service) | self.outside(service, regions)
-        return (regions is not None or bool(closed)) and len(closed) == len(
-            self._active_upstreams(service)
-        )
+        if regions is None and not self.evacuations.in_force:
+            return False
+        is_listed = False
+        for each in self.upstreams.values():
+            if each.registration.service != service or each.leaving or each.replaced:
+                continue
+            is_listed = True
+            if not each.evacuated and self.regions.is_home(
+                each.registration.failure_domain, regions
+            ):
+                return False
+        return is_listed or regions is not None
 
     def _mark_evacuated(self, now_ms: int) -> None:
+        self._evacuated.clear()
         for each in self.upstreams.values():
             was_evacuated = each.evacuated
             each.evacuated = each.registration.failure_domain in self.evacuations.in_force
