--- a/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
+++ b/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
@@ -70,9 +70,6 @@
                 return True
         return False
 
-    def __iter__(self) -> Iterator[QueuedRequest[T]]:
-        return iter(self._waiting)
-
     def ordered(
         self, now_ms: int, rank: Callable[[QueuedRequest[T]], Rank] = lambda waiting: FIRST_RANK
     ) -> Iterator[QueuedRequest[T]]:
