--- a/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
+++ b/libs/policy/src/skylarkmoor_policy/urgencyqueue.py
@@ -92,7 +92,13 @@
                 waiting.arrived_ms if late else waiting.latest_start_ms,
             )
 
-        yield from sorted(self._waiting, key=urgency)
+        if not self._waiting:
+            return
+        # Mostly a single slot is free, so that the others need not be sorted.
+        first = min(self._waiting, key=urgency)
+        others = [each for each in self._waiting if each is not first]
+        yield first
+        yield from sorted(others, key=urgency)
 
     def expired(self, now_ms: int) -> list[T]:
         """Remove and return the requests whose `queue_deadline_ms` has passed."""
