Take turns only after the small chunks that a body may have at once

Change: turns begin after these chunks; a caller that has sent many also waits before its next request.

--- a/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
+++ b/libs/gateway/src/skylarkmoor_gateway/callerconnections.py
@@ -29,9 +29,9 @@
 # further one. A chunk costs as much to parse as a kilobyte in a larger one.
 _MAX_SMALL_CHUNKS = 1_024
 _MIN_CHUNK_BYTES = 8
-# Chunks that are parsed in a turn, and header fields of a request after which the next one waits
-# for a turn. Each takes some milliseconds; ordinary reads and heads have fewer.
-_MAX_CHUNKS_PER_TURN = 128
+# Chunks that are parsed in a turn after the small ones above, which take about 10 ms. After a
+# request with more chunks or header fields, the next one waits for a turn.
+_MAX_CHUNKS_PER_TURN = 512
 _MAX_FIELDS_PER_TURN = 256
 # Bytes of chunk sizes and chunk extensions that are accepted whatever the body, and for each byte
 # of it. Extensions are discarded, so that only their number would show that they never end.
@@ -171,6 +171,9 @@
             if self._memory.is_tight() or len(self._http.trailing_data[0]) > max_bytes:
                 self._pause_reading()
             return
+        if self._is_slow and self._head is None and not self._reading_head:
+            self._yield()
+            return
         self._process_events()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
@@ -381,7 +384,8 @@
                         # The length is not announced.
                         is_small = len(self._body) <= SMALL_BODY_BYTES
                         self._request_grant(SMALL_BODY_BYTES if is_small else limits.max_body_bytes)
-                    if self._chunks - chunks_before >= _MAX_CHUNKS_PER_TURN:
+                    chunks_in_turn = self._chunks - chunks_before
+                    if self._chunks > _MAX_SMALL_CHUNKS and chunks_in_turn >= _MAX_CHUNKS_PER_TURN:
                         self._yield()
                         return
                 case h11.EndOfMessage():
@@ -395,6 +399,7 @@
         head, body = self._head, bytes(self._body)
         self._head, self._body = None, bytearray()
         self._busy = True
+        self._is_slow = self._is_slow or self._chunks > _MAX_CHUNKS_PER_TURN
         self._memory.request_complete(self._holding)
         self._cancel_timer()
         if head is not None:
