Take no part of an answer to an unread upload for the whole, and no status above 599

An orderly end of what an upstream sends completed an answer without a length although the request was still being written, directly and through a peer's tunnel; statuses 600 and 999 were passed on, and retried if a header said that the request was not executed.

A pull producer now writes the request and knows what the kernel has taken; at the end the kernel is asked for unacknowledged bytes and errors, and a peer resets the tunnel if it holds bytes of the request. The in-memory transport asks pull producers for more after each write, as Twisted does.

--- a/libs/clients/src/skylarkmoor_clients/httpclient.py
+++ b/libs/clients/src/skylarkmoor_clients/httpclient.py
@@ -23,6 +23,8 @@
 # Servers commonly close an idle connection after 60 s. An append sent on a connection that the
 # server has just closed has an unknown outcome, so the client closes idle connections well before.
 _IDLE_CONNECTION_TIMEOUT_S = 15
+# Statuses of HTTP (RFC 9110, section 15). Twisted takes any number for one.
+_STATUSES = range(100, 600)
 
 
 class AnswerTooLarge(PlatformError):
@@ -134,7 +136,8 @@
         AnswerTooLarge
             If the body is longer than `max_bytes`.
         NoAnswer
-            If no complete response arrives in time. The request may have taken effect.
+            If no complete response arrives in time, or one whose status is none of HTTP. The
+            request may have taken effect.
 
         Notes
         -----
@@ -154,6 +157,7 @@
         async def send_and_receive() -> Answer:
             response = await self._send(method, path, params, body, new_connection)
             await _receive_body(response, keep)
+            _check_status(response)
             return Answer(response.code, response.headers, b"".join(chunks))
 
         what = f"{method} {self.base_url}{path}"
@@ -195,6 +199,7 @@
                     on_chunk(chunk)
 
             await _receive_body(response, progress)
+            _check_status(response)
             return status
 
         timed_out = False
@@ -284,6 +289,11 @@
     return f"{type(cause).__name__}: {cause}"
 
 
+def _check_status(response: Any) -> None:
+    if response.code not in _STATUSES:
+        raise NoAnswer(f"{response.code} is no status of HTTP")
+
+
 class _BodyReceiver(Protocol):
     """Passes body chunks to a callback; closes the connection on cancellation or an error."""
 
--- a/libs/clients/tests/test_httpclient.py
+++ b/libs/clients/tests/test_httpclient.py
@@ -42,10 +42,17 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 099 Odd\r\nContent-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 2000 Odd\r\nContent-Length: 5\r\n\r\nwhole",
     ],
 )
-async def test_answer_that_may_lack_its_end_is_an_error(answer):
-    """Twisted does not tell whether a connection that ends an answer was closed or reset."""
+async def test_answer_that_may_lack_its_end_or_has_no_status_is_an_error(answer):
+    """Twisted does not tell whether a connection that ends an answer was closed or reset.
+
+    It takes any number for a status.
+    """
     from twisted.internet import reactor
     from twisted.internet.protocol import Factory, Protocol
 
--- a/libs/core/src/skylarkmoor_core/tcpoptions.py
+++ b/libs/core/src/skylarkmoor_core/tcpoptions.py
@@ -1,10 +1,19 @@
 """TCP options of the connections to callers, upstreams, peers and the platform."""
 
+import fcntl
+import os
 import socket
 import struct
+import termios
 from typing import Any
 
-__all__ = ["close_when_written", "configure_socket", "reset_on_close"]
+__all__ = [
+    "close_when_written",
+    "configure_socket",
+    "count_unread",
+    "find_sending_fault",
+    "reset_on_close",
+]
 
 # A dead connection is detected after 2 + 2 * 1 seconds, within the shortest caller timeout of 5 s.
 _KEEPALIVE_IDLE_S = 2
@@ -12,6 +21,7 @@
 _KEEPALIVE_PROBES = 2
 # The same bound for sent data that is not acknowledged.
 _USER_TIMEOUT_MS = 4_000
+_COUNT = struct.Struct("i")
 
 
 def configure_socket(transport: Any) -> None:
@@ -63,3 +73,29 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing; the connection was lost."""
+
+
+def find_sending_fault(transport: Any) -> str | None:
+    """Return why the other side cannot have read all bytes that the kernel has taken, or None.
+
+    Notes
+    -----
+    For an open connection whose other side has sent its end. That end acknowledges all bytes that
+    had arrived before it, so bytes without an acknowledgement were not read.
+    """
+    sock = transport.getHandle()
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        return f"the connection has failed: {os.strerror(error)}"
+    count = _read_count(sock, termios.TIOCOUTQ)
+    return f"{count} bytes were not acknowledged" if count else None
+
+
+def count_unread(transport: Any) -> int:
+    """Return how many bytes have arrived on an open connection that were not read yet."""
+    return _read_count(transport.getHandle(), termios.FIONREAD)
+
+
+def _read_count(sock: Any, request: int) -> int:
+    count: int = _COUNT.unpack(fcntl.ioctl(sock.fileno(), request, bytes(_COUNT.size)))[0]
+    return count
--- a/libs/daemon/tests/test_upstreams.py
+++ b/libs/daemon/tests/test_upstreams.py
@@ -139,6 +139,10 @@
         (_http_response(200, {"attempt": "other", "result": 1}), AttemptResult.CRASHED),
         (_http_response(200, b"not json"), AttemptResult.CRASHED),
         (_http_response(500, {"error": "x"}), AttemptResult.FAILED),
+        *(
+            (_http_response(status, {}, "X-Leaving: 1\r\n"), AttemptResult.FAILED)
+            for status in ("000", "099", "600", "999", "2000")
+        ),
         (_http_response(302, {}, "Location: http://127.0.0.1:9/\r\n"), AttemptResult.FAILED),
     ],
 )
--- a/libs/gateway/src/skylarkmoor_gateway/tunnels.py
+++ b/libs/gateway/src/skylarkmoor_gateway/tunnels.py
@@ -11,6 +11,9 @@
 a header that they use frames. A side of an older build does not: its tunnel passes the bytes as
 they are, a gateway then takes no close for the end of an answer, and a peer has the kernel reset
 the tunnel if its process ends.
+
+A close of the upstream ends an answer only if the upstream can have read the whole request. The
+peer resets the tunnel if it still holds bytes of the request then, and so does the gateway.
 """
 
 import struct
@@ -22,15 +25,23 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
 from twisted.internet.error import ConnectionRefusedError as RefusedError
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
 
 from skylarkmoor_core.errors import SettingsError
 from skylarkmoor_core.ids import UpstreamId
 from skylarkmoor_core.logs import part_logger
 from skylarkmoor_core.settings import Address, parse_address
-from skylarkmoor_core.tcpoptions import close_when_written, configure_socket, reset_on_close
+from skylarkmoor_core.tcpoptions import (
+    close_when_written,
+    configure_socket,
+    count_unread,
+    find_sending_fault,
+    reset_on_close,
+)
 
 __all__ = ["CONNECT_TIMEOUT_S", "TunnelEndpoint", "TunnelRefused", "TunnelServerFactory"]
 
@@ -51,6 +62,9 @@
 _MAX_FRAME_BYTES = 1_048_576
 _FRAME_LENGTH = struct.Struct("!I")
 _END_FRAME = _FRAME_LENGTH.pack(0)
+# Bytes for an upstream that a peer holds before it stops reading from the gateway. The buffer of
+# Twisted's transports has the same bound.
+_MAX_HELD_BYTES = 65_536
 _BAD_REQUEST = 400
 _UNKNOWN_UPSTREAM = 404
 # The upstream has refused the connection.
@@ -190,7 +204,7 @@
         if self._inner is not None:
             if isinstance(reason.value, ConnectionDone):
                 # The peer has closed, which says nothing of the upstream.
-                reason = Failure(ConnectionLost("the tunnel was closed"))  # type: ignore[no-untyped-call]
+                reason = _lost("the tunnel was closed")
             self._end(reason)
         elif not self.done.called:
             self._timer.cancel()
@@ -208,7 +222,8 @@
             self._transport.abortConnection()
 
     def _upstream_closed(self) -> None:
-        self._end(connectionDone)
+        fault = find_sending_fault(self.transport)
+        self._end(connectionDone if fault is None else _lost(f"the upstream closed: {fault}"))
         self._transport.abortConnection()
 
     def _end(self, reason: Failure) -> None:
@@ -228,6 +243,10 @@
         return self.transport
 
 
+def _lost(reason: str) -> Failure:
+    return Failure(ConnectionLost(reason))  # type: ignore[no-untyped-call]
+
+
 class _FrameReader(Int32StringReceiver):
     """Reads the frames of a tunnel.
 
@@ -356,6 +375,20 @@
             self._transport.write(_FRAME_LENGTH.pack(len(data)))
         self._transport.write(data)
 
+    def count_unread(self) -> int:
+        """Return how many bytes of the peer have arrived that were not read yet."""
+        return 0 if self._is_closed else count_unread(self.transport)
+
+    def pause(self) -> None:
+        """Stop reading from the peer."""
+        if not self._is_closed:
+            self._transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Go on reading from the peer."""
+        if not self._is_closed:
+            self._transport.resumeProducing()
+
     def far_end_lost(self, reason: Failure) -> None:
         """Tell the peer in which way the upstream's connection was closed."""
         if self._is_closed:
@@ -412,7 +445,7 @@
             reset_on_close(self.transport, True)
         self._far = far
         self._transport.resumeProducing()
-        far_transport.registerProducer(self.transport, True)
+        far.start()
         self._transport.registerProducer(far_transport, True)
         early = self._http.trailing_data[0]
         if early:
@@ -433,11 +466,22 @@
         return self.transport
 
 
+@implementer(IHalfCloseableProtocol)
 class _FarEnd(Protocol):
-    """The connection to the upstream."""
+    """The connection to the upstream, and the pull producer of the bytes that are sent there.
+
+    Notes
+    -----
+    A pull producer is told when the transport holds nothing; see `RequestWriter`.
+    """
 
     def __init__(self, near: _TunnelServer) -> None:
         self._near = near
+        # Bytes that were written since the transport held nothing.
+        self._held_bytes = 0
+        self._is_near_paused = False
+        # What the upstream cannot have read of the request when it closed the connection.
+        self._sending_fault: str | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         configure_socket(self.transport)
@@ -445,12 +489,45 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._near.write(data)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Look for bytes of the request that the upstream has not read; called by Twisted."""
+        held_bytes = self._held_bytes + self._near.count_unread()
+        if held_bytes:
+            self._sending_fault = f"{held_bytes} bytes were not passed on"
+        else:
+            self._sending_fault = find_sending_fault(self.transport)
+        self._transport.connectionLost(connectionDone)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing; neither side closes one direction only."""
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if self._sending_fault is not None:
+            _log.info("reset a tunnel: the upstream closed", extra={"why": self._sending_fault})
+            reason = _lost(self._sending_fault)
         self._near.far_end_lost(reason)
 
+    def start(self) -> None:
+        """Begin to pass bytes on."""
+        self._transport.registerProducer(self, False)
+
     def write(self, data: bytes) -> None:
         """Pass bytes of the peer on."""
+        self._held_bytes += len(data)
         self._transport.write(data)
+        if self._held_bytes > _MAX_HELD_BYTES and not self._is_near_paused:
+            self._is_near_paused = True
+            self._near.pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on from the peer, as the transport holds nothing; called by Twisted."""
+        self._held_bytes = 0
+        if self._is_near_paused:
+            self._is_near_paused = False
+            self._near.resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the connection was lost."""
 
     def abort(self) -> None:
         """Reset the connection."""
--- a/libs/gateway/src/skylarkmoor_gateway/upstreams.py
+++ b/libs/gateway/src/skylarkmoor_gateway/upstreams.py
@@ -7,13 +7,16 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
 
 from skylarkmoor_core.clock import Clock
-from skylarkmoor_core.tcpoptions import configure_socket
+from skylarkmoor_core.tcpoptions import configure_socket, find_sending_fault
 from skylarkmoor_gateway.messages import Headers
 from skylarkmoor_gateway.readpacing import PacedReader, ReadPacer
+from skylarkmoor_gateway.requestwriting import RequestWriter
 from skylarkmoor_gateway.tunnels import CONNECT_TIMEOUT_S
 
 __all__ = ["PathObserver", "ResponseReader", "UpstreamConnection", "UpstreamPool"]
@@ -29,6 +32,9 @@
 _MAX_HEAD_BYTES = 65_536
 # Heads before the answer, such as 100 and 103. Upstreams send one or two.
 _MAX_INFORMATIONAL_HEADS = 100
+# Highest status of HTTP (RFC 9110, section 15). The parser rejects those below 100, and those that
+# are not three digits.
+_MAX_STATUS = 599
 
 
 class ResponseReader(Interface):
@@ -60,6 +66,7 @@
         """Record that the upstream has sent something."""
 
 
+@implementer(IHalfCloseableProtocol)
 class UpstreamConnection(Protocol):
     """A connection to an upstream, without pipelining."""
 
@@ -67,6 +74,10 @@
         self._pool = pool
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._reader: ResponseReader | None = None
+        # Of the current request, or of the last one.
+        self._writer: RequestWriter | None = None
+        # What was wrong with the request when the upstream closed the connection.
+        self._sending_fault: str | None = None
         # Requests that were sent on the connection.
         self.sent = 0
         self.idle_since_ms = 0
@@ -96,11 +107,10 @@
         self._informational_heads = 0
         self.sent += 1
         head = h11.Request(method=method, target=target, headers=headers)
-        data = self._http.send(head) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self._transport.write(data)
+        head_bytes = self._http.send(head) or b""
+        body_bytes = (self._http.send(h11.Data(data=body)) or b"") if body else b""
+        body_bytes += self._http.send(h11.EndOfMessage()) or b""
+        self._writer = RequestWriter(self._transport, head_bytes, body_bytes)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes; called by Twisted."""
@@ -109,6 +119,9 @@
             # Unsolicited bytes; the connection cannot be reused.
             self.abort()
             return
+        if self._writer is not None and not self._writer.has_begun:
+            self._fail_response("bytes arrived before the request was sent")
+            return
         self._incoming.feed(data)
 
     def _consume(self, data: bytes) -> None:
@@ -122,6 +135,20 @@
         except h11.RemoteProtocolError as error:
             self._fail_response(f"not an HTTP answer: {error}")
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Handle an orderly end of what the upstream sends; called by Twisted.
+
+        Notes
+        -----
+        The kernel shows an orderly end also if the upstream has not read the whole request, or if
+        a reset has followed. Only while the socket is open can the kernel be asked for these.
+        """
+        self._sending_fault = find_sending_fault(self.transport)
+        self._transport.connectionLost(connectionDone)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing; the gateway never closes one direction only."""
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Finish or fail the current response; called by Twisted."""
         self._open = False
@@ -134,7 +161,18 @@
             self._fail_response(f"lost: {reason.getErrorMessage()}")
 
     def _closed(self) -> None:
-        """End the response; only an orderly close can end one without a length."""
+        """End the response; only an orderly close can end one without a length.
+
+        Notes
+        -----
+        The close is that of an upstream that has failed if it has not read the whole request.
+        """
+        if self._writer is not None and not self._writer.is_written:
+            self._fail_response("closed while the request was being written")
+            return
+        if self._sending_fault is not None:
+            self._fail_response(f"closed: {self._sending_fault}")
+            return
         try:
             self._http.receive_data(b"")
             self._process_events()
@@ -189,6 +227,10 @@
                     raise event
                 case h11.NEED_DATA | h11.PAUSED:
                     return
+                case h11.Response(status_code=status) if status > _MAX_STATUS:
+                    # Not an answer, whatever its headers say: the request may have been executed.
+                    self._fail_response(f"{status} is no status of HTTP")
+                    return
                 case h11.Response():
                     self._reader.response_head(event.status_code, list(event.headers.raw_items()))
                 case h11.InformationalResponse():
@@ -222,6 +264,8 @@
         reader, self._reader = self._reader, None
         reusable = (
             self._open
+            and self._writer is not None
+            and self._writer.is_written
             and not self._incoming.has_pending
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
--- a/tests/adapter_harness.py
+++ b/tests/adapter_harness.py
@@ -74,6 +74,12 @@
         if not streaming:
             producer.resumeProducing()
 
+    def write(self, data: bytes) -> None:
+        """Pass bytes to the kernel, and ask a pull producer for more when it has taken them."""
+        super().write(data)
+        if not self.has_unsent:
+            self.send_rest()
+
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection when all bytes were sent."""
         super().loseConnection()
@@ -147,10 +153,11 @@
     factory: Any
     timeout_s: float
 
-    def accept(self) -> Upstream:
-        """Accept the connection."""
+    def accept(self, *, has_unsent: bool = False) -> Upstream:
+        """Accept the connection; the kernel may not take the bytes that are written to it."""
         protocol = self.factory.buildProtocol(None)
         transport = RecordingTransport()
+        transport.has_unsent = has_unsent
         protocol.makeConnection(transport)
         return Upstream(protocol, transport)
 
