--- a/libs/operator/src/skylarkmoor_operator/main.py
+++ b/libs/operator/src/skylarkmoor_operator/main.py
@@ -15,6 +15,7 @@
 from skylarkmoor_core.document import ServiceDocument
 from skylarkmoor_core.errors import DocumentError, SettingsError
 from skylarkmoor_core.ids import HostId, Offset, ServiceName
+from skylarkmoor_operator.check import MAX_CONFIGURATION_BYTES, run_check
 from skylarkmoor_operator.drain import drain
 from skylarkmoor_operator.moves import print_moves
 from skylarkmoor_operator.publish import ExpectedOffset, move_deadline_faults, publish
@@ -108,6 +109,43 @@
     click.echo(f"valid: service {document.service}, version {document.version}")
 
 
+@main.command(
+    "check",
+    epilog="""\b
+Exit status:
+  0  no findings
+  1  findings
+  2  a file cannot be read or is invalid
+
+\b
+Examples:
+  skylarkmoorctl check config.json
+  skylarkmoorctl check - --against in-force.json --json < config.json
+""",
+)
+@click.argument("file", type=click.File("rb"))
+@click.option(
+    "--against",
+    type=click.File("rb"),
+    metavar="FILE",
+    help="The version in force; print what differs from it.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option(
+    "--memory-mb",
+    type=click.IntRange(1, 1_000_000_000),
+    metavar="MB",
+    help="Memory of the smallest host.",
+)
+def check_command(
+    file: BinaryIO, against: BinaryIO | None, as_json: bool, memory_mb: int | None
+) -> None:
+    """Check the configuration or service document in FILE before it is sent."""
+    data = file.read(MAX_CONFIGURATION_BYTES + 1)
+    in_force = None if against is None else against.read(MAX_CONFIGURATION_BYTES + 1)
+    sys.exit(run_check(data, in_force, as_json=as_json, memory_mb=memory_mb))
+
+
 @main.command(
     "publish",
     epilog="""\b
