--- a/libs/core/src/skylarkmoor_core/tcpoptions.py
+++ b/libs/core/src/skylarkmoor_core/tcpoptions.py
@@ -1,12 +1,17 @@
 """TCP options of the connections to callers, upstreams, peers and the platform."""
 
+import fcntl
+import os
 import socket
 import struct
+import termios
 from typing import Any
 
 __all__ = [
     "close_when_written",
     "configure_socket",
+    "count_unread",
+    "find_sending_fault",
     "limit_kernel_buffers",
     "reset_on_close",
     "unsent_bytes",
@@ -20,6 +25,7 @@
 _USER_TIMEOUT_MS = 4_000
 # Bytes on their way to a caller with a good connection: 2.5 MB/s at 100 ms.
 _MAX_SEND_BUFFER_BYTES = 262_144
+_COUNT = struct.Struct("i")
 
 
 def configure_socket(transport: Any) -> None:
@@ -98,3 +104,29 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing; the connection was lost."""
+
+
+def find_sending_fault(transport: Any) -> str | None:
+    """Return why the other side cannot have read all bytes that the kernel has taken, or None.
+
+    Notes
+    -----
+    For an open connection whose other side has sent its end. That end acknowledges all bytes that
+    had arrived before it, so bytes without an acknowledgement were not read.
+    """
+    sock = transport.getHandle()
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        return f"the connection has failed: {os.strerror(error)}"
+    count = _read_count(sock, termios.TIOCOUTQ)
+    return f"{count} bytes were not acknowledged" if count else None
+
+
+def count_unread(transport: Any) -> int:
+    """Return how many bytes have arrived on an open connection that were not read yet."""
+    return _read_count(transport.getHandle(), termios.FIONREAD)
+
+
+def _read_count(sock: Any, request: int) -> int:
+    count: int = _COUNT.unpack(fcntl.ioctl(sock.fileno(), request, bytes(_COUNT.size)))[0]
+    return count
