Treat estimates within a tenth as equal, and end requests without room

Learnt fixed parts differ by noise between upstreams that are alike, and all daemons have the same estimates, so each would choose the one rated best.

A request that found no room is not sent to the same upstream again: it is given up when all have refused it, as before, and may still be placed by its host if it was refused too late to wait for the dispatcher.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -233,8 +233,8 @@
         self._is_counted = False
         self._runs = 0
         self._excluded_upstreams: set[UpstreamId] = set()
-        # Upstreams that had no room for it.
-        self._full_upstreams: set[UpstreamId] = set()
+        # Whether an upstream had no room for it.
+        self._has_found_no_room = False
         # Upstreams of declined grants that this gateway did not know.
         self._unknown_upstreams: set[UpstreamId] = set()
         self._current: _SendAttempt | None = None
@@ -411,7 +411,9 @@
             self._give_up("no other upstream had a free slot in time")
             return
         # A service that refuses would refuse this request too, as the dispatcher has found no slot.
-        if self.route.retry_safety is not RetrySafety.STREAM and not self._is_crowded():
+        # One that was refused late has had no time to wait for the dispatcher.
+        is_full = self._is_crowded() and not self._has_found_no_room
+        if self.route.retry_safety is not RetrySafety.STREAM and not is_full:
             now_ms = self._gateway.clock.now_ms()
             choice = self._choose(now_ms, self._gateway.placement.guarded(self.service))
             if choice is not None:
@@ -426,6 +428,8 @@
         )
         if resume_ms is not None and resume_ms >= self._queue_deadline_ms(now_ms):
             self._give_up_until(resume_ms)
+        elif self._has_found_no_room and self._choose(now_ms) is None:
+            self._give_up("no upstream of the service has room for the request")
         elif resume_ms is not None or self._needs_slot():
             self._gateway.wait_for_slot(self)
         else:
@@ -829,12 +833,7 @@
             self._excluded_upstreams.add(attempt.upstream)
         if self._lacks_room(head):
             self._gateway.service_refused(self.service)
-            self._full_upstreams.add(attempt.upstream)
-            if self._excluded_upstreams.issuperset(
-                self._gateway.placement.upstreams_of(self.service)
-            ):
-                # Those that were full may have room by the time the dispatcher grants a slot.
-                self._excluded_upstreams -= self._full_upstreams
+            self._has_found_no_room = True
         self._retry(attempt, f"the upstream refused with {head.status}", counts_against_budget=True)
 
     def _lacks_room(self, head: ResponseHead) -> bool:
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -43,6 +43,9 @@
 _MAX_BACKOFF_MS = 4_000
 # Costs that differ by no more than this are treated as equal, because loads are estimates.
 _COST_TIE_MS = 5.0
+# The same as a fraction of the cost. All daemons have the same estimates, and those that place
+# requests by themselves would all choose the upstream that is rated a little better.
+_COST_TIE_FRACTION = 0.1
 # Peers are told for this long that an upstream is leaving that is no longer listed here, in case
 # they still list it.
 _UNLISTED_LEAVING_MS = 60_000
@@ -627,7 +630,7 @@
         tied = [
             u
             for u, cost in zip(candidates, costs, strict=True)
-            if cost <= min_cost_ms + _COST_TIE_MS
+            if cost <= min_cost_ms + max(_COST_TIE_MS, _COST_TIE_FRACTION * min_cost_ms)
         ]
         selected = self._rng.choice(tied)
         return UpstreamChoice(
