--- a/libs/policy/src/skylarkmoor_policy/expectedfinish.py
+++ b/libs/policy/src/skylarkmoor_policy/expectedfinish.py
@@ -133,11 +133,16 @@
         usual_ms = shape.prompt_tokens / _USUAL_TOKENS_PER_MS
         if start_ms - usual_ms > shape.slack_ms:
             cost_ms += _LATE_PENALTY_MS
+    running = upstream.running()
+    if not running:
+        return cost_ms
     # Concurrent requests slow down decoding, and more so on a slow engine.
-    used = upstream.running() / max(1, upstream.usable_slots)
-    scarcity = min(1.0, used) ** _SCARCITY_EXPONENT
-    saved_ms = max(0.0, typical_ms - upstream.typical_cost_ms)
-    return cost_ms + upstream.slot_hold_ms * _LOAD_WEIGHT * used + scarcity * saved_ms
+    used = running / max(1, upstream.usable_slots)
+    cost_ms += upstream.slot_hold_ms * _LOAD_WEIGHT * used
+    saved_ms = typical_ms - upstream.typical_cost_ms
+    if saved_ms > 0:
+        cost_ms += saved_ms * min(1.0, used) ** _SCARCITY_EXPONENT
+    return cost_ms
 
 
 def _exceeds_gap(upstream: TrackedUpstream, shape: RequestShape) -> bool:
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -532,7 +532,7 @@
     ) -> list[TrackedUpstream]:
         """Return the candidates that a request can be sent to now rather than wait for another."""
         able = [each for each in candidates if self._can_take(each, now_ms)]
-        if not able:
+        if all(each.running() < each.slots for each in able):
             return able
         full = [
             each
