Leave the stream out of the cost, and let refused requests wait anew

A quarter of the stream in each cost sent requests to slow engines whose few short streams had hidden their speed.

A request that a plain service refuses waits anew for a slot; one without a slot is not sent on the chance.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -411,9 +411,7 @@
             self._give_up("no other upstream had a free slot in time")
             return
         # A service that refuses would refuse this request too, as the dispatcher has found no slot.
-        # One that was refused late has had no time to wait for the dispatcher.
-        is_full = self._is_crowded() and not self._has_found_no_room
-        if self.route.retry_safety is not RetrySafety.STREAM and not is_full:
+        if self.route.retry_safety is not RetrySafety.STREAM and not self._is_crowded():
             now_ms = self._gateway.clock.now_ms()
             choice = self._choose(now_ms, self._gateway.placement.guarded(self.service))
             if choice is not None:
@@ -471,7 +469,8 @@
         )
 
     def _queue_deadline_ms(self, now_ms: int) -> int:
-        has_run = self._runs > 0
+        # One that was refused late has had no time to wait for the dispatcher.
+        has_run = self._runs > 0 or self._has_found_no_room
         return queue_deadline_ms(
             self.route, self.arrived_ms, now_ms, self._deadline_ms, has_run=has_run
         )
--- a/libs/policy/src/skylarkmoor_policy/expectedfinish.py
+++ b/libs/policy/src/skylarkmoor_policy/expectedfinish.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from skylarkmoor_policy.trackedupstream import STREAM_WEIGHT, TrackedUpstream
+from skylarkmoor_policy.trackedupstream import TrackedUpstream
 
 __all__ = ["RequestShape", "costs_ms", "worth_queueing"]
 
@@ -60,6 +60,10 @@
 
     Notes
     -----
+    The duration of the stream counts by the deadline, by the gap and in what the last slots are
+    worth. Added to the cost of each request, it sent requests to slow engines whose few short
+    streams had hidden their speed: of 300 requests a second, 2.0% were late instead of 0.5%.
+
     The last free slots of a fast upstream cost what a typical request loses if it has to go to
     another one. A small request, which loses less, then leaves them to a large one.
 
@@ -120,7 +124,7 @@
 def _cost_ms(upstream: TrackedUpstream, shape: RequestShape, typical_ms: float) -> float:
     start_ms = upstream.predicted_first_token_ms(shape.prompt_tokens)
     stream_ms = shape.events * upstream.ms_per_event
-    cost_ms = start_ms + STREAM_WEIGHT * stream_ms + _fault_cost_ms(upstream)
+    cost_ms = start_ms + _fault_cost_ms(upstream)
     if shape.max_event_gap_ms and _exceeds_gap(upstream, shape):
         cost_ms += _STALL_PENALTY_MS
     if (
