--- a/libs/policy/src/skylarkmoor_policy/expectedfinish.py
+++ b/libs/policy/src/skylarkmoor_policy/expectedfinish.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from skylarkmoor_policy.trackedupstream import STREAM_WEIGHT, TrackedUpstream
+from skylarkmoor_policy.trackedupstream import TrackedUpstream
 
 __all__ = ["RequestShape", "costs_ms", "worth_queueing"]
 
@@ -60,6 +60,10 @@
 
     Notes
     -----
+    The duration of the stream counts by the deadline, by the gap and in what the last slots are
+    worth. Added to the cost of each request, it sent requests to slow engines whose few short
+    streams had hidden their speed: of 300 requests a second, 2.0% were late instead of 0.5%.
+
     The last free slots of a fast upstream cost what a typical request loses if it has to go to
     another one. A small request, which loses less, then leaves them to a large one.
 
@@ -120,7 +124,7 @@
 def _cost_ms(upstream: TrackedUpstream, shape: RequestShape, typical_ms: float) -> float:
     start_ms = upstream.predicted_first_token_ms(shape.prompt_tokens)
     stream_ms = shape.events * upstream.ms_per_event
-    cost_ms = start_ms + STREAM_WEIGHT * stream_ms + _fault_cost_ms(upstream)
+    cost_ms = start_ms + _fault_cost_ms(upstream)
     if shape.max_event_gap_ms and _exceeds_gap(upstream, shape):
         cost_ms += _STALL_PENALTY_MS
     if (
@@ -133,11 +137,16 @@
         usual_ms = shape.prompt_tokens / _USUAL_TOKENS_PER_MS
         if start_ms - usual_ms > shape.slack_ms:
             cost_ms += _LATE_PENALTY_MS
+    running = upstream.running()
+    if not running:
+        return cost_ms
     # Concurrent requests slow down decoding, and more so on a slow engine.
-    used = upstream.running() / max(1, upstream.usable_slots)
-    scarcity = min(1.0, used) ** _SCARCITY_EXPONENT
-    saved_ms = max(0.0, typical_ms - upstream.typical_cost_ms)
-    return cost_ms + upstream.slot_hold_ms * _LOAD_WEIGHT * used + scarcity * saved_ms
+    used = running / max(1, upstream.usable_slots)
+    cost_ms += upstream.slot_hold_ms * _LOAD_WEIGHT * used
+    saved_ms = typical_ms - upstream.typical_cost_ms
+    if saved_ms > 0:
+        cost_ms += saved_ms * min(1.0, used) ** _SCARCITY_EXPONENT
+    return cost_ms
 
 
 def _exceeds_gap(upstream: TrackedUpstream, shape: RequestShape) -> bool:
