Log the findings of service documents where daemons take them

The daemon applies the checks of skylarkmoorctl check to each document that comes into force, and logs the findings; the document stays in force. test_documents passes (5 tests).

--- a/libs/daemon/src/skylarkmoor_daemon/documents.py
+++ b/libs/daemon/src/skylarkmoor_daemon/documents.py
@@ -15,6 +15,7 @@
 from skylarkmoor_core.records import AuditEntry
 from skylarkmoor_daemon.claiming import ClaimLog
 from skylarkmoor_policy.configuration import DocumentAccepted, DocumentFollower, DocumentRejected
+from skylarkmoor_policy.configurationchecks import check_document
 from skylarkmoor_process.tasks import Tasks
 
 __all__ = ["DocumentInForce", "DocumentsContext", "Documents"]
@@ -29,6 +30,8 @@
 _CARRY_CHECK_MS = 10_000
 _PEER_QUERY_INTERVAL_MS = 1_000
 _PEERS_PER_QUERY = 2
+# Findings of a document that are logged one by one.
+_MAX_LOGGED_FINDINGS = 20
 
 _log = part_logger("config")
 
@@ -52,6 +55,18 @@
     document: ServiceDocument
 
 
+def _log_findings(document: ServiceDocument) -> None:
+    """Log what a document in force contains without effect or in contradiction."""
+    for finding in check_document(document)[:_MAX_LOGGED_FINDINGS]:
+        extra = {
+            "service": document.service,
+            "path": finding.path,
+            "check": finding.check,
+            "why": finding.message,
+        }
+        _log.warning("the document has a finding", extra=extra)
+
+
 class DocumentsContext(Protocol):
     """Interface of the daemon that `Documents` uses."""
 
@@ -169,6 +184,7 @@
             entry = DocumentInForce(offset, offset if published is None else published, document)
             self.in_force[service] = entry
             _log.info("document came into force", extra={"service": service, "offset": offset})
+            _log_findings(document)
             self._on_change(entry)
 
     def _apply_offer(self, offer: DocumentOffer) -> None:
--- a/libs/daemon/tests/test_documents.py
+++ b/libs/daemon/tests/test_documents.py
@@ -26,6 +26,18 @@
     assert (await world.chat("entry-3", "hello")).error() == ("unknown_route", "not_run")
 
 
+@pytest_twisted.ensureDeferred
+async def test_findings_are_logged_and_the_document_is_in_force(world, assistant, caplog):
+    world.engine("engine-1")
+    assistant["customers"][0]["max_waiting"] = 1_000_000
+    first = world.publish(assistant)
+    world.daemon("entry-1")
+    await world.ready()
+    assert _offsets(world) == [{"assistant": first}]
+    found = [each.check for each in caplog.records if hasattr(each, "check")]
+    assert found == ["over-service-limit"]
+
+
 @pytest_twisted.ensureDeferred
 async def test_racing_and_invalid_documents_are_rejected(world, assistant):
     world.engine("engine-1")
