--- a/libs/operator/src/skylarkmoor_operator/check.py
+++ b/libs/operator/src/skylarkmoor_operator/check.py
@@ -7,9 +7,11 @@
 import click
 import msgspec
 
-from skylarkmoor_core.document import ServiceDocument
-from skylarkmoor_core.errors import DocumentError
+from skylarkmoor_clients.logservice import LogClient
+from skylarkmoor_core.document import ServiceDocument, encode_document
+from skylarkmoor_core.errors import DocumentError, PlatformError
 from skylarkmoor_operator.formatting import escape_unprintable
+from skylarkmoor_operator.history import ConfigHistory
 from skylarkmoor_operator.runner import ExitCode, print_error
 from skylarkmoor_operator.validate import decode_document_with_all_faults
 from skylarkmoor_policy.configurationchecks import (
@@ -19,7 +21,13 @@
 )
 from skylarkmoor_policy.routetable import RouteTable
 
-__all__ = ["DECODER_GROUP", "MAX_CONFIGURATION_BYTES", "ConfigurationDecoder", "run_check"]
+__all__ = [
+    "DECODER_GROUP",
+    "MAX_CONFIGURATION_BYTES",
+    "ConfigurationDecoder",
+    "check_against_log",
+    "run_check",
+]
 
 # The platform adapter names its decoder in this group of entry points.
 DECODER_GROUP = "skylarkmoor.configuration_decoder"
@@ -85,6 +93,30 @@
     return ExitCode.REFUSED if findings else ExitCode.SUCCESS
 
 
+async def check_against_log(log: LogClient, data: bytes, *, as_json: bool = False) -> ExitCode:
+    """Check a service document, and compare it with the accepted one of its service in the log.
+
+    Returns
+    -------
+    ExitCode
+        As `run_check`; `INVALID` also if the log cannot be read.
+    """
+    try:
+        document = decode_document_with_all_faults(data)
+    except ExceptionGroup:
+        # Reports the faults.
+        return run_check(data, as_json=as_json)
+    history = ConfigHistory()
+    try:
+        await history.catch_up(log)
+    except PlatformError as error:
+        print_error(str(error))
+        return ExitCode.INVALID
+    accepted = history.accepted_document(document.service)
+    in_force = None if accepted is None else encode_document(accepted.document)
+    return run_check(data, in_force, as_json=as_json)
+
+
 def _decode(data: bytes, decoder: ConfigurationDecoder | None) -> ServiceDocument | RouteTable:
     """Decode a service document, which names its service, or a configuration of the platform."""
     if len(data) > MAX_CONFIGURATION_BYTES:
--- a/libs/operator/src/skylarkmoor_operator/main.py
+++ b/libs/operator/src/skylarkmoor_operator/main.py
@@ -15,7 +15,7 @@
 from skylarkmoor_core.document import ServiceDocument
 from skylarkmoor_core.errors import DocumentError, SettingsError
 from skylarkmoor_core.ids import HostId, Offset, ServiceName
-from skylarkmoor_operator.check import MAX_CONFIGURATION_BYTES, run_check
+from skylarkmoor_operator.check import MAX_CONFIGURATION_BYTES, check_against_log, run_check
 from skylarkmoor_operator.drain import drain
 from skylarkmoor_operator.moves import print_moves
 from skylarkmoor_operator.publish import ExpectedOffset, move_deadline_faults, publish
@@ -130,6 +130,11 @@
     metavar="FILE",
     help="The version in force; print what differs from it.",
 )
+@click.option(
+    "--against-log",
+    is_flag=True,
+    help="Print what differs from the accepted document of the service in the log.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @click.option(
     "--memory-mb",
@@ -137,11 +142,23 @@
     metavar="MB",
     help="Memory of the smallest host.",
 )
+@click.pass_obj
 def check_command(
-    file: BinaryIO, against: BinaryIO | None, as_json: bool, memory_mb: int | None
+    urls: _ServiceUrls,
+    file: BinaryIO,
+    against: BinaryIO | None,
+    against_log: bool,
+    as_json: bool,
+    memory_mb: int | None,
 ) -> None:
     """Check the configuration or service document in FILE before it is sent."""
+    if against_log:
+        if against is not None:
+            raise click.UsageError("--against and --against-log exclude each other")
+        check_settings([urls.log_check()])
     data = file.read(MAX_CONFIGURATION_BYTES + 1)
+    if against_log:
+        run_command(lambda: check_against_log(LogClient(urls.log), data, as_json=as_json))
     in_force = None if against is None else against.read(MAX_CONFIGURATION_BYTES + 1)
     sys.exit(run_check(data, in_force, as_json=as_json, memory_mb=memory_mb))
 
--- a/libs/policy/src/skylarkmoor_policy/configurationchecks.py
+++ b/libs/policy/src/skylarkmoor_policy/configurationchecks.py
@@ -99,6 +99,11 @@
 def compare(before: Any, after: Any) -> list[Change]:
     """Return what differs between two route tables or two service documents, by name."""
     changes: list[Change] = []
+    # The version of a route table rises with each of them; that of a document is what runs.
+    for name in ("kind", "version", "move") if isinstance(after, ServiceDocument) else ():
+        old, new = getattr(before, name), getattr(after, name)
+        if old != new:
+            changes.append(Change(name, "changed", (f"{_show(old)} -> {_show(new)}",)))
     for kind, attribute in (("tier", "tiers"), ("route", "routes"), ("customer", "customers")):
         old = {each.name: each for each in getattr(before, attribute, ())}
         new = {each.name: each for each in getattr(after, attribute, ())}
