--- a/libs/gateway/tests/test_upstreams.py
+++ b/libs/gateway/tests/test_upstreams.py
@@ -3,6 +3,7 @@
 The upstreams are sockets, since it is the kernel that tells how a connection has ended.
 """
 
+import select
 import socket
 import struct
 
@@ -89,9 +90,17 @@
         near.send(b"POST", b"/", headers, body, reader)
         return reader
 
-    async def wait(self, wait_s=0.05):
+    async def wait(self, wait_s=0.005):
         await deferLater(self.reactor, wait_s)
 
+    async def arrived(self, far):
+        """Wait until some of a request has arrived."""
+        for _ in range(WAIT_S * 200):
+            if select.select([far], [], [], 0)[0]:
+                return
+            await self.wait()
+        raise AssertionError("no request has arrived")
+
     async def end_of(self, reader):
         return await reader.done.addTimeout(WAIT_S, self.reactor)
 
@@ -146,7 +155,7 @@
 ):
     """A half-close while the upload was still being written completed the answer (MIXED)."""
     _, far, reader = await upstream.send(way, UPLOAD)
-    await upstream.wait()
+    await upstream.arrived(far)
     far.sendall(head + b"part")
     end(far)
     assert await upstream.end_of(reader) is not None
@@ -157,7 +166,7 @@
 async def test_an_orderly_end_that_a_reset_follows_is_none(upstream, way):
     """The kernel shows an orderly end of the bytes although the connection was reset."""
     _, far, reader = await upstream.send(way, b"x" * 2_000)
-    await upstream.wait()
+    await upstream.arrived(far)
     # All of it happens before the reactor reads.
     far.sendall(HEAD + b"part")
     half_close_and_close(far)
@@ -176,7 +185,7 @@
     far.setblocking(False)
     unread = size
     while unread > 0 or not size:
-        await upstream.wait(0.001)
+        await upstream.wait(0)
         try:
             data = far.recv(65_536)
         except BlockingIOError:
@@ -194,7 +203,7 @@
 @pytest_twisted.ensureDeferred
 async def test_an_answer_with_a_length_may_come_before_the_upload_was_read(upstream, way):
     near, far, reader = await upstream.send(way, UPLOAD)
-    await upstream.wait()
+    await upstream.arrived(far)
     far.sendall(b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
     assert await upstream.end_of(reader) is None
     assert (reader.statuses, reader.body) == ([413], b"no")
@@ -212,7 +221,7 @@
     complete = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     if sent_before:
         reader = upstream.send_on(near, b"x")
-        await upstream.wait()
+        await upstream.arrived(far)
         far.recv(65_536)
         far.sendall(complete)
         assert await upstream.end_of(reader) is None
@@ -227,12 +236,12 @@
 @pytest_twisted.ensureDeferred
 async def test_a_reused_connection_that_is_reset_with_the_bytes_gives_no_answer(upstream, way):
     near, far, reader = await upstream.send(way, b"x")
-    await upstream.wait()
+    await upstream.arrived(far)
     far.recv(65_536)
     far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
     assert await upstream.end_of(reader) is None
     reader = upstream.send_on(upstream.pools[way].acquire(), UPLOAD)
-    await upstream.wait()
+    await upstream.arrived(far)
     far.sendall(HEAD + b"part")
     reset(far)
     assert await upstream.end_of(reader) is not None
