--- a/libs/operator/src/skylarkmoor_operator/check.py
+++ b/libs/operator/src/skylarkmoor_operator/check.py
@@ -1,5 +1,6 @@
 """Checks a configuration or a service document before it is sent."""
 
+import re
 from collections.abc import Callable
 from dataclasses import asdict
 from importlib.metadata import entry_points
@@ -34,6 +35,8 @@
 # The store's bound on a record.
 MAX_CONFIGURATION_BYTES = 1_000_000
 
+_BYTE_POSITION = re.compile(r"\(byte ([0-9]+)\)")
+
 ConfigurationDecoder = Callable[[bytes], RouteTable]
 
 
@@ -124,12 +127,21 @@
     try:
         value = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
     except (msgspec.DecodeError, RecursionError) as error:
-        raise DocumentError(f"$: {error}") from error
+        raise DocumentError(f"$: {error}{_line_of(data, str(error))}") from error
     if "service" in value:
         return decode_document_with_all_faults(data)
     return (decoder or _installed_decoder())(data)
 
 
+def _line_of(data: bytes, message: str) -> str:
+    """Return the line of a byte position that a message of the decoder names, if it names one."""
+    found = _BYTE_POSITION.search(message)
+    if found is None:
+        return ""
+    line = data.count(b"\n", 0, int(found[1])) + 1
+    return f", line {line}"
+
+
 def _installed_decoder() -> ConfigurationDecoder:
     found = list(entry_points(group=DECODER_GROUP))
     if not found:
--- a/tests/adapter/test_check.py
+++ b/tests/adapter/test_check.py
@@ -59,6 +59,11 @@
     assert capsys.readouterr().err.startswith("error: ")
 
 
+def test_an_error_of_the_syntax_names_its_line(capsys):
+    assert check(b'{"version": 1,\n"routes": [,]}') == 2
+    assert capsys.readouterr().err.endswith(", line 2\n")
+
+
 def test_a_configuration_and_a_document_are_not_compared(capsys):
     assert check(example("check-in-force.json"), example("ordering.json")) == 2
 
