--- a/libs/operator/src/skylarkmoor_operator/check.py
+++ b/libs/operator/src/skylarkmoor_operator/check.py
@@ -1,5 +1,6 @@
 """Checks a configuration or a service document before it is sent."""
 
+import re
 from collections.abc import Callable
 from dataclasses import asdict
 from importlib.metadata import entry_points
@@ -7,9 +8,11 @@
 import click
 import msgspec
 
-from skylarkmoor_core.document import ServiceDocument
-from skylarkmoor_core.errors import DocumentError
+from skylarkmoor_clients.logservice import LogClient
+from skylarkmoor_core.document import ServiceDocument, encode_document
+from skylarkmoor_core.errors import DocumentError, PlatformError
 from skylarkmoor_operator.formatting import escape_unprintable
+from skylarkmoor_operator.history import ConfigHistory
 from skylarkmoor_operator.runner import ExitCode, print_error
 from skylarkmoor_operator.validate import decode_document_with_all_faults
 from skylarkmoor_policy.configurationchecks import (
@@ -19,13 +22,21 @@
 )
 from skylarkmoor_policy.routetable import RouteTable
 
-__all__ = ["DECODER_GROUP", "MAX_CONFIGURATION_BYTES", "ConfigurationDecoder", "run_check"]
+__all__ = [
+    "DECODER_GROUP",
+    "MAX_CONFIGURATION_BYTES",
+    "ConfigurationDecoder",
+    "check_against_log",
+    "run_check",
+]
 
 # The platform adapter names its decoder in this group of entry points.
 DECODER_GROUP = "skylarkmoor.configuration_decoder"
 # The store's bound on a record.
 MAX_CONFIGURATION_BYTES = 1_000_000
 
+_BYTE_POSITION = re.compile(r"\(byte ([0-9]+)\)")
+
 ConfigurationDecoder = Callable[[bytes], RouteTable]
 
 
@@ -85,6 +96,30 @@
     return ExitCode.REFUSED if findings else ExitCode.SUCCESS
 
 
+async def check_against_log(log: LogClient, data: bytes, *, as_json: bool = False) -> ExitCode:
+    """Check a service document, and compare it with the accepted one of its service in the log.
+
+    Returns
+    -------
+    ExitCode
+        As `run_check`; `INVALID` also if the log cannot be read.
+    """
+    try:
+        document = decode_document_with_all_faults(data)
+    except ExceptionGroup:
+        # Reports the faults.
+        return run_check(data, as_json=as_json)
+    history = ConfigHistory()
+    try:
+        await history.catch_up(log)
+    except PlatformError as error:
+        print_error(str(error))
+        return ExitCode.INVALID
+    accepted = history.accepted_document(document.service)
+    in_force = None if accepted is None else encode_document(accepted.document)
+    return run_check(data, in_force, as_json=as_json)
+
+
 def _decode(data: bytes, decoder: ConfigurationDecoder | None) -> ServiceDocument | RouteTable:
     """Decode a service document, which names its service, or a configuration of the platform."""
     if len(data) > MAX_CONFIGURATION_BYTES:
@@ -92,12 +127,21 @@
     try:
         value = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
     except (msgspec.DecodeError, RecursionError) as error:
-        raise DocumentError(f"$: {error}") from error
+        raise DocumentError(f"$: {error}{_line_of(data, str(error))}") from error
     if "service" in value:
         return decode_document_with_all_faults(data)
     return (decoder or _installed_decoder())(data)
 
 
+def _line_of(data: bytes, message: str) -> str:
+    """Return the line of a byte position that a message of the decoder names, if it names one."""
+    found = _BYTE_POSITION.search(message)
+    if found is None:
+        return ""
+    line = data.count(b"\n", 0, int(found[1])) + 1
+    return f", line {line}"
+
+
 def _installed_decoder() -> ConfigurationDecoder:
     found = list(entry_points(group=DECODER_GROUP))
     if not found:
