Take the dispatching of plain services that refuse out again

Cause: a free slot stays idle until a report and a grant have passed, about as long as a short call takes.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -311,8 +311,6 @@
     # Totals of the sender's measurements of upstreams that it has measured since its last state:
     # a mark of the instance, and sums that only grow; None if the sender keeps no such totals.
     speeds: dict[UpstreamId, tuple[int, ...]] | None = None
-    # Plain services that have refused the sender for lack of room within the last seconds.
-    crowded: tuple[str, ...] = ()
     # Whether the sender passes on what it reads from the log, and uses what peers have read.
     shares_reads: bool = False
 
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -145,9 +145,6 @@
     def upstream_lost(self, instance: InstanceId) -> None:
         """Record that an upstream could not be reached, or broke off a request."""
 
-    def service_refused(self, service: ServiceName) -> None:
-        """Record that a plain service has refused a request for lack of room."""
-
     def request_sent(self, exchange: "Exchange", version: str) -> None:
         """Record that a request is sent to an upstream of a version."""
 
@@ -246,8 +243,6 @@
         self._is_counted = False
         self._runs = 0
         self._excluded_upstreams: set[UpstreamId] = set()
-        # Whether an upstream had no room for it.
-        self._has_found_no_room = False
         # Upstreams of declined grants that this gateway did not know.
         self._unknown_upstreams: set[UpstreamId] = set()
         self._current: _SendAttempt | None = None
@@ -453,8 +448,7 @@
         if self._runs:
             self._give_up("no other upstream had a free slot in time")
             return
-        # A service that refuses would refuse this request too, as the dispatcher has found no slot.
-        if self.route.retry_safety is not RetrySafety.STREAM and not self._is_crowded():
+        if self.route.retry_safety is not RetrySafety.STREAM:
             now_ms = self._gateway.clock.now_ms()
             choice = self._choose(now_ms, self._gateway.placement.guarded(self.service))
             if choice is not None:
@@ -489,8 +483,6 @@
         )
         if resume_ms is not None and resume_ms >= self._queue_deadline_ms(now_ms):
             self._give_up_until(resume_ms)
-        elif self._has_found_no_room and self._choose(now_ms) is None:
-            self._give_up("no upstream of the service has room for the request")
         elif resume_ms is not None or self._needs_slot():
             self._gateway.wait_for_slot(self)
         else:
@@ -509,14 +501,7 @@
         refuse.
         """
         is_stream = self.route.retry_safety is RetrySafety.STREAM
-        return is_stream or bool(
-            self._gateway.placement.guarded(self.service) or self._is_crowded()
-        )
-
-    def _is_crowded(self) -> bool:
-        """Return whether the service is a plain one that refuses for lack of room."""
-        now_ms = self._gateway.clock.now_ms()
-        return self._gateway.placement.crowded.is_crowded(self.service, now_ms)
+        return is_stream or bool(self._gateway.placement.guarded(self.service))
 
     def _choose(
         self, now_ms: int, exclude: frozenset[UpstreamId] = frozenset()
@@ -533,8 +518,7 @@
         )
 
     def _queue_deadline_ms(self, now_ms: int) -> int:
-        # One that was refused late has had no time to wait for the dispatcher.
-        has_run = self._runs > 0 or self._has_found_no_room
+        has_run = self._runs > 0
         return queue_deadline_ms(
             self.route, self.arrived_ms, now_ms, self._deadline_ms, has_run=has_run
         )
@@ -932,21 +916,8 @@
         self._release(attempt, fault=None)
         if not self._is_deferred(attempt):
             self._excluded_upstreams.add(attempt.upstream)
-        if self._lacks_room(head):
-            self._gateway.service_refused(self.service)
-            self._has_found_no_room = True
         self._retry(attempt, f"the upstream refused with {head.status}", counts_against_budget=True)
 
-    def _lacks_room(self, head: ResponseHead) -> bool:
-        """Return whether a plain service has refused a request because all its slots are taken."""
-        return (
-            self.route.retry_safety is not RetrySafety.STREAM
-            and head.status == 503
-            and not head.instance_replaced
-            and head.notices.retry_after_ms is None
-            and not self._gateway.placement.guarded(self.service)
-        )
-
     def response_failed(self, attempt: _SendAttempt, reason: str) -> None:
         """Process a connection failure before the response was complete."""
         if self._done or self._current is not attempt:
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -689,7 +689,6 @@
                 self._clock.now_ms(), self.interval_ms()
             ),
             speeds=self._placement.own_speeds(),
-            crowded=self._placement.crowded.own(self._clock.now_ms()),
         )
 
     def announce_evacuations(self) -> None:
@@ -1003,7 +1002,6 @@
             state.speeds or {},
             reports_speeds=state.speeds is not None,
         )
-        self._placement.crowded.set_peer(sender, state.crowded)
         self._crash_counts.set_peer_counts(sender, state.crashes)
         self._add_peer_counts(sender, incarnation, state)
         if LogPosition(state.configuration_era, state.configuration) > self.configuration:
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -243,7 +243,6 @@
         self._route_costs = RouteCosts()
         # Weights of the customers' shares by their limits.
         self._customer_weights: Mapping[CustomerId, float] = {}
-        self._crowded: frozenset[ServiceName] = frozenset()
 
     @property
     def table(self) -> RouteTable | None:
@@ -618,22 +617,6 @@
             _log.info("a brittle upstream refused a request", extra={"upstream": instance.upstream})
             self.fleet.limit_changed(instance)
 
-    def service_refused(self, service: ServiceName) -> None:
-        """Record that a plain service has refused a request for lack of room."""
-        now_ms = self.clock.now_ms()
-        self.metrics.crowded_refusal(service)
-        if self.placement.crowded.record_refusal(service, now_ms):
-            self._note_crowded(self.placement.crowded.crowded(now_ms))
-
-    def _note_crowded(self, services: frozenset[ServiceName]) -> None:
-        """Log which plain services begin or cease to be granted by a dispatcher."""
-        for service in sorted(services - self._crowded):
-            _log.info("dispatching a plain service that refuses", extra={"service": service})
-        for service in sorted(self._crowded - services):
-            _log.info("no longer dispatching a plain service", extra={"service": service})
-        self._crowded = services
-        self.metrics.crowded_services(len(services))
-
     def _log_notice(
         self, change: NoticeChange, request: RequestId | None = None, *, age_ms: int = 0
     ) -> None:
@@ -912,7 +895,6 @@
         )
         for kind, count in self.placement.notice_counts(now_ms).items():
             self.metrics.upstreams_with_notice(kind.value, count)
-        self._note_crowded(self.placement.crowded.crowded(now_ms))
 
     def _check_canaries(self, now_ms: int) -> None:
         """Decide on the new versions, and tell the peers of counts and stops."""
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -82,12 +82,6 @@
         self._cold_upstreams = self._gauge(
             "cold_upstreams", "Upstreams whose requests are limited because they are cold."
         )
-        self._crowded_refusals = self._counter(
-            "crowded_refusals_total", "Refusals of plain services for lack of room, by service."
-        )
-        self._crowded_services = self._gauge(
-            "crowded_services", "Plain services whose requests a dispatcher grants."
-        )
         self._dropped_lines = self._gauge(
             "dropped_log_lines", "Log lines dropped because of volume."
         )
@@ -143,14 +137,6 @@
         """Count a notice of an upstream that was heard or has ended."""
         self._notices.inc({"notice": kind, "state": state})
 
-    def crowded_refusal(self, service: str) -> None:
-        """Count a refusal of a plain service for lack of room."""
-        self._crowded_refusals.inc({"service": service})
-
-    def crowded_services(self, count: int) -> None:
-        """Set the number of plain services whose requests a dispatcher grants."""
-        self._crowded_services.set({}, count)
-
     def sent_through_peer(self, service: str) -> None:
         """Count an attempt that is sent through a peer."""
         self._sent_through_peers.inc({"service": service})
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -11,7 +11,6 @@
 from skylarkmoor_core.ids import HostId, ServiceName, UpstreamId
 from skylarkmoor_policy.coldstarts import ColdStartLimit, ColdStarts
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
-from skylarkmoor_policy.crowdedservices import CrowdedServices
 from skylarkmoor_policy.evacuations import Evacuations
 from skylarkmoor_policy.expectedfinish import RequestShape, costs_ms, worth_queueing
 from skylarkmoor_policy.homeregions import RegionMap
@@ -105,7 +104,6 @@
         self.regions = RegionMap()
         # Instances whose permits are limited because they are cold.
         self._cold: set[InstanceId] = set()
-        self.crowded = CrowdedServices()
         # Cache of the evacuated upstreams by service.
         self._evacuated: dict[ServiceName, frozenset[UpstreamId]] = {}
         # Grants to peers that their load reports do not include yet.
@@ -241,7 +239,6 @@
     def forget_peer(self, peer: HostId) -> None:
         """Drop the load and records of a peer that has left."""
         self._unreported_grants.pop(peer, None)
-        self.crowded.set_peer(peer, ())
         self.set_peer_load(peer, {})
         self._peer_loaded_upstreams.pop(peer, None)
         self._peer_recorded_upstreams.pop(peer, None)
@@ -699,16 +696,11 @@
         """Return whether an upstream has a free slot, and whether its limits allow a request."""
         if upstream.evacuated:
             return False
-        running = upstream.running()
-        if running >= upstream.slots:
-            # A plain service that refuses has no queue for requests beyond its slots.
-            service = upstream.registration.service
-            if not upstream.has_capacity() or self.crowded.is_crowded(service, now_ms):
-                return False
         instance = upstream.instance
         return (
-            self._has_warm_slot(upstream, now_ms)
-            and self.windows.may_send(instance, running, now_ms)
+            upstream.has_capacity()
+            and self._has_warm_slot(upstream, now_ms)
+            and self.windows.may_send(instance, upstream.running(), now_ms)
             and self.permits.may_issue(instance, now_ms)
         )
 
