Take the learnt speeds of upstreams out again

Cause: fewer callers were served in time with them. Peer messages that share reads keep their own tag.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -308,9 +308,6 @@
     # Work of the requests that the sender has granted slots, in tokens by customer; only of
     # customers with recent grants. A count is cumulative, and begins again after a long pause.
     granted_work: dict[str, _Units] = {}
-    # Totals of the sender's measurements of upstreams that it has measured since its last state:
-    # a mark of the instance, and sums that only grow; None if the sender keeps no such totals.
-    speeds: dict[UpstreamId, tuple[int, ...]] | None = None
     # Whether the sender passes on what it reads from the log, and uses what peers have read.
     shares_reads: bool = False
 
--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -165,8 +165,6 @@
     started_wall_ms: int
     sent_ms: int
     queued_prefill_tokens: int
-    # Whether the upstream had no free slot, so that the time to first token includes a wait.
-    is_queued: bool = False
     connection: UpstreamConnection | None = None
     # Through which the connection goes, None for a direct one, and all that have been tried.
     peer: HostId | None = None
@@ -497,8 +495,7 @@
 
         Notes
         -----
-        Plain services need none, unless the dispatcher has to count for a limit, or because they
-        refuse.
+        Plain services need none, unless the dispatcher has to count for a limit.
         """
         is_stream = self.route.retry_safety is RetrySafety.STREAM
         return is_stream or bool(self._gateway.placement.guarded(self.service))
@@ -544,7 +541,6 @@
             placed.started_wall_ms,
             now_ms,
             placed.prefill_tokens(),
-            placed.running() >= placed.slots,
         )
         self._current.predicted_ms = choice.predicted_first_token_ms
         self._current.under_limit = choice.under_limit
@@ -1114,7 +1110,6 @@
             self.prompt_tokens,
             now_ms - attempt.sent_ms,
             attempt.queued_prefill_tokens,
-            is_sample=attempt.peer is None and not attempt.is_queued,
         )
         if self._needs_slot():
             self._gateway.load_changed(attempt.upstream)
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -688,7 +688,6 @@
             granted_work=self.slot_coordinator.shares.granted_work(
                 self._clock.now_ms(), self.interval_ms()
             ),
-            speeds=self._placement.own_speeds(),
         )
 
     def announce_evacuations(self) -> None:
@@ -703,7 +702,6 @@
         if state == self._last_state and now_ms - self._last_sent_ms < _HEARTBEAT_MS:
             return
         self._last_state, self._last_sent_ms = state, now_ms
-        self._placement.speeds_reported()
         self._sequence += 1
         numbered = structs.replace(
             state,
@@ -995,12 +993,7 @@
         if state.departed:
             self.on_departed(state.departed)
         self._placement.update_peer_health(
-            sender,
-            state.records,
-            state.resting_ms,
-            peer.last_heard_ms,
-            state.speeds or {},
-            reports_speeds=state.speeds is not None,
+            sender, state.records, state.resting_ms, peer.last_heard_ms
         )
         self._crash_counts.set_peer_counts(sender, state.crashes)
         self._add_peer_counts(sender, incarnation, state)
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -294,8 +294,6 @@
                 group=group,
                 version_rule=need.version_rule,
                 regions=need.regions,
-                slack_ms=waiting.latest_start_ms - now_ms,
-                waiting_ahead=len(skipped),
             )
             if choice is None:
                 skipped.add(need.ticket)
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -1,4 +1,4 @@
-"""Chooses an upstream for each request by its expected finish.
+"""Chooses an upstream for each request by predicted time to first token.
 
 The prediction uses the load and measurements that all daemons report to each other.
 """
@@ -12,9 +12,8 @@
 from skylarkmoor_policy.coldstarts import ColdStartLimit, ColdStarts
 from skylarkmoor_policy.concurrencywindows import ConcurrencyWindows
 from skylarkmoor_policy.evacuations import Evacuations
-from skylarkmoor_policy.expectedfinish import RequestShape, costs_ms, worth_queueing
 from skylarkmoor_policy.homeregions import RegionMap
-from skylarkmoor_policy.slotgroups import SlotGroup, group_count, group_load, less_loaded_group
+from skylarkmoor_policy.slotgroups import SlotGroup, group_count, less_loaded_group
 from skylarkmoor_policy.trackedupstream import (
     FIRST_TOKEN_OVERHEAD_MS,
     Load,
@@ -33,6 +32,9 @@
 
 __all__ = ["Placement", "UpstreamChoice"]
 
+# Weight of a new sample in the moving average of slot hold times, which covers about the last
+# ten requests.
+_SLOT_HOLD_EWMA_WEIGHT = 0.1
 # Fraction of a record's weight that is lost per second, so that an engine that has become slow
 # is rated as slow after some seconds.
 _RECORD_DECAY_PER_S = 0.08
@@ -43,21 +45,23 @@
 # Backoff after a connection failure; it doubles with each consecutive failure up to the maximum.
 _BACKOFF_MS = 250
 _MAX_BACKOFF_MS = 4_000
+# Penalty for a fault rate of 1; lower rates are charged in proportion.
+_FAULT_PENALTY_MS = 3_000
 # Costs that differ by no more than this are treated as equal, because loads are estimates.
 _COST_TIE_MS = 5.0
-# The same as a fraction of the cost. All daemons have the same estimates, and those that place
-# requests by themselves would all choose the upstream that is rated a little better.
-_COST_TIE_FRACTION = 0.1
+# Engines interleave chunked prefill with decode steps. At most this many prompt tokens are
+# processed between two events of a stream, so a longer backlog adds no further delay per event.
+_MAX_INTERLEAVED_PREFILL_TOKENS = 12_288
+# Penalty for stalling the streams that run beside a long prompt, as a delay of that prompt.
+_STALL_PENALTY_MS = 400.0
+# Fraction of the maximum gap that prefill may use; the decode steps in between take the rest.
+_MAX_GAP_FRACTION_FOR_PREFILL = 0.8
+# Missing the deadline of the answer costs more than any wait.
+_DEADLINE_MISS_PENALTY_MS = 5_000.0
 # Peers are told for this long that an upstream is leaving that is no longer listed here, in case
 # they still list it.
 _UNLISTED_LEAVING_MS = 60_000
 _NO_UPSTREAMS: frozenset[UpstreamId] = frozenset()
-_NO_SPEEDS: Mapping[UpstreamId, tuple[int, ...]] = {}
-# A time to first token counts as at most this multiple of the prediction, plus this time. A lost
-# packet or a stalled caller of this host would otherwise outweigh many measurements; an upstream
-# that has become slow is still learnt in a few steps.
-_MAX_SAMPLE_FACTOR = 4.0
-_MAX_SAMPLE_EXCESS_MS = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,31 +197,13 @@
         records: Mapping[UpstreamId, tuple[int, ...]],
         resting_ms: Mapping[UpstreamId, int],
         now_ms: int,
-        speeds: Mapping[UpstreamId, tuple[int, ...]] = _NO_SPEEDS,
-        *,
-        reports_speeds: bool = False,
     ) -> None:
-        """Store the measurements of a peer and apply its remaining backoff times.
-
-        Parameters
-        ----------
-        speeds : mapping
-            Totals of the peer for the upstreams that it has measured since its last state.
-        reports_speeds : bool
-            Whether the peer reports such totals. Its records then don't count for the speed,
-            which would count twice.
-        """
-        for name, totals in speeds.items():
-            measured = self.upstreams.get(name)
-            if measured is not None:
-                measured.sums.add_report(peer, totals)
+        """Store the measurements of a peer and apply its remaining backoff times."""
         for name in self._peer_recorded_upstreams.get(peer, _NO_UPSTREAMS) - records.keys():
             upstream = self.upstreams.get(name)
             if upstream is not None:
                 upstream.set_peer_record(peer, None)
         for name, values in records.items():
-            if reports_speeds:
-                values = (0, 0, 0, 0, *values[4:])
             upstream = self.upstreams.get(name)
             if upstream is not None and values != upstream.peer_records.get(peer):
                 upstream.set_peer_record(peer, values)
@@ -244,7 +230,6 @@
         self._peer_recorded_upstreams.pop(peer, None)
         for upstream in self.upstreams.values():
             upstream.set_peer_record(peer, None)
-            upstream.sums.forget_peer(peer)
 
     def own_loads(self, group: SlotGroup | None = None) -> dict[UpstreamId, tuple[int, int]]:
         """Return the load of this daemon per upstream, to be reported to peers."""
@@ -277,10 +262,8 @@
         service: ServiceName,
         version_rule: VersionRule | None = None,
         regions: frozenset[str] | None = None,
-    ) -> list[tuple[float, float]]:
-        """Return the load and the capacity of each slot group of a service.
-
-        The capacity is the sum of the slots, each counted by the speed of its upstream.
+    ) -> list[tuple[int, int]]:
+        """Return the running requests and the slots of each slot group of a service.
 
         Parameters
         ----------
@@ -289,16 +272,17 @@
         regions : frozenset of str or None
             Regions of the upstreams that count; None for all.
         """
-        groups: list[list[TrackedUpstream]] = [[] for _ in range(self._group_count(service))]
+        count = self._group_count(service)
+        loads = [(0, 0)] * count
         for each in self._active_upstreams(service):
             if each.evacuated or not matches(version_rule, each.registration.version):
                 continue
-            if self.regions.is_home(each.registration.failure_domain, regions):
-                groups[each.id_hash % len(groups)].append(each)
-        return [
-            group_load([(each.running(), each.usable_slots, each.speed) for each in upstreams])
-            for upstreams in groups
-        ]
+            if not self.regions.is_home(each.registration.failure_domain, regions):
+                continue
+            number = each.id_hash % count
+            running, slots = loads[number]
+            loads[number] = (running + each.running(), slots + each.usable_slots)
+        return loads
 
     def groups_of(self, upstreams: Collection[UpstreamId]) -> dict[UpstreamId, SlotGroup]:
         """Return the slot groups of those upstreams that are known."""
@@ -343,17 +327,6 @@
             if each.record.responses >= 0.1
         }
 
-    def own_speeds(self) -> dict[UpstreamId, tuple[int, ...]]:
-        """Return the totals of this daemon for upstreams measured since `speeds_reported`."""
-        return {
-            name: each.sums.report() for name, each in self.upstreams.items() if each.sums.has_news
-        }
-
-    def speeds_reported(self) -> None:
-        """Note that the result of `own_speeds` was sent to the peers."""
-        for each in self.upstreams.values():
-            each.sums.has_news = False
-
     def own_backoffs_ms(self, now_ms: int) -> dict[UpstreamId, int]:
         """Return the remaining backoff of upstreams that this daemon failed to reach."""
         return {
@@ -668,40 +641,18 @@
 
     def has_capacity(self, group: SlotGroup, now_ms: int) -> bool:
         """Return whether any usable upstream of a group can accept a request."""
-        # A prompt without tokens is the one that is most readily queued at a slow engine.
-        return bool(self._able(self.usable(group.service, now_ms, group), 0, now_ms))
-
-    def _able(
-        self,
-        candidates: Collection[TrackedUpstream],
-        prompt_tokens: int,
-        now_ms: int,
-        waiting_ahead: int = 0,
-    ) -> list[TrackedUpstream]:
-        """Return the candidates that a request can be sent to now rather than wait for another."""
-        able = [each for each in candidates if self._can_take(each, now_ms)]
-        if all(each.running() < each.slots for each in able):
-            return able
-        full = [
-            each
-            for each in candidates
-            if not each.has_capacity()
-            and each.is_available(now_ms)
-            and each.limit_per_s is None
-            and not self.windows.is_brittle(each.instance)
-        ]
-        return worth_queueing(able, full, prompt_tokens, waiting_ahead)
+        return any(
+            self._can_take(each, now_ms) for each in self.usable(group.service, now_ms, group)
+        )
 
     def _can_take(self, upstream: TrackedUpstream, now_ms: int) -> bool:
         """Return whether an upstream has a free slot, and whether its limits allow a request."""
-        if upstream.evacuated:
-            return False
-        instance = upstream.instance
         return (
-            upstream.has_capacity()
+            not upstream.evacuated
+            and upstream.has_capacity()
             and self._has_warm_slot(upstream, now_ms)
-            and self.windows.may_send(instance, upstream.running(), now_ms)
-            and self.permits.may_issue(instance, now_ms)
+            and self.windows.may_send(upstream.instance, upstream.running(), now_ms)
+            and self.permits.may_issue(upstream.instance, now_ms)
         )
 
     def _has_warm_slot(self, upstream: TrackedUpstream, now_ms: int) -> bool:
@@ -727,13 +678,11 @@
         group: SlotGroup | None = None,
         version_rule: VersionRule | None = None,
         regions: frozenset[str] | None = None,
-        slack_ms: int | None = None,
-        waiting_ahead: int = 0,
     ) -> UpstreamChoice | None:
         """Return the upstream with the lowest cost, or None if there is no candidate.
 
-        The cost is the expected finish plus penalties for faults, stalled streams and missed
-        goals and deadlines.
+        The cost is the predicted time to first token plus penalties for faults, stalled streams
+        and missed deadlines.
 
         Parameters
         ----------
@@ -753,10 +702,6 @@
             Versions to choose among; None for all.
         regions : frozenset of str or None
             Regions to choose in; None for all.
-        slack_ms : int or None
-            Time until it has to start at an upstream of the usual speed to meet its goal.
-        waiting_ahead : int
-            Requests that wait for an upstream that cannot take them now, ahead of this one.
         """
         candidates = [
             each
@@ -764,7 +709,7 @@
             if each.upstream not in exclude
         ]
         if only_with_capacity:
-            candidates = self._able(candidates, prompt_tokens, now_ms, waiting_ahead)
+            candidates = [each for each in candidates if self._can_take(each, now_ms)]
         if not candidates and isinstance(version_rule, PreferVersion):
             return self.choose(
                 service,
@@ -777,19 +722,18 @@
                 remaining_ms=remaining_ms,
                 group=group,
                 regions=regions,
-                slack_ms=slack_ms,
-                waiting_ahead=waiting_ahead,
             )
         if not candidates:
             return None
-        events = output_tokens / self._tokens_per_event
-        shape = RequestShape(prompt_tokens, events, max_event_gap_ms, remaining_ms, slack_ms)
-        costs = costs_ms(candidates, shape)
+        costs = [
+            self._cost_ms(each, prompt_tokens, max_event_gap_ms, output_tokens, remaining_ms)
+            for each in candidates
+        ]
         min_cost_ms = min(costs)
         tied = [
             u
             for u, cost in zip(candidates, costs, strict=True)
-            if cost <= min_cost_ms + max(_COST_TIE_MS, _COST_TIE_FRACTION * min_cost_ms)
+            if cost <= min_cost_ms + _COST_TIE_MS
         ]
         selected = self._rng.choice(tied)
         return UpstreamChoice(
@@ -807,15 +751,9 @@
             known.own_load.prefill_tokens += prompt_tokens
 
     def record_first_token(
-        self,
-        upstream: UpstreamId,
-        prompt_tokens: int,
-        elapsed_ms: int,
-        queued_prefill_tokens: int,
-        *,
-        is_sample: bool = True,
+        self, upstream: UpstreamId, prompt_tokens: int, elapsed_ms: int, queued_prefill_tokens: int
     ) -> None:
-        """Record the time to first token and update the speed.
+        """Record the time to first token and update the prefill speed.
 
         Parameters
         ----------
@@ -823,8 +761,6 @@
             Prompt tokens of the request.
         queued_prefill_tokens : int
             Prompt tokens that were queued for prefill ahead of the request.
-        is_sample : bool
-            Whether the time is that of the upstream, and not that of a queue or of a peer.
         """
         known = self.upstreams.get(upstream)
         if known is None:
@@ -835,10 +771,6 @@
         if tokens >= _MIN_PREFILL_TOKENS:
             known.record.prefilled_tokens += tokens
             known.record.prefill_ms += max(1.0, elapsed_ms - FIRST_TOKEN_OVERHEAD_MS)
-        if is_sample:
-            expected_ms = known.first_token.predict_ms(tokens)
-            max_ms = _MAX_SAMPLE_FACTOR * expected_ms + _MAX_SAMPLE_EXCESS_MS
-            known.sums.add_first_token(tokens, min(elapsed_ms, max_ms))
 
     def record_stream(
         self, upstream: UpstreamId, events: int, elapsed_ms: int, expected_tokens: int | None
@@ -858,7 +790,6 @@
         if known is not None and events > 1:
             known.record.events += events - 1
             known.record.streaming_ms += elapsed_ms
-            known.sums.add_stream(events - 1, elapsed_ms)
         if expected_tokens and events:
             # Estimates are unbiased at the median, so fixed steps up and down converge to it.
             step = 0.02 if expected_tokens > events * self._tokens_per_event else -0.02
@@ -889,7 +820,7 @@
         known.own_load.running = max(0, known.own_load.running - 1)
         known.own_load.prefill_tokens = max(0, known.own_load.prefill_tokens - unprocessed_tokens)
         if held_ms is not None:
-            known.sums.add_held(held_ms)
+            known.slot_hold_ms += _SLOT_HOLD_EWMA_WEIGHT * (held_ms - known.slot_hold_ms)
         if fault is not None:
             known.record.responses += 1
             known.record.failures += float(fault)
@@ -917,7 +848,6 @@
         keep = (1 - _RECORD_DECAY_PER_S) ** (elapsed_ms / 1_000)
         for upstream in self.upstreams.values():
             upstream.record.decay(keep)
-            upstream.sums.decay(now_ms)
             upstream.refresh()
 
     def _add_grant(
@@ -941,6 +871,33 @@
         upstream.peers_running += running
         upstream.peers_prefill_tokens += prefill_tokens
 
+    def _cost_ms(
+        self,
+        upstream: TrackedUpstream,
+        prompt_tokens: int,
+        max_event_gap_ms: int,
+        output_tokens: int,
+        remaining_ms: int | None,
+    ) -> float:
+        start_ms = upstream.predicted_first_token_ms(prompt_tokens)
+        cost_ms = start_ms + upstream.fault_rate * _FAULT_PENALTY_MS
+        if max_event_gap_ms and upstream.running():
+            pending_tokens = min(
+                _MAX_INTERLEAVED_PREFILL_TOKENS, upstream.prefill_tokens() + prompt_tokens
+            )
+            if (
+                pending_tokens / upstream.tokens_per_ms
+                > max_event_gap_ms * _MAX_GAP_FRACTION_FOR_PREFILL
+            ):
+                cost_ms += _STALL_PENALTY_MS
+        if remaining_ms is not None and output_tokens:
+            stream_ms = output_tokens / self._tokens_per_event * upstream.ms_per_event
+            if start_ms + stream_ms > remaining_ms:
+                cost_ms += _DEADLINE_MISS_PENALTY_MS
+        # Concurrent requests slow down decoding, and more so on a slow engine.
+        slots = max(1, upstream.usable_slots)
+        return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / slots
+
 
 def _running(upstream: TrackedUpstream | None) -> int:
     return 0 if upstream is None else upstream.running()
--- a/libs/policy/src/skylarkmoor_policy/slotgroups.py
+++ b/libs/policy/src/skylarkmoor_policy/slotgroups.py
@@ -13,7 +13,7 @@
 
 from skylarkmoor_core.ids import ServiceName
 
-__all__ = ["SlotGroup", "group_count", "group_load", "less_loaded_group"]
+__all__ = ["SlotGroup", "group_count", "less_loaded_group"]
 
 # Services of five or six upstreams, as the first two sites have, keep a single dispatcher. Smaller
 # groups would more often have free slots while requests wait in another group.
@@ -21,8 +21,6 @@
 # Each half of a 64-bit hash draws one group.
 _HALF_BITS = 32
 _HALF_MASK = (1 << _HALF_BITS) - 1
-# Fraction of its capacity up to which a group with a free slot counts as loaded.
-_MAX_FREE_LOAD = 0.99
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,42 +68,15 @@
     return count
 
 
-def group_load(upstreams: Sequence[tuple[int, int, float]]) -> tuple[float, float]:
-    """Return the load and the capacity of a group.
-
-    Parameters
-    ----------
-    upstreams : sequence of (int, int, float)
-        Running requests, slots and relative speed of each upstream.
-
-    Notes
-    -----
-    The slots of a fast upstream count for more, as they become free sooner. Only a group without a
-    free slot has a load of its capacity or more: a request would wait there, however fast the
-    upstreams are.
-
-    Examples
-    --------
-    >>> group_load([(3, 9, 2.0), (6, 9, 1.0)])
-    (9, 27.0)
-    """
-    running = sum(count for count, _, _ in upstreams)
-    slots = sum(slot_count for _, slot_count, _ in upstreams)
-    capacity = sum(slot_count * speed for _, slot_count, speed in upstreams)
-    if running < slots:
-        return min(running, _MAX_FREE_LOAD * capacity), capacity
-    return running * max(1.0, capacity / max(1, slots)), capacity
-
-
 def less_loaded_group(
-    loads: Sequence[tuple[float, float]], rng: random.Random, request_hash: int = 0
+    loads: Sequence[tuple[int, int]], rng: random.Random, request_hash: int = 0
 ) -> int:
     """Return the index of the less loaded of two random groups (power of two choices).
 
     Parameters
     ----------
-    loads : sequence of (float, float)
-        Load and capacity of each group.
+    loads : sequence of (int, int)
+        Number of requests and number of slots of each group.
     request_hash : int
         64-bit hash that determines the two groups, so that a request that comes again finds the
         dispatcher that has refused it; 0 to draw them at random.
@@ -113,16 +84,16 @@
     Notes
     -----
     Selecting the least loaded group of all would send the requests of all gateways to the same
-    group until the next load reports arrive. Groups are sampled in proportion to their capacity;
-    one without slots is never sampled.
+    group until the next load reports arrive. Groups are sampled in proportion to their slots; one
+    without slots is never sampled.
     """
-    capacities = [capacity for _, capacity in loads]
-    if not any(capacities):
+    slots = [slot_count for _, slot_count in loads]
+    if not any(slots):
         return 0
     if request_hash:
         halves = (request_hash >> _HALF_BITS & _HALF_MASK, request_hash & _HALF_MASK)
-        bounds = list(accumulate(capacities))
-        sampled = [bisect_right(bounds, half / 2**_HALF_BITS * bounds[-1]) for half in halves]
+        bounds = list(accumulate(slots))
+        sampled = [bisect_right(bounds, half * bounds[-1] >> _HALF_BITS) for half in halves]
     else:
-        sampled = rng.choices(range(len(loads)), weights=capacities, k=2)
+        sampled = rng.choices(range(len(loads)), weights=slots, k=2)
     return min(sampled, key=lambda number: loads[number][0] / loads[number][1])
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -6,18 +6,10 @@
 
 from skylarkmoor_core.hashing import hash64
 from skylarkmoor_core.ids import FailureDomain, HostId, ServiceName, UpstreamId
-from skylarkmoor_policy.firsttokenmodel import (
-    PRIOR_FIRST_TOKEN_MODEL,
-    FirstTokenModel,
-    fit_first_token,
-)
-from skylarkmoor_policy.heldtimes import INITIAL_HELD_MS, mean_held_ms
-from skylarkmoor_policy.speedsums import SpeedSums
 from skylarkmoor_policy.upstreamnotices import InstanceId
 
 __all__ = [
     "FIRST_TOKEN_OVERHEAD_MS",
-    "STREAM_WEIGHT",
     "Load",
     "RegisteredUpstream",
     "TrackedUpstream",
@@ -35,16 +27,10 @@
 _PRIOR_EVENTS = 20.0
 _PRIOR_MS_PER_EVENT = 25.0
 _PRIOR_ANSWERS = 8.0
-# Part of the time to first token that the records of earlier builds leave out.
+# Part of the time to first token that does not depend on the prompt length.
 FIRST_TOKEN_OVERHEAD_MS = 20.0
-# Request by which the speeds of upstreams are compared: close to the mean of the known services.
-_TYPICAL_PROMPT_TOKENS = 2_000
-_TYPICAL_EVENTS = 20
-# Cost of the duration of a stream relative to the wait for its first event. Callers have a goal for
-# the first event only; the rest holds a slot, and may miss the deadline.
-STREAM_WEIGHT = 0.25
-# Weight of the measured requests below which an upstream counts as not measured.
-_MIN_MEASURED_WEIGHT = 0.5
+# Assumed time that a request holds a slot, until requests have completed.
+_INITIAL_SLOT_HOLD_MS = 400.0
 _NO_RECORD = (0, 0, 0, 0, 0, 0)
 
 
@@ -176,27 +162,16 @@
     peer_totals: list[int] = field(default_factory=lambda: [0] * 6)
     tokens_per_ms: float = _PRIOR_TOKENS_PER_MS
     ms_per_event: float = _PRIOR_MS_PER_EVENT
-    slot_hold_ms: float = INITIAL_HELD_MS
+    slot_hold_ms: float = _INITIAL_SLOT_HOLD_MS
     fault_rate: float = 0.0
     consecutive_failures: int = 0
     backoff_until_ms: int = 0
-    first_token: FirstTokenModel = PRIOR_FIRST_TOKEN_MODEL
-    # Cost of a typical request while it is idle, and its speed relative to an upstream without
-    # measurements.
-    typical_cost_ms: float = 0.0
-    speed: float = 1.0
-    # Whether any daemon has measured it recently.
-    is_measured: bool = False
-    # Measurements of all daemons.
-    sums: SpeedSums = field(init=False)
     # Assigns the upstream to a slot group; identical on all daemons.
     id_hash: int = field(init=False)
 
     def __post_init__(self) -> None:
         """Cache the hash of the id."""
         self.id_hash = hash64(self.registration.upstream)
-        self.sums = SpeedSums(self.registration.started_wall_ms)
-        self._rate_speed()
 
     @property
     def upstream(self) -> UpstreamId:
@@ -246,17 +221,12 @@
         """Return whether a new request would run or queue within the allowed depth."""
         return self.running() < self.slots + _ENGINE_QUEUE_DEPTH
 
-    def predicted_first_token_ms(self, prompt_tokens: int, waiting_ahead: int = 0) -> float:
-        """Return the predicted time to first token of a new request.
-
-        Parameters
-        ----------
-        waiting_ahead : int
-            Requests that wait for it elsewhere, and would be sent before.
-        """
-        excess = self.running() + waiting_ahead + 1 - self.usable_slots
+    def predicted_first_token_ms(self, prompt_tokens: int) -> float:
+        """Return the predicted time to first token of a new request."""
+        excess = self.running() + 1 - self.usable_slots
         queued_ms = max(0, excess) * self.slot_hold_ms / max(1, self.usable_slots)
-        return queued_ms + self.first_token.predict_ms(self.prefill_tokens() + prompt_tokens)
+        prefill_ms = (self.prefill_tokens() + prompt_tokens) / self.tokens_per_ms
+        return FIRST_TOKEN_OVERHEAD_MS + queued_ms + prefill_ms
 
     def set_peer_record(self, peer: HostId, values: tuple[int, ...] | None) -> None:
         """Set the record values of a peer; None removes them."""
@@ -270,36 +240,12 @@
     def refresh(self) -> None:
         """Recompute the estimates from the records of all daemons and the priors."""
         records = [self.record, UpstreamStats.from_values(self.peer_totals)]
-        # Only peers of earlier builds report the speed by records, which take the place of the
-        # prior.
-        earlier = records[1]
-        prior_ms = _PRIOR_PREFILLED_TOKENS / _PRIOR_TOKENS_PER_MS + earlier.prefill_ms
-        prior_tokens = _PRIOR_PREFILLED_TOKENS + earlier.prefilled_tokens
-        prior = FirstTokenModel(PRIOR_FIRST_TOKEN_MODEL.fixed_ms, prior_ms / prior_tokens)
-        self.first_token = fit_first_token(self.sums.first_token_sums(), prior)
-        self.tokens_per_ms = 1 / self.first_token.ms_per_token
-        self.slot_hold_ms = mean_held_ms(*self.sums.held_sums())
-        events, streaming_ms = self.sums.stream_sums()
-        streaming_ms += _PRIOR_EVENTS * _PRIOR_MS_PER_EVENT + earlier.streaming_ms
-        self.ms_per_event = streaming_ms / (_PRIOR_EVENTS + events + earlier.events)
+        tokens = _PRIOR_PREFILLED_TOKENS + sum(each.prefilled_tokens for each in records)
+        prior_ms = _PRIOR_PREFILLED_TOKENS / _PRIOR_TOKENS_PER_MS
+        self.tokens_per_ms = tokens / (prior_ms + sum(each.prefill_ms for each in records))
+        streaming_ms = _PRIOR_EVENTS * _PRIOR_MS_PER_EVENT + sum(
+            each.streaming_ms for each in records
+        )
+        self.ms_per_event = streaming_ms / (_PRIOR_EVENTS + sum(each.events for each in records))
         answers = _PRIOR_ANSWERS + sum(each.responses for each in records)
         self.fault_rate = sum(each.failures for each in records) / answers
-        self._rate_speed()
-        self.is_measured = (
-            self.sums.weight() >= _MIN_MEASURED_WEIGHT
-            or earlier.prefilled_tokens > 0
-            or earlier.events > 0
-        )
-
-    def _rate_speed(self) -> None:
-        """Compare the upstream with others by the time that a typical request takes if idle."""
-        first_ms = self.first_token.predict_ms(_TYPICAL_PROMPT_TOKENS)
-        stream_ms = _TYPICAL_EVENTS * self.ms_per_event
-        self.typical_cost_ms = first_ms + STREAM_WEIGHT * stream_ms
-        self.speed = _PRIOR_TYPICAL_MS / (first_ms + stream_ms)
-
-
-_PRIOR_TYPICAL_MS = (
-    PRIOR_FIRST_TOKEN_MODEL.predict_ms(_TYPICAL_PROMPT_TOKENS)
-    + _TYPICAL_EVENTS * _PRIOR_MS_PER_EVENT
-)
