Queue a request at further slot groups until one has a free slot

Cause: a request stood in the queue of one group, chosen by loads that were seconds old, and could leave it after 500 ms, more than the goal of the route. So it waited while other groups had free slots, and what was missing was taken from the route that comes last in the order.

Change: 25 ms after each slot request without a grant, the request is queued at one more group, at four at most, each with a ticket of its own. The first grant is taken and the others are withdrawn. No knowledge of the loads is needed for that, so its age does not matter. A withdrawal says that a slot was granted elsewhere; the queue then moves as by a grant, and early refusals do not expect one group to serve what waits at four.

Tests changed: two of test_slotcoordinator and two of test_request_path reached into the wait for its only group or dispatcher; they take its slot request, and withdraw the wait in place of removing it from a dictionary. The checks are the same; a withdrawal in one of them now says that a slot was granted.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -442,6 +442,8 @@
     """Withdraws a slot request."""
 
     ticket: int
+    # Whether the dispatcher of another group has granted a slot.
+    granted_elsewhere: bool = False
 
 
 class SlotLoads(_Message, frozen=True, tag="z"):
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -230,7 +230,7 @@
             self._send_slots,
             self.live_hosts,
             self._is_responsive,
-            lambda callback: later(0, callback),
+            later,
             self._tell_limit,
         )
         self.limit_coordinator = LimitCoordinator(
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -4,6 +4,10 @@
 group. Each group has one dispatcher, a gateway chosen by rendezvous hashing that grants the slots
 of the group. It counts the slots that it has granted, so that gateways with outdated load reports
 do not assign the same free slot twice. A gateway without reachable peers dispatches for itself.
+
+A request that is not granted a slot at once is queued at further groups as well, and takes the
+first slot that any of them grants. What a gateway knows of the free slots is older than these, so a
+request that waits at one group only would wait while others have free slots.
 """
 
 from collections.abc import Callable
@@ -31,6 +35,11 @@
 _ELIGIBLE_DISPATCHERS = 2
 # A slot request or its grant may be lost with a connection. Repeating the request is idempotent.
 _REQUEST_RETRY_MS = 500
+# A dispatcher with a free slot grants it within some milliseconds. After this time without a grant,
+# a request is queued at one more group.
+_NEXT_GROUP_MS = 25
+# Groups at which a request may be queued at the same time. Each costs a few messages.
+_MAX_GROUPS = 4
 # With more upstreams with a limit than this, as when half of them are cold, it is looked up for all
 # of them only once in this time who dispatches them. Slots are offered hundreds of times a second.
 _MAX_FEW_GUARDED = 16
@@ -64,16 +73,34 @@
 
 
 @dataclass(slots=True)
-class _Wait:
-    client: SlotClient
-    waiting: QueuedRequest[SlotRequirements]
+class _GroupRequest:
+    """The slot request of a wait at one group."""
+
     group: SlotGroup
-    requested_from: HostId | None = None
+    # Where it was sent to; None if it is queued nowhere.
+    dispatcher: HostId | None = None
     requested_ms: int = 0
     # Upstreams that were evacuated, or wanted no request from this host, when the slot was
     # requested.
     closed: frozenset[UpstreamId] = frozenset()
-    # Cold upstreams that were granted without a permit.
+
+
+@dataclass(slots=True)
+class _Wait:
+    """A local request that waits for a slot, with its slot requests by ticket number.
+
+    Attributes
+    ----------
+    number : int
+        Number of the wait, which is that of its first slot request.
+    unpermitted : set of UpstreamId
+        Cold upstreams that were granted without a permit.
+    """
+
+    number: int
+    client: SlotClient
+    waiting: QueuedRequest[SlotRequirements]
+    requests: dict[int, _GroupRequest] = field(default_factory=dict)
     unpermitted: set[UpstreamId] = field(default_factory=set)
 
 
@@ -97,7 +124,7 @@
     is_responsive : callable
         Returns whether a gateway that reports at the shorter interval has done so in time.
     later : callable
-        Schedules a function for the next reactor iteration.
+        Schedules a function after a delay in milliseconds.
     tell_limit : callable
         Tells a dispatcher of the limit of an upstream, which it does not know.
     """
@@ -111,7 +138,7 @@
         send: Callable[[HostId, SlotRequest | SlotWithdrawal | SlotGrant | SlotRefusal], None],
         live_hosts: Callable[[], list[HostId]],
         is_responsive: Callable[[HostId], bool],
-        later: Callable[[Callable[[], None]], None],
+        later: Callable[[int, Callable[[], None]], None],
         tell_limit: Callable[[HostId, UpstreamId], None],
     ) -> None:
         # Number of the last grant received from each dispatcher.
@@ -127,6 +154,8 @@
         self._tell_limit = tell_limit
         self._dispatcher = Dispatcher(placement)
         self._waits: dict[int, _Wait] = {}
+        # The waits by the ticket numbers of all their slot requests.
+        self._requested: dict[int, _Wait] = {}
         self._wait_numbers = ProcessNumbers(incarnation)
         self._grant_numbers = ProcessNumbers(incarnation)
         self._offering = False
@@ -188,25 +217,37 @@
         )
 
     def wait(self, client: SlotClient, waiting: QueuedRequest[SlotRequirements]) -> int:
-        """Request a slot and return the ticket number of the wait."""
+        """Request a slot and return the number of the wait."""
         number = self._wait_numbers.draw()
+        wait = self._waits[number] = _Wait(number, client, waiting)
+        need = waiting.item
         group = self._placement.less_loaded_group(
-            client.service,
-            waiting.item.version_rule,
-            waiting.item.regions,
-            waiting.item.request_hash,
+            client.service, need.version_rule, need.regions, need.request_hash
         )
-        need = replace(waiting.item, ticket=self._own_ticket(number), group=group)
-        wait = _Wait(client, replace(waiting, item=need), group)
-        self._waits[number] = wait
-        self._request_slot(number, wait)
+        self._queue_at(wait, number, group)
+        if group.count > 1:
+            self._later(_NEXT_GROUP_MS, lambda: self._queue_at_next_group(wait))
         return number
 
     def withdraw(self, number: int) -> None:
-        """Cancel a wait and its slot request."""
-        wait = self._waits.pop(number, None)
+        """Cancel a wait and its slot requests."""
+        wait = self._waits.get(number)
         if wait is not None:
-            self._cancel_slot_request(number, wait)
+            self._end(wait)
+
+    def _queue_at(self, wait: _Wait, number: int, group: SlotGroup) -> None:
+        """Queue a wait at a group under a ticket number of its own."""
+        request = wait.requests[number] = _GroupRequest(group)
+        self._requested[number] = wait
+        self._request_slot(number, wait, request)
+
+    def _end(self, wait: _Wait, *, is_granted: bool = False) -> None:
+        """Remove a wait and cancel its slot requests."""
+        del self._waits[wait.number]
+        requests, wait.requests = wait.requests, {}
+        for number, request in requests.items():
+            del self._requested[number]
+            self._cancel_slot_request(number, request, is_granted=is_granted)
 
     def tick(self) -> None:
         """Time out waits, and repeat slot requests that are overdue or whose dispatcher changed."""
@@ -230,25 +271,43 @@
                 self._send(ticket.host, message)
 
     def _refuse(self, number: int, available_in_ms: int) -> None:
-        wait = self._waits.pop(number, None)
+        wait = self._requested.get(number)
         if wait is not None:
+            self._end(wait)
             wait.client.slot_refused(available_in_ms)
 
     def _check_waits(self, now_ms: int) -> None:
         owners: dict[SlotGroup, HostId] = {}
         closed: dict[ServiceName, frozenset[UpstreamId]] = {}
-        for number, wait in list(self._waits.items()):
-            service = wait.group.service
-            if wait.group not in owners:
-                owners[wait.group] = self.dispatcher_of(wait.group)
-                closed[service] = self._closed(service, now_ms)
+        for wait in list(self._waits.values()):
             if now_ms >= wait.waiting.queue_deadline_ms:
-                self.withdraw(number)
+                self._end(wait)
                 wait.client.wait_timed_out()
-            elif wait.requested_from != owners[wait.group] or wait.closed != closed[service]:
-                self._request_slot(number, wait)
-            elif now_ms - wait.requested_ms >= _REQUEST_RETRY_MS:
-                self._request_from_less_loaded_group(number, wait)
+                continue
+            service = wait.client.service
+            if service not in closed:
+                closed[service] = self._closed(service, now_ms)
+            for number, request in list(wait.requests.items()):
+                group = request.group
+                if group not in owners:
+                    owners[group] = self.dispatcher_of(group)
+                if request.dispatcher != owners[group] or request.closed != closed[service]:
+                    self._request_slot(number, wait, request)
+                elif now_ms - request.requested_ms >= _REQUEST_RETRY_MS:
+                    self._repeat_slot_request(number, wait, request)
+
+    def _queue_at_next_group(self, wait: _Wait) -> None:
+        """Queue a wait at one more group, and at another one later."""
+        if not wait.requests or len(wait.requests) >= _MAX_GROUPS:
+            return
+        need = wait.waiting.item
+        queued_at = [request.group for request in wait.requests.values()]
+        group = self._placement.other_group(
+            wait.client.service, queued_at, need.version_rule, need.regions
+        )
+        if group is not None:
+            self._queue_at(wait, self._wait_numbers.draw(), group)
+            self._later(_NEXT_GROUP_MS, lambda: self._queue_at_next_group(wait))
 
     def grant_free_slots(self) -> None:
         """Grant free slots to queued slot requests."""
@@ -321,7 +380,9 @@
     ) -> None:
         """Remove a slot request of a peer from the queue."""
         ticket = Ticket(sender, withdrawal.ticket, incarnation)
-        self._dispatcher.withdraw(ticket, self._clock.now_ms())
+        self._dispatcher.withdraw(
+            ticket, self._clock.now_ms(), granted_elsewhere=withdrawal.granted_elsewhere
+        )
 
     def handle_slot_grant(self, sender: HostId, grant: SlotGrant) -> bool:
         """Accept a grant of a dispatcher; return False if the request no longer waits for it."""
@@ -332,7 +393,7 @@
                 extra={"peer": sender, "incarnation": grant.incarnation},
             )
             return False
-        wait = self._waits.get(grant.ticket)
+        wait = self._requested.get(grant.ticket)
         if wait is None:
             return False
         known = self._placement.upstreams.get(grant.upstream)
@@ -340,12 +401,13 @@
             self._tell_limit(sender, grant.upstream)
             if self._placement.limit(known.instance)[0] is None:
                 self._avoid_unpermitted(wait, grant.upstream)
-            self._request_slot(grant.ticket, wait)
+            self._request_slot(grant.ticket, wait, wait.requests[grant.ticket])
             return False
-        del self._waits[grant.ticket]
-        if wait.requested_from not in (None, sender):
-            # The request was sent to another dispatcher in the meantime.
-            self._cancel_slot_request(grant.ticket, wait)
+        request = wait.requests[grant.ticket]
+        if request.dispatcher == sender:
+            # Otherwise the request was sent to another dispatcher of the group in the meantime.
+            request.dispatcher = None
+        self._end(wait, is_granted=True)
         self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
@@ -364,10 +426,10 @@
 
     def handle_slot_refusal(self, sender: HostId, refusal: SlotRefusal) -> None:
         """Refuse a local request whose dispatcher expects no slot for it in time."""
-        wait = self._waits.get(refusal.ticket)
+        wait = self._requested.get(refusal.ticket)
         if refusal.incarnation != self._incarnation or wait is None:
             return
-        if wait.requested_from != sender:
+        if wait.requests[refusal.ticket].dispatcher != sender:
             # It waits at another dispatcher by now.
             return
         self._refuse(refusal.ticket, refusal.available_in_ms)
@@ -407,11 +469,15 @@
             self._candidates[group.key] = [HostId(host) for host in order]
         return self._candidates[group.key]
 
-    def _cancel_slot_request(self, number: int, wait: _Wait) -> None:
-        if wait.requested_from == self._host:
-            self._dispatcher.withdraw(self._own_ticket(number), self._clock.now_ms())
-        elif wait.requested_from is not None:
-            self._send(wait.requested_from, SlotWithdrawal(number))
+    def _cancel_slot_request(
+        self, number: int, request: _GroupRequest, *, is_granted: bool = False
+    ) -> None:
+        if request.dispatcher == self._host:
+            self._dispatcher.withdraw(
+                self._own_ticket(number), self._clock.now_ms(), granted_elsewhere=is_granted
+            )
+        elif request.dispatcher is not None:
+            self._send(request.dispatcher, SlotWithdrawal(number, is_granted))
 
     def _closed(self, service: ServiceName, now_ms: int) -> frozenset[UpstreamId]:
         """Return the upstreams that this host may not send requests to.
@@ -422,28 +488,39 @@
         """
         return self._placement.paused(service, now_ms) | self._placement.evacuated(service)
 
-    def _request_from_less_loaded_group(self, number: int, wait: _Wait) -> None:
-        """Repeat a slot request, possibly for another group with a lower load."""
-        rule = wait.waiting.item.version_rule
-        regions = wait.waiting.item.regions
-        wait.group = self._placement.less_loaded_group(wait.client.service, rule, regions)
-        need = replace(wait.waiting.item, group=wait.group)
-        wait.waiting = replace(wait.waiting, item=need)
-        self._request_slot(number, wait)
-
-    def _request_slot(self, number: int, wait: _Wait) -> None:
-        owner = self.dispatcher_of(wait.group)
-        if wait.requested_from != owner:
-            self._cancel_slot_request(number, wait)
+    def _repeat_slot_request(self, number: int, wait: _Wait, request: _GroupRequest) -> None:
+        """Repeat a slot request, at another group if the service is divided anew."""
+        need = wait.waiting.item
+        group = self._placement.less_loaded_group(
+            wait.client.service, need.version_rule, need.regions
+        )
+        if group.count != request.group.count:
+            self._cancel_slot_request(number, request)
+            request.dispatcher, request.group = None, group
+        self._request_slot(number, wait, request)
+
+    def _request_slot(self, number: int, wait: _Wait, request: _GroupRequest) -> None:
+        owner = self.dispatcher_of(request.group)
+        if request.dispatcher != owner:
+            self._cancel_slot_request(number, request)
         now_ms = self._clock.now_ms()
-        wait.requested_from, wait.requested_ms = owner, now_ms
-        wait.closed = self._closed(wait.group.service, now_ms)
-        avoid = wait.waiting.item.exclude | wait.closed
+        request.dispatcher, request.requested_ms = owner, now_ms
+        request.closed = self._closed(request.group.service, now_ms)
+        need = wait.waiting.item
+        avoid = need.exclude | request.closed
+        # Further slot requests of a wait are no copies of it, and only the first may be refused.
+        request_hash = need.request_hash if number == wait.number else 0
         if owner == self._host:
-            need = replace(wait.waiting.item, exclude=avoid)
+            need = replace(
+                need,
+                ticket=self._own_ticket(number),
+                group=request.group,
+                exclude=avoid,
+                request_hash=request_hash,
+            )
             self._dispatcher.enqueue(replace(wait.waiting, item=need))
             if self._offering:
-                self._later(self.grant_free_slots)
+                self._later(0, self.grant_free_slots)
             else:
                 self.grant_free_slots()
             return
@@ -452,7 +529,7 @@
             owner,
             SlotRequest(
                 number,
-                wait.group.service,
+                request.group.service,
                 waiting.tier,
                 waiting.route_tier,
                 waiting.expedited,
@@ -464,21 +541,23 @@
                 waiting.item.output_tokens,
                 waiting.item.deadline_ms - now_ms,
                 tuple(avoid),
-                wait.group.number,
-                wait.group.count,
+                request.group.number,
+                request.group.count,
                 *_version_fields(waiting.item.version_rule),
                 regions=tuple(sorted(waiting.item.regions or ())),
                 customer=waiting.item.customer,
                 customer_weight=waiting.item.customer_weight,
                 work_tokens=waiting.item.work_tokens,
-                request_hash=waiting.item.request_hash,
+                request_hash=request_hash,
             ),
         )
 
     def _grant(self, offer: SlotOffer) -> None:
         if offer.ticket.host == self._host:
-            wait = self._waits.pop(offer.ticket.number, None)
+            wait = self._requested.get(offer.ticket.number)
             if wait is not None:
+                wait.requests[offer.ticket.number].dispatcher = None
+                self._end(wait, is_granted=True)
                 self._start(wait, offer.upstream, under_limit=offer.under_limit)
             return
         number = self._grant_numbers.draw()
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -64,7 +64,7 @@
             lambda to, message: network.queue.append((host, to, message)),
             lambda: list(self.live),
             lambda host: True,
-            lambda call: call(),
+            network.later,
             lambda dispatcher, upstream: None,
         )
 
@@ -83,6 +83,7 @@
     def __init__(self, slots=1, engines=("engine",)):
         self.clock = ManualClock()
         self.queue = []
+        self.delayed = []
         self.nodes = {host: Node(self, host, slots, engines) for host in HOSTS}
 
     def deliver(self):
@@ -101,8 +102,18 @@
             case SlotGrant():
                 slot_coordinator.handle_slot_grant(sender, message)
 
+    def later(self, delay_ms, call):
+        if delay_ms:
+            self.delayed.append((self.clock.now_ms() + delay_ms, call))
+        else:
+            call()
+
     def tick(self, elapsed_ms):
         self.clock.advance(elapsed_ms)
+        for due_ms, call in list(self.delayed):
+            if due_ms <= self.clock.now_ms():
+                self.delayed.remove((due_ms, call))
+                call()
         for node in self.nodes.values():
             node.slot_coordinator.tick()
 
@@ -212,7 +223,9 @@
     waits = [four_groups.nodes[NON_OWNER].wait() for _ in range(8)]
     slot_coordinator = four_groups.nodes[NON_OWNER].slot_coordinator
     # Waits that the gateway dispatched itself have been granted already.
-    groups = {number: wait.group for number, wait in slot_coordinator._waits.items()}
+    groups = {
+        number: wait.requests[number].group for number, wait in slot_coordinator._waits.items()
+    }
     assert groups
     granted = []
     while four_groups.queue:
@@ -239,11 +252,31 @@
     """Otherwise the later dispatcher grants a slot that stays unused."""
     node = four_groups.nodes[NON_OWNER]
     _, number = node.wait()
-    wait = node.slot_coordinator._waits[number]
-    wait.requested_from = OWNER
+    node.slot_coordinator._waits[number].requests[number].dispatcher = OWNER
     four_groups.queue.clear()
     node.slot_coordinator.handle_slot_grant("host-gone", SlotGrant(number, "engine-1", 1))
-    assert four_groups.queue == [(NON_OWNER, OWNER, SlotWithdrawal(number))]
+    assert four_groups.queue == [(NON_OWNER, OWNER, SlotWithdrawal(number, True))]
+
+
+def test_request_without_a_slot_is_queued_at_all_of_four_groups_and_started_once(four_groups):
+    """A request that waited at one group only did so while others had free slots."""
+    node = four_groups.nodes[NON_OWNER]
+    full = dict.fromkeys(node.placement.upstreams, (2, 0))
+    for each in four_groups.nodes.values():
+        each.placement.set_peer_load("other", full)
+    client, number = node.wait()
+    for _ in range(4):
+        four_groups.tick(25)
+    requests = node.slot_coordinator._waits[number].requests
+    assert {request.group.number for request in requests.values()} == {0, 1, 2, 3}
+    four_groups.deliver()
+    assert sum(each.slot_coordinator.queued() for each in four_groups.nodes.values()) == 4
+    for each in four_groups.nodes.values():
+        each.placement.set_peer_load("other", {})
+    four_groups.tick(25)
+    four_groups.deliver()
+    assert len(client.upstreams) == 1
+    assert sum(each.slot_coordinator.queued() for each in four_groups.nodes.values()) == 0
 
 
 def test_an_error_in_the_check_of_the_waits_does_not_stop_the_grants(network):
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -185,12 +185,23 @@
         if queue.remove(waiting.item):
             queue.forget(waiting)
 
-    def withdraw(self, ticket: Ticket, now_ms: int) -> None:
-        """Remove a request whose daemon no longer wants a slot."""
+    def withdraw(self, ticket: Ticket, now_ms: int, *, granted_elsewhere: bool = False) -> None:
+        """Remove a request whose daemon no longer wants a slot.
+
+        Parameters
+        ----------
+        granted_elsewhere : bool
+            Whether it has a slot of another group. The queue has then become shorter as by a
+            grant.
+        """
         waiting = self._waiting.get(ticket)
         if waiting is None:
             return
-        if now_ms >= waiting.queue_deadline_ms - _DEADLINE_MARGIN_MS:
+        if granted_elsewhere:
+            waits = self._slot_waits.get(waiting.item.group)
+            if waits is not None:
+                waits.record_grant()
+        elif now_ms >= waiting.queue_deadline_ms - _DEADLINE_MARGIN_MS:
             self._history.record_refusal(waiting.item.request_hash, ticket, now_ms)
         self.cancel(ticket)
 
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -319,6 +319,23 @@
         number = less_loaded_group(loads, self._rng, request_hash)
         return SlotGroup(service, number, len(loads))
 
+    def other_group(
+        self,
+        service: ServiceName,
+        queued_at: Collection[SlotGroup],
+        version_rule: VersionRule | None = None,
+        regions: frozenset[str] | None = None,
+    ) -> SlotGroup | None:
+        """Return another slot group for a request that is queued at some, None without one."""
+        loads = self.group_loads(service, version_rule, regions)
+        for group in queued_at:
+            if group.count != len(loads):
+                return None
+            loads[group.number] = (0, 0)
+        if not any(slots for _, slots in loads):
+            return None
+        return SlotGroup(service, less_loaded_group(loads, self._rng), len(loads))
+
     def own_records(self) -> dict[UpstreamId, tuple[int, int, int, int, int, int]]:
         """Return the measurements of this daemon per upstream, to be reported to peers."""
         return {
--- a/libs/policy/tests/test_fair_dispatch.py
+++ b/libs/policy/tests/test_fair_dispatch.py
@@ -347,3 +347,17 @@
     assert served(contention, "honest") > 0.95
     # Nor are they starved: each first attempt gets its slot as well.
     assert contention.granted["copying"] > 140
+
+
+@pytest.mark.parametrize("granted_elsewhere", [True, False])
+def test_requests_that_other_groups_grant_shorten_the_expected_wait(granted_elsewhere):
+    """Requests queued at several groups were refused as if one group had to serve them all."""
+    contention = Contention(slots=1, hold_ms=100, refuses_early=True)
+    for max_waiting in [20] * 150 + [60] * 150:
+        contention.request("c0")
+        contention.step()
+        dispatcher = contention.dispatcher
+        while len(dispatcher) > max_waiting:
+            oldest = next(iter(dispatcher._waiting))
+            dispatcher.withdraw(oldest, contention.now_ms, granted_elsewhere=granted_elsewhere)
+    assert bool(contention.refused) is not granted_elsewhere
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -558,7 +558,8 @@
     slot_coordinator = harness.gateway.fleet.slot_coordinator
     saved = harness.gateway.placement.upstreams.pop("e1")
     caller.send(request("/answer/1", "POST", b"x"))
-    wait = slot_coordinator._waits.pop(min(slot_coordinator._waits))
+    wait = slot_coordinator._waits[min(slot_coordinator._waits)]
+    slot_coordinator.withdraw(wait.number)
     slot_coordinator._start(wait, "e1")
     assert read_requests
     harness.gateway.placement.upstreams["e1"] = saved
@@ -579,7 +580,8 @@
     saved = dict(harness.gateway.placement.upstreams)
     harness.gateway.placement.upstreams.clear()
     caller.send(request("/answer/1", "POST", b"x"))
-    wait = slot_coordinator._waits.pop(min(slot_coordinator._waits))
+    wait = slot_coordinator._waits[min(slot_coordinator._waits)]
+    slot_coordinator.withdraw(wait.number)
     slot_coordinator._dispatcher.remove_host("host-1")
     harness.gateway.placement.upstreams.update(saved)
     harness.add_upstream("e1", "assistant", 1, leaving=True)
