Relay states through hosts with fast links

Cause: the relays of a failure domain were the first two hosts in rendezvous order, whatever their links. A relay sends each state to every member, and a state grows from 92 bytes without traffic to over 600 with the measurements of 30 engines. Gateways then disagreed on who dispatches a slot group, and several granted its slots.

Change: gateways tell the speed of their link (limits.link_mbps, optional), and the relays are chosen among those with at least half of the fastest link in their failure domain. While a host does not tell its link, as one of an older build, the order is as before, so that all agree.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -310,6 +310,8 @@
     granted_work: dict[str, _Units] = {}
     # Whether the sender passes on what it reads from the log, and uses what peers have read.
     shares_reads: bool = False
+    # Speed of the link of the sender's host; 0 if it is not known.
+    link_mbps: _Rate = 0.0
 
 
 class ConfigurationQuery(_Message, frozen=True, tag="u"):
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -135,6 +135,8 @@
     shares_limits: bool = True
     # Whether it passes on what it reads from the log.
     shares_reads: bool = False
+    # Speed of its host's link; 0 if it is not known.
+    link_mbps: float = 0.0
 
 
 class Fleet:
@@ -163,6 +165,8 @@
         Age up to which the configuration counts as the newest.
     reachability : Reachability, optional
         Paths to the upstreams, which the gateways tell each other.
+    link_mbps : float
+        Speed of the link of this host; 0 if it is not known.
     """
 
     def __init__(
@@ -181,6 +185,7 @@
         crash_evidence: CrashEvidenceTable | None = None,
         max_configuration_age_ms: int = 1_000,
         reachability: Reachability | None = None,
+        link_mbps: float = 0.0,
     ) -> None:
         # Position of the last record of the operator that was read.
         self.configuration = BEFORE_ALL
@@ -270,6 +275,7 @@
         self._eligible_checked_ms = -_DISPATCHER_INTERVAL_MS
         self._incarnation = incarnation
         self._failure_domain = failure_domain
+        self._link_mbps = link_mbps
         self._relay = StateRelay(host, failure_domain)
         self._relaying = False
         self._sequence = 0
@@ -685,6 +691,7 @@
             shares_limits=True,
             evacuated=self._placement.evacuations.export(),
             shares_reads=True,
+            link_mbps=self._link_mbps,
             granted_work=self.slot_coordinator.shares.granted_work(
                 self._clock.now_ms(), self.interval_ms()
             ),
@@ -758,9 +765,13 @@
             host: self._peer_states[host].failure_domain if host != self._host else _NO_DOMAIN
             for host in self.live_hosts()
         }
+        links_mbps = {
+            host: self._peer_states[host].link_mbps for host in hosts if host != self._host
+        }
         if self._host in hosts:
             hosts[self._host] = self._failure_domain
-        self._relay.set_hosts(hosts)
+            links_mbps[self._host] = self._link_mbps
+        self._relay.set_hosts(hosts, links_mbps)
         if not self._relay.is_active(now_ms):
             return
         bundles = self._relay.take_bundles()
@@ -951,6 +962,7 @@
         peer.unreachable = False
         peer.leaving = state.leaving
         peer.failure_domain = state.failure_domain
+        peer.link_mbps = state.link_mbps
         if peer.incarnation != incarnation:
             if self._crash_evidence.has_crashes():
                 # It has started, and knows nothing of the crashes before.
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -217,6 +217,7 @@
             self.crash_evidence,
             settings.max_configuration_age_ms,
             self.paths.reachability,
+            settings.link_mbps,
         )
         self.fleet.relayed = lambda: len(self.paths.tunnels.open_tunnels)
         self.crash_examiner = CrashExaminer(
--- a/libs/gateway/src/skylarkmoor_gateway/settings.py
+++ b/libs/gateway/src/skylarkmoor_gateway/settings.py
@@ -44,6 +44,8 @@
         Region of this host; empty if it is not known.
     memory_mb, max_fds : int or None
         Memory and file descriptors of the host; None if they are not bounded.
+    link_mbps : float
+        Speed of the host's link; 0 if it is not known.
     """
 
     host: HostId
@@ -69,3 +71,4 @@
     region: str = ""
     memory_mb: int | None = None
     max_fds: int | None = None
+    link_mbps: float = 0.0
--- a/libs/gateway/tests/test_slots_of_fleets.py
+++ b/libs/gateway/tests/test_slots_of_fleets.py
@@ -1,6 +1,6 @@
-"""Guards against requests that wait while slots of other groups are free.
+"""Guards against requests that wait while slots are free, and states that outgrow their links.
 
-All gateways of a fleet run in one process on a simulated clock, with simulated engines.
+All gateways of a fleet run in one process on a simulated clock, with simulated engines and links.
 """
 
 import heapq
@@ -34,6 +34,8 @@
 SETTLE_MS = 6_000
 # Part of the first tokens of each route that has to come within its goal (docs/design.md, Targets).
 TARGET = 0.95
+# Speed of the links of the smallest hosts, and of two hosts in each failure domain.
+SLOW_MBPS, FAST_MBPS = 5.0, 100.0
 
 
 @dataclass(frozen=True)
@@ -172,7 +174,7 @@
 class World:
     """A fleet of gateways, its engines, and requests that arrive at random gateways."""
 
-    def __init__(self, monkeypatch, hosts, engines, link_mbps=math.inf):
+    def __init__(self, monkeypatch, hosts, engines, *, has_links=False):
         monkeypatch.setattr(fleet_module, "Peers", Transport)
         monkeypatch.setattr(Transport, "world", self)
         self.rng = random.Random(1)
@@ -180,7 +182,8 @@
         self.now_ms = float(START_MS)
         self.events = []
         self.scheduled = 0
-        self.link_mbps = link_mbps
+        self.has_links = has_links
+        self.links_mbps = {}
         self.link_free_ms = Counter()
         self.requests = []
         names = [f"i-{self.rng.getrandbits(40):010x}" for _ in range(engines)]
@@ -196,6 +199,8 @@
             self.later(self.rng.uniform(0, 500), lambda host=host: self._refresh(host))
 
     def _add_host(self, host, number):
+        is_fast = number < 2 * len(DOMAINS)
+        self.links_mbps[host] = FAST_MBPS if is_fast else SLOW_MBPS
         placement = self.placements[host] = Placement(random.Random(number))
         for i, engine in enumerate(self.engines):
             placement.set_upstream(
@@ -213,6 +218,7 @@
             lambda: None,
             self.later,
             FailureDomain(DOMAINS[number % len(DOMAINS)]),
+            link_mbps=self.links_mbps[host],
         )
         self.fleets[host].listen(_address(number))
 
@@ -222,9 +228,11 @@
 
     def post(self, sender, to, message, size):
         """Deliver a message after its bytes and those before it have left the sender's link."""
-        sent_ms = max(self.now_ms, self.link_free_ms[sender.host])
-        sent_ms += size * 8 / self.link_mbps / 1_000
-        self.link_free_ms[sender.host] = sent_ms
+        sent_ms = self.now_ms
+        if self.has_links:
+            sent_ms = max(sent_ms, self.link_free_ms[sender.host])
+            sent_ms += size * 8 / self.links_mbps[sender.host] / 1_000
+            self.link_free_ms[sender.host] = sent_ms
         receiver = self.fleets[to]
         self.later(
             sent_ms - self.now_ms + self.rng.uniform(1, 4),
@@ -297,3 +305,14 @@
     world.load(3_500, per_s)
     world.run(1_000)
     assert min(world.on_time().values()) >= TARGET
+
+
+def test_states_of_a_large_fleet_arrive_in_time_on_its_links(monkeypatch):
+    """Relays with slow links sent states ever later, until gateways took each other for silent."""
+    world = World(monkeypatch, 139, 30, has_links=True)
+    world.run(SETTLE_MS)
+    # 12 ms for each peer and two bundles of a relay (docs/platform.md, States).
+    max_age_ms = 12 * 138 + 2 * 500
+    for _ in range(8):
+        world.load(1_000, 300)
+        assert world.oldest_state_ms() <= max_age_ms
--- a/libs/policy/src/skylarkmoor_policy/staterelay.py
+++ b/libs/policy/src/skylarkmoor_policy/staterelay.py
@@ -16,6 +16,9 @@
 
 # The first relay of a failure domain, and a second one that takes over when it is silent.
 _RELAYS_PER_DOMAIN = 2
+# Part of the fastest link in a failure domain that a relay's link has to have. A relay sends each
+# state to every member, which on the slowest links takes longer than the time between two bundles.
+_MIN_LINK_FRACTION = 0.5
 # A relay that sends no bundle for this long is silent. Bundles come twice a second.
 RELAY_SILENT_MS = 1_500
 
@@ -63,21 +66,33 @@
         self._for_members: dict[HostId, RelayedState] = {}
         self._for_relays: dict[HostId, RelayedState] = {}
         self._domains: dict[FailureDomain, list[HostId]] = {}
+        self._links_mbps: Mapping[HostId, float] = {}
         self._relays: dict[FailureDomain, list[HostId]] = {}
         self._bundle_heard_ms: dict[HostId, int] = {}
 
-    def set_hosts(self, failure_domains: Mapping[HostId, FailureDomain]) -> None:
-        """Set the live hosts with their failure domains, this host included."""
+    def set_hosts(
+        self,
+        failure_domains: Mapping[HostId, FailureDomain],
+        links_mbps: Mapping[HostId, float] | None = None,
+    ) -> None:
+        """Set the live hosts with their failure domains, this host included.
+
+        Parameters
+        ----------
+        links_mbps : mapping of HostId to float, optional
+            Speeds of the links of the hosts; 0 or missing if it is not known.
+        """
+        links_mbps = links_mbps or {}
         domains: dict[FailureDomain, list[HostId]] = {}
         for host, domain in sorted(failure_domains.items()):
             domains.setdefault(domain, []).append(host)
         for domain, hosts in domains.items():
-            if hosts != self._domains.get(domain):
-                order = rendezvous_order(f"relay/{domain}", hosts)[:_RELAYS_PER_DOMAIN]
-                self._relays[domain] = [HostId(host) for host in order]
+            if hosts != self._domains.get(domain) or links_mbps != self._links_mbps:
+                self._relays[domain] = _relays_of(domain, hosts, links_mbps)
         for domain in self._relays.keys() - domains.keys():
             del self._relays[domain]
         self._domains = domains
+        self._links_mbps = links_mbps
         if self._host not in self.own_relays():
             self._for_members.clear()
             self._for_relays.clear()
@@ -142,5 +157,23 @@
         return heard_ms is not None and now_ms - heard_ms <= RELAY_SILENT_MS
 
 
+def _relays_of(
+    domain: FailureDomain, hosts: Sequence[HostId], links_mbps: Mapping[HostId, float]
+) -> list[HostId]:
+    """Return the relays of a failure domain, hosts with a fast link first.
+
+    Notes
+    -----
+    All hosts have to agree on the relays. Those of older builds do not tell the speeds of their
+    links, and choose the relays regardless of these.
+    """
+    order = [HostId(host) for host in rendezvous_order(f"relay/{domain}", hosts)]
+    known_mbps = [links_mbps.get(host, 0.0) for host in hosts]
+    if all(known_mbps):
+        fast_mbps = max(known_mbps) * _MIN_LINK_FRACTION
+        order.sort(key=lambda host: links_mbps[host] < fast_mbps)
+    return order[:_RELAYS_PER_DOMAIN]
+
+
 def _version(relayed: RelayedState) -> tuple[Incarnation, int]:
     return relayed.incarnation, relayed.state.sequence
--- a/libs/policy/tests/test_staterelay.py
+++ b/libs/policy/tests/test_staterelay.py
@@ -26,6 +26,22 @@
     assert chosen == {(FIRST, SECOND)}
 
 
+def test_hosts_with_a_fast_link_are_the_relays():
+    """A host with a slow link sent the states of a large fleet ever later."""
+    fast = {"nadi-2", "nadi-3"}
+    relay = make_relay(MEMBER)
+    relay.set_hosts(HOSTS, {host: 100.0 if host in fast else 5.0 for host in HOSTS})
+    assert set(relay.own_relays()) == fast
+
+
+def test_relays_stay_the_same_while_a_host_does_not_tell_its_link():
+    """A host of an older build chooses the relays regardless of the links."""
+    relay = make_relay(MEMBER)
+    links_mbps = dict.fromkeys(HOSTS, 5.0) | {MEMBER: 100.0, FIRST: 0.0}
+    relay.set_hosts(HOSTS, links_mbps)
+    assert list(relay.own_relays()) == [FIRST, SECOND]
+
+
 def test_states_are_accepted_once_and_in_order():
     relay = make_relay(MEMBER)
     versions = [(1, 1), (1, 3), (1, 3), (1, 2), (2, 1), (1, 4)]
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -177,22 +177,24 @@
 @pytest.mark.parametrize(
     ("limits", "expected"),
     [
-        ("{memory_mb: 200, max_fds: 4100, cores: 2}", (200, 4_100)),
-        ("{memory_mb: 200.5}", (200, None)),
-        ("null", (None, None)),
+        ("{memory_mb: 200, max_fds: 4100, cores: 2, link_mbps: 0.5}", (200, 4_100, 0.5)),
+        ("{memory_mb: 200.5, link_mbps: 1000}", (200, None, 1_000)),
+        ("null", (None, None, 0)),
     ],
 )
 def test_the_limits_of_the_host_are_read(tmp_path, limits, expected):
     path = write_settings(tmp_path)
     path.write_text(f"{path.read_text()}limits: {limits}\n")
     gateway = read_settings(path).gateway
-    assert (gateway.memory_mb, gateway.max_fds) == expected
+    assert (gateway.memory_mb, gateway.max_fds, gateway.link_mbps) == expected
 
 
 @pytest.mark.parametrize("value", ["0", "-1", ".inf", "true", "much"])
 def test_invalid_limits_of_the_host_are_reported(tmp_path, value):
     path = write_settings(tmp_path)
-    path.write_text(f"{path.read_text()}limits: {{memory_mb: {value}, max_fds: {value}}}\n")
+    names = ("memory_mb", "max_fds", "link_mbps")
+    limits = ", ".join(f"{name}: {value}" for name in names)
+    path.write_text(f"{path.read_text()}limits: {{{limits}}}\n")
     with pytest.raises(ExceptionGroup) as caught:
         read_settings(path)
-    assert len(caught.value.exceptions) == 2
+    assert len(caught.value.exceptions) == len(names)
