Count the bytes between gateways, and log how many groups a request asked

New gauges peer_sent_bytes, peer_dropped_messages and passes_states_on; the log line of a choice has asked_groups.

Three tests of test_request_path start a wait without removing it by hand first, since starting it ends it now.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -618,6 +618,7 @@
                 "predicted_ms": round(choice.predicted_first_token_ms),
                 "running": choice.running,
                 "slots": choice.slots,
+                "asked_groups": choice.asked_groups,
                 "remaining_ms": self._deadline_ms - now_ms,
                 "tier": self.tier,
                 "prompt_tokens": self.request.prompt_tokens,
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -644,6 +644,14 @@
         if newer_here:
             self._transport.send(sender, self._named_limits(newer_here))
 
+    def traffic(self) -> tuple[int, int]:
+        """Return the bytes sent to peers and the messages dropped since the process started."""
+        return self._transport.sent_bytes, self._transport.dropped
+
+    def passes_states_on(self) -> bool:
+        """Return whether this host sends the states of others to its failure domain."""
+        return self._relaying and self._relay.is_active(self._clock.now_ms())
+
     def close(self) -> None:
         """Close all connections to peers."""
         self._transport.close()
--- a/libs/gateway/src/skylarkmoor_gateway/gateway.py
+++ b/libs/gateway/src/skylarkmoor_gateway/gateway.py
@@ -886,6 +886,9 @@
             blocked_parts=len(self.crash_evidence.suspicions()),
             dropped_lines=0 if self.log_stream is None else self.log_stream.dropped,
         )
+        self.metrics.peer_traffic(
+            *self.fleet.traffic(), passes_states_on=self.fleet.passes_states_on()
+        )
         self.metrics.evacuated_domains(len(self.placement.evacuations.in_force))
         self.metrics.cold_upstreams(self.placement.cold_count())
         self.metrics.customers_above_share(self.fleet.slot_coordinator.log_above_share())
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -48,6 +48,13 @@
         )
         self._upstreams = self._gauge("usable_upstreams", "Upstreams that may get work.")
         self._peers = self._gauge("heard_peers", "Other daemons heard within the last second.")
+        self._peer_bytes = self._gauge("peer_sent_bytes", "Bytes sent to other daemons.")
+        self._peer_drops = self._gauge(
+            "peer_dropped_messages", "Messages between daemons that were dropped."
+        )
+        self._passes_states_on = self._gauge(
+            "passes_states_on", "Whether the daemon sends the states of others, 0 or 1."
+        )
         self._sent_through_peers = self._counter(
             "sent_through_peers_total", "Attempts that were sent through a peer, by service."
         )
@@ -200,6 +207,12 @@
         self._blocked_parts.set({}, blocked_parts)
         self._dropped_lines.set({}, dropped_lines)
 
+    def peer_traffic(self, sent_bytes: int, dropped: int, *, passes_states_on: bool) -> None:
+        """Set the gauges of the messages between daemons."""
+        self._peer_bytes.set({}, sent_bytes)
+        self._peer_drops.set({}, dropped)
+        self._passes_states_on.set({}, int(passes_states_on))
+
     def gave_way(self, cause: str) -> None:
         """Count a connection or body that gave way at a bound."""
         self._gave_way.inc({"cause": cause})
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -407,7 +407,6 @@
         if request.dispatcher == sender:
             # Otherwise the request was sent to another dispatcher of the group in the meantime.
             request.dispatcher = None
-        self._end(wait, is_granted=True)
         self._start(wait, grant.upstream, under_limit=grant.under_limit)
         return True
 
@@ -557,7 +556,6 @@
             wait = self._requested.get(offer.ticket.number)
             if wait is not None:
                 wait.requests[offer.ticket.number].dispatcher = None
-                self._end(wait, is_granted=True)
                 self._start(wait, offer.upstream, under_limit=offer.under_limit)
             return
         number = self._grant_numbers.draw()
@@ -573,6 +571,7 @@
         self._send(host, grant)
 
     def _start(self, wait: _Wait, upstream: UpstreamId, *, under_limit: bool = False) -> None:
+        """End a wait with a granted slot."""
         placed = self._placement.upstreams.get(upstream)
         start_ms = (
             0.0
@@ -581,7 +580,9 @@
         )
         running = 0 if placed is None else placed.running()
         slots = 0 if placed is None else placed.slots
-        choice = UpstreamChoice(upstream, start_ms, running, slots, under_limit)
+        asked_groups = len(wait.requests)
+        self._end(wait, is_granted=True)
+        choice = UpstreamChoice(upstream, start_ms, running, slots, under_limit, asked_groups)
         wait.client.slot_granted(choice, self._clock.now_ms())
 
 
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -26,10 +26,12 @@
         self.placement = placement
         self.service = "assistant"
         self.upstreams = []
+        self.asked_groups = []
         self.timeouts = 0
 
     def slot_granted(self, choice, now_ms):
         self.upstreams.append(choice.upstream)
+        self.asked_groups.append(choice.asked_groups)
         self.placement.record_start(choice.upstream, 100)
 
     def wait_timed_out(self):
@@ -276,6 +278,7 @@
     four_groups.tick(25)
     four_groups.deliver()
     assert len(client.upstreams) == 1
+    assert client.asked_groups == [4]
     assert sum(each.slot_coordinator.queued() for each in four_groups.nodes.values()) == 0
 
 
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -79,6 +79,8 @@
     ----------
     under_limit : bool
         Whether the upstream has named a limit, and a permit was used up for the request.
+    asked_groups : int
+        Slot groups that the request was queued at; 0 for one that needs no slot.
     """
 
     upstream: UpstreamId
@@ -86,6 +88,7 @@
     running: int
     slots: int
     under_limit: bool = False
+    asked_groups: int = 0
 
 
 class Placement:
--- a/libs/process/src/skylarkmoor_process/peers.py
+++ b/libs/process/src/skylarkmoor_process/peers.py
@@ -65,6 +65,8 @@
         incarnation: Incarnation,
         on_message: Callable[[HostId, Incarnation, Message], None],
     ) -> None:
+        # Bytes of the messages that were queued, once for each receiver.
+        self.sent_bytes = 0
         self.dropped = 0
         self.stale = 0
         self._host = host
@@ -161,6 +163,7 @@
         except zmq.Again:
             self.dropped += 1
             return False
+        self.sent_bytes += len(data)
         return True
 
     def _connect(self, address: str) -> zmq.Socket[bytes]:
--- a/libs/process/tests/test_peers.py
+++ b/libs/process/tests/test_peers.py
@@ -4,7 +4,7 @@
 import zmq
 
 from skylarkmoor_core.ids import HostId, Incarnation
-from skylarkmoor_core.messages import Heartbeat, HostState
+from skylarkmoor_core.messages import Envelope, Heartbeat, HostState, encode_envelope
 from skylarkmoor_core.settings import Address
 
 _LOOPBACK = Address("127.0.0.1", 0)
@@ -52,6 +52,10 @@
     assert all(sender.send(HostId("b"), _heartbeat(i)) for i in range(1, 400))
     await wait_until(lambda: len(received) == 400)
     assert [seq for _, _, seq in received] == list(range(400))
+    assert sender.sent_bytes == sum(
+        len(encode_envelope(Envelope(HostId("a"), Incarnation(1), _heartbeat(i))))
+        for i in range(400)
+    )
     for peer in (receiver, sender):
         peer.close()
 
@@ -62,7 +66,7 @@
     sender.set_peers({HostId("b"): Address("127.0.0.1", 9)})
     assert [sender.send(HostId("b"), _heartbeat(i)) for i in range(3)] == [False] * 3
     assert sender.send(HostId("unlisted"), _heartbeat(4)) is False
-    assert sender.dropped == 4
+    assert (sender.dropped, sender.sent_bytes) == (4, 0)
     sender.close()
 
 
--- a/tests/adapter/test_request_path.py
+++ b/tests/adapter/test_request_path.py
@@ -559,7 +559,6 @@
     saved = harness.gateway.placement.upstreams.pop("e1")
     caller.send(request("/answer/1", "POST", b"x"))
     wait = slot_coordinator._waits[min(slot_coordinator._waits)]
-    slot_coordinator.withdraw(wait.number)
     slot_coordinator._start(wait, "e1")
     assert read_requests
     harness.gateway.placement.upstreams["e1"] = saved
@@ -581,7 +580,6 @@
     harness.gateway.placement.upstreams.clear()
     caller.send(request("/answer/1", "POST", b"x"))
     wait = slot_coordinator._waits[min(slot_coordinator._waits)]
-    slot_coordinator.withdraw(wait.number)
     slot_coordinator._dispatcher.remove_host("host-1")
     harness.gateway.placement.upstreams.update(saved)
     harness.add_upstream("e1", "assistant", 1, leaving=True)
@@ -622,8 +620,7 @@
     saved = harness.gateway.placement.upstreams.pop("e1")
     caller.send(request("/answer/1", "POST", b"x"))
     for _ in range(2):
-        (number,) = slot_coordinator._waits
-        wait = slot_coordinator._waits.pop(number)
+        (wait,) = slot_coordinator._waits.values()
         slot_coordinator._dispatcher.remove_host("host-1")
         slot_coordinator._start(wait, "e1")
         harness.reactor.advance(0.03)
--- a/tests/adapter_fleet.py
+++ b/tests/adapter_fleet.py
@@ -50,6 +50,8 @@
 class FleetTransport:
     """Stands in for the sockets of a gateway, and passes its messages to the network."""
 
+    sent_bytes = dropped = 0
+
     def __init__(self, host: HostId, network: "FleetNetwork") -> None:
         self.host = host
         self.network = network
