Let links decide on relays only while all gateways tell theirs

Found in the review of the relays with fast links: whether the links of a failure domain were known was asked for each domain by itself.

Change: while the link of any live host is not known, none counts, so that all builds agree on the relays of all domains.

The test of the states' age measured the time since the last arrival, which a steady backlog does not raise; it takes the time at which a state was sent now. The bound is the same, and it fails without fast relays as before.

--- a/libs/gateway/tests/test_slots_of_fleets.py
+++ b/libs/gateway/tests/test_slots_of_fleets.py
@@ -13,7 +13,7 @@
 
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.ids import FailureDomain, HostId, Incarnation
-from skylarkmoor_core.messages import Envelope, encode_envelope
+from skylarkmoor_core.messages import Envelope, GatewayState, StateBundle, encode_envelope
 from skylarkmoor_core.settings import Address
 from skylarkmoor_gateway import fleet as fleet_module
 from skylarkmoor_gateway.slotcoordinator import SlotClient
@@ -185,6 +185,8 @@
         self.has_links = has_links
         self.links_mbps = {}
         self.link_free_ms = Counter()
+        # When the newest state was sent that a gateway has received of a peer, by both.
+        self.states_sent_ms = {}
         self.requests = []
         names = [f"i-{self.rng.getrandbits(40):010x}" for _ in range(engines)]
         self.engines = {name: Engine(self, SPEEDS[i % len(SPEEDS)]) for i, name in enumerate(names)}
@@ -233,11 +235,19 @@
             sent_ms = max(sent_ms, self.link_free_ms[sender.host])
             sent_ms += size * 8 / self.links_mbps[sender.host] / 1_000
             self.link_free_ms[sender.host] = sent_ms
-        receiver = self.fleets[to]
-        self.later(
-            sent_ms - self.now_ms + self.rng.uniform(1, 4),
-            lambda: receiver._on_message(sender.host, sender.incarnation, message),
-        )
+        delay_ms = sent_ms - self.now_ms + self.rng.uniform(1, 4)
+        self.later(delay_ms, lambda: self._deliver(sender, to, message))
+
+    def _deliver(self, sender, to, message):
+        match message:
+            case GatewayState():
+                self.states_sent_ms[to, sender.host] = message.sent_ms
+            case StateBundle(states=states):
+                for each in states:
+                    key = (to, each.host)
+                    sent_ms = max(self.states_sent_ms.get(key, 0), each.state.sent_ms)
+                    self.states_sent_ms[key] = sent_ms
+        self.fleets[to]._on_message(sender.host, sender.incarnation, message)
 
     def _tick(self, fleet):
         fleet.tick()
@@ -279,9 +289,9 @@
     def oldest_state_ms(self):
         """Return the age of the oldest state that any gateway has of a peer."""
         return max(
-            self.clock.now_ms() - peer.last_heard_ms
-            for fleet in self.fleets.values()
-            for peer in fleet._peer_states.values()
+            self.clock.now_ms() - self.states_sent_ms[host, peer]
+            for host, fleet in self.fleets.items()
+            for peer in fleet._peer_states
         )
 
 
--- a/libs/policy/src/skylarkmoor_policy/staterelay.py
+++ b/libs/policy/src/skylarkmoor_policy/staterelay.py
@@ -81,8 +81,16 @@
         ----------
         links_mbps : mapping of HostId to float, optional
             Speeds of the links of the hosts; 0 or missing if it is not known.
+
+        Notes
+        -----
+        All hosts have to agree on the relays of all failure domains. Those of older builds do not
+        tell the speeds of their links, and choose the relays regardless of these, so while any
+        speed is not known, none counts.
         """
         links_mbps = links_mbps or {}
+        if not all(links_mbps.get(host) for host in failure_domains):
+            links_mbps = {}
         domains: dict[FailureDomain, list[HostId]] = {}
         for host, domain in sorted(failure_domains.items()):
             domains.setdefault(domain, []).append(host)
@@ -160,17 +168,10 @@
 def _relays_of(
     domain: FailureDomain, hosts: Sequence[HostId], links_mbps: Mapping[HostId, float]
 ) -> list[HostId]:
-    """Return the relays of a failure domain, hosts with a fast link first.
-
-    Notes
-    -----
-    All hosts have to agree on the relays. Those of older builds do not tell the speeds of their
-    links, and choose the relays regardless of these.
-    """
+    """Return the relays of a failure domain, hosts with a fast link first."""
     order = [HostId(host) for host in rendezvous_order(f"relay/{domain}", hosts)]
-    known_mbps = [links_mbps.get(host, 0.0) for host in hosts]
-    if all(known_mbps):
-        fast_mbps = max(known_mbps) * _MIN_LINK_FRACTION
+    if links_mbps:
+        fast_mbps = max(links_mbps[host] for host in hosts) * _MIN_LINK_FRACTION
         order.sort(key=lambda host: links_mbps[host] < fast_mbps)
     return order[:_RELAYS_PER_DOMAIN]
 
--- a/libs/policy/tests/test_staterelay.py
+++ b/libs/policy/tests/test_staterelay.py
@@ -35,11 +35,12 @@
 
 
 def test_relays_stay_the_same_while_a_host_does_not_tell_its_link():
-    """A host of an older build chooses the relays regardless of the links."""
+    """A host of an older build chooses all relays, those of other domains too, without links."""
     relay = make_relay(MEMBER)
-    links_mbps = dict.fromkeys(HOSTS, 5.0) | {MEMBER: 100.0, FIRST: 0.0}
-    relay.set_hosts(HOSTS, links_mbps)
-    assert list(relay.own_relays()) == [FIRST, SECOND]
+    for older in (FIRST, "suva-1"):
+        links_mbps = dict.fromkeys(HOSTS, 5.0) | {MEMBER: 100.0, older: 0.0}
+        relay.set_hosts(HOSTS, links_mbps)
+        assert list(relay.own_relays()) == [FIRST, SECOND]
 
 
 def test_states_are_accepted_once_and_in_order():
