Keep copies, refusals and re-divided groups right for requests queued at several groups

- A copy of a request kept its rank at the groups that had not granted the request.
Further slot requests carry the hash now, and the number of the first one (first_ticket, appended), by which a dispatcher of two groups knows them for one request; a grant elsewhere is recorded.
- Only the first group refuses early; a refusal of a further request by an older build is ignored.
- When the groups become fewer, the further requests end and the first is moved.
Before, all of them were queued at the same group, or the request was queued nowhere else any more.
- A grant that is not used is reported to the dispatcher that made it, not to the one that the group has by now.

--- a/libs/core/src/skylarkmoor_core/messages.py
+++ b/libs/core/src/skylarkmoor_core/messages.py
@@ -438,13 +438,15 @@
     request_hash: int = 0
     # Regions that the request must not leave; empty for any.
     regions: tuple[str, ...] = ()
+    # Ticket of the first slot request for the same request, if this is a further one; else 0.
+    first_ticket: int = 0
 
 
 class SlotWithdrawal(_Message, frozen=True, tag="x"):
     """Withdraws a slot request."""
 
     ticket: int
-    # Whether the dispatcher of another group has granted a slot.
+    # Whether another dispatcher has granted a slot.
     granted_elsewhere: bool = False
 
 
--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -463,7 +463,7 @@
             self.slot_coordinator.grant_free_slots()
         elif group not in self._pending_load_reports:
             self._pending_load_reports.add(group)
-            self._later(_LOAD_REPORT_DELAY_MS, lambda: self._report_load(group))
+            self._later(_LOAD_REPORT_DELAY_MS, lambda: self._report_changed_load(group))
 
     def tick(self) -> None:
         """Broadcast this gateway's state when it is due, and detect silent peers."""
@@ -656,13 +656,26 @@
         """Close all connections to peers."""
         self._transport.close()
 
-    def _report_load(self, group: SlotGroup) -> None:
+    def _report_changed_load(self, group: SlotGroup) -> None:
         self._pending_load_reports.discard(group)
-        owner = self.slot_coordinator.dispatcher_of(group)
+        self._report_load(group, self.slot_coordinator.dispatcher_of(group))
+
+    def _report_unused_grant(self, dispatcher: HostId, grant: SlotGrant) -> None:
+        """Tell a dispatcher that its grant is not used.
+
+        Notes
+        -----
+        Otherwise it would count the slot as taken until the next state.
+        """
+        group = self._placement.group_of(grant.upstream)
+        if group is not None:
+            self._report_load(group, dispatcher)
+
+    def _report_load(self, group: SlotGroup, dispatcher: HostId) -> None:
         loads = self._placement.own_loads(group)
-        taken = self.slot_coordinator.last_grants.get(owner, 0)
+        taken = self.slot_coordinator.last_grants.get(dispatcher, 0)
         self._transport.send(
-            owner,
+            dispatcher,
             SlotLoads(group.service, group.number, group.count, loads, taken, self._sequence),
         )
 
@@ -908,8 +921,7 @@
                 self.slot_coordinator.handle_slot_withdrawal(sender, incarnation, message)
             case SlotGrant():
                 if not self.slot_coordinator.handle_slot_grant(sender, message):
-                    # Otherwise the dispatcher would count the slot as taken until the next state.
-                    self.load_changed(message.upstream)
+                    self._report_unused_grant(sender, message)
             case SlotRefusal():
                 self.slot_coordinator.handle_slot_refusal(sender, message)
             case SlotLoads():
--- a/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
+++ b/libs/gateway/src/skylarkmoor_gateway/slotcoordinator.py
@@ -225,7 +225,7 @@
             client.service, need.version_rule, need.regions, need.request_hash
         )
         self._queue_at(wait, number, group)
-        if group.count > 1:
+        if group.count > 1 and wait.requests:
             self._later(_NEXT_GROUP_MS, lambda: self._queue_at_next_group(wait))
         return number
 
@@ -280,6 +280,9 @@
         owners: dict[SlotGroup, HostId] = {}
         closed: dict[ServiceName, frozenset[UpstreamId]] = {}
         for wait in list(self._waits.values()):
+            if not wait.requests:
+                # The end of another wait has ended it.
+                continue
             if now_ms >= wait.waiting.queue_deadline_ms:
                 self._end(wait)
                 wait.client.wait_timed_out()
@@ -361,6 +364,9 @@
             customer_weight=request.customer_weight,
             work_tokens=request.work_tokens,
             request_hash=request.request_hash,
+            first_ticket=Ticket(sender, request.first_ticket, incarnation)
+            if request.first_ticket
+            else None,
         )
         self._dispatcher.enqueue(
             QueuedRequest(
@@ -428,8 +434,9 @@
         wait = self._requested.get(refusal.ticket)
         if refusal.incarnation != self._incarnation or wait is None:
             return
-        if wait.requests[refusal.ticket].dispatcher != sender:
-            # It waits at another dispatcher by now.
+        if refusal.ticket != wait.number or wait.requests[refusal.ticket].dispatcher != sender:
+            # It waits at another dispatcher by now, or one of an older build has refused a further
+            # slot request.
             return
         self._refuse(refusal.ticket, refusal.available_in_ms)
 
@@ -488,15 +495,27 @@
         return self._placement.paused(service, now_ms) | self._placement.evacuated(service)
 
     def _repeat_slot_request(self, number: int, wait: _Wait, request: _GroupRequest) -> None:
-        """Repeat a slot request, at another group if the service is divided anew."""
+        """Repeat a slot request, unless the service is divided anew.
+
+        Notes
+        -----
+        The first slot request is moved to a group of the new division then, and the further ones
+        end. The request is queued at further groups of that division later.
+        """
         need = wait.waiting.item
         group = self._placement.less_loaded_group(
             wait.client.service, need.version_rule, need.regions
         )
-        if group.count != request.group.count:
-            self._cancel_slot_request(number, request)
-            request.dispatcher, request.group = None, group
+        if group.count == request.group.count:
+            self._request_slot(number, wait, request)
+            return
+        self._cancel_slot_request(number, request)
+        if number != wait.number:
+            del wait.requests[number], self._requested[number]
+            return
+        request.dispatcher, request.group = None, group
         self._request_slot(number, wait, request)
+        self._later(_NEXT_GROUP_MS, lambda: self._queue_at_next_group(wait))
 
     def _request_slot(self, number: int, wait: _Wait, request: _GroupRequest) -> None:
         owner = self.dispatcher_of(request.group)
@@ -507,15 +526,14 @@
         request.closed = self._closed(request.group.service, now_ms)
         need = wait.waiting.item
         avoid = need.exclude | request.closed
-        # Further slot requests of a wait are no copies of it, and only the first may be refused.
-        request_hash = need.request_hash if number == wait.number else 0
+        is_first = number == wait.number
         if owner == self._host:
             need = replace(
                 need,
                 ticket=self._own_ticket(number),
                 group=request.group,
                 exclude=avoid,
-                request_hash=request_hash,
+                first_ticket=None if is_first else self._own_ticket(wait.number),
             )
             self._dispatcher.enqueue(replace(wait.waiting, item=need))
             if self._offering:
@@ -547,7 +565,8 @@
                 customer=waiting.item.customer,
                 customer_weight=waiting.item.customer_weight,
                 work_tokens=waiting.item.work_tokens,
-                request_hash=request_hash,
+                request_hash=need.request_hash,
+                first_ticket=0 if is_first else wait.number,
             ),
         )
 
--- a/libs/gateway/tests/test_fair_slots.py
+++ b/libs/gateway/tests/test_fair_slots.py
@@ -10,7 +10,6 @@
     Envelope,
     GatewayState,
     SlotGrant,
-    SlotLoads,
     SlotRefusal,
     SlotRequest,
     decode_envelope,
@@ -191,10 +190,12 @@
 
 def test_the_dispatcher_is_told_of_a_grant_that_is_not_used(fleet, monkeypatch):
     """It counted the slot as taken until the next state, seconds later in a large fleet."""
-    monkeypatch.setattr(fleet, "_later", lambda delay_ms, callback: callback())
-    monkeypatch.setattr(fleet.slot_coordinator, "dispatcher_of", lambda group: "other")
+    reports = []
+    monkeypatch.setattr(fleet.slot_coordinator, "dispatcher_of", lambda group: "later one")
     client = wait(fleet, "depots")
     fleet.slot_coordinator.withdraw(client.number)
+    monkeypatch.setattr(fleet._transport, "send", lambda *message: reports.append(message))
     fleet._on_message("other", 1, SlotGrant(client.number, "engine", 7, incarnation=1))
     assert client.granted == []
-    assert [(each.loads, each.taken) for each in sent(fleet, SlotLoads)] == [({}, 7)]
+    [(dispatcher, report)] = reports
+    assert (dispatcher, report.loads, report.taken) == ("other", {}, 7)
--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -282,6 +282,20 @@
     assert sum(each.slot_coordinator.queued() for each in four_groups.nodes.values()) == 0
 
 
+def test_request_stays_queued_once_when_the_groups_become_fewer(four_groups):
+    """Its further slot requests would be granted slots of the same group."""
+    node = four_groups.nodes[NON_OWNER]
+    node.placement.set_peer_load("other", dict.fromkeys(node.placement.upstreams, (2, 0)))
+    _, number = node.wait(queue_deadline_ms=10_000)
+    for _ in range(4):
+        four_groups.tick(25)
+    for engine in list(node.placement.upstreams)[:15]:
+        node.placement.remove(engine)
+    four_groups.tick(500)
+    requests = node.slot_coordinator._waits[number].requests
+    assert {ticket: request.group.count for ticket, request in requests.items()} == {number: 1}
+
+
 def test_an_error_in_the_check_of_the_waits_does_not_stop_the_grants(network):
     node = network.nodes[OWNER]
     for _ in range(2):
--- a/libs/policy/src/skylarkmoor_policy/dispatcher.py
+++ b/libs/policy/src/skylarkmoor_policy/dispatcher.py
@@ -63,6 +63,9 @@
         one that has run before, or one of a daemon of an older build.
     regions : frozenset of str or None
         Regions that the request must not leave; None for any.
+    first_ticket : Ticket or None
+        Ticket under which the request was queued at another group before; None if it is queued
+        first here. Only the first group may refuse it early.
     """
 
     ticket: Ticket
@@ -78,6 +81,17 @@
     work_tokens: int = 0
     request_hash: int = 0
     regions: frozenset[str] | None = None
+    first_ticket: Ticket | None = None
+
+    @property
+    def history_key(self) -> Ticket:
+        """Ticket that all slot requests of a request have in common."""
+        return self.first_ticket or self.ticket
+
+    @property
+    def may_be_refused(self) -> bool:
+        """Whether the request may be refused before the end of its wait."""
+        return self.request_hash != 0 and self.first_ticket is None
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,7 +184,7 @@
         else:
             self.cancel(need.ticket)
         self._waiting[need.ticket] = waiting
-        self._history.add(need.request_hash, need.ticket, waiting.arrived_ms)
+        self._history.add(need.request_hash, need.history_key, waiting.arrived_ms)
         self._queues.setdefault(need.group, _GroupQueue()).add(waiting)
 
     def cancel(self, ticket: Ticket) -> None:
@@ -178,7 +192,7 @@
         waiting = self._waiting.pop(ticket, None)
         if waiting is not None:
             self._remove(waiting)
-            self._history.remove(waiting.item.request_hash, ticket)
+            self._history.remove(waiting.item.request_hash, waiting.item.history_key)
 
     def _remove(self, waiting: QueuedRequest[SlotRequirements]) -> None:
         queue = self._queues[waiting.item.group]
@@ -197,12 +211,14 @@
         waiting = self._waiting.get(ticket)
         if waiting is None:
             return
+        need = waiting.item
         if granted_elsewhere:
-            waits = self._slot_waits.get(waiting.item.group)
+            self._history.record_grant(need.request_hash, need.history_key, now_ms)
+            waits = self._slot_waits.get(need.group)
             if waits is not None:
                 waits.record_grant()
         elif now_ms >= waiting.queue_deadline_ms - _DEADLINE_MARGIN_MS:
-            self._history.record_refusal(waiting.item.request_hash, ticket, now_ms)
+            self._history.record_refusal(need.request_hash, need.history_key, now_ms)
         self.cancel(ticket)
 
     def remove_host(self, host: HostId) -> None:
@@ -223,7 +239,7 @@
         for group, queue in self._queues.items():
             for need in queue.expired(now_ms):
                 queue.forget(self._waiting.pop(need.ticket))
-                self._history.record_refusal(need.request_hash, need.ticket, now_ms)
+                self._history.record_refusal(need.request_hash, need.history_key, now_ms)
             waits = self._slot_waits.setdefault(group, SlotWaits())
             waits.observe(now_ms)
             # Offers are computed for each report of a peer. Under overload most reports free no
@@ -261,7 +277,7 @@
                 WaitingEntry(
                     _max_wait_ms(each),
                     each.queue_deadline_ms - now_ms,
-                    each.item.request_hash != 0,
+                    each.item.may_be_refused,
                 )
                 for each in ordered
             ]
@@ -270,7 +286,7 @@
                 refusals.append(EarlyRefusal(ticket, estimate.available_in_ms))
         for refusal in refusals:
             need = self._waiting[refusal.ticket].item
-            self._history.record_refusal(need.request_hash, need.ticket, now_ms)
+            self._history.record_refusal(need.request_hash, need.history_key, now_ms)
             self.cancel(refusal.ticket)
         return refusals
 
@@ -311,7 +327,7 @@
                 if len(skipped) >= _MAX_SKIPS:
                     break
                 continue
-            self._history.record_grant(need.request_hash, need.ticket, now_ms)
+            self._history.record_grant(need.request_hash, need.history_key, now_ms)
             self.cancel(need.ticket)
             self.shares.record_grant(need.customer, need.work_tokens, now_ms)
             under_limit = self._placement.issue_permit(choice.upstream, now_ms)
@@ -354,8 +370,8 @@
             usual = ranks[waiting.expedited, waiting.tier, waiting.route_tier][need.customer]
             if need.request_hash not in marked:
                 return usual
-            is_copy = self._history.is_copy(need.request_hash, need.ticket, now_ms)
-            is_newcomer = not self._history.is_returning(need.request_hash, need.ticket)
+            is_copy = self._history.is_copy(need.request_hash, need.history_key, now_ms)
+            is_newcomer = not self._history.is_returning(need.request_hash, need.history_key)
             return is_copy, usual[1], is_newcomer
 
         return rank
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -332,9 +332,8 @@
         """Return another slot group for a request that is queued at some, None without one."""
         loads = self.group_loads(service, version_rule, regions)
         for group in queued_at:
-            if group.count != len(loads):
-                return None
-            loads[group.number] = (0, 0)
+            if group.count == len(loads):
+                loads[group.number] = (0, 0)
         if not any(slots for _, slots in loads):
             return None
         return SlotGroup(service, less_loaded_group(loads, self._rng), len(loads))
--- a/libs/policy/tests/test_fair_dispatch.py
+++ b/libs/policy/tests/test_fair_dispatch.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -361,3 +361,36 @@
             oldest = next(iter(dispatcher._waiting))
             dispatcher.withdraw(oldest, contention.now_ms, granted_elsewhere=granted_elsewhere)
     assert bool(contention.refused) is not granted_elsewhere
+
+
+def test_a_copy_of_a_request_that_another_group_has_granted_goes_after_others():
+    """Callers that send several copies would displace others at the groups that granted none."""
+    contention = Contention(slots=1)
+    for _ in range(2):
+        contention.request("c0")
+    contention.step()
+    granted = Ticket("host", contention.request("c0", request_hash=500))
+    contention.dispatcher.withdraw(granted, contention.now_ms, granted_elsewhere=True)
+    contention.request("c0", request_hash=500)
+    other = contention.request("c0")
+    contention.now_ms += contention.hold_ms
+    contention.placement.record_end("engine", 0, held_ms=None, fault=None)
+    offer = next(contention.dispatcher.offers(contention.now_ms))
+    assert offer.ticket.number == other
+
+
+def test_slot_requests_of_one_request_are_no_copies_of_each_other():
+    """A dispatcher of two groups would take the second slot request for a copy."""
+    contention = Contention(slots=1)
+    for _ in range(2):
+        contention.request("c0")
+    contention.step()
+    first = contention.request("c0", request_hash=500)
+    further = contention.dispatcher._waiting[Ticket("host", first)]
+    need = replace(further.item, ticket=Ticket("host", 99), first_ticket=further.item.ticket)
+    contention.dispatcher.enqueue(replace(further, item=need))
+    contention.request("c0")
+    contention.dispatcher.cancel(Ticket("host", first))
+    contention.placement.record_end("engine", 0, held_ms=None, fault=None)
+    offer = next(contention.dispatcher.offers(contention.now_ms))
+    assert offer.ticket.number == 99
