Draw nearly equal upstreams at random where reports are old

Cause: the gateways choose the upstream of a plain service by the same reports, which are seconds old while a call lasts some 50 ms. All choose the one that had the lowest cost, until the next reports. Loads are one part of it, fault rates the other: these are estimated from a few hundred answers, and a difference of 2% costs 60 ms, above the tie of 5 ms. Before, the reports were so late that each gateway had others.

Change: in a fleet with relays, a choice without a dispatcher counts only the own requests, and costs within 100 ms are drawn at random. An upstream that fails many requests is avoided as before. Choices of dispatchers, and fleets without relays, are as before.

--- a/libs/gateway/src/skylarkmoor_gateway/fleet.py
+++ b/libs/gateway/src/skylarkmoor_gateway/fleet.py
@@ -779,6 +779,8 @@
     def _relay_states(self, now_ms: int) -> None:
         """Choose the relays, and pass on the states that have arrived if this host is one."""
         self._relaying = self._can_relay()
+        # Relayed states are up to seconds old.
+        self._placement.has_old_reports = self._relaying
         if not self._relaying:
             self._relay.set_hosts({})
             return
--- a/libs/policy/src/skylarkmoor_policy/placement.py
+++ b/libs/policy/src/skylarkmoor_policy/placement.py
@@ -49,6 +49,9 @@
 _FAULT_PENALTY_MS = 3_000
 # Costs that differ by no more than this are treated as equal, because loads are estimates.
 _COST_TIE_MS = 5.0
+# The same where daemons choose by old reports, without a dispatcher. The penalties of sound
+# upstreams differ by as much, as fault rates are estimated from a few hundred answers.
+_OLD_COST_TIE_MS = 100.0
 # Engines interleave chunked prefill with decode steps. At most this many prompt tokens are
 # processed between two events of a stream, so a longer backlog adds no further delay per event.
 _MAX_INTERLEAVED_PREFILL_TOKENS = 12_288
@@ -119,6 +122,8 @@
         self._peer_loaded_upstreams: dict[HostId, set[UpstreamId]] = {}
         # Upstreams that the last state of the peer has measurements of.
         self._peer_recorded_upstreams: dict[HostId, frozenset[UpstreamId]] = {}
+        # Whether the load reports of peers may be older than requests last.
+        self.has_old_reports = False
         self._tokens_per_event = _INITIAL_TOKENS_PER_EVENT
         self._decayed_at_ms: int | None = None
 
@@ -721,6 +726,12 @@
             Versions to choose among; None for all.
         regions : frozenset of str or None
             Regions to choose in; None for all.
+
+        Notes
+        -----
+        Without a dispatcher, all daemons choose by the same reports. If these are older than the
+        requests last that they count, all would choose the upstream that was the best one then, and
+        overload it. So only the own requests count, and nearly equal upstreams are drawn at random.
         """
         candidates = [
             each
@@ -744,15 +755,22 @@
             )
         if not candidates:
             return None
+        by_old_reports = not only_with_capacity and self.has_old_reports
         costs = [
-            self._cost_ms(each, prompt_tokens, max_event_gap_ms, output_tokens, remaining_ms)
+            self._cost_ms(
+                each,
+                prompt_tokens,
+                max_event_gap_ms,
+                output_tokens,
+                remaining_ms,
+                each.own_load.running if by_old_reports else each.running(),
+            )
             for each in candidates
         ]
         min_cost_ms = min(costs)
+        tie_ms = _OLD_COST_TIE_MS if by_old_reports else _COST_TIE_MS
         tied = [
-            u
-            for u, cost in zip(candidates, costs, strict=True)
-            if cost <= min_cost_ms + _COST_TIE_MS
+            u for u, cost in zip(candidates, costs, strict=True) if cost <= min_cost_ms + tie_ms
         ]
         selected = self._rng.choice(tied)
         return UpstreamChoice(
@@ -897,10 +915,11 @@
         max_event_gap_ms: int,
         output_tokens: int,
         remaining_ms: int | None,
+        running: int,
     ) -> float:
-        start_ms = upstream.predicted_first_token_ms(prompt_tokens)
+        start_ms = upstream.predicted_first_token_ms(prompt_tokens, running)
         cost_ms = start_ms + upstream.fault_rate * _FAULT_PENALTY_MS
-        if max_event_gap_ms and upstream.running():
+        if max_event_gap_ms and running:
             pending_tokens = min(
                 _MAX_INTERLEAVED_PREFILL_TOKENS, upstream.prefill_tokens() + prompt_tokens
             )
@@ -915,7 +934,7 @@
                 cost_ms += _DEADLINE_MISS_PENALTY_MS
         # Concurrent requests slow down decoding, and more so on a slow engine.
         slots = max(1, upstream.usable_slots)
-        return cost_ms + upstream.slot_hold_ms * 0.2 * upstream.running() / slots
+        return cost_ms + upstream.slot_hold_ms * 0.2 * running / slots
 
 
 def _running(upstream: TrackedUpstream | None) -> int:
--- a/libs/policy/src/skylarkmoor_policy/trackedupstream.py
+++ b/libs/policy/src/skylarkmoor_policy/trackedupstream.py
@@ -221,9 +221,15 @@
         """Return whether a new request would run or queue within the allowed depth."""
         return self.running() < self.slots + _ENGINE_QUEUE_DEPTH
 
-    def predicted_first_token_ms(self, prompt_tokens: int) -> float:
-        """Return the predicted time to first token of a new request."""
-        excess = self.running() + 1 - self.usable_slots
+    def predicted_first_token_ms(self, prompt_tokens: int, running: int | None = None) -> float:
+        """Return the predicted time to first token of a new request.
+
+        Parameters
+        ----------
+        running : int, optional
+            Number of requests that run or queue here; by default, those of all daemons.
+        """
+        excess = (self.running() if running is None else running) + 1 - self.usable_slots
         queued_ms = max(0, excess) * self.slot_hold_ms / max(1, self.usable_slots)
         prefill_ms = (self.prefill_tokens() + prompt_tokens) / self.tokens_per_ms
         return FIRST_TOKEN_OVERHEAD_MS + queued_ms + prefill_ms
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Guards against requests sent to full, slow, failing, draining or replaced upstreams."""
 
 import random
+from collections import Counter
 
 from skylarkmoor_policy.placement import Placement
 from skylarkmoor_policy.trackedupstream import RegisteredUpstream, UpstreamStats
@@ -39,6 +40,27 @@
     assert chosen_upstream(placement) == "a"
 
 
+def test_old_reports_attract_nobody():
+    """All gateways of a large fleet sent their calls to the upstream that had been the best."""
+    chosen = Counter()
+    for seed in range(300):
+        placement = make_placement("a", "b", "c", slots=6)
+        placement._rng.seed(seed)
+        placement.set_peer_load("peer", {"a": (5, 0), "b": (4, 0), "c": (1, 0)})
+        failures = {"a": 90, "b": 60, "c": 30}
+        records = {name: (0, 0, 0, 0, 3_000, failures[name]) for name in failures}
+        placement.update_peer_health("peer", records, {}, 0)
+        placement.refresh(0)
+        placement.has_old_reports = True
+        chosen[chosen_upstream(placement, 0)] += 1
+        assert chosen_upstream(placement, 0, only_with_capacity=True) == "c"
+    assert min(chosen[name] for name in "abc") > 60
+    # An upstream that fails many requests is avoided.
+    placement.update_peer_health("peer", dict.fromkeys("ab", (0, 0, 0, 0, 3_000, 900)), {}, 0)
+    placement.refresh(0)
+    assert chosen_upstream(placement, 0) == "c"
+
+
 def test_a_grant_counts_until_the_peer_reports_it():
     """Otherwise all daemons would fill the same free slot while load reports are outdated."""
     placement = make_placement("a", slots=1)
