Expect the load report that follows a declined grant

A grant that is not used is reported now, this one too, or its slot would count until the next state. The test checks both messages and their content.

--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -132,9 +132,11 @@
     gateway.fleet._on_message("peer", 1, SlotGrant(number, "u1", 1))
     assert harness.pending_connections() == 0
     assert exchange.wait_number == number
-    ((to, message),) = sent
-    assert to == "peer"
+    (to, message), (reported_to, report) = sent
+    assert (to, reported_to) == ("peer", "peer")
     assert message.limits[0].limit_per_s == 0
+    # The slot is not used, and does not count until the next state.
+    assert (report.loads, report.taken) == ({}, 1)
     gateway.fleet._on_message("peer", 1, SlotGrant(number, "u1", 2, under_limit=True))
     assert harness.pending_connections() == 1
 
