Make the tests of further slot requests fail without their change

Undoing them one by one showed otherwise: the test that slot requests of one request are no copies of each other passed without the common key, as the first one was cancelled before the order was asked for; that only the first group refuses, and that a refusal of a further request by an older build is ignored, had no test.

The first is replaced by one in which both are queued and granted, with a newer request beside them; the two others are new. Each fails with its change undone; the tests of copies, of fewer groups, of the unused grant, of the links and of the states' age did so before.

--- a/libs/gateway/tests/test_slotcoordinator.py
+++ b/libs/gateway/tests/test_slotcoordinator.py
@@ -6,7 +6,7 @@
 
 from skylarkmoor_core.clock import ManualClock
 from skylarkmoor_core.hashing import rendezvous_owner
-from skylarkmoor_core.messages import SlotGrant, SlotRequest, SlotWithdrawal
+from skylarkmoor_core.messages import SlotGrant, SlotRefusal, SlotRequest, SlotWithdrawal
 from skylarkmoor_gateway.slotcoordinator import SlotClient, SlotCoordinator
 from skylarkmoor_policy.dispatcher import SlotRequirements, Ticket
 from skylarkmoor_policy.placement import Placement
@@ -282,6 +282,20 @@
     assert sum(each.slot_coordinator.queued() for each in four_groups.nodes.values()) == 0
 
 
+def test_only_the_refusal_of_the_first_slot_request_ends_a_wait(four_groups):
+    """A dispatcher of an older build may refuse a further one, while other groups have slots."""
+    node = four_groups.nodes[NON_OWNER]
+    node.placement.set_peer_load("other", dict.fromkeys(node.placement.upstreams, (2, 0)))
+    client, number = node.wait()
+    four_groups.tick(25)
+    requests = node.slot_coordinator._waits[number].requests
+    (further,) = requests.keys() - {number}
+    for ticket, timeouts in ((further, 0), (number, 1)):
+        refusal = SlotRefusal(ticket, 100, 0)
+        node.slot_coordinator.handle_slot_refusal(requests[ticket].dispatcher, refusal)
+        assert client.timeouts == timeouts
+
+
 def test_request_stays_queued_once_when_the_groups_become_fewer(four_groups):
     """Its further slot requests would be granted slots of the same group."""
     node = four_groups.nodes[NON_OWNER]
--- a/libs/policy/tests/test_fair_dispatch.py
+++ b/libs/policy/tests/test_fair_dispatch.py
@@ -385,12 +385,33 @@
     for _ in range(2):
         contention.request("c0")
     contention.step()
-    first = contention.request("c0", request_hash=500)
-    further = contention.dispatcher._waiting[Ticket("host", first)]
-    need = replace(further.item, ticket=Ticket("host", 99), first_ticket=further.item.ticket)
-    contention.dispatcher.enqueue(replace(further, item=need))
+    first = Ticket("host", contention.request("c0", request_hash=500))
+    further = Ticket("host", 99)
+    queue_further(contention, first, further)
     contention.request("c0")
-    contention.dispatcher.cancel(Ticket("host", first))
-    contention.placement.record_end("engine", 0, held_ms=None, fault=None)
-    offer = next(contention.dispatcher.offers(contention.now_ms))
-    assert offer.ticket.number == 99
+    for _ in range(2):
+        contention.placement.record_end("engine", 0, held_ms=None, fault=None)
+    granted = []
+    for offer in contention.dispatcher.offers(contention.now_ms):
+        contention.placement.record_start("engine", 0)
+        granted.append(offer.ticket)
+    assert granted == [first, further]
+
+
+@pytest.mark.parametrize("is_further", [True, False])
+def test_only_the_first_group_refuses_a_request_early(is_further):
+    """Another group may have a slot for it when its first one has none."""
+    contention = Contention(slots=1, hold_ms=100, refuses_early=True)
+    for number in range(1_000, 1_200):
+        ticket = Ticket("host", contention.request("c0"))
+        if is_further:
+            queue_further(contention, ticket, ticket, Ticket("host", number))
+        contention.step()
+    assert bool(contention.refused) is not is_further
+
+
+def queue_further(contention, queued, further, first_ticket=None):
+    """Queue a further slot request for a request, under another ticket or in its place."""
+    waiting = contention.dispatcher._waiting[queued]
+    need = replace(waiting.item, ticket=further, first_ticket=first_ticket or queued)
+    contention.dispatcher.enqueue(replace(waiting, item=need))
