Count granted slots by whether their answers can be in time

The line "sending request to upstream" has goal_in_ms now, and granted_slots_total counts the slots by route and by whether the first token was expected within the goal. The test fails without the change, as there is no such metric.

--- a/libs/gateway/src/skylarkmoor_gateway/exchange.py
+++ b/libs/gateway/src/skylarkmoor_gateway/exchange.py
@@ -236,6 +236,8 @@
         if request.deadline_ms is not None:
             wait_ms = min(wait_ms, request.deadline_ms)
         self._deadline_ms = arrived_ms + wait_ms
+        # Time by which the first token is due.
+        self._goal_ms = arrived_ms + route.goal_ms
         self._sends = 0
         # Whether the retry budget counts the request.
         self._is_counted = False
@@ -431,6 +433,11 @@
         self.wait_number = None
         if self._done:
             return
+        self._gateway.metrics.slot_granted(
+            self.service,
+            self.route.name,
+            in_time=now_ms + choice.predicted_first_token_ms <= self._goal_ms,
+        )
         if self._is_admitted:
             self._dispatch(choice, now_ms)
         else:
@@ -620,6 +627,7 @@
                 "slots": choice.slots,
                 "asked_groups": choice.asked_groups,
                 "remaining_ms": self._deadline_ms - now_ms,
+                "goal_in_ms": self._goal_ms - now_ms,
                 "tier": self.tier,
                 "prompt_tokens": self.request.prompt_tokens,
                 "output_tokens": self.request.expected_output_tokens,
--- a/libs/gateway/src/skylarkmoor_gateway/metrics.py
+++ b/libs/gateway/src/skylarkmoor_gateway/metrics.py
@@ -100,6 +100,10 @@
             "customers_above_share",
             "Customers whose slot requests wait here and come after those of others.",
         )
+        self._granted_slots = self._counter(
+            "granted_slots_total",
+            "Granted slots by route, and by whether the answer was expected to begin in time.",
+        )
         self._gave_way = self._counter(
             "gave_way_total", "Connections and bodies that gave way at a bound, by cause."
         )
@@ -176,6 +180,11 @@
         """Count a request that was refused before its wait for a slot had ended."""
         self._early_refusals.inc({"service": service})
 
+    def slot_granted(self, service: str, route: str, *, in_time: bool) -> None:
+        """Count a granted slot by whether the first token is expected within the route's goal."""
+        expected = "in_time" if in_time else "late"
+        self._granted_slots.inc({"service": service, "route": route, "expected": expected})
+
     def customers_above_share(self, count: int) -> None:
         """Set the number of customers above their share."""
         self._customers_above_share.set({}, count)
--- a/tests/adapter/test_slot_refusals.py
+++ b/tests/adapter/test_slot_refusals.py
@@ -1,4 +1,4 @@
-"""Guards against refusals of requests that have run, and Retry-After without relation to slots."""
+"""Guards against refusals that say or count the wrong thing, and slots that nobody accounts for."""
 
 import pytest
 
@@ -53,3 +53,15 @@
     (wait,) = waits(harness).values()
     assert wait.waiting.expedited
     assert wait.waiting.item.request_hash == 0
+
+
+@pytest.mark.parametrize(("waited_ms", "expected"), [(0, "in_time"), (1_000, "late")])
+def test_slots_are_counted_by_whether_their_answers_can_be_in_time(harness, waited_ms, expected):
+    """Neither logs nor metrics told whether slots went to answers that were late already."""
+    send_to_full_engine(harness, 1)
+    harness.advance(waited_ms)
+    harness.gateway.placement.set_peer_load("peer", {})
+    harness.advance(25)
+    text, _ = harness.gateway.metrics.render([])
+    (line,) = [line for line in text.decode().splitlines() if "granted_slots_total{" in line]
+    assert f'expected="{expected}"' in line
